--- /dev/null
+++ b/agent/keep/calls.go
@@ -0,0 +1,120 @@
+package keep
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/wire"
+)
+
+// served counts what entries asked for.
+type served struct {
+	grants, refusals, orders *metrics.Counter
+	waits                    *metrics.Histogram
+}
+
+func (s *served) open() {
+	s.grants = metrics.GetOrCreateCounter("permits_granted_total")
+	s.refusals = metrics.GetOrCreateCounter("permits_refused_total")
+	s.orders = metrics.GetOrCreateCounter("orders_total")
+	s.waits = metrics.GetOrCreateHistogram("permit_wait_seconds")
+}
+
+// permit answers once the request may begin or is refused.
+func (k *Keep) permit(ctx context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var call gate.PermitCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
+	}
+	ch := make(chan gate.PermitReply, 1)
+	if !k.post(ctx, func() { k.offer(&call, ch) }) {
+		return nil, ctx.Err()
+	}
+	select {
+	case r := <-ch:
+		return r, nil
+	case <-ctx.Done(): // the entry is gone, and with it the request
+		k.post(context.WithoutCancel(ctx), func() { k.drop(call.ID, false) })
+		return nil, ctx.Err()
+	}
+}
+
+// offer runs on the gate's goroutine.
+func (k *Keep) offer(call *gate.PermitCall, ch chan gate.PermitReply) {
+	k.asks[call.ID] = ch
+	r := k.check(call)
+	if r == nil {
+		r = k.gate.Offer(call.Ask)
+	}
+	if r != nil {
+		k.Log.Info("refused", "request", call.ID, "kind", r.Kind, "why", r.Detail, "rank", call.Rank, "left", call.Left)
+		k.served.refusals.Inc()
+		k.reply(call.ID, gate.PermitReply{Refusal: r})
+	}
+}
+
+// check refuses what this agent can't decide on.
+func (k *Keep) check(call *gate.PermitCall) *magno.Refusal {
+	switch {
+	case k.leaving:
+		return magno.Refuse(magno.KindLeaving, "this agent stops")
+	case k.down:
+		return magno.Refuse(magno.KindNoUpstream, "the engine doesn't answer")
+	case call.Replica != k.gate.Spec().Replica:
+		return magno.Refuse(magno.KindNoUpstream, "another incarnation is here: %q", k.gate.Spec().Replica)
+	}
+	return nil
+}
+
+// drop ends a request, also one that waits.
+func (k *Keep) drop(id string, ok bool) {
+	k.gate.Done(id, ok)
+	if k.asks[id] != nil {
+		k.reply(id, gate.PermitReply{Refusal: magno.Refuse(magno.KindCancelled, "the caller went away")})
+	}
+}
+
+// end takes the end of a request.
+func (k *Keep) end(ctx context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var call gate.EndCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		k.Log.Warn("end", "error", err)
+		return nil, err
+	}
+	k.post(ctx, func() { k.drop(call.ID, call.OK) })
+	return nil, nil
+}
+
+// status takes what the entry knows and tells what this agent knows.
+func (k *Keep) status(ctx context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var call gate.StatusCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
+	}
+	ch := make(chan gate.StatusReply, 1)
+	if !k.post(ctx, func() { ch <- k.learn(&call) }) {
+		return nil, ctx.Err()
+	}
+	select {
+	case r := <-ch:
+		return r, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// learn runs on the gate's goroutine.
+func (k *Keep) learn(call *gate.StatusCall) gate.StatusReply {
+	if call.Spec != nil && call.Revision > k.revision {
+		if call.Spec.Replica != k.gate.Spec().Replica {
+			k.Log.Info("replica", "is", call.Spec.Replica, "was", k.gate.Spec().Replica, "rev", call.Revision, "from", call.Entry)
+		}
+		k.revision = call.Revision
+		k.gate.Specify(*call.Spec)
+	}
+	return k.state()
+}
--- /dev/null
+++ b/agent/keep/speak.go
@@ -0,0 +1,123 @@
+package keep
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"magnoliastall.example/magno"
+)
+
+const (
+	// reportEvery is how often the engine is asked for its state; that is free
+	// from its own machine, and costs a third of a millisecond here.
+	reportEvery = 100 * magno.Millis(1)
+	// callTime bounds a call of the engine. It answers within a few
+	// milliseconds, or is dark.
+	callTime = 300 * magno.Millis(1)
+	// downAfter is how many reports in a row must fail until the engine counts
+	// as down: one may meet a full queue of new connections.
+	downAfter = 2
+	// fenceStep is by how much a fence is raised that the engine calls too
+	// low; it doubles with each refusal that follows.
+	fenceStep = 1000
+)
+
+// speaker is what the goroutine that speaks to the engine knows.
+type speaker struct {
+	*Keep
+	fence  int64
+	step   int64
+	misses int
+}
+
+// speak asks for reports and gives orders until ctx ends.
+func (k *Keep) speak(ctx context.Context) {
+	s := &speaker{Keep: k, fence: k.Fence, step: fenceStep}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case list := <-k.doing:
+			for _, c := range list {
+				s.order(ctx, c)
+			}
+			k.post(ctx, func() { k.busy = false })
+		case <-timer.C:
+		}
+		s.report(ctx)
+		timer.Reset(reportEvery.Span())
+	}
+}
+
+// report brings the engine's state to the gate.
+func (s *speaker) report(ctx context.Context) {
+	asked := s.Clock.Now()
+	call, cancel := context.WithTimeout(ctx, callTime.Span())
+	defer cancel()
+	r, err := s.Engine.Report(call)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		s.misses++
+		if s.misses == downAfter {
+			s.Log.Warn("engine down", "error", err, "misses", s.misses)
+			s.post(ctx, func() { s.down = true })
+		}
+		return
+	}
+	back := s.misses >= downAfter
+	s.misses = 0
+	if back {
+		s.Log.Info("engine back", "born", r.Born)
+	}
+	s.post(ctx, func() { s.take(r, asked) })
+}
+
+// take brings a report to the gate; it runs on the gate's goroutine.
+func (k *Keep) take(r *magno.Report, asked magno.Millis) {
+	if k.born != r.Born {
+		k.Log.Info("engine", "born", r.Born, "before", k.born, "models", len(r.Held))
+	}
+	k.born, k.down = r.Born, false
+	k.gate.Reported(r, asked)
+}
+
+// order gives one command and tells the gate what became of it.
+func (s *speaker) order(ctx context.Context, c magno.Command) {
+	c.Replica, c.Holder, c.Fence = s.spec(ctx), s.Name, s.fence
+	call, cancel := context.WithTimeout(ctx, callTime.Span())
+	defer cancel()
+	o, err := s.Engine.Order(call, c)
+	level := slog.LevelInfo
+	if err != nil || o == magno.OrderFenced {
+		level = slog.LevelWarn
+	}
+	s.Log.Log(ctx, level, "order", "load", c.Load, "model", c.Model, "adapter", c.Adapter, "version", c.Version,
+		"fence", c.Fence, "outcome", o, "error", err)
+	if o == magno.OrderFenced {
+		// Another start of this process, with a clock ahead of ours, gave
+		// orders. Only a higher fence is heard again.
+		s.fence += s.step
+		s.step *= 2
+	}
+	s.served.orders.Inc()
+	s.post(ctx, func() { s.gate.Ordered(c, o) })
+}
+
+// spec asks the gate's goroutine for the incarnation that orders are for.
+func (s *speaker) spec(ctx context.Context) string {
+	id := make(chan string, 1)
+	if !s.post(ctx, func() { id <- s.gate.Spec().ID }) {
+		return ""
+	}
+	select {
+	case v := <-id:
+		return v
+	case <-ctx.Done():
+		return ""
+	}
+}
--- /dev/null
+++ b/entry/desk/desk.go
@@ -0,0 +1,313 @@
+// Package desk speaks to the agents beside engines: it asks for permits, and
+// keeps what each agent tells of its engine.
+//
+//	Run: every Poll --status--> agents --> seats --> Reported (router)
+//	relay --Permit--> agent;  relay --End--> agent
+//
+// An agent that doesn't answer is no reason to refuse: what its engine held a
+// moment ago is still there, so requests for it go without a permit until the
+// agent is back.
+package desk
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"reflect"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/view"
+	"magnoliastall.example/magno/wire"
+)
+
+const (
+	// pollEvery is how often an agent in use is asked for its state. Waits at
+	// an engine change within a few hundred milliseconds.
+	pollEvery = 250 * magno.Millis(1)
+	// pollTime bounds the answer: several round trips between data centres.
+	pollTime = 300 * magno.Millis(1)
+	// deadAfter is how many polls in a row must fail until permits are no longer
+	// waited for.
+	deadAfter = 2
+	// endTime bounds the handing over of the word that a request ended.
+	endTime = magno.Second
+	// mostPolled bounds the agents that one entry asks at each tick. With more,
+	// those that it lately sent requests to come first.
+	mostPolled = 64
+	// usedFor is how long an agent counts as in use after a permit.
+	usedFor = 5 * magno.Second
+	// heldFor is how long what an engine held counts after its agent went
+	// silent: a few agents' restarts.
+	heldFor = 10 * magno.Second
+)
+
+// ErrDead tells that the agent doesn't answer.
+var ErrDead = errors.New("the agent doesn't answer")
+
+// Desk is the duty. Fields are set before Run.
+type Desk struct {
+	// Name is this instance's.
+	Name  string
+	Mesh  *wire.Mesh
+	Book  *view.Book
+	Clock *magno.Clock
+	Log   *slog.Logger
+	// Port is where agents listen, the same on all machines.
+	Port int
+	// Reported is told each backlog by the incarnation's key.
+	Reported func(service, key string, b magno.Backlog)
+
+	mu    sync.Mutex
+	seats map[string]*seat
+	next  int
+	polls *metrics.Counter
+	fails *metrics.Counter
+}
+
+// seat is what is known of one agent.
+type seat struct {
+	replica *magno.Replica
+	addr    string
+	spec    *gate.Spec
+	// revision is that of the list when spec last changed.
+	revision int64
+	status   gate.StatusReply
+	heard    magno.Millis
+	used     magno.Millis
+	misses   int
+	polling  bool
+	// lost is closed once the agent counts as dead, and made anew when it
+	// answers again.
+	lost chan struct{}
+	dead bool
+}
+
+// Duty is what the kernel runs.
+func (d *Desk) Duty() magno.Duty { return runner{d} }
+
+type runner struct{ desk *Desk }
+
+// Name implements magno.Duty.
+func (r runner) Name() string { return "desk" }
+
+// Run implements magno.Duty.
+func (r runner) Run(ctx context.Context) error { return r.desk.run(ctx) }
+
+func (d *Desk) run(ctx context.Context) error {
+	d.polls = metrics.GetOrCreateCounter("agent_polls_total")
+	d.fails = metrics.GetOrCreateCounter("agent_poll_failures_total")
+	ticks := time.NewTicker(pollEvery.Span())
+	defer ticks.Stop()
+	var working sync.WaitGroup
+	defer working.Wait()
+	for {
+		changed := d.Book.Changed()
+		d.seat(d.Book.Now())
+		for _, s := range d.due() {
+			working.Add(1)
+			go func() {
+				defer working.Done()
+				d.poll(ctx, s)
+			}()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-ticks.C:
+		}
+	}
+}
+
+// seat brings the seats up to the list.
+func (d *Desk) seat(snap *view.Snapshot) {
+	if snap.Plan == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.seats
+	d.seats = make(map[string]*seat, len(old))
+	for _, r := range snap.Replicas {
+		service := snap.Plan.Service(r.Service)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		host, _, _ := net.SplitHostPort(r.Address) // checked when it was decoded
+		s := old[r.Key()]
+		if s == nil {
+			s = &seat{addr: net.JoinHostPort(host, strconv.Itoa(d.Port)), lost: make(chan struct{}), heard: d.Clock.Now()}
+		}
+		s.replica = r
+		spec := &gate.Spec{Replica: r.Key(), ID: r.ID, Engine: *service.Engine, Pins: snap.Pins}
+		if s.spec == nil || !reflect.DeepEqual(s.spec, spec) {
+			s.spec, s.revision = spec, snap.Revision
+		}
+		d.seats[r.Key()] = s
+	}
+}
+
+// due lists the agents to ask now.
+func (d *Desk) due() []*seat {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	list := make([]*seat, 0, min(len(d.seats), mostPolled))
+	for _, s := range d.seats {
+		if s.polling || (len(d.seats) > mostPolled && now-s.used > usedFor && !d.turn(s)) {
+			continue
+		}
+		s.polling = true
+		list = append(list, s)
+	}
+	return list
+}
+
+// turn lets agents that aren't in use have a poll now and then.
+func (d *Desk) turn(_ *seat) bool {
+	d.next++
+	return d.next%max(len(d.seats)/mostPolled, 1) == 0
+}
+
+// poll asks one agent, and tells it what it doesn't know yet.
+func (d *Desk) poll(ctx context.Context, s *seat) {
+	ctx, cancel := context.WithTimeout(ctx, pollTime.Span())
+	defer cancel()
+	d.mu.Lock()
+	spec, revision := s.spec, s.revision
+	d.mu.Unlock()
+	call := gate.StatusCall{Entry: d.Name, Revision: revision}
+	var reply gate.StatusReply
+	err := d.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
+	if err == nil && (reply.Revision < revision || (reply.Replica != spec.Replica && reply.Revision <= revision)) {
+		call.Spec = spec
+		err = d.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
+	}
+	d.polls.Inc()
+	d.mu.Lock()
+	s.polling = false
+	d.mu.Unlock()
+	if err != nil {
+		d.fails.Inc()
+		d.missed(s, err)
+		return
+	}
+	d.heard(s, &reply)
+}
+
+func (d *Desk) missed(s *seat, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.misses++
+	if s.misses == deadAfter {
+		s.dead = true
+		close(s.lost)
+		d.Log.Warn("agent lost", "replica", s.replica.Key(), "addr", s.addr, "error", err)
+	}
+}
+
+func (d *Desk) heard(s *seat, reply *gate.StatusReply) {
+	d.mu.Lock()
+	if s.dead {
+		s.dead, s.lost = false, make(chan struct{})
+		d.Log.Info("agent back", "replica", s.replica.Key(), "addr", s.addr)
+	}
+	if reply.Down != s.status.Down {
+		d.Log.Info("engine", "replica", s.replica.Key(), "down", reply.Down)
+	}
+	s.misses, s.heard, s.status = 0, d.Clock.Now(), *reply
+	key, service := s.replica.Key(), s.replica.Service
+	mine := reply.Replica == key
+	d.mu.Unlock()
+	if mine && d.Reported != nil {
+		d.Reported(service, key, reply.Backlog)
+	}
+}
+
+// Permit asks that a request may begin at a replica, and waits. ErrDead means
+// that nobody decided.
+func (d *Desk) Permit(ctx context.Context, key string, ask gate.Ask) (*gate.PermitReply, error) {
+	d.mu.Lock()
+	s := d.seats[key]
+	if s == nil || s.dead {
+		d.mu.Unlock()
+		return nil, ErrDead
+	}
+	s.used = d.Clock.Now()
+	lost, addr := s.lost, s.addr
+	d.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-lost:
+			cancel()
+		case <-stop:
+		}
+	}()
+	var reply gate.PermitReply
+	err := d.Mesh.Call(ctx, addr, gate.MethodPermit, gate.PermitCall{Ask: ask, Replica: key}, &reply)
+	if err != nil {
+		if !wire.NotSent(err) {
+			d.End(key, ask.ID, false) // it may have been let through since
+		}
+		return nil, errors.Mark(err, ErrDead)
+	}
+	d.heard(s, &reply.Status)
+	return &reply, nil
+}
+
+// End tells the agent that a request ended. If the word is lost, the agent
+// forgets the request at its deadline.
+func (d *Desk) End(key, id string, ok bool) {
+	d.mu.Lock()
+	s := d.seats[key]
+	d.mu.Unlock()
+	if s == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endTime.Span())
+	defer cancel()
+	if err := d.Mesh.Notify(ctx, s.addr, gate.MethodEnd, gate.EndCall{ID: id, OK: ok}); err != nil {
+		d.Log.Debug("end", "replica", key, "request", id, "error", err)
+	}
+}
+
+// Holds tells whether an engine held a model or adapter when its agent was
+// last heard, and that this is not long ago.
+func (d *Desk) Holds(key, name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.seats[key]
+	if s == nil || s.status.Replica != key || d.Clock.Now()-s.heard > heldFor {
+		return false
+	}
+	hash := magno.Ref{Adapter: name}.Hash()
+	for _, h := range s.status.Backlog.Warm {
+		if h == hash {
+			return true
+		}
+	}
+	return false
+}
+
+// Down tells whether the engine is known not to answer, or to have started
+// anew since the list named this incarnation.
+func (d *Desk) Down(key string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.seats[key]
+	if s == nil {
+		return true
+	}
+	return !s.dead && (s.status.Down || (s.status.Born != 0 && s.status.Born != s.replica.Born))
+}
--- /dev/null
+++ b/entry/peers/peers.go
@@ -0,0 +1,388 @@
+// Package peers lets the entries know each other, and passes on what one of
+// them read of the platform's list.
+//
+//	seeds --hello--> peers --hello, each 400 ms--> all others
+//	reads --Push--> news --> all others' Book
+//	a higher revision in a hello --> items --> Book
+//
+// The platform doesn't list the system's own processes. A process starts from
+// the seeds in its settings and learns the rest from whom it meets.
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/view"
+	"magnoliastall.example/magno/wire"
+)
+
+// Methods between entries.
+const (
+	MethodHello = "hello" // Hello, answered by one
+	MethodNews  = "news"  // News, a notification
+	MethodItems = "items" // Since, answered by News
+)
+
+const (
+	// helloEvery is how often each peer is asked; helloTime bounds its answer.
+	helloEvery = 400 * magno.Millis(1)
+	helloTime  = 350 * magno.Millis(1)
+	// goneAfter is how many hellos in a row must fail until a peer counts as
+	// gone, and forgetAfter until it is no longer asked.
+	goneAfter   = 2
+	forgetAfter = 150
+	// Readers is how many entries read the list: with one, its loss would hold
+	// up a change for the second that it takes the others to notice.
+	Readers = 2
+	// staleAge is the age from which a process reads by itself, whoever should.
+	staleAge = 2500 * magno.Millis(1)
+	// seenFor is how long a peer that was alive still counts among those that
+	// share the retry allowance: it may only be cut off from here.
+	seenFor = 30 * magno.Second
+	// tryEvery is how often an entry that the list refuses tries again while
+	// others read for it.
+	tryEvery = 3 * magno.Second
+	// pullTime bounds the fetching of items.
+	pullTime = magno.Second
+	// newsTime bounds the handing over of news to one peer.
+	newsTime = 500 * magno.Millis(1)
+	// newsRoom bounds news that wait to be sent.
+	newsRoom = 64
+)
+
+// Hello is what an entry tells of itself.
+type Hello struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+	// Revision is the newest that it knows, Age how long ago that was the
+	// list's newest.
+	Revision int64        `json:"rev"`
+	Age      magno.Millis `json:"age"`
+	// Able is true while the platform's list answers it.
+	Able bool `json:"able"`
+	// Peers are the addresses of entries that it knows.
+	Peers []string `json:"peers,omitempty"`
+	// Suspects are requests that crashed upstreams.
+	Suspects []crash.Record `json:"suspects,omitempty"`
+}
+
+// News are the changes of the list after Since and up to Revision.
+type News struct {
+	Changes  []magno.Change `json:"changes"`
+	Since    int64          `json:"since"`
+	Revision int64          `json:"rev"`
+	Age      magno.Millis   `json:"age"`
+}
+
+// Since asks for the changes after a revision.
+type Since struct {
+	Revision int64 `json:"rev"`
+}
+
+// Peers is the duty. Fields are set before Open.
+type Peers struct {
+	// Name and Addr are this entry's.
+	Name, Addr string
+	Seeds      []string
+	Mesh       *wire.Mesh
+	Book       *view.Book
+	Suspects   *crash.Suspects
+	Clock      *magno.Clock
+	Log        *slog.Logger
+
+	mu      sync.Mutex
+	known   map[string]*peer
+	// able tells whether the list answers this process, unable since when it
+	// doesn't.
+	able    bool
+	unable  magno.Millis
+	news    chan News
+	pulling bool
+}
+
+type peer struct {
+	hello  Hello
+	misses int
+	alive  bool
+	seen   magno.Millis
+	asking bool
+}
+
+// Open takes the methods on the mesh, before either runs.
+func (p *Peers) Open() {
+	p.known = map[string]*peer{}
+	p.able = true
+	p.news = make(chan News, newsRoom)
+	p.learn(p.Seeds)
+	p.Mesh.Handle(MethodHello, p.onHello)
+	p.Mesh.Handle(MethodNews, p.onNews)
+	p.Mesh.Handle(MethodItems, p.onItems)
+}
+
+type duty struct{ *Peers }
+
+// Duty is what the kernel runs.
+func (p *Peers) Duty() magno.Duty { return duty{p} }
+
+// Name implements magno.Duty.
+func (duty) Name() string { return "peers" }
+
+// Run asks peers until ctx ends.
+func (d duty) Run(ctx context.Context) error {
+	p := d.Peers
+	ticks := time.NewTicker(helloEvery.Span())
+	defer ticks.Stop()
+	var working sync.WaitGroup
+	defer working.Wait()
+	for {
+		for addr, known := range p.due() {
+			working.Add(1)
+			go func() {
+				defer working.Done()
+				p.ask(ctx, addr, known)
+			}()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+		case n := <-p.news:
+			p.spread(ctx, &working, n)
+		}
+	}
+}
+
+// learn notes addresses that are new.
+func (p *Peers) learn(addrs []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, addr := range addrs {
+		if addr != "" && addr != p.Addr && p.known[addr] == nil {
+			p.known[addr] = &peer{hello: Hello{Addr: addr}}
+		}
+	}
+}
+
+// due lists whom to ask now. Those that are gone are asked less often, and
+// given up after a minute, unless they are seeds.
+func (p *Peers) due() map[string]*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := map[string]*peer{}
+	for addr, k := range p.known {
+		if k.misses > forgetAfter && !slices.Contains(p.Seeds, addr) {
+			delete(p.known, addr)
+			continue
+		}
+		if !k.asking {
+			k.asking = true
+			list[addr] = k
+		}
+	}
+	return list
+}
+
+func (p *Peers) ask(ctx context.Context, addr string, k *peer) {
+	ctx, cancel := context.WithTimeout(ctx, helloTime.Span())
+	defer cancel()
+	var reply Hello
+	err := p.Mesh.Call(ctx, addr, MethodHello, p.self(), &reply)
+	p.mu.Lock()
+	k.asking = false
+	if err != nil {
+		k.misses++
+		if k.alive && k.misses >= goneAfter {
+			k.alive = false
+			p.Log.Info("entry lost", "peer", k.hello.Name, "addr", addr, "error", err)
+		}
+	}
+	p.mu.Unlock()
+	if err == nil {
+		p.heard(&reply)
+	}
+}
+
+// self is what this entry tells.
+func (p *Peers) self() Hello {
+	snap := p.Book.Now()
+	h := Hello{Name: p.Name, Addr: p.Addr, Revision: snap.Revision, Age: p.Book.Age(), Suspects: p.Suspects.List()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h.Able = p.able
+	for addr, k := range p.known {
+		if k.alive {
+			h.Peers = append(h.Peers, addr)
+		}
+	}
+	return h
+}
+
+// heard takes what a peer told of itself.
+func (p *Peers) heard(h *Hello) {
+	p.learn(append(h.Peers, h.Addr))
+	p.Suspects.Merge(h.Suspects)
+	p.mu.Lock()
+	k := p.known[h.Addr]
+	if k == nil { // it is this entry itself
+		p.mu.Unlock()
+		return
+	}
+	if !k.alive {
+		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
+	}
+	k.hello, k.misses, k.alive, k.seen = *h, 0, true, p.Clock.Now()
+	mine := p.Book.Now().Revision
+	pull := h.Revision > mine && !p.pulling
+	p.pulling = p.pulling || pull
+	p.mu.Unlock()
+	if h.Revision == mine && h.Revision > 0 {
+		p.Book.Heard(nil, mine, h.Revision, h.Age)
+	}
+	if pull {
+		go p.pull(h.Addr, mine)
+	}
+}
+
+// pull fetches the changes that a peer has and this process hasn't.
+func (p *Peers) pull(addr string, since int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTime.Span())
+	defer cancel()
+	var n News
+	err := p.Mesh.Call(ctx, addr, MethodItems, Since{Revision: since}, &n)
+	p.mu.Lock()
+	p.pulling = false
+	p.mu.Unlock()
+	if err != nil {
+		p.Log.Info("pull", "addr", addr, "since", since, "error", err)
+		return
+	}
+	p.Book.Heard(n.Changes, n.Since, n.Revision, n.Age)
+}
+
+// Push tells all peers what was read.
+func (p *Peers) Push(changes []magno.Change, since, revision int64) {
+	select {
+	case p.news <- News{Changes: changes, Since: since, Revision: revision}:
+	default: // they see the higher revision in the next hello, and ask
+		p.Log.Warn("news dropped", "changes", len(changes), "rev", revision)
+	}
+}
+
+func (p *Peers) spread(ctx context.Context, working *sync.WaitGroup, n News) {
+	p.mu.Lock()
+	var addrs []string
+	for addr, k := range p.known {
+		if k.alive {
+			addrs = append(addrs, addr)
+		}
+	}
+	p.mu.Unlock()
+	for _, addr := range addrs {
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			ctx, cancel := context.WithTimeout(ctx, newsTime.Span())
+			defer cancel()
+			if err := p.Mesh.Notify(ctx, addr, MethodNews, n); err != nil {
+				p.Log.Info("news", "addr", addr, "rev", n.Revision, "error", err)
+			}
+		}()
+	}
+}
+
+func (p *Peers) onHello(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var h Hello
+	if err := json.Unmarshal(params, &h); err != nil {
+		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
+	}
+	p.heard(&h)
+	return p.self(), nil
+}
+
+func (p *Peers) onNews(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var n News
+	if err := json.Unmarshal(params, &n); err != nil {
+		p.Log.Warn("news", "error", err)
+		return nil, err
+	}
+	p.Book.Heard(n.Changes, n.Since, n.Revision, n.Age)
+	return nil, nil
+}
+
+func (p *Peers) onItems(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var s Since
+	if err := json.Unmarshal(params, &s); err != nil {
+		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
+	}
+	changes, revision, age := p.Book.Since(s.Revision)
+	return News{Changes: changes, Since: s.Revision, Revision: revision, Age: age}, nil
+}
+
+// Able notes whether the list answers this process.
+func (p *Peers) Able(able bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.able && !able {
+		p.unable = p.Clock.Now()
+	}
+	p.able = able
+}
+
+// Mine tells whether this process is to read the list: it is among the first
+// by a hash that all compute alike, of those that the list answers, or nobody
+// has told it anything for too long.
+func (p *Peers) Mine() bool {
+	if p.Book.Now().Plan == nil || p.Book.Age() > staleAge {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.able {
+		// Somebody else reads; whether the list answers again is tried seldom.
+		if p.Clock.Now()-p.unable < tryEvery {
+			return false
+		}
+		p.unable = p.Clock.Now()
+		return true
+	}
+	before := 0
+	for _, k := range p.known {
+		if k.alive && k.hello.Able && over(k.hello.Name, p.Name) {
+			before++
+		}
+	}
+	return before < Readers
+}
+
+// over orders entries by hash.
+func over(a, b string) bool {
+	ha, hb := xxhash.Sum64String(a), xxhash.Sum64String(b)
+	if ha != hb {
+		return ha > hb
+	}
+	return strings.Compare(a, b) > 0
+}
+
+// Processes counts the entries that share the retry allowance, this one
+// included: those alive lately, and at least as many as there are seeds.
+func (p *Peers) Processes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, now := 1, p.Clock.Now()
+	for _, k := range p.known {
+		if k.seen > 0 && now-k.seen < seenFor {
+			n++
+		}
+	}
+	return max(n, len(p.Seeds))
+}
--- /dev/null
+++ b/entry/relay/job.go
@@ -0,0 +1,266 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/paths"
+	"magnoliastall.example/magno/view"
+)
+
+const (
+	// leastRun is what must be left for a request to be worth beginning: the
+	// reading of a prompt and the first event.
+	leastRun = 200 * magno.Millis(1)
+	// callersGap and aimGaps tell when callers leave a stream without its first
+	// event: after two seconds or four times the aim, whichever is longer.
+	callersGap = 2 * magno.Second
+	aimGaps    = 4
+	// waitSlack is what a request must have left of that time when it begins.
+	waitSlack = 500 * magno.Millis(1)
+	// mostChoices bounds the replicas that are asked for a permit in one pass.
+	mostChoices = 3
+	// busyAfter is the time to come back where no agent tells one.
+	busyAfter = 200 * magno.Millis(1)
+	// goneAfter is the time to come back when a service has no replica.
+	goneAfter = 500 * magno.Millis(1)
+	// plainWork is the work of a request to a plain service: they differ little.
+	plainWork = 1
+)
+
+// job is one request on its way.
+type job struct {
+	*Relay
+	w    http.ResponseWriter
+	r    *http.Request
+	snap *view.Snapshot
+	call magno.Call
+	// id is the attempt's.
+	id    string
+	route *magno.Route
+	body  []byte
+	// print is the request's fingerprint as a suspect, zero without a body.
+	print uint64
+	// came is when it was read, end when it must have its answer.
+	came, end magno.Millis
+
+	service *magno.Service
+	// tries counts sends, avoid lists the replicas that they went to.
+	tries int
+	avoid []string
+	// ran is true once an upstream may have begun to work on it.
+	ran bool
+	// runs counts upstreams that may have.
+	runs int
+	// at is the replica that it was sent to last, waited the wait for permits.
+	at     string
+	waited magno.Millis
+	// started is true once the head of the answer went to the caller; last is
+	// the newest event that did, events their number.
+	started bool
+	last    string
+	events  int
+	// failure is the upstream's answer to pass on when no other can be had.
+	failure *answer
+	// refusal is why the last choice was refused.
+	refusal *magno.Refusal
+}
+
+// result is what became of one send.
+type result int
+
+const (
+	resultDone    result = iota // the caller has its answer
+	resultUnsent                // nothing reached the upstream
+	resultNotRun                // the upstream states that it did not run it
+	resultFailed                // it ran, or may have
+	resultGone                  // the caller left, or the time is over
+	resultRefused               // nobody lets it begin
+)
+
+// run sends the request until it has its answer.
+func (j *job) run() {
+	j.service = j.snap.Plan.Service(paths.Split(j.route, j.id))
+	if j.service == nil {
+		j.refuse(magno.Refuse(magno.KindNoUpstream, "the route's service isn't configured").Later(goneAfter))
+		return
+	}
+	if j.Suspects.Refused(j.print) {
+		j.refuse(magno.Refuse(magno.KindSuspect, "requests like it crashed upstreams"))
+		return
+	}
+	j.Pools.Taken(j.service.Name)
+	ctx, cancel := context.WithTimeout(j.r.Context(), (j.end - j.Clock.Now()).Span())
+	defer cancel()
+	for {
+		res := j.attempt(ctx)
+		if res == resultDone || !j.again(ctx, res) {
+			j.finish(res)
+			return
+		}
+	}
+}
+
+// again tells whether the request may be sent once more after res.
+func (j *job) again(ctx context.Context, res result) bool {
+	if ctx.Err() != nil || j.end-j.Clock.Now() < leastRun/2 {
+		return false
+	}
+	switch res {
+	case resultUnsent:
+		return len(j.avoid) < mostChoices
+	case resultNotRun:
+		return len(j.avoid) < mostChoices && j.Pools.Again(j.service.Name)
+	case resultFailed:
+		return j.route.Repeatable() && j.runs < j.route.Attempts && j.Pools.Again(j.service.Name)
+	}
+	return false
+}
+
+// finish gives the final answer when no upstream's could be had.
+func (j *job) finish(res result) {
+	gone := j.r.Context().Err() != nil
+	switch {
+	case res == resultDone:
+	case gone:
+		j.note(0, "cancelled", "the caller left")
+	case j.started:
+		j.note(http.StatusOK, "interrupted", "the stream broke off")
+		panic(http.ErrAbortHandler) // it must not look complete
+	case j.failure != nil:
+		j.failure.pass(j)
+	case j.Clock.Now() >= j.end-1:
+		j.refuse(j.expired())
+	case j.refusal != nil && !j.ran:
+		j.refuse(j.refusal)
+	case !j.ran:
+		j.refuse(magno.Refuse(magno.KindBusy, "no upstream took it").Later(busyAfter))
+	default:
+		j.refuse(magno.Refuse(magno.KindUnknown, "the upstream's answer was lost"))
+	}
+}
+
+// expired is the answer when the route's time is over.
+func (j *job) expired() *magno.Refusal {
+	if j.ran {
+		return magno.Refuse(magno.KindDeadline, "its time is over")
+	}
+	return magno.Refuse(magno.KindBusy, "its time was over before it could begin").Later(busyAfter)
+}
+
+// attempt chooses a replica, gets a permit and sends the request once.
+func (j *job) attempt(ctx context.Context) result {
+	names := j.Pools.Router(j.service.Name).Route(j.query())
+	replicas := j.replicas(names)
+	if len(replicas) == 0 {
+		j.refusal = magno.Refuse(magno.KindNoUpstream, "no upstream of %s is there", j.service.Name).Later(goneAfter)
+		return resultRefused
+	}
+	if j.service.Engine == nil {
+		return j.plain(ctx, replicas[0])
+	}
+	return j.engine(ctx, replicas)
+}
+
+func (j *job) query() magno.Query {
+	return magno.Query{Ref: j.ref(), Prefix: j.call.Prefix, Avoid: j.avoid}
+}
+
+// ref names what an engine must hold.
+func (j *job) ref() magno.Ref {
+	if j.service.Engine == nil {
+		return magno.Ref{}
+	}
+	return magno.Ref{Adapter: gate.Name(j.call.Model, j.call.Adapter)}
+}
+
+// replicas finds the incarnations that a router named.
+func (j *job) replicas(names []string) []*magno.Replica {
+	snap := j.Book.Now()
+	list := make([]*magno.Replica, 0, len(names))
+	for _, name := range names {
+		for _, r := range snap.Replicas {
+			if r.Key() == name && !r.Leaving {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
+// plain sends to a plain service, which needs no permit.
+func (j *job) plain(ctx context.Context, r *magno.Replica) result {
+	router := j.Pools.Router(j.service.Name)
+	router.Sent(r.Key(), plainWork)
+	from := j.Clock.Now()
+	res := j.send(ctx, r, 0)
+	router.Ended(r.Key(), plainWork, j.Clock.Now()-from, res != resultUnsent && res != resultFailed)
+	router.Report(r.Key(), magno.Backlog{})
+	return res
+}
+
+// engine asks the agents of the best replicas in turn until one lets the
+// request begin.
+func (j *job) engine(ctx context.Context, replicas []*magno.Replica) result {
+	for _, r := range replicas[:min(len(replicas), mostChoices)] {
+		res, ok := j.permitted(ctx, r)
+		if ok {
+			return res
+		}
+		if ctx.Err() != nil {
+			return resultGone
+		}
+	}
+	return resultRefused
+}
+
+// permitted sends to one engine, if it may; false when it may not.
+func (j *job) permitted(ctx context.Context, r *magno.Replica) (result, bool) {
+	key, from := r.Key(), j.Clock.Now()
+	ask := j.ask(from)
+	reply, err := j.Permits.Permit(ctx, key, ask)
+	j.waited += j.Clock.Now() - from
+	switch {
+	case ctx.Err() != nil:
+		if err == nil {
+			j.Permits.End(key, ask.ID, false)
+		}
+		return resultGone, true
+	case err != nil:
+		// Nobody decides there now. What the engine held goes without.
+		if !j.Permits.Holds(key, gate.Name(j.call.Model, j.call.Adapter)) {
+			return resultRefused, false
+		}
+	case reply.Refusal != nil:
+		if j.refusal == nil || reply.Refusal.After < j.refusal.After {
+			j.refusal = magno.Refuse(reply.Refusal.Kind, "%s", reply.Refusal.Detail).Later(max(reply.Refusal.After, busyAfter))
+		}
+		return resultRefused, false
+	}
+	router := j.Pools.Router(j.service.Name)
+	work := j.call.Prompt
+	router.Sent(key, work)
+	sent := j.Clock.Now()
+	res := j.send(ctx, r, j.route.Rank)
+	router.Ended(key, work, j.Clock.Now()-sent, res != resultUnsent && res != resultFailed)
+	j.Permits.End(key, ask.ID, res == resultDone)
+	return res, true
+}
+
+// ask is the request as the gate sees it.
+func (j *job) ask(now magno.Millis) gate.Ask {
+	left := j.end - now
+	patience := left - leastRun
+	if j.route.Kind == magno.KindStream {
+		patience = min(patience, max(callersGap, aimGaps*j.route.Aim)-waitSlack-(now-j.came))
+	}
+	return gate.Ask{
+		ID:    j.Name + "/" + strconv.FormatUint(j.number.Add(1), 10) + "/" + j.id,
+		Model: j.call.Model, Adapter: j.call.Adapter, Prompt: j.call.Prompt, Output: j.call.Output,
+		Shared: j.call.Shared, Prefix: j.call.Prefix, Rank: j.route.Rank,
+		Aim: j.route.Aim - (now - j.came), Patience: patience, Left: left,
+	}
+}
--- /dev/null
+++ b/entry/relay/relay.go
@@ -0,0 +1,242 @@
+// Package relay takes callers' requests and brings them to upstreams.
+//
+//	caller --> ServeHTTP: route, body --> job.run
+//	             choose replica --> permit --> hop: send --> answer or stream
+//	                  ^                                        |
+//	                  '------ again, if it can't have run <----'
+//	                          or may run twice, and the allowance lets it
+//
+// A request is answered once, whatever happens: with the upstream's whole
+// answer, with a refusal that promises it has not run and never will, or with
+// a failure that promises nothing.
+package relay
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliastall.example/entry/hop"
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/paths"
+	"magnoliastall.example/magno/view"
+)
+
+const (
+	// defaultTime is how long a request may take where neither caller nor route
+	// say.
+	defaultTime = 30 * magno.Second
+	// bodyLimit bounds a request's body where the configuration doesn't.
+	bodyLimit = 4 << 20
+	// staleAge is the age of the list from which on an unknown path may be a
+	// route that this process hasn't heard of yet.
+	staleAge = 1500 * magno.Millis(1)
+	// startAfter is when a caller should come back to a process that has no
+	// configuration yet.
+	startAfter = 300 * magno.Millis(1)
+	// endSlack is how long before a route's time is over its answer is given, so
+	// that it is there in time.
+	endSlack = 20 * magno.Millis(1)
+)
+
+// Permits decide when a request may begin; desk.Desk implements them.
+type Permits interface {
+	Permit(ctx context.Context, key string, ask gate.Ask) (*gate.PermitReply, error)
+	End(key, id string, ok bool)
+	Holds(key, name string) bool
+	Down(key string) bool
+}
+
+// Pools choose among the replicas of a service and bound sends beyond the
+// first.
+type Pools interface {
+	Router(service string) magno.Router
+	// Taken counts a request, Again takes one more send from the allowance.
+	Taken(service string)
+	Again(service string) bool
+}
+
+// Relay is the handler of callers' requests. Fields are set before use.
+type Relay struct {
+	// Name is this instance's; it makes the IDs of permits unique.
+	Name    string
+	Clock   *magno.Clock
+	Book    *view.Book
+	Dialect magno.Dialect
+	Hops    *hop.Pool
+	Permits Permits
+	Pools   Pools
+	// Suspects are requests that crash upstreams.
+	Suspects *crash.Suspects
+	Log      *slog.Logger
+
+	table   atomic.Pointer[tabled]
+	active  atomic.Int64
+	leaving atomic.Int64
+	number  atomic.Uint64
+}
+
+// tabled is the routing table of one configuration.
+type tabled struct {
+	plan  *magno.Plan
+	table *paths.Table
+}
+
+// Active counts requests that are being answered.
+func (h *Relay) Active() int64 { return h.active.Load() }
+
+// Leave begins a planned stop: answers ask callers to close their connections,
+// and after full no new request is taken that may outlast the process.
+func (h *Relay) Leave(full magno.Millis) { h.leaving.Store(int64(h.Clock.Now() + full)) }
+
+// Leaving tells whether a planned stop has begun.
+func (h *Relay) Leaving() bool { return h.leaving.Load() != 0 }
+
+// find returns the configuration's routing table, made when it is new.
+func (h *Relay) find(plan *magno.Plan) *paths.Table {
+	t := h.table.Load()
+	if t == nil || t.plan != plan {
+		t = &tabled{plan: plan, table: paths.New(plan)}
+		h.table.Store(t)
+	}
+	return t.table
+}
+
+// ServeHTTP answers one request.
+func (h *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	j := &job{Relay: h, w: w, r: r, came: h.Clock.Now(), snap: h.Book.Now()}
+	j.call = h.Dialect.Read(r.Header)
+	j.id = j.call.ID
+	if refusal := j.prepare(); refusal != nil {
+		j.refuse(refusal)
+		return
+	}
+	j.run()
+}
+
+// prepare finds the route and reads the body.
+func (j *job) prepare() *magno.Refusal {
+	if j.snap.Plan == nil {
+		return magno.Refuse(magno.KindStarting, "no configuration yet").Later(startAfter)
+	}
+	j.route = j.find(j.snap.Plan).Find(j.r.Host, j.r.URL.Path)
+	if j.route == nil {
+		if age := j.Book.Age(); age > staleAge {
+			return magno.Refuse(magno.KindStarting, "no route, and the configuration is %d ms old", age).Later(startAfter)
+		}
+		return magno.Refuse(magno.KindNoProfile, "no route for %s%s", j.r.Host, j.r.URL.Path)
+	}
+	if j.id == "" {
+		return magno.Refuse(magno.KindMalformed, "the request has no id")
+	}
+	j.limit()
+	if until := magno.Millis(j.leaving.Load()); until != 0 && j.came > until {
+		return magno.Refuse(magno.KindLeaving, "this instance stops").Later(0)
+	}
+	return j.readBody()
+}
+
+// limit sets when the request must have its answer.
+func (j *job) limit() {
+	j.end = j.came + defaultTime
+	if j.route.Timeout > 0 {
+		j.end = j.came + max(j.route.Timeout-endSlack, 1)
+	}
+	if j.call.Left > 0 {
+		j.end = min(j.end, j.came+j.call.Left)
+	}
+}
+
+func (j *job) readBody() *magno.Refusal {
+	limit := j.snap.Plan.Body
+	if limit <= 0 {
+		limit = bodyLimit
+	}
+	if j.r.ContentLength > limit {
+		return magno.Refuse(magno.KindTooLarge, "a body of %d bytes", j.r.ContentLength)
+	}
+	body, err := io.ReadAll(io.LimitReader(j.r.Body, limit+1))
+	if err != nil {
+		return magno.Refuse(magno.KindMalformed, "the body ended early: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return magno.Refuse(magno.KindTooLarge, "a body of over %d bytes", limit)
+	}
+	j.body = body
+	if len(body) > 0 {
+		j.print = xxhash.Sum64String(j.r.RequestURI + "\n" + string(body))
+	}
+	return nil
+}
+
+// statuses are the kinds of answer whose status must not promise that the
+// request did not run, where it may have.
+const maybeRan = http.StatusBadGateway
+
+// refuse answers with a kind of this system's own.
+func (j *job) refuse(refusal *magno.Refusal) {
+	status := refusal.Kind.Answer().Status
+	if refusal.Kind == magno.KindSuspect {
+		status = http.StatusServiceUnavailable // it has not run, and coming back is useless
+	}
+	if j.ran && promises(status) {
+		status = maybeRan
+	}
+	h := j.w.Header()
+	if again := refusal.Kind.Answer().Again; again && !j.ran {
+		h.Set("Retry-After", strconv.FormatFloat(float64(refusal.After)/1000, 'f', 3, 64))
+	}
+	j.closing(h)
+	h.Set("Content-Length", "0")
+	j.w.WriteHeader(status)
+	j.note(status, string(refusal.Kind), refusal.Detail)
+}
+
+// promises tells whether callers take a status as word that the request has
+// not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout,
+		http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// closing asks the caller for a new connection while this process stops.
+func (j *job) closing(h http.Header) {
+	if j.Leaving() {
+		h.Set("Connection", "close")
+	}
+}
+
+// note logs the outcome of a request, in one line with what decided it.
+func (j *job) note(status int, outcome, why string) {
+	took := j.Clock.Now() - j.came
+	metrics.GetOrCreateCounter(`requests_total{outcome="` + outcome + `"}`).Inc()
+	metrics.GetOrCreateHistogram("request_seconds").Update(float64(took) / 1000)
+	route := ""
+	if j.route != nil {
+		route = j.route.Name
+	}
+	j.Log.Info("request", "request", j.id, "route", route, "status", status, "outcome", outcome, "why", why,
+		"replica", j.at, "tries", j.tries, "waited", j.waited, "took", took, "events", j.events,
+		"config", j.version(), "age", j.Book.Age())
+}
+
+func (j *job) version() int64 {
+	if j.snap.Plan == nil {
+		return 0
+	}
+	return j.snap.Plan.Version
+}
--- /dev/null
+++ b/entry/site/front.go
@@ -0,0 +1,130 @@
+package site
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnoliastall.example/entry/relay"
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/view"
+)
+
+const (
+	// headerLimit is the most bytes of a header; the configuration's own limit
+	// is about this.
+	headerLimit = 16 << 10
+	// headerTime bounds the reading of a header.
+	headerTime = 5 * time.Second
+	// idleTime is how long an idle connection of a caller is kept: longer than
+	// any configuration lets callers stay idle, so that a request never crosses
+	// a close of ours.
+	idleTime = 2 * time.Minute
+	// fullFor is how long after the request to stop requests of any length are
+	// still taken. The balancer needs two to three seconds to send new
+	// connections elsewhere.
+	fullFor = 2500 * magno.Millis(1)
+	// stayFor is the least time from the request to stop to the end, for the
+	// same reason: connections that come meanwhile find somebody.
+	stayFor = 3500 * magno.Millis(1)
+	// stopSlack is what is left of the grace when the process ends by itself.
+	stopSlack = 700 * magno.Millis(1)
+)
+
+// front serves callers and the balancer's question.
+type front struct {
+	set   *magno.SiteSettings
+	path  string
+	relay *relay.Relay
+	book  *view.Book
+	clock *magno.Clock
+	log   *slog.Logger
+
+	left atomic.Int64
+}
+
+// Name implements magno.Duty.
+func (f *front) Name() string { return "front" }
+
+// Run serves callers until ctx ends.
+func (f *front) Run(ctx context.Context) error {
+	return serve(ctx, f.set.Callers, &http.Server{
+		Handler: f.relay, MaxHeaderBytes: headerLimit, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+	})
+}
+
+// serve runs a server until ctx ends, and then closes its connections.
+func serve(ctx context.Context, address string, s *http.Server) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(l) }()
+	select {
+	case err := <-ended:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	if err := s.Close(); err != nil {
+		return errors.Wrap(err, "close")
+	}
+	<-ended
+	return nil
+}
+
+// ready tells whether new connections should come here.
+func (f *front) ready() bool {
+	snap := f.book.Now()
+	return !f.relay.Leaving() && snap.Plan != nil && len(snap.Replicas) > 0
+}
+
+// leave begins a planned stop.
+func (f *front) leave() {
+	f.left.Store(int64(f.clock.Now()))
+	f.relay.Leave(fullFor)
+}
+
+// busy counts what a planned stop waits for: requests, and the time that the
+// balancer needs.
+func (f *front) busy() int64 {
+	n := f.relay.Active()
+	left := magno.Millis(f.left.Load())
+	if left == 0 {
+		return n
+	}
+	since := f.clock.Now() - left
+	switch {
+	case since > f.set.Grace-stopSlack:
+		return 0
+	case since < stayFor:
+		return n + 1
+	}
+	return n
+}
+
+// ready answers the balancer.
+type ready struct {
+	*front
+}
+
+// Name implements magno.Duty.
+func (r *ready) Name() string { return "ready" }
+
+// Run answers until ctx ends.
+func (r *ready) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc(r.path, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serve(ctx, r.set.Ready, &http.Server{Handler: mux, ReadHeaderTimeout: headerTime})
+}
--- /dev/null
+++ b/entry/site/pools.go
@@ -0,0 +1,129 @@
+package site
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliastall.example/entry/peers"
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/allow"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/route"
+	"magnoliastall.example/magno/view"
+)
+
+// How replicas are chosen; see package route.
+const (
+	// loadMargin is how much longer than a load the wait at the holders of an
+	// adapter must be until another engine loads it.
+	loadMargin = 150 * magno.Millis(1)
+	// homeStep is the cost of an adapter's second home where none holds it.
+	homeStep = 100 * magno.Millis(1)
+	// prefixStep is the cost of leaving the holder that read the prompt's start.
+	prefixStep = 10 * magno.Millis(1)
+	// farCost is that of another data centre, in milliseconds: a round trip of
+	// two, and bytes that cost.
+	farCost = 3 * magno.Millis(1)
+	// plainToken is by how much one request delays others at a plain service,
+	// in milliseconds: about its work over its places.
+	plainToken = 5.0
+	// plainBusy counts all of what is outstanding there.
+	plainBusy = 1.0
+)
+
+// pools keeps a router and an allowance for each service.
+type pools struct {
+	clock *magno.Clock
+	book  *view.Book
+	peers *peers.Peers
+	set   *magno.SiteSettings
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+type pool struct {
+	router *route.Route
+	allow  *allow.Window
+	engine bool
+}
+
+// get returns a service's pool, made on first use. The caller holds mu.
+func (p *pools) get(service string) *pool {
+	if found := p.pools[service]; found != nil {
+		return found
+	}
+	made := &pool{
+		router: &route.Route{
+			Clock: p.clock, Seed: xxhash.Sum64String(p.set.Name), DataCentre: p.set.DataCentre,
+		},
+		allow: &allow.Window{Clock: p.clock, Ratio: p.set.RetryRatio, Slack: p.set.RetrySlack, Span: p.set.RetryWindow},
+	}
+	if s := p.book.Now().Plan.Service(service); s != nil && s.Engine != nil {
+		made.router.Tuning = route.Tuning{
+			Margin: loadMargin, Order: homeStep, Prefix: prefixStep, Far: farCost, Token: 1 / gate.ReadRate,
+		}
+	} else {
+		made.router.Tuning = route.Tuning{Far: farCost, Token: plainToken, Busy: plainBusy}
+	}
+	if p.pools == nil {
+		p.pools = map[string]*pool{}
+	}
+	p.pools[service] = made
+	made.router.Update(p.targets(service))
+	return made
+}
+
+// targets lists the replicas of a service.
+func (p *pools) targets(service string) []magno.Target {
+	var list []magno.Target
+	for _, r := range p.book.Now().Replicas {
+		if r.Service == service {
+			list = append(list, magno.Target{Name: r.Key(), DataCentre: r.DataCentre, Leaving: r.Leaving})
+		}
+	}
+	return list
+}
+
+// update brings all routers up to the list.
+func (p *pools) update() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, one := range p.pools {
+		one.router.Update(p.targets(service))
+	}
+}
+
+// report brings an engine's backlog to its router.
+func (p *pools) report(service, key string, b magno.Backlog) {
+	p.mu.Lock()
+	one := p.pools[service]
+	p.mu.Unlock()
+	if one != nil {
+		one.router.Report(key, b)
+	}
+}
+
+// Router implements relay.Pools.
+func (p *pools) Router(service string) magno.Router {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.get(service).router
+}
+
+// Taken implements relay.Pools.
+func (p *pools) Taken(service string) {
+	p.mu.Lock()
+	one := p.get(service)
+	p.mu.Unlock()
+	one.allow.Taken()
+}
+
+// Again implements relay.Pools.
+func (p *pools) Again(service string) bool {
+	p.mu.Lock()
+	one := p.get(service)
+	p.mu.Unlock()
+	return one.allow.Again(p.peers.Processes())
+}
--- /dev/null
+++ b/entry/site/site.go
@@ -0,0 +1,204 @@
+// Package site assembles an entry on a platform that a plug-in speaks for.
+//
+//	platform's list --> reads --> Book <--> peers (other entries)
+//	                               |
+//	             pools (routers) <-+-> desk <--> agents
+//	                    |                |
+//	callers --> relay --+----------------+--> hops --> upstreams
+package site
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+
+	"magnoliastall.example/entry/desk"
+	"magnoliastall.example/entry/hop"
+	"magnoliastall.example/entry/peers"
+	"magnoliastall.example/entry/reads"
+	"magnoliastall.example/entry/relay"
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/admin"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/event"
+	"magnoliastall.example/magno/lines"
+	"magnoliastall.example/magno/setup"
+	"magnoliastall.example/magno/start"
+	"magnoliastall.example/magno/view"
+	"magnoliastall.example/magno/wire"
+
+	// The site that deployments name.
+	_ "magnoliastall.example/platform"
+)
+
+const (
+	// anyone lets every address of the platform's network call: machines come
+	// and go, and the settings name no networks.
+	anyone = "0.0.0.0/0"
+	// collect is the garbage collector's target, in percent of the live heap:
+	// memory costs more here than the processor time that it saves.
+	collect = 50
+	// memoryPart is the part of the memory limit from which on the collector
+	// works harder instead of letting the process be killed.
+	memoryPart = 0.8
+)
+
+// Main runs an entry on the named site and returns its exit code.
+func Main(name string) int {
+	log := &lines.Writer{Out: os.Stdout}
+	code := run(name, log)
+	log.Flush()
+	return code
+}
+
+func run(name string, out *lines.Writer) int {
+	made, err := magno.Plugin(magno.SortSite, name)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		return setup.ExitUsage
+	}
+	site, ok := made.(magno.Site)
+	if !ok {
+		fmt.Fprintf(os.Stderr, "entry: plug-in %q is no site\n", name)
+		return setup.ExitUsage
+	}
+	set, err := site.Settings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		return setup.ExitUsage
+	}
+	Memory(set.Memory)
+	log := start.Log(out, set.Name)
+	e := assemble(site, set, log)
+	if err := e.mesh.Open(); err != nil {
+		log.Error("start", "error", err)
+		return start.ExitFailed
+	}
+	log.Info("start", "dc", set.DataCentre, "callers", set.Callers, "ready", set.Ready, "peers", set.Peers,
+		"seeds", len(set.Seeds), "list", set.List)
+	d := start.Daemon{
+		Duties: append(e.duties(), out), Log: log, Leave: e.front.leave, Busy: e.front.busy, Drain: set.Grace,
+		Reload: func() { reload(site, set, log) },
+	}
+	return d.Run()
+}
+
+// Memory sets the collector for a process with that limit, in bytes.
+func Memory(limit int64) {
+	debug.SetGCPercent(collect)
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(limit)))
+	}
+}
+
+// reload compares the settings. What an entry is told of itself holds until its
+// next start; the log says so where it changed.
+func reload(site magno.Site, set *magno.SiteSettings, log *slog.Logger) {
+	now, err := site.Settings()
+	if err != nil {
+		log.Warn("reload", "error", err)
+		return
+	}
+	log.Info("reload", "changed", fmt.Sprint(*now) != fmt.Sprint(*set))
+}
+
+// entry is the process, put together.
+type entry struct {
+	set   *magno.SiteSettings
+	mesh  *wire.Mesh
+	book  *view.Book
+	hops  *hop.Pool
+	peers *peers.Peers
+	pools *pools
+	reads *reads.Reads
+	desk  *desk.Desk
+	front *front
+	log   *slog.Logger
+}
+
+func assemble(site magno.Site, set *magno.SiteSettings, log *slog.Logger) *entry {
+	clock := magno.NewSteady()
+	e := &entry{set: set, log: log}
+	e.mesh = &wire.Mesh{Listen: set.Peers, Allow: []string{anyone}, Clock: clock, Log: log}
+	e.book = &view.Book{Clock: clock, Noted: noted(log)}
+	e.hops = &hop.Pool{Clock: clock}
+	suspects := &crash.Suspects{Clock: &magno.Clock{}}
+	e.peers = &peers.Peers{
+		Name: set.Name, Addr: set.Peers, Seeds: set.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
+	}
+	e.peers.Open()
+	e.pools = &pools{clock: clock, book: e.book, peers: e.peers, set: set}
+	e.reads = &reads.Reads{
+		List: site.Lister(set.List), Book: e.book, Mine: e.peers.Mine, Push: e.peers.Push, Able: e.peers.Able, Log: log,
+	}
+	e.desk = &desk.Desk{
+		Name: set.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, Port: set.Inner, Reported: e.pools.report,
+	}
+	handler := &relay.Relay{
+		Name: set.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Hops: e.hops, Permits: e.desk, Pools: e.pools,
+		Suspects: suspects, Log: log,
+	}
+	e.front = &front{set: set, path: site.ReadyPath(), relay: handler, book: e.book, clock: clock, log: log}
+	return e
+}
+
+func (e *entry) duties() []magno.Duty {
+	return []magno.Duty{
+		e.mesh, e.reads, e.peers.Duty(), e.desk.Duty(), &follow{e}, e.front, &ready{e.front},
+		&admin.Server{
+			Listen: net.JoinHostPort("0.0.0.0", strconv.Itoa(MetricsPort)), Allow: []string{anyone},
+			Ready: e.front.ready, Status: func() any { return e.book.Now() }, Events: &event.Ring{Process: e.set.Name, Size: 1},
+		},
+	}
+}
+
+// MetricsPort is where metrics are served on each machine.
+const MetricsPort = 9464
+
+// noted logs each change of the list once.
+func noted(log *slog.Logger) func(magno.Change) {
+	return func(c magno.Change) {
+		switch {
+		case c.Fault != "":
+			log.Warn("item left out", "key", c.Key, "rev", c.Revision, "why", c.Fault)
+		case c.Plan != nil:
+			log.Info("config", "version", c.Plan.Version, "rev", c.Revision, "routes", len(c.Plan.Routes))
+		case c.Pin != nil:
+			log.Info("pin", "key", c.Key, "rev", c.Revision, "version", c.Pin.Number)
+		case c.Deleted:
+			log.Info("item deleted", "key", c.Key, "rev", c.Revision)
+		case c.Replica != nil:
+			log.Debug("replica", "key", c.Key, "rev", c.Revision, "leaving", c.Replica.Leaving)
+		}
+	}
+}
+
+// follow brings changes of the list to the parts that keep a copy.
+type follow struct {
+	*entry
+}
+
+// Name implements magno.Duty.
+func (f *follow) Name() string { return "follow" }
+
+// Run follows the list until ctx ends.
+func (f *follow) Run(ctx context.Context) error {
+	for {
+		changed := f.book.Changed()
+		f.pools.update()
+		keys := map[string]bool{}
+		for _, r := range f.book.Now().Replicas {
+			keys[r.Key()] = true
+		}
+		f.hops.Forget(func(key string) bool { return keys[key] })
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/magno/allow/allow_test.go
@@ -0,0 +1,67 @@
+package allow
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"magnoliastall.example/magno"
+)
+
+// A pool fails everything and each process would send each request again. Four
+// processes with uneven traffic together stay within the bound in every
+// window.
+func TestAllStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const processes, span = 4, 10 * magno.Second
+		clock := magno.NewClock(magno.Hour)
+		var windows [processes]*Window
+		for i := range windows {
+			windows[i] = &Window{Clock: clock, Ratio: 0.2, Slack: 52, Span: span}
+		}
+		type event struct {
+			at    magno.Millis
+			again bool
+		}
+		var events []event
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			clock.Advance(magno.Millis(rapid.IntRange(0, 200).Draw(t, "pause")))
+			w := windows[rapid.IntRange(0, processes-1).Draw(t, "process")]
+			w.Taken()
+			events = append(events, event{clock.Now(), false})
+			if w.Again(processes) {
+				events = append(events, event{clock.Now(), true})
+			}
+		}
+		for i := range events {
+			end, taken, again := events[i].at, 0, 0
+			for _, e := range events[:i+1] {
+				if e.at > end-span {
+					if e.again {
+						again++
+					} else {
+						taken++
+					}
+				}
+			}
+			if float64(again) > 0.2*float64(taken)+52 {
+				t.Fatalf("%d sends again for %d requests", again, taken)
+			}
+		}
+	})
+}
+
+// A burst of failures is followed by calm: the allowance comes back.
+func TestComesBackAfterTheWindow(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	w := &Window{Clock: clock, Ratio: 0.2, Slack: 10, Span: 10 * magno.Second}
+	for w.Again(1) {
+	}
+	if w.Again(1) {
+		t.Fatal("more than the allowance was given")
+	}
+	clock.Advance(11 * magno.Second)
+	if !w.Again(1) {
+		t.Error("nothing is allowed though the window has passed")
+	}
+}
--- a/magno/clock.go
+++ b/magno/clock.go
@@ -29,6 +29,8 @@
 	mu sync.Mutex
 	// driven is true when only Advance moves the clock.
 	driven bool
+	// steady is true when no step of the time of day moves the clock.
+	steady bool
 	// now is the current time of a driven clock. It never decreases.
 	now Millis
 }
@@ -38,8 +40,20 @@
 	return &Clock{driven: true, now: start}
 }
 
+// NewSteady returns a clock that starts at the time of day and then follows
+// the machine's monotonic one. Spans and deadlines within one process are taken
+// from it: with the time of day, a clock that is set back by two seconds would
+// keep a request waiting for as long.
+func NewSteady() *Clock { return &Clock{steady: true} }
+
+// started anchors steady clocks. It holds a monotonic reading.
+var started = time.Now()
+
 // Now returns the current time.
 func (c *Clock) Now() Millis {
+	if c != nil && c.steady {
+		return Millis(started.UnixMilli()) + ToMillis(time.Since(started))
+	}
 	if c == nil || !c.driven {
 		return Millis(time.Now().UnixMilli())
 	}
--- /dev/null
+++ b/magno/gate/gate.go
@@ -0,0 +1,421 @@
+// Package gate decides for one engine which requests begin, which wait, which
+// are refused, and which models and adapters are loaded.
+//
+//	Offer --> queue --(adapter held, room, pace)--> granted --> Done
+//	            |            ^
+//	            v            | Report
+//	        refused        engine <-- Command (load, unload)
+//
+// Load pattern: prompts come in clumps. The engine reads every prompt that it
+// is given between the tokens of all that runs, so ten long prompts at once
+// stop every stream for a second. Requests for adapters that aren't held can't
+// run at all until a load of a quarter of a second has ended.
+//
+// Without this package each entry would send by its own count, streams of all
+// callers would pause whenever clumps met, and adapters would push each other
+// out of the slots.
+//
+// The engine's own report is the truth about what it holds; what was ordered
+// since and isn't seen there yet counts as taken, so that a lost answer never
+// leads to more than the engine has room for.
+package gate
+
+import (
+	"slices"
+
+	"magnoliastall.example/magno"
+)
+
+const (
+	// ReadRate is how many prompt tokens an engine reads in a millisecond: a
+	// little under the 38 to 41 of the engines of both deployments.
+	ReadRate = 36.0
+	// paceSpan is the window in which reading is spaced, and paceRead how much
+	// of it may be spent on prompts. A stream's event takes six steps of five
+	// milliseconds; with 150 of each 200 ms for prompts it comes after about
+	// 190 ms, in time for a gap of 250.
+	paceSpan = 200 * magno.Millis(1)
+	paceRead = 150 * magno.Millis(1)
+	// roomPart is the part of an engine's token memory that is given out: what
+	// is made beyond the estimate needs the rest.
+	roomPart = 0.9
+	// mostMade bounds the output that is reserved for a request: callers state
+	// a maximum that few answers come near.
+	mostMade = 600
+	// mostWaiting bounds the queue; far more than is served within any
+	// deadline.
+	mostWaiting = 512
+	// runGain weighs a new run in the average time of runs.
+	runGain = 0.05
+	// firstRun is that average before the first run ended.
+	firstRun = 1500 * magno.Millis(1)
+	// grantSlack is how long after its deadline a request that nobody ended
+	// still counts: its entry may be gone.
+	grantSlack = magno.Second
+	// leastAfter and mostAfter bound the time after which a refused caller is
+	// told to come back.
+	leastAfter = 50 * magno.Millis(1)
+	mostAfter  = 5 * magno.Second
+)
+
+// Ask is a request that wants to begin.
+type Ask struct {
+	// ID is unique for each send.
+	ID string `json:"id"`
+	// Model is never empty, Adapter is for the bare model.
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	// Prompt and Output are tokens. The first Shared tokens of the prompt are
+	// those that Prefix hashes.
+	Prompt int    `json:"prompt"`
+	Output int    `json:"output"`
+	Shared int    `json:"shared,omitempty"`
+	Prefix uint64 `json:"prefix,omitempty"`
+	// Rank is the urgency, 0 first.
+	Rank int `json:"rank"`
+	// Aim is how soon it should begin to be on time, Patience the longest that
+	// it may wait, Left the time to its deadline. All count from now.
+	Aim      magno.Millis `json:"aim"`
+	Patience magno.Millis `json:"patience"`
+	Left     magno.Millis `json:"left"`
+}
+
+// name is the adapter's with its model, or the model's alone.
+func (a *Ask) name() string { return Name(a.Model, a.Adapter) }
+
+// Name joins a model and an adapter, which may be empty.
+func Name(model, adapter string) string {
+	if adapter == "" {
+		return model
+	}
+	return model + "/" + adapter
+}
+
+// Spec is what an agent is told of the engine beside it.
+type Spec struct {
+	// Replica is the incarnation's key, ID its name for orders.
+	Replica string       `json:"replica"`
+	ID      string       `json:"id"`
+	Engine  magno.Engine `json:"engine"`
+	// Pins maps MODEL/ADAPTER to the newest version that was declared.
+	Pins map[string]int64 `json:"pins,omitempty"`
+}
+
+// waiting is an ask in the queue.
+type waiting struct {
+	Ask
+	// due is when it should begin, until when it is given up, end its
+	// deadline.
+	came, due, until, end magno.Millis
+}
+
+// granted is a request that was let through and hasn't ended.
+type granted struct {
+	ask   Ask
+	at    magno.Millis
+	until magno.Millis
+}
+
+// Grant lets a request through.
+type Grant struct {
+	ID string
+	// Version of the adapter that the engine holds, zero when unknown.
+	Version int64
+	// Waited is how long it was in the queue.
+	Waited magno.Millis
+}
+
+// Turned is a request that is refused; it has not run.
+type Turned struct {
+	ID      string
+	Refusal *magno.Refusal
+}
+
+// Steps are what is to be done now. Each is returned once.
+type Steps struct {
+	Grants []Grant
+	Turned []Turned
+}
+
+// Gate is one engine's. One goroutine uses it; Clock is set before.
+type Gate struct {
+	Clock *magno.Clock
+
+	spec  Spec
+	queue []*waiting
+	runs  map[string]*granted
+	held  shelf
+	pace  pace
+	read  *prefixes
+	// run is the average time of a run.
+	run float64
+}
+
+func (g *Gate) setup() {
+	if g.runs == nil {
+		g.runs = map[string]*granted{}
+		g.run = float64(firstRun)
+		g.read = newPrefixes()
+		g.held.setup()
+	}
+}
+
+// now is the time, and that by which the shelf judges.
+func (g *Gate) now() magno.Millis {
+	g.held.at = g.Clock.Now()
+	return g.held.at
+}
+
+// Specify tells what the engine is. Another incarnation holds nothing of what
+// the one before held, and what ran there is gone.
+func (g *Gate) Specify(s Spec) {
+	g.setup()
+	if s.Replica != g.spec.Replica {
+		g.forget()
+	}
+	g.spec = s
+	g.held.setSpec(&g.spec, g.Clock.Now())
+}
+
+// Spec is what was told last.
+func (g *Gate) Spec() Spec { return g.spec }
+
+func (g *Gate) forget() {
+	clear(g.runs)
+	g.read = newPrefixes()
+	g.held.forget()
+}
+
+// Reported takes the engine's report, which was asked for at asked.
+func (g *Gate) Reported(r *magno.Report, asked magno.Millis) {
+	g.setup()
+	if g.held.restarted(r) {
+		g.forget()
+	}
+	g.held.report(r, asked)
+}
+
+// Ordered takes what became of a command.
+func (g *Gate) Ordered(c magno.Command, o magno.Outcome) {
+	g.setup()
+	g.held.ordered(c, o, g.Clock.Now())
+}
+
+// Offer takes a request into the queue, or refuses it at once when its wait is
+// expected to be over its patience: then waiting helps nobody, and the caller
+// may still find another way.
+func (g *Gate) Offer(a Ask) *magno.Refusal {
+	g.setup()
+	now := g.now()
+	if g.spec.Replica == "" {
+		return magno.Refuse(magno.KindStarting, "what stands beside this agent isn't known yet").Later(leastAfter)
+	}
+	if len(g.queue) >= mostWaiting {
+		return magno.Refuse(magno.KindBusy, "%d requests wait", len(g.queue)).Later(mostAfter)
+	}
+	wait := g.expect(&a, now)
+	if wait > a.Patience {
+		kind := magno.KindBusy
+		if !g.held.ready(&a) {
+			kind = magno.KindLoading
+		}
+		return magno.Refuse(kind, "a wait of %d ms is expected, its patience is %d ms", wait, a.Patience).
+			Later(min(max(wait-a.Patience, leastAfter), mostAfter))
+	}
+	w := &waiting{Ask: a, came: now, due: now + a.Aim, until: now + a.Patience, end: now + a.Left}
+	g.queue = append(g.queue, w)
+	g.held.wanted(a.name(), now)
+	return nil
+}
+
+// Cancel ends a request that waits or runs: its caller has gone.
+func (g *Gate) Cancel(id string) { g.Done(id, false) }
+
+// Done ends a request; ok tells that it came to a good end.
+func (g *Gate) Done(id string, ok bool) {
+	g.setup()
+	if i := slices.IndexFunc(g.queue, func(w *waiting) bool { return w.ID == id }); i >= 0 {
+		g.queue = slices.Delete(g.queue, i, i+1)
+		return
+	}
+	r := g.runs[id]
+	if r == nil {
+		return
+	}
+	delete(g.runs, id)
+	if ok {
+		g.run += runGain * (float64(g.Clock.Now()-r.at) - g.run)
+	}
+}
+
+// Next returns what is to be done now. It is called after each change, and
+// every 20 ms or so while requests wait.
+func (g *Gate) Next() Steps {
+	g.setup()
+	now := g.now()
+	var s Steps
+	for id, r := range g.runs {
+		if now > r.until {
+			delete(g.runs, id)
+		}
+	}
+	g.expire(&s, now)
+	g.order(now)
+	g.grant(&s, now)
+	return s
+}
+
+// Commands returns what to order now, the most pressing first. Each counts as
+// given until Ordered tells what became of it.
+func (g *Gate) Commands() []magno.Command {
+	g.setup()
+	now := g.now()
+	return g.held.commands(g.demand(), g.inUse(), now)
+}
+
+// expire gives up what waited for too long.
+func (g *Gate) expire(s *Steps, now magno.Millis) {
+	g.queue = slices.DeleteFunc(g.queue, func(w *waiting) bool {
+		if now < w.until {
+			return false
+		}
+		r := magno.Refuse(magno.KindBusy, "it waited for %d ms", now-w.came).Later(leastAfter)
+		if !g.held.ready(&w.Ask) {
+			r = magno.Refuse(magno.KindLoading, "its adapter did not come within %d ms", now-w.came).Later(leastAfter)
+		}
+		s.Turned = append(s.Turned, Turned{ID: w.ID, Refusal: r})
+		return true
+	})
+}
+
+// order sorts the queue: first what can still begin in time, the more urgent
+// and the sooner due before the others, then what is late already. An engine
+// that is full gives its time to answers that are worth most, and a late one
+// is worth a third.
+func (g *Gate) order(now magno.Millis) {
+	slices.SortStableFunc(g.queue, func(a, b *waiting) int {
+		if lateA, lateB := now > a.due, now > b.due; lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		if a.Rank != b.Rank {
+			return a.Rank - b.Rank
+		}
+		return int(a.due - b.due)
+	})
+}
+
+// grant lets through what the engine can begin now. A request whose adapter
+// isn't there doesn't hold up those behind it; one that waits for its turn to
+// be read does, or long prompts would never get one.
+func (g *Gate) grant(s *Steps, now magno.Millis) {
+	blocked := false
+	g.queue = slices.DeleteFunc(g.queue, func(w *waiting) bool {
+		if blocked || !g.held.ready(&w.Ask) {
+			return false
+		}
+		tokens := g.unread(&w.Ask)
+		if !g.room(&w.Ask) || !g.pace.allows(tokens, now) {
+			blocked = true
+			return false
+		}
+		g.pace.take(tokens, now)
+		g.read.add(w.name(), w.Prefix)
+		g.runs[w.ID] = &granted{ask: w.Ask, at: now, until: w.end + grantSlack}
+		s.Grants = append(s.Grants, Grant{ID: w.ID, Version: g.held.version(&w.Ask), Waited: now - w.came})
+		return true
+	})
+}
+
+// unread is how many prompt tokens the engine has to read: parts that it read
+// for the same adapter lately are still there.
+func (g *Gate) unread(a *Ask) int {
+	if a.Shared > 0 && g.read.has(a.name(), a.Prefix) {
+		return a.Prompt - a.Shared
+	}
+	return a.Prompt
+}
+
+// room tells whether the engine has a place and memory for one more.
+func (g *Gate) room(a *Ask) bool {
+	if g.running() >= g.spec.Engine.Batch {
+		return false
+	}
+	if len(g.runs) == 0 {
+		return true
+	}
+	used := need(a)
+	for _, r := range g.runs {
+		used += need(&r.ask)
+	}
+	return float64(used) <= roomPart*float64(g.spec.Engine.Tokens)
+}
+
+func need(a *Ask) int { return a.Prompt + min(a.Output, mostMade) }
+
+// running counts what runs by this gate's own account and by the engine's,
+// which knows what other ways led there.
+func (g *Gate) running() int { return max(len(g.runs), g.held.running) }
+
+// demand lists the names of what waits, the most pressing first.
+func (g *Gate) demand() []string {
+	var names []string
+	for _, w := range g.queue {
+		if name := w.name(); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// inUse tells which adapters requests use or wait for.
+func (g *Gate) inUse() map[string]bool {
+	used := make(map[string]bool, len(g.runs)+len(g.queue))
+	for _, r := range g.runs {
+		used[r.ask.name()] = true
+	}
+	for _, w := range g.queue {
+		used[w.name()] = true
+	}
+	return used
+}
+
+// expect estimates how long a request that came now would wait.
+func (g *Gate) expect(a *Ask, now magno.Millis) magno.Millis {
+	tokens := g.unread(a)
+	for _, w := range g.queue {
+		if w.Rank <= a.Rank && now <= w.due {
+			tokens += g.unread(&w.Ask)
+		}
+	}
+	return max(g.pace.wait(tokens, now), g.placeWait(), g.held.wait(a, len(g.demand()), now))
+}
+
+// placeWait is the wait for a place among the running requests.
+func (g *Gate) placeWait() magno.Millis {
+	batch := max(g.spec.Engine.Batch, 1)
+	over := g.running() + len(g.queue) - batch
+	if over < 0 {
+		return 0
+	}
+	return magno.Millis(g.run * float64(over+1) / float64(batch))
+}
+
+// Backlog describes the state for whoever chooses among engines.
+func (g *Gate) Backlog() magno.Backlog {
+	g.setup()
+	now := g.now()
+	queued := 0
+	for _, w := range g.queue {
+		queued += g.unread(&w.Ask)
+	}
+	b := magno.Backlog{
+		Queued: len(g.queue), Running: g.running(), Held: len(g.held.adapters),
+		Wait:     max(g.pace.wait(queued, now), g.placeWait()),
+		LoadWait: g.held.loadWait(len(g.demand())),
+		Warm:     g.held.warm(),
+	}
+	return b
+}
--- /dev/null
+++ b/magno/gate/shelf.go
@@ -0,0 +1,295 @@
+package gate
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"magnoliastall.example/magno"
+)
+
+const (
+	// mostLoads is how many adapters may be on their way to an engine at once;
+	// it takes no more.
+	mostLoads = 4
+	// coldLoads is how many of them may come from the weight store, which
+	// slows down for everybody beyond eight over nine engines.
+	coldLoads = 1
+	// coldLoad is the time of a load from the store, warmLoad of one that the
+	// engine held lately; both by the deployments' sheets.
+	coldLoad = 250 * magno.Millis(1)
+	warmLoad = 25 * magno.Millis(1)
+	// orderedLife is how long an order without a clear outcome counts as taken.
+	orderedLife = magno.Second
+	// mostKnown bounds the adapters that count as held lately: an engine keeps
+	// about 130 in its memory.
+	mostKnown = 128
+	// mostDemand bounds the adapters whose demand is known.
+	mostDemand = 4096
+	// demandHalf is the time in which demand counts half. Popularity moves
+	// within tens of seconds.
+	demandHalf = 10 * magno.Second
+	// renewSpread is the time over which the engines of a pool replace an
+	// adapter by a new version. A replacement waits for its runs, and if all
+	// engines began at once no one could take new requests meanwhile.
+	renewSpread = 2500 * magno.Millis(1)
+	// renewAfter is how long an adapter must be without requests to be replaced
+	// only when it is asked for again.
+	renewAfter = 2 * magno.Second
+	// idleModel is how long a base model must be without requests to make way
+	// for another.
+	idleModel = 5 * magno.Second
+)
+
+// shelf is what an engine holds and what is on its way.
+type shelf struct {
+	spec *Spec
+	// told is true once a report came. born and orders are the last one's.
+	told   bool
+	born   magno.Millis
+	orders int64
+	// at is the time of the last look.
+	at magno.Millis
+	// running counts the engine's requests, busy is true while it loads a
+	// model.
+	running int
+	busy    bool
+	// adapters maps names to the versions that are held, models tells which
+	// base models are, coming which adapters are on their way.
+	adapters map[string]int64
+	models   map[string]bool
+	coming   map[string]bool
+	disk     []string
+	// taken maps the names of orders to when they were answered; the report
+	// may not show them yet.
+	taken map[string]order
+	// known are adapters that the engine held lately.
+	known *simplelru.LRU[string, struct{}]
+	// demands counts requests, decayed.
+	demands *simplelru.LRU[string, demand]
+	// renew maps a name to when its old version is no longer given out.
+	renew map[string]magno.Millis
+	seen  map[string]int64
+}
+
+type order struct {
+	command magno.Command
+	at      magno.Millis
+	// sure is false when no answer came.
+	sure bool
+}
+
+type demand struct {
+	score float64
+	at    magno.Millis
+}
+
+func (s *shelf) setup() {
+	s.demands, _ = simplelru.NewLRU[string, demand](mostDemand, nil) // fails for sizes under 1 only
+	s.renew, s.seen = map[string]magno.Millis{}, map[string]int64{}
+	s.forget()
+}
+
+// forget drops what only this incarnation of the engine held.
+func (s *shelf) forget() {
+	s.adapters, s.models, s.coming = map[string]int64{}, map[string]bool{}, map[string]bool{}
+	s.taken = map[string]order{}
+	s.known, _ = simplelru.NewLRU[string, struct{}](mostKnown, nil)
+	s.busy, s.running, s.disk = false, 0, nil
+}
+
+// restarted tells whether the report is of another start of the engine: it
+// says so, or counts its orders anew.
+func (s *shelf) restarted(r *magno.Report) bool {
+	return s.told && (r.Born != s.born || r.Orders < s.orders)
+}
+
+func (s *shelf) report(r *magno.Report, asked magno.Millis) {
+	s.told, s.born, s.orders = true, r.Born, r.Orders
+	s.busy, s.running, s.disk = r.Busy, r.Running+r.Queued, r.Warm
+	s.adapters, s.models, s.coming = map[string]int64{}, map[string]bool{}, map[string]bool{}
+	for model, held := range r.Held {
+		s.models[model] = true
+		for adapter, version := range held {
+			name := Name(model, adapter)
+			s.adapters[name] = version
+			s.known.Add(name, struct{}{})
+		}
+	}
+	for _, p := range r.Coming {
+		s.coming[Name(p.Model, p.Adapter)] = true
+	}
+	for name, o := range s.taken {
+		if (o.sure && asked > o.at) || asked > o.at+orderedLife {
+			delete(s.taken, name)
+		}
+	}
+}
+
+// setSpec notes newer versions. An adapter that is held in an old one is still
+// given out for a time of its own within renewSpread.
+func (s *shelf) setSpec(spec *Spec, now magno.Millis) {
+	s.spec = spec
+	for name, version := range spec.Pins {
+		if s.seen[name] == version {
+			continue
+		}
+		s.seen[name] = version
+		part := magno.Millis(xxhash.Sum64String(spec.Replica+name) % uint64(renewSpread))
+		s.renew[name] = now + part
+	}
+}
+
+// old tells whether an adapter is held in a version that was replaced.
+func (s *shelf) old(name string) bool {
+	held, ok := s.adapters[name]
+	return ok && held != 0 && s.spec != nil && held < s.spec.Pins[name]
+}
+
+// ready tells whether a request may begin: its adapter is there, in a version
+// that may still be given out, and isn't being replaced.
+func (s *shelf) ready(a *Ask) bool {
+	if !s.models[a.Model] || s.stale(a.name()) {
+		return false
+	}
+	if a.Adapter == "" {
+		return true
+	}
+	_, ok := s.adapters[a.name()]
+	return ok && !s.moving(a.name())
+}
+
+// moving tells whether an order for the adapter is under way.
+func (s *shelf) moving(name string) bool {
+	_, taken := s.taken[name]
+	return taken || s.coming[name]
+}
+
+// stale tells whether an old version is no longer given out.
+func (s *shelf) stale(name string) bool { return s.old(name) && s.at >= s.renew[name] }
+
+func (s *shelf) version(a *Ask) int64 { return s.adapters[a.name()] }
+
+// wanted counts a request for an adapter.
+func (s *shelf) wanted(name string, now magno.Millis) {
+	s.demands.Add(name, demand{score: s.score(name, now) + 1, at: now})
+}
+
+func (s *shelf) score(name string, now magno.Millis) float64 {
+	d, ok := s.demands.Peek(name)
+	if !ok {
+		return 0
+	}
+	return d.score * math.Exp2(-float64(now-d.at)/float64(demandHalf))
+}
+
+// ordered takes what became of a command.
+func (s *shelf) ordered(c magno.Command, o magno.Outcome, now magno.Millis) {
+	name := Name(c.Model, c.Adapter)
+	switch o {
+	case magno.OrderAccepted, magno.OrderDone:
+		s.taken[name] = order{command: c, at: now, sure: true}
+	case magno.OrderUnknown:
+		s.taken[name] = order{command: c, at: now}
+	default:
+		delete(s.taken, name)
+	}
+}
+
+// wait is how long a request waits for its model and adapter.
+func (s *shelf) wait(a *Ask, queued int, _ magno.Millis) magno.Millis {
+	switch {
+	case s.ready(a):
+		return 0
+	case !s.models[a.Model]:
+		return s.modelWait(a.Model) + coldLoad
+	default:
+		return s.loadTime(a.name()) + s.loadWait(queued) - coldLoad
+	}
+}
+
+// modelWait is how long a base model takes to load.
+func (s *shelf) modelWait(model string) magno.Millis {
+	for _, m := range s.spec.Engine.Models {
+		if m.Name != model {
+			continue
+		}
+		if slices.Contains(s.disk, model) {
+			return m.Disk
+		}
+		return m.Load
+	}
+	return 0
+}
+
+// loadWait is how long the load of an adapter takes that isn't held, with so
+// many others before it.
+func (s *shelf) loadWait(queued int) magno.Millis {
+	wait := coldLoad * magno.Millis(1+queued)
+	if s.spec != nil && len(s.models) == 0 {
+		for _, m := range s.spec.Engine.Models {
+			return wait + s.modelWait(m.Name)
+		}
+	}
+	return wait
+}
+
+func (s *shelf) loadTime(name string) magno.Millis {
+	if s.known.Contains(name) {
+		return warmLoad
+	}
+	return coldLoad
+}
+
+// warm lists the hashes of what is held and may be given out, in ascending
+// order.
+func (s *shelf) warm() []uint32 {
+	list := make([]uint32, 0, len(s.adapters)+len(s.models))
+	for name := range s.adapters {
+		if !s.stale(name) && !s.moving(name) {
+			list = append(list, magno.Ref{Adapter: name}.Hash())
+		}
+	}
+	for name := range s.models {
+		list = append(list, magno.Ref{Adapter: name}.Hash())
+	}
+	slices.Sort(list)
+	return list
+}
+
+// used counts the adapters that take a slot or will.
+func (s *shelf) used() int {
+	n := len(s.adapters)
+	for name := range s.coming {
+		if _, held := s.adapters[name]; !held {
+			n++
+		}
+	}
+	for name, o := range s.taken {
+		if _, held := s.adapters[name]; !held && !s.coming[name] && o.command.Adapter != "" && o.command.Load {
+			n++
+		}
+	}
+	return n
+}
+
+// megabytes is the memory of all that is held or will be.
+func (s *shelf) megabytes() float64 {
+	sum, adapter := 0.0, 0.0
+	for _, m := range s.spec.Engine.Models {
+		if _, taken := s.taken[m.Name]; taken || s.models[m.Name] {
+			sum += m.Size
+		}
+		adapter = max(adapter, m.Adapter)
+	}
+	return sum + float64(s.used())*adapter
+}
+
+// split parts a name into model and adapter.
+func split(name string) (model, adapter string) {
+	model, adapter, _ = strings.Cut(name, "/")
+	return model, adapter
+}
--- a/magno/route/route.go
+++ b/magno/route/route.go
@@ -55,6 +55,9 @@
 	Far magno.Millis
 	// Busy is the share of a target's outstanding work that counts as cost.
 	Busy float64
+	// Token is by how many milliseconds a token of work delays others at a
+	// target; zero means that it is learned from answers.
+	Token float64
 }
 
 // Defaults, with their grounds in docs/DECIDE.md.
@@ -107,6 +110,7 @@
 	if t.Busy == 0 {
 		t.Busy = defaultBusy
 	}
+	r.cost = t.Token
 	r.rand = rand.New(rand.NewPCG(r.Seed, 2))
 	r.peers, r.holders = map[string]*peer{}, map[uint32][]*peer{}
 	r.ring = newRing(nil)
@@ -219,6 +223,9 @@
 	if !ok || work <= 0 || took < refusedIn {
 		return
 	}
+	if r.Tuning.Token > 0 {
+		return
+	}
 	pace := math.Log(float64(took) / float64(work))
 	if r.cost == 0 {
 		r.pace, r.cost = pace, math.Exp(pace)
--- a/magno/start/start.go
+++ b/magno/start/start.go
@@ -37,6 +37,9 @@
 	Busy func() int64
 	// Drain bounds that wait.
 	Drain magno.Millis
+	// Reload is called when the settings changed; nil where nothing can change
+	// without a new start.
+	Reload func()
 }
 
 // Options reads settings into opts and returns an exit code other than
@@ -76,10 +79,15 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(signals)
+	hups := make(chan os.Signal, 1)
+	if d.Reload != nil {
+		signal.Notify(hups, syscall.SIGHUP)
+		defer signal.Stop(hups)
+	}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		d.wait(ctx, signals)
+		d.wait(ctx, signals, hups)
 		cancel()
 	}()
 	kernel := magno.Kernel{Duties: d.Duties, OnEnd: func(end magno.End) {
@@ -97,12 +105,18 @@
 }
 
 // wait returns when the process may end.
-func (d *Daemon) wait(ctx context.Context, signals <-chan os.Signal) {
-	select {
-	case <-ctx.Done():
-		return
-	case sig := <-signals:
-		d.Log.Info("leaving", "signal", sig.String(), "busy", d.Busy())
+func (d *Daemon) wait(ctx context.Context, signals, hups <-chan os.Signal) {
+	for asked := false; !asked; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+			d.Log.Info("reload")
+			d.Reload()
+		case sig := <-signals:
+			d.Log.Info("leaving", "signal", sig.String(), "busy", d.Busy())
+			asked = true
+		}
 	}
 	d.Leave()
 	ticker := time.NewTicker(drainLook)
--- /dev/null
+++ b/magno/view/view.go
@@ -0,0 +1,279 @@
+// Package view keeps what the platform's list says, whoever brought it: this
+// process's own reading or a peer's.
+//
+// Load pattern: a change every few minutes on a calm day, several a second
+// while upstreams are replaced, and after an outage everything at once, with
+// entries missing that are only late. Without one place that orders changes by
+// revision, a slow answer would bring back a configuration that was replaced,
+// or hide an upstream that came back.
+//
+// A key's highest revision wins, so changes may come twice and in any order.
+// The configuration's version never falls within a process.
+package view
+
+import (
+	"maps"
+	"sync"
+
+	"magnoliastall.example/magno"
+)
+
+const (
+	// lapseGrace is how long an upstream whose entry vanished in an outage of
+	// the list is still used after the list came back: live ones are listed
+	// again within about two seconds.
+	lapseGrace = 2200 * magno.Millis(1)
+	// lapseLeast is how long an outage must last for entries to run out in it:
+	// they are renewed about each second and last for three of these times.
+	lapseLeast = 1500 * magno.Millis(1)
+	// graveLife is how long a deletion is remembered against older news of the
+	// key: longer than any answer or peer can be late.
+	graveLife = 5 * magno.Minute
+)
+
+// Snapshot is what is known at one time. It isn't changed once made.
+type Snapshot struct {
+	// Plan is nil until the first configuration came.
+	Plan *magno.Plan
+	// Replicas maps IDs to the upstreams that may be used or are leaving.
+	Replicas map[string]*magno.Replica
+	// Pins maps MODEL/ADAPTER to the newest version that was declared.
+	Pins map[string]int64
+	// Revision is the list's; changes up to it are known.
+	Revision int64
+}
+
+// Book takes changes. It is safe for concurrent use; exported fields are set
+// before.
+type Book struct {
+	Clock *magno.Clock
+	// Noted is told of each change that took effect, in order. It may be nil
+	// and must not call the book.
+	Noted func(magno.Change)
+
+	mu    sync.Mutex
+	items map[string]*record
+	now   *Snapshot
+	// plan is the newest configuration; its version never falls.
+	plan *magno.Plan
+	// confirmed is when Revision was known to be the list's newest.
+	confirmed magno.Millis
+	// failing is true from a failed read to the next good one; back is when
+	// that came.
+	failing bool
+	back    magno.Millis
+	watch   chan struct{}
+}
+
+type record struct {
+	change magno.Change
+	// until is when a deletion takes effect that may only be a lapse; zero
+	// when it has.
+	until magno.Millis
+	// last is the upstream as it was before such a deletion.
+	last *magno.Replica
+	at   magno.Millis
+}
+
+// Now returns what is known.
+func (b *Book) Now() *Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setup()
+	return b.now
+}
+
+// Changed returns a channel that is closed at the next change.
+func (b *Book) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setup()
+	return b.watch
+}
+
+// Age is how long ago what is known was the newest.
+func (b *Book) Age() magno.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Clock.Now() - b.confirmed
+}
+
+func (b *Book) setup() {
+	if b.items == nil {
+		b.items = map[string]*record{}
+		b.watch = make(chan struct{})
+		b.now = &Snapshot{Replicas: map[string]*magno.Replica{}, Pins: map[string]int64{}}
+	}
+}
+
+// Failed notes that the list could not be read.
+func (b *Book) Failed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failing = true
+}
+
+// Read notes a good answer of the list: changes up to revision. With all set
+// they are the whole list, and what it lacks was deleted. It returns what
+// changed since which revision.
+func (b *Book) Read(changes []magno.Change, revision int64, all bool) (applied []magno.Change, since int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setup()
+	if now := b.Clock.Now(); b.failing {
+		b.failing = false
+		if now-b.confirmed > lapseLeast {
+			b.back = now
+		}
+	}
+	if all {
+		changes = append(changes, b.missing(changes, revision)...)
+	}
+	since = b.now.Revision
+	return b.take(changes, revision, b.Clock.Now()), since
+}
+
+// Heard takes what a peer knows to have changed after since and up to revision,
+// which was the newest age ago. Where this process doesn't know all up to
+// since, the changes are good but its revision stays: otherwise it would never
+// ask for those between.
+func (b *Book) Heard(changes []magno.Change, since, revision int64, age magno.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setup()
+	confirmed := b.Clock.Now() - age
+	if since > b.now.Revision {
+		revision, confirmed = b.now.Revision, b.confirmed
+	}
+	b.take(changes, revision, confirmed)
+}
+
+// missing makes deletions of what a whole list lacks. What is known to be
+// newer than the list, which may be old, stays.
+func (b *Book) missing(changes []magno.Change, revision int64) []magno.Change {
+	there := make(map[string]bool, len(changes))
+	for i := range changes {
+		there[changes[i].Key] = true
+	}
+	var gone []magno.Change
+	for key, rec := range b.items {
+		if !there[key] && !rec.change.Deleted && rec.change.Revision <= revision {
+			gone = append(gone, magno.Change{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	return gone
+}
+
+// take applies changes and returns those that were news. The caller holds mu.
+func (b *Book) take(changes []magno.Change, revision int64, confirmed magno.Millis) []magno.Change {
+	var news []magno.Change
+	for i := range changes {
+		if b.apply(&changes[i]) {
+			news = append(news, changes[i])
+		}
+	}
+	b.confirmed = max(b.confirmed, confirmed)
+	if revision > b.now.Revision || len(news) > 0 {
+		b.publish(max(revision, b.now.Revision), len(news) > 0)
+	}
+	return news
+}
+
+func (b *Book) apply(c *magno.Change) bool {
+	old := b.items[c.Key]
+	if old != nil && (c.Revision < old.change.Revision || (c.Revision == old.change.Revision && c.Deleted == old.change.Deleted)) {
+		return false
+	}
+	now := b.Clock.Now()
+	rec := &record{change: *c, at: now}
+	if c.Deleted && old != nil {
+		b.lapse(rec, old, now)
+	}
+	b.items[c.Key] = rec
+	if c.Plan != nil && (b.plan == nil || c.Plan.Version > b.plan.Version) {
+		b.plan = c.Plan
+	}
+	if b.Noted != nil {
+		b.Noted(*c)
+	}
+	return true
+}
+
+// lapse keeps an upstream that vanished with an outage for a while: its entry
+// may have run out only because nobody could renew it, and taking all such
+// upstreams as gone would refuse every request.
+func (b *Book) lapse(rec, old *record, now magno.Millis) {
+	last := old.change.Replica
+	if last == nil || last.Leaving {
+		return
+	}
+	if end := b.back + lapseGrace; b.back > 0 && now < end {
+		rec.until, rec.last = end, last
+	}
+}
+
+// Tick lets deletions take effect that turned out to be no lapse, and forgets
+// old ones. It is called every few hundred milliseconds.
+func (b *Book) Tick() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setup()
+	now, changed := b.Clock.Now(), false
+	for key, rec := range b.items {
+		if rec.until > 0 && now >= rec.until {
+			rec.until, rec.last = 0, nil
+			changed = true
+		}
+		if rec.change.Deleted && rec.until == 0 && now-rec.at > graveLife {
+			delete(b.items, key)
+		}
+	}
+	if changed {
+		b.publish(b.now.Revision, true)
+	}
+}
+
+// publish makes the next snapshot. The caller holds mu.
+func (b *Book) publish(revision int64, changed bool) {
+	next := &Snapshot{Plan: b.plan, Revision: revision, Replicas: b.now.Replicas, Pins: b.now.Pins}
+	if changed {
+		next.Replicas, next.Pins = b.collect()
+	}
+	b.now = next
+	if changed {
+		close(b.watch)
+		b.watch = make(chan struct{})
+	}
+}
+
+func (b *Book) collect() (map[string]*magno.Replica, map[string]int64) {
+	replicas, pins := map[string]*magno.Replica{}, maps.Clone(b.now.Pins)
+	for _, rec := range b.items {
+		if r := rec.change.Replica; r != nil {
+			replicas[r.ID] = r
+		} else if rec.last != nil {
+			replicas[rec.last.ID] = rec.last
+		}
+		if p := rec.change.Pin; p != nil {
+			name := p.Model + "/" + p.Adapter
+			pins[name] = max(pins[name], p.Number)
+		}
+	}
+	return replicas, pins
+}
+
+// Since returns the newest change of each key after a revision, the revision
+// that they lead to, and how long ago that was the newest. Deletions of more
+// than a few minutes ago are missing.
+func (b *Book) Since(revision int64) ([]magno.Change, int64, magno.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setup()
+	var out []magno.Change
+	for _, rec := range b.items {
+		if rec.change.Revision > revision {
+			out = append(out, rec.change)
+		}
+	}
+	return out, b.now.Revision, b.Clock.Now() - b.confirmed
+}
