--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -146,7 +146,7 @@
 			s = &seat{addr: net.JoinHostPort(host, strconv.Itoa(d.Port)), lost: make(chan struct{}), heard: d.Clock.Now()}
 		}
 		s.replica = r
-		spec := &gate.Spec{Replica: r.Key(), ID: r.ID, Engine: *service.Engine, Pins: snap.Pins}
+		spec := &gate.Spec{Replica: r.Key(), ID: r.ID, Engine: *service.Engine, Pins: snap.Pins, Leaving: r.Leaving}
 		if s.spec == nil || !reflect.DeepEqual(s.spec, spec) {
 			s.spec, s.revision = spec, snap.Revision
 		}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -182,10 +182,8 @@
 	snap := j.Book.Now()
 	list := make([]*magno.Replica, 0, len(names))
 	for _, name := range names {
-		for _, r := range snap.Replicas {
-			if r.Key() == name && !r.Leaving {
-				list = append(list, r)
-			}
+		if r := snap.Find(name); r != nil && !r.Leaving {
+			list = append(list, r)
 		}
 	}
 	return list
@@ -240,6 +238,11 @@
 		}
 		return resultRefused, false
 	}
+	if len(j.replicas([]string{key})) == 0 {
+		// It began to leave while the request waited for its turn there.
+		j.Permits.End(key, ask.ID, false)
+		return resultRefused, false
+	}
 	router := j.Pools.Router(j.service.Name)
 	work := j.call.Prompt
 	router.Sent(key, work)
--- /dev/null
+++ b/entry/relay/relay_test.go
@@ -0,0 +1,534 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastall.example/entry/desk"
+	"magnoliastall.example/entry/hop"
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/view"
+)
+
+// plainDialect has short header names of its own.
+type plainDialect struct{}
+
+func (plainDialect) Read(h http.Header) magno.Call {
+	h.Del("Only")
+	return magno.Call{ID: h.Get("Id"), Left: 2000, Model: "m", Adapter: "a", Prompt: 100, Output: 50}
+}
+
+func (plainDialect) Write(h http.Header, o magno.Onward) {
+	h.Set("Only", o.Replica)
+	if o.From != "" {
+		h.Set("From", o.From)
+	}
+}
+
+func (plainDialect) Reply(status int, h http.Header) magno.Reply {
+	return magno.Reply{
+		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "",
+		Elsewhere: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// pools sends to the replicas in order.
+type pools struct {
+	mu     sync.Mutex
+	names  []string
+	sends  int
+	allow  int
+	router magno.Router
+}
+
+func (p *pools) Router(string) magno.Router { return p }
+func (p *pools) Taken(string)               {}
+func (p *pools) Again(string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.allow--
+	return p.allow >= 0
+}
+func (p *pools) Update([]magno.Target) {}
+func (p *pools) Route(q magno.Query) []string {
+	var list []string
+	for _, n := range p.names {
+		avoided := false
+		for _, a := range q.Avoid {
+			avoided = avoided || a == n
+		}
+		if !avoided {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+func (p *pools) Report(string, magno.Backlog)          {}
+func (p *pools) Sent(string, int)                      {}
+func (p *pools) Ended(string, int, magno.Millis, bool) {}
+
+// permits lets everything through, after during has run.
+type permits struct {
+	during func(key string)
+	dead   bool
+}
+
+func (p *permits) Permit(_ context.Context, key string, _ gate.Ask) (*gate.PermitReply, error) {
+	if p.dead {
+		return nil, desk.ErrDead
+	}
+	if p.during != nil {
+		p.during(key)
+	}
+	return &gate.PermitReply{}, nil
+}
+func (p *permits) End(string, string, bool)  {}
+func (p *permits) Holds(string, string) bool { return true }
+func (p *permits) Down(string) bool          { return false }
+
+// upstream answers each request on a connection with what script writes, and
+// counts requests.
+type upstream struct {
+	addr string
+	mu   sync.Mutex
+	got  []*http.Request
+}
+
+func serveUpstream(t *testing.T, script func(n int, r *http.Request, c net.Conn) bool) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c, script)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c net.Conn, script func(int, *http.Request, net.Conn) bool) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadAll(r.Body)
+		u.mu.Lock()
+		u.got = append(u.got, r)
+		n := len(u.got)
+		u.mu.Unlock()
+		if !script(n, r, c) {
+			return
+		}
+	}
+}
+
+func (u *upstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.got)
+}
+
+// whole writes an answer with the request's id and a signature.
+func whole(c net.Conn, id string, status int, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d x\r\nId: %s\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+}
+
+// head begins a stream.
+func head(c net.Conn, id string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+}
+
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: x%d\n\n", n, n) }
+
+// site is a relay before its upstreams.
+type site struct {
+	*Relay
+	pools   *pools
+	permits *permits
+	server  *httptest.Server
+	changes []magno.Change
+}
+
+func newSite(t *testing.T, kind magno.RouteKind, resume bool, ups ...*upstream) *site {
+	t.Helper()
+	clock := magno.NewSteady()
+	s := &site{pools: &pools{allow: 10}, permits: &permits{}}
+	plan := &magno.Plan{Version: 1, Routes: []magno.Route{{
+		Name: "r", Host: "h.example", Prefix: "/p/", Kind: kind, Parts: []magno.Part{{Service: "s", Weight: 1}},
+		Attempts: 2, Timeout: 1500, Aim: 200, Gap: 100, Resume: resume,
+	}}, Services: []magno.Service{{Name: "s"}}}
+	if kind == magno.KindStream {
+		plan.Services[0].Engine = &magno.Engine{Batch: 4}
+	}
+	s.changes = []magno.Change{{Key: "plan", Revision: 1, Plan: plan}}
+	for i, u := range ups {
+		r := &magno.Replica{ID: fmt.Sprintf("u%d", i), Service: "s", Address: u.addr, DataCentre: "x", Slots: 4}
+		s.pools.names = append(s.pools.names, r.Key())
+		s.changes = append(s.changes, magno.Change{Key: r.ID, Revision: 1, Replica: r})
+	}
+	book := &view.Book{Clock: clock}
+	book.Read(s.changes, 1, true)
+	s.Relay = &Relay{
+		Name: "e", Clock: clock, Book: book, Dialect: plainDialect{}, Hops: &hop.Pool{Clock: clock}, Permits: s.permits,
+		Pools: s.pools, Suspects: &crash.Suspects{Clock: &magno.Clock{}}, Log: slog.New(slog.DiscardHandler),
+	}
+	s.server = httptest.NewServer(s.Relay)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+// get sends a request and returns status, header and body; the error tells that
+// the answer broke off.
+func (s *site) get(t *testing.T, method, id string) (*http.Response, string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("body")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, s.server.URL+"/p/1", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Id", id)
+	req.Header.Set("Only", "forged")
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return res, string(text), err
+}
+
+func TestWholeAnswerGoesThrough(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		whole(c, r.Header.Get("Id"), 201, "hello")
+		return true
+	})
+	s := newSite(t, magno.KindOnce, false, u)
+	res, body, err := s.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != 201 || body != "hello" || res.Header.Get("Signed") == "" {
+		t.Fatalf("got %v %q %v", res, body, err)
+	}
+	if got := u.got[0].Header.Get("Only"); got != "u0" {
+		t.Errorf("the upstream was told that only %q may run it", got)
+	}
+}
+
+// An upstream runs a request and its connection breaks before the answer. A
+// request that may run only once isn't sent again, and its caller isn't told
+// that it has not run: the status must not be one that promises so.
+func TestLostAnswerOfSingleRunIsNotRepeated(t *testing.T) {
+	u := serveUpstream(t, func(int, *http.Request, net.Conn) bool { return false })
+	v := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		whole(c, r.Header.Get("Id"), 200, "again")
+		return true
+	})
+	s := newSite(t, magno.KindOnce, false, u, v)
+	res, _, err := s.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != http.StatusBadGateway {
+		t.Fatalf("got %v %v, want 502", res, err)
+	}
+	if u.count()+v.count() != 1 {
+		t.Errorf("the request was sent %d times", u.count()+v.count())
+	}
+}
+
+// A kept connection is closed by the upstream just as a request goes out. The
+// library would send the request again by itself; here nobody knows whether it
+// ran, so it must not.
+func TestKeptConnectionThatClosesDoesNotResend(t *testing.T) {
+	u := serveUpstream(t, func(n int, r *http.Request, c net.Conn) bool {
+		if n == 1 {
+			whole(c, r.Header.Get("Id"), 200, "first")
+			return true
+		}
+		return false
+	})
+	s := newSite(t, magno.KindOnce, false, u)
+	if _, _, err := s.get(t, http.MethodPost, "1"); err != nil {
+		t.Fatal(err)
+	}
+	res, _, err := s.get(t, http.MethodPost, "2")
+	if err != nil || res.StatusCode != http.StatusBadGateway {
+		t.Fatalf("got %v %v, want 502", res, err)
+	}
+	if u.count() != 2 {
+		t.Errorf("%d requests reached the upstream, want 2", u.count())
+	}
+}
+
+// The same for an idempotent request: the other upstream answers.
+func TestLostAnswerOfIdempotentRequestIsRepeated(t *testing.T) {
+	u := serveUpstream(t, func(int, *http.Request, net.Conn) bool { return false })
+	v := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		whole(c, r.Header.Get("Id"), 200, "again")
+		return true
+	})
+	s := newSite(t, magno.KindRepeat, false, u, v)
+	res, body, err := s.get(t, http.MethodGet, "1")
+	if err != nil || res.StatusCode != 200 || body != "again" {
+		t.Fatalf("got %v %q %v", res, body, err)
+	}
+}
+
+// The allowance for further sends is used up by a failing pool. Requests are
+// answered with the failure instead of being sent again.
+func TestUsedUpAllowanceEndsRetries(t *testing.T) {
+	fail := func(_ int, r *http.Request, c net.Conn) bool {
+		whole(c, r.Header.Get("Id"), 500, "no")
+		return true
+	}
+	u, v := serveUpstream(t, fail), serveUpstream(t, fail)
+	s := newSite(t, magno.KindRepeat, false, u, v)
+	s.pools.allow = 0
+	res, body, err := s.get(t, http.MethodGet, "1")
+	if err != nil || res.StatusCode != 500 || body != "no" || u.count()+v.count() != 1 {
+		t.Fatalf("got %v %q %v after %d sends", res, body, err, u.count()+v.count())
+	}
+}
+
+// An upstream answers a request twice. The second answer lies on the kept
+// connection when the next caller's request goes out, and must not be taken for
+// its answer.
+func TestSecondAnswerIsNobodys(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		whole(c, id, 200, "answer "+id)
+		time.Sleep(5 * time.Millisecond)
+		whole(c, id, 200, "answer "+id)
+		return true
+	})
+	s := newSite(t, magno.KindOnce, false, u)
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		res, body, err := s.get(t, http.MethodPost, id)
+		if err != nil || res.StatusCode != 200 || body != "answer "+id {
+			t.Fatalf("request %s got %v %q %v", id, res, body, err)
+		}
+	}
+}
+
+// The second answer comes later still: after the next request was sent. It is
+// told by its id and passed over, and the right one is read after it.
+func TestLateSecondAnswerIsPassedOver(t *testing.T) {
+	u := serveUpstream(t, func(n int, r *http.Request, c net.Conn) bool {
+		if n == 2 {
+			whole(c, "1", 200, "late")
+		}
+		whole(c, r.Header.Get("Id"), 200, "answer "+r.Header.Get("Id"))
+		return true
+	})
+	s := newSite(t, magno.KindOnce, false, u)
+	for _, id := range []string{"1", "2"} {
+		res, body, err := s.get(t, http.MethodPost, id)
+		if err != nil || res.StatusCode != 200 || body != "answer "+id {
+			t.Fatalf("request %s got %v %q %v", id, res, body, err)
+		}
+	}
+}
+
+// An upstream answers 503 without stating that it did not run the request. Told
+// on unchanged, the caller would believe that it has not run and send it again.
+func TestBareRefusalOfAnUpstreamPromisesNothing(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		whole(c, r.Header.Get("Id"), 503, "")
+		return true
+	})
+	s := newSite(t, magno.KindOnce, false, u)
+	res, _, err := s.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != http.StatusBadGateway || res.Header.Get("Signed") != "" {
+		t.Fatalf("got %v %v, want a 502 of our own", res, err)
+	}
+}
+
+// All upstreams are full and say so. The request has not run, and its caller is
+// told so and when to come back.
+func TestFullUpstreamsRefuseWithATime(t *testing.T) {
+	full := func(_ int, r *http.Request, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 503 x\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return true
+	}
+	u, v := serveUpstream(t, full), serveUpstream(t, full)
+	s := newSite(t, magno.KindOnce, false, u, v)
+	res, _, err := s.get(t, http.MethodPost, "1")
+	if err != nil || !promises(res.StatusCode) || res.Header.Get("Retry-After") == "" {
+		t.Fatalf("got %v %v, want a refusal with a time to come back", res, err)
+	}
+	if u.count() != 1 || v.count() != 1 {
+		t.Errorf("%d and %d sends, want one each", u.count(), v.count())
+	}
+}
+
+// A stream breaks off in the middle of an event. It goes on at another upstream
+// within the same answer, after the last whole event, and the caller sees each
+// event once.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1))
+		chunk(c, event(2)+"id: 3\nda")
+		return false
+	})
+	v := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		if r.Header.Get("From") != "2" {
+			return false
+		}
+		chunk(c, event(3))
+		chunk(c, event(4))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	s := newSite(t, magno.KindStream, true, u, v)
+	res, body, err := s.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != 200 || body != event(1)+event(2)+event(3)+event(4) {
+		t.Fatalf("got %v %q %v", res, body, err)
+	}
+}
+
+// A stream that may not be resumed breaks off. Its caller must see that it is
+// not whole.
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1))
+		return false
+	})
+	s := newSite(t, magno.KindStream, false, u)
+	_, body, err := s.get(t, http.MethodPost, "1")
+	if err == nil {
+		t.Errorf("the answer %q looks whole", body)
+	}
+}
+
+// An upstream stands still in the middle of a stream, with its connection open.
+// A stream that may be resumed goes on elsewhere.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1))
+		_, _ = c.Read(make([]byte, 1)) // until the relay gives up
+		return false
+	})
+	v := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(2))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	s := newSite(t, magno.KindStream, true, u, v)
+	_, body, err := s.get(t, http.MethodPost, "1")
+	if err != nil || body != event(1)+event(2) {
+		t.Fatalf("got %q %v", body, err)
+	}
+}
+
+// A request waits for its turn at an upstream, and meanwhile operators take that
+// upstream away. Sent there all the same, it would be cut off with it.
+func TestUpstreamThatBeganToLeaveGetsNothing(t *testing.T) {
+	answer := func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+	u, v := serveUpstream(t, answer), serveUpstream(t, answer)
+	s := newSite(t, magno.KindStream, false, u, v)
+	s.permits.during = func(string) {
+		left := *s.changes[1].Replica
+		left.Leaving = true
+		s.Book.Read([]magno.Change{{Key: left.ID, Revision: 2, Replica: &left}}, 2, false)
+	}
+	res, _, err := s.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != 200 {
+		t.Fatalf("got %v %v", res, err)
+	}
+	if u.count() != 0 || v.count() != 1 {
+		t.Errorf("the leaving upstream got %d requests, the other %d", u.count(), v.count())
+	}
+}
+
+// The agents are gone, but the engines are well. What they hold is sent there
+// without a permit.
+func TestSilentAgentsDoNotStopRequests(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	s := newSite(t, magno.KindStream, false, u)
+	s.permits.dead = true
+	if res, _, err := s.get(t, http.MethodPost, "1"); err != nil || res.StatusCode != 200 {
+		t.Fatalf("got %v %v", res, err)
+	}
+}
+
+// A caller leaves in the middle of a stream. The upstream must notice at once,
+// or it works on for nobody.
+func TestLeavingCallerEndsTheWork(t *testing.T) {
+	closed := make(chan struct{})
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1))
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	s := newSite(t, magno.KindStream, false, u)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+"/p/1", strings.NewReader("b"))
+	req.Host = "h.example"
+	req.Header.Set("Id", "1")
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	cancel()
+	select {
+	case <-closed:
+	case <-time.After(20 * time.Second):
+		t.Error("the upstream still works for a caller that left")
+	}
+}
+
+// A process has no configuration yet. It can't know that a path has no route,
+// and says that the request has not run.
+func TestNoConfigurationIsNoMissingRoute(t *testing.T) {
+	s := newSite(t, magno.KindOnce, false)
+	s.Book = &view.Book{Clock: s.Clock}
+	res, _, err := s.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+		t.Fatalf("got %v %v, want 503 with a time to come back", res, err)
+	}
+}
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -99,6 +99,8 @@
 	Engine  magno.Engine `json:"engine"`
 	// Pins maps MODEL/ADAPTER to the newest version that was declared.
 	Pins map[string]int64 `json:"pins,omitempty"`
+	// Leaving engines begin nothing any more.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // waiting is an ask in the queue.
@@ -210,6 +212,9 @@
 	if g.spec.Replica == "" {
 		return magno.Refuse(magno.KindStarting, "what stands beside this agent isn't known yet").Later(leastAfter)
 	}
+	if g.spec.Leaving {
+		return leaving()
+	}
 	if len(g.queue) >= mostWaiting {
 		return magno.Refuse(magno.KindBusy, "%d requests wait", len(g.queue)).Later(mostAfter)
 	}
@@ -273,9 +278,19 @@
 	return g.held.commands(g.demand(), g.inUse(), now)
 }
 
+// leaving sends a request elsewhere: an engine that leaves cuts off what begins
+// there too late.
+func leaving() *magno.Refusal {
+	return magno.Refuse(magno.KindLeaving, "the engine leaves").Later(leastAfter)
+}
+
 // expire gives up what waited for too long.
 func (g *Gate) expire(s *Steps, now magno.Millis) {
 	g.queue = slices.DeleteFunc(g.queue, func(w *waiting) bool {
+		if g.spec.Leaving {
+			s.Turned = append(s.Turned, Turned{ID: w.ID, Refusal: leaving()})
+			return true
+		}
 		if now < w.until {
 			return false
 		}
--- /dev/null
+++ b/magno/gate/gate_test.go
@@ -0,0 +1,287 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+
+	"magnoliastall.example/magno"
+)
+
+// world is a gate beside a fake engine.
+type world struct {
+	t     *testing.T
+	clock *magno.Clock
+	gate  *Gate
+	// held, loading and slots are the engine's.
+	held    map[string]int64
+	loading map[string]magno.Millis
+	slots   int
+	running int
+	orders  int64
+	granted map[string]bool
+	turned  map[string]*magno.Refusal
+}
+
+const model = "m"
+
+func newWorld(t *testing.T, slots int) *world {
+	clock := magno.NewClock(magno.Hour)
+	w := &world{
+		t: t, clock: clock, gate: &Gate{Clock: clock}, held: map[string]int64{}, loading: map[string]magno.Millis{},
+		slots: slots, granted: map[string]bool{}, turned: map[string]*magno.Refusal{},
+	}
+	w.gate.Specify(w.spec())
+	w.report()
+	return w
+}
+
+func (w *world) spec() Spec {
+	return Spec{Replica: "r@1", ID: "r", Engine: magno.Engine{
+		Models: []magno.Model{{Name: model, Size: 1000, Adapter: 10, Load: 3200, Disk: 1300}},
+		Slots:  w.slots, Memory: 1000 + 10*float64(w.slots), Tokens: 100_000, Batch: 64,
+	}}
+}
+
+// report tells the gate what the engine holds.
+func (w *world) report() {
+	now := w.clock.Now()
+	r := &magno.Report{Born: 1, Orders: w.orders, Running: w.running, Held: map[string]map[string]int64{model: {}}}
+	for name, end := range w.loading {
+		if now >= end {
+			w.held[name] = 1
+			delete(w.loading, name)
+			continue
+		}
+		r.Coming = append(r.Coming, magno.Pin{Model: model, Adapter: name, Number: 1})
+	}
+	for name, version := range w.held {
+		r.Held[model][name] = version
+	}
+	w.gate.Reported(r, now)
+}
+
+// step lets the gate decide and the engine obey. Lost orders are obeyed without
+// an answer.
+func (w *world) step(lost func() bool) {
+	s := w.gate.Next()
+	for _, g := range s.Grants {
+		w.granted[g.ID] = true
+	}
+	for _, t := range s.Turned {
+		w.turned[t.ID] = t.Refusal
+	}
+	for _, c := range w.gate.Commands() {
+		w.obey(c)
+		outcome := magno.OrderAccepted
+		if lost != nil && lost() {
+			outcome = magno.OrderUnknown
+		}
+		w.gate.Ordered(c, outcome, w.clock.Now())
+	}
+}
+
+func (w *world) obey(c magno.Command) {
+	w.orders++
+	if !c.Load {
+		delete(w.held, c.Adapter)
+		return
+	}
+	w.loading[c.Adapter] = w.clock.Now() + 250
+	if n := len(w.held) + len(w.loading); n > w.slots {
+		w.t.Fatalf("the engine was ordered to hold %d adapters in %d slots", n, w.slots)
+	}
+}
+
+// run plays for so long, with a report each 30 ms.
+func (w *world) run(span magno.Millis, lost func() bool) {
+	for end := w.clock.Now() + span; w.clock.Now() < end; w.clock.Advance(30) {
+		w.report()
+		w.step(lost)
+	}
+}
+
+func (w *world) ask(id, adapter string, prompt int) Ask {
+	return Ask{ID: id, Model: model, Adapter: adapter, Prompt: prompt, Output: 100, Aim: 800, Patience: 3000, Left: 12000}
+}
+
+func (w *world) offer(a Ask) {
+	if r := w.gate.Offer(a); r != nil {
+		w.turned[a.ID] = r
+	}
+}
+
+// All slots are in use and a request comes for another adapter. Its load needs
+// room first. Callers saw such requests wait for over a second, for the order
+// that made room also barred the load.
+func TestLoadFollowsTheEvictionAtOnce(t *testing.T) {
+	w := newWorld(t, 2)
+	w.offer(w.ask("1", "a", 100))
+	w.offer(w.ask("2", "b", 100))
+	w.run(1000, nil)
+	w.gate.Done("1", true)
+	w.gate.Done("2", true)
+	w.offer(w.ask("3", "c", 100))
+	w.run(400, nil)
+	if !w.granted["3"] {
+		t.Error("a request still waits 400 ms after an idle adapter could make room")
+	}
+}
+
+// Ten long prompts come within the same moment. Read at once, they would stop
+// every stream of the engine for over half a second. They are spaced, so that
+// in no 200 ms more than 150 ms are spent on them.
+func TestBurstOfPromptsIsSpaced(t *testing.T) {
+	w := newWorld(t, 8)
+	w.held["a"] = 1
+	w.report()
+	const prompt = 2400 // 66 ms
+	for i := range 10 {
+		a := w.ask(fmt.Sprint(i), "a", prompt)
+		w.offer(a)
+	}
+	var at []magno.Millis
+	for range 200 {
+		s := w.gate.Next()
+		for range s.Grants {
+			at = append(at, w.clock.Now())
+		}
+		w.clock.Advance(10)
+	}
+	if len(at) != 10 {
+		t.Fatalf("%d of 10 began", len(at))
+	}
+	for i, from := range at {
+		tokens := 0
+		for _, other := range at[i:] {
+			if other < from+paceSpan {
+				tokens += prompt
+			}
+		}
+		if readTime(tokens) > paceRead {
+			t.Errorf("prompts of %d ms began within %d ms", readTime(tokens), paceSpan)
+		}
+	}
+}
+
+// A prompt that takes longer than a whole window comes while shorter ones go on
+// coming. It gets its turn once the window is empty.
+func TestVeryLongPromptIsReadAtLast(t *testing.T) {
+	w := newWorld(t, 8)
+	w.held["a"] = 1
+	w.report()
+	w.offer(w.ask("first", "a", 3000))
+	w.run(30, nil)
+	w.offer(w.ask("long", "a", 9000))
+	w.run(600, nil)
+	if !w.granted["long"] {
+		t.Error("the long prompt still waits")
+	}
+}
+
+// Requests wait at an engine whose adapters aren't there yet, and operators
+// take that engine away. The callers' requests must go elsewhere at once:
+// begun there two seconds later, they would be cut off with it.
+func TestLeavingEngineTurnsAwayWhatWaits(t *testing.T) {
+	w := newWorld(t, 2)
+	w.offer(w.ask("1", "a", 100))
+	spec := w.spec()
+	spec.Leaving = true
+	w.gate.Specify(spec)
+	w.run(600, nil)
+	if w.granted["1"] || w.turned["1"] == nil {
+		t.Error("a request that waited began at an engine that leaves")
+	}
+	w.offer(w.ask("2", "a", 100))
+	if w.turned["2"] == nil {
+		t.Error("a leaving engine took a new request")
+	}
+}
+
+// Answers to orders are lost, so nobody knows which were carried out. Whatever
+// the engine then holds, it is never ordered to hold more than it has slots
+// for; more would crash it, and with it every stream that runs there.
+func TestNeverMoreAdaptersThanSlots(t *testing.T) {
+	for seed := range 20 {
+		w := newWorld(t, 3)
+		n := seed
+		lost := func() bool { n++; return n%3 == 0 }
+		for i := range 60 {
+			w.offer(w.ask(fmt.Sprint(i), fmt.Sprintf("a%d", (i*7+seed)%11), 100))
+			w.run(90, lost)
+			if i >= 3 {
+				w.gate.Done(fmt.Sprint(i-3), true)
+			}
+		}
+	}
+}
+
+// The engine restarts empty, under the name that it had. What it held is gone,
+// and requests wait for their adapters' loads instead of being sent to fail.
+func TestRestartedEngineHoldsNothing(t *testing.T) {
+	w := newWorld(t, 2)
+	w.offer(w.ask("1", "a", 100))
+	w.run(600, nil)
+	if !w.granted["1"] {
+		t.Fatal("the first request didn't begin")
+	}
+	w.gate.Reported(&magno.Report{Born: 2}, w.clock.Now())
+	w.offer(w.ask("2", "a", 100))
+	w.gate.Next()
+	if c := w.gate.Commands(); len(c) != 1 || !c[0].Load || c[0].Adapter != "" {
+		t.Errorf("ordered %v, want the base model first", c)
+	}
+}
+
+// A new version of an adapter is declared while streams of the old one run. New
+// requests wait for it or go elsewhere; none begins on the old one for long.
+func TestOldVersionIsGivenOutForAWhileOnly(t *testing.T) {
+	w := newWorld(t, 2)
+	w.offer(w.ask("1", "a", 100))
+	w.run(600, nil)
+	spec := w.spec()
+	spec.Pins = map[string]int64{"m/a": 2}
+	w.gate.Specify(spec)
+	w.clock.Advance(renewSpread)
+	w.offer(w.ask("2", "a", 100))
+	s := w.gate.Next()
+	if len(s.Grants) > 0 {
+		t.Error("a request began on a version that was replaced long ago")
+	}
+	c := w.gate.Commands()
+	if len(c) != 1 || !c[0].Load || c[0].Version != 2 {
+		t.Errorf("ordered %v, want the load of version 2", c)
+	}
+}
+
+// An engine is full, with a queue behind it. A caller whose patience is shorter
+// than the wait is told so at once, and when to come back.
+func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, 2)
+	w.held["a"] = 1
+	w.report()
+	for i := range 200 {
+		w.offer(w.ask(fmt.Sprint(i), "a", 2400))
+	}
+	a := w.ask("last", "a", 2400)
+	a.Patience = 500
+	r := w.gate.Offer(a)
+	if r == nil || r.Kind != magno.KindBusy || r.After <= 0 {
+		t.Errorf("got %v, want a refusal with a time to come back", r)
+	}
+}
+
+func BenchmarkOfferAndNext(b *testing.B) {
+	clock := magno.NewClock(magno.Hour)
+	w := &world{clock: clock, slots: 30, held: map[string]int64{"a": 1}, loading: map[string]magno.Millis{}}
+	g := &Gate{Clock: clock}
+	w.gate = g
+	g.Specify(w.spec())
+	w.report()
+	for i := 0; b.Loop(); i++ {
+		id := fmt.Sprint(i)
+		_ = g.Offer(w.ask(id, "a", 400))
+		g.Next()
+		g.Done(id, true)
+		clock.Advance(15)
+	}
+}
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -13,6 +13,7 @@
 
 import (
 	"maps"
+	"strings"
 	"sync"
 
 	"magnoliastall.example/magno"
@@ -43,6 +44,15 @@
 	Revision int64
 }
 
+// Find returns the replica with that key, nil when there is none.
+func (s *Snapshot) Find(key string) *magno.Replica {
+	id, _, _ := strings.Cut(key, "@")
+	if r := s.Replicas[id]; r != nil && r.Key() == key {
+		return r
+	}
+	return nil
+}
+
 // Book takes changes. It is safe for concurrent use; exported fields are set
 // before.
 type Book struct {
