--- a/magno/gate/gate_test.go
+++ b/magno/gate/gate_test.go
@@ -232,6 +232,27 @@
 	}
 }
 
+// An engine refuses an order, for another incarnation is there by now. The
+// order isn't given again with each look: that took the processor of the agent
+// just when it was needed to find out.
+func TestRefusedOrderIsNotGivenAtOnceAgain(t *testing.T) {
+	w := newWorld(t, 2)
+	w.offer(w.ask("1", "a", 100))
+	given := 0
+	for range 30 {
+		w.gate.Next()
+		for _, c := range w.gate.Commands() {
+			given++
+			w.gate.Ordered(c, magno.OrderElse, w.clock.Now())
+		}
+		w.clock.Advance(10)
+		w.report()
+	}
+	if given != 2 {
+		t.Errorf("the order was given %d times in 300 ms, want 2", given)
+	}
+}
+
 // A new version of an adapter is declared while streams of the old one run. New
 // requests wait for it or go elsewhere; none begins on the old one for long.
 func TestOldVersionIsGivenOutForAWhileOnly(t *testing.T) {
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -24,6 +24,8 @@
 	warmLoad = 25 * magno.Millis(1)
 	// orderedLife is how long an order without a clear outcome counts as taken.
 	orderedLife = magno.Second
+	// orderPause is how long an order that was refused isn't given again.
+	orderPause = 200 * magno.Millis(1)
 	// mostKnown bounds the adapters that count as held lately: an engine keeps
 	// about 130 in its memory.
 	mostKnown = 128
@@ -195,7 +197,9 @@
 	case magno.OrderUnknown:
 		s.taken[name] = order{command: c, at: now}
 	default:
-		delete(s.taken, name)
+		// Refused. Given again at once, an order that can't be obeyed is given
+		// a hundred times a second.
+		s.taken[name] = order{command: c, at: now - orderedLife + orderPause}
 	}
 }
 
--- a/magno/plan.go
+++ b/magno/plan.go
@@ -118,6 +118,9 @@
 	Slots int `json:"slots"`
 	// Leaving replicas get no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Since is the list's revision at which the entry was made. Of two entries
+	// with one address, the later names who is there.
+	Since int64 `json:"since"`
 }
 
 // Key names the incarnation.
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -63,7 +63,10 @@
 
 	mu    sync.Mutex
 	items map[string]*record
-	now   *Snapshot
+	// newest maps an address to when the last entry there was made, also one
+	// that is gone again. There are as many as the platform has addresses.
+	newest map[string]int64
+	now    *Snapshot
 	// plan is the newest configuration; its version never falls.
 	plan *magno.Plan
 	// confirmed is when Revision was known to be the list's newest.
@@ -110,7 +113,7 @@
 
 func (b *Book) setup() {
 	if b.items == nil {
-		b.items = map[string]*record{}
+		b.items, b.newest = map[string]*record{}, map[string]int64{}
 		b.watch = make(chan struct{})
 		b.now = &Snapshot{Replicas: map[string]*magno.Replica{}, Pins: map[string]int64{}}
 	}
@@ -200,6 +203,9 @@
 		b.lapse(rec, old, now)
 	}
 	b.items[c.Key] = rec
+	if r := c.Replica; r != nil {
+		b.newest[r.Address] = max(b.newest[r.Address], r.Since)
+	}
 	if c.Plan != nil && (b.plan == nil || c.Plan.Version > b.plan.Version) {
 		b.plan = c.Plan
 	}
@@ -259,10 +265,14 @@
 func (b *Book) collect() (map[string]*magno.Replica, map[string]int64) {
 	replicas, pins := map[string]*magno.Replica{}, maps.Clone(b.now.Pins)
 	for _, rec := range b.items {
-		if r := rec.change.Replica; r != nil {
+		r := rec.change.Replica
+		if r == nil {
+			r = rec.last
+		}
+		// The entry of an upstream that crashed stands for some seconds beside
+		// that of its successor at the same address.
+		if r != nil && r.Since >= b.newest[r.Address] {
 			replicas[r.ID] = r
-		} else if rec.last != nil {
-			replicas[rec.last.ID] = rec.last
 		}
 		if p := rec.change.Pin; p != nil {
 			name := p.Model + "/" + p.Adapter
--- /dev/null
+++ b/magno/view/view_test.go
@@ -0,0 +1,151 @@
+package view
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"magnoliastall.example/magno"
+)
+
+func newBook() (*Book, *magno.Clock) {
+	clock := magno.NewClock(magno.Hour)
+	return &Book{Clock: clock}, clock
+}
+
+func up(id string, rev int64, address string) magno.Change {
+	return magno.Change{Key: "servers/" + id, Revision: rev, Replica: &magno.Replica{
+		ID: id, Service: "s", Address: address, DataCentre: "x", Slots: 1, Since: rev,
+	}}
+}
+
+func down(id string, rev int64) magno.Change {
+	return magno.Change{Key: "servers/" + id, Revision: rev, Deleted: true}
+}
+
+func plan(version, rev int64) magno.Change {
+	return magno.Change{Key: "plan", Revision: rev, Plan: &magno.Plan{Version: version}}
+}
+
+// An upstream crashed and another start of it registered under a new name. For
+// some seconds the old entry stands beside the new one, with the same address.
+// Requests and orders for the old one were refused there, a thousand a second,
+// and callers saw the service gone.
+func TestNewestEntryOfAnAddressCounts(t *testing.T) {
+	b, _ := newBook()
+	b.Read([]magno.Change{up("old", 5, "10.0.0.1:80"), up("new", 9, "10.0.0.1:80"), up("other", 6, "10.0.0.2:80")}, 9, true)
+	got := b.Now().Replicas
+	if got["old"] != nil || got["new"] == nil || got["other"] == nil {
+		t.Errorf("got %v, want new and other", got)
+	}
+	b.Read([]magno.Change{down("new", 12)}, 12, false)
+	if b.Now().Replicas["old"] != nil {
+		t.Error("the old entry came back though its successor was there")
+	}
+}
+
+// A slow answer of the list, or a peer that was cut off, brings a configuration
+// that was replaced since.
+func TestConfigurationNeverFalls(t *testing.T) {
+	b, _ := newBook()
+	b.Read([]magno.Change{plan(7, 10)}, 10, true)
+	b.Heard([]magno.Change{plan(3, 4)}, 0, 4, 0)
+	b.Read([]magno.Change{plan(5, 12)}, 12, false)
+	if v := b.Now().Plan.Version; v != 7 {
+		t.Errorf("version %d is in force, want 7", v)
+	}
+}
+
+// A malformed entry is written over an upstream's, or beside it. The others
+// must go on being used.
+func TestOneBadEntryHidesNoOther(t *testing.T) {
+	b, _ := newBook()
+	b.Read([]magno.Change{
+		up("a", 1, "10.0.0.1:80"), {Key: "servers/b", Revision: 2, Fault: "no address"}, up("c", 3, "10.0.0.3:80"),
+	}, 3, true)
+	if n := len(b.Now().Replicas); n != 2 {
+		t.Errorf("%d upstreams are used, want 2", n)
+	}
+}
+
+// The list is away for seconds, and entries run out in it though their
+// upstreams live. Taken as gone at its return, no request could be served until
+// they are back; after two seconds, what is still missing is gone.
+func TestLapsedEntriesAreUsedUntilTheyCouldBeBack(t *testing.T) {
+	b, clock := newBook()
+	b.Read([]magno.Change{up("a", 1, "10.0.0.1:80"), up("b", 2, "10.0.0.2:80")}, 2, true)
+	clock.Advance(500)
+	b.Failed()
+	clock.Advance(4000)
+	b.Read([]magno.Change{down("a", 3), down("b", 4)}, 4, false)
+	if n := len(b.Now().Replicas); n != 2 {
+		t.Fatalf("%d upstreams are used right after the outage, want 2", n)
+	}
+	clock.Advance(1000)
+	b.Read([]magno.Change{up("a", 5, "10.0.0.1:80")}, 5, false)
+	clock.Advance(1500)
+	b.Tick()
+	got := b.Now().Replicas
+	if got["a"] == nil || got["b"] != nil {
+		t.Errorf("got %v, want a alone", got)
+	}
+}
+
+// A deletion on a calm day is no lapse: the upstream leaves, and new requests
+// there would be cut off.
+func TestDeletionOnACalmDayCountsAtOnce(t *testing.T) {
+	b, clock := newBook()
+	b.Read([]magno.Change{up("a", 1, "10.0.0.1:80")}, 1, true)
+	clock.Advance(900)
+	b.Read([]magno.Change{down("a", 2)}, 2, false)
+	if len(b.Now().Replicas) != 0 {
+		t.Error("a deleted upstream is still used")
+	}
+}
+
+// A peer tells of changes after a revision that this process hasn't reached.
+// Its own revision stays, or it would never ask for what it missed.
+func TestGapInNewsIsNotForgotten(t *testing.T) {
+	b, _ := newBook()
+	b.Read([]magno.Change{up("a", 1, "10.0.0.1:80")}, 1, true)
+	b.Heard([]magno.Change{up("c", 9, "10.0.0.3:80")}, 8, 9, 0)
+	if r := b.Now().Revision; r != 1 {
+		t.Errorf("revision %d, want 1", r)
+	}
+	b.Heard([]magno.Change{up("b", 5, "10.0.0.2:80"), up("c", 9, "10.0.0.3:80")}, 1, 9, 0)
+	if s := b.Now(); s.Revision != 9 || len(s.Replicas) != 3 {
+		t.Errorf("revision %d with %d upstreams, want 9 with 3", s.Revision, len(s.Replicas))
+	}
+}
+
+// Changes come twice, late and in any order, from the list and from peers. All
+// processes end with the same view.
+func TestAnyOrderEndsTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []magno.Change
+		for rev := int64(1); rev <= 20; rev++ {
+			id := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "id"))
+			if rapid.Bool().Draw(t, "down") {
+				log = append(log, down(id, rev))
+				continue
+			}
+			log = append(log, up(id, rev, "10.0.0."+id+":80"))
+		}
+		a, _ := newBook()
+		a.Read(log, 20, false)
+		b, _ := newBook()
+		mixed := rapid.Permutation(append(log, log[:5]...)).Draw(t, "order")
+		for i := range mixed {
+			b.Heard(mixed[i:i+1], 0, mixed[i].Revision, 0)
+		}
+		for id, r := range a.Now().Replicas {
+			if other := b.Now().Replicas[id]; other == nil || other.Since != r.Since {
+				t.Fatalf("one has %v of %s, the other %v", r, id, other)
+			}
+		}
+		if len(a.Now().Replicas) != len(b.Now().Replicas) {
+			t.Fatalf("one has %d upstreams, the other %d", len(a.Now().Replicas), len(b.Now().Replicas))
+		}
+	})
+}
