--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -63,6 +63,9 @@
 	started bool
 	last    string
 	events  int
+	// first is when the first event came, passed the last, and pause the longest
+	// time between two.
+	first, passed, pause magno.Millis
 	// failure is the upstream's answer to pass on when no other can be had.
 	failure *answer
 	// refusal is why the last choice was refused.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -230,7 +230,7 @@
 		route = j.route.Name
 	}
 	j.Log.Info("request", "request", j.id, "route", route, "status", status, "outcome", outcome, "why", why,
-		"replica", j.at, "tries", j.tries, "waited", j.waited, "took", took, "events", j.events,
+		"replica", j.at, "tries", j.tries, "waited", j.waited, "took", took, "events", j.events, "first", j.first, "pause", j.pause,
 		"config", j.version(), "age", j.Book.Age())
 }
 
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -68,7 +68,7 @@
 		if _, err := j.w.Write(event); err != nil {
 			return errors.Wrap(err, "caller")
 		}
-		j.events++
+		j.timed()
 		if events.Buffered() > 0 {
 			continue // the next event goes out with it
 		}
@@ -78,6 +78,18 @@
 	}
 }
 
+// timed notes when the first event came and the longest pause between two.
+func (j *job) timed() {
+	now := j.Clock.Now()
+	if j.events == 0 {
+		j.first = now - j.came
+	} else {
+		j.pause = max(j.pause, now-j.passed)
+	}
+	j.passed = now
+	j.events++
+}
+
 // patience bounds the wait for the next event where the stream could go on
 // elsewhere.
 func (j *job) patience(conn *hop.Conn) {
