--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The modules of the workspace, in the order in which they build.
-MODULES = magno stand entry agent magctl drive
+MODULES = magno platform stand entry agent magctl drive
 BIN = bin
 GOLANGCI_VERSION = v2.15.0
 LINT = $(shell go env GOPATH)/bin/golangci-lint
@@ -8,7 +8,7 @@
 PORT ?= 7000
 DEPLOY ?= delta
 
-.PHONY: all build test race lint fmt demo chaos up down soak clean tools capacity
+.PHONY: all build test race lint fmt demo chaos up down soak soaksite clean tools capacity
 
 all: build test
 
@@ -43,6 +43,13 @@
 soak:
 	@SEED=$(SEED) FOR=$(FOR) demo/soak
 
+# The real programs on the platform's stand-ins, with faults from outside:
+# SEEDS seeds from SEED on, faults for FAULTS each.
+SEEDS ?= 1
+FAULTS ?= 8s
+soaksite: build
+	@$(BIN)/drive soak -seed $(SEED) -seeds $(SEEDS) -for $(FAULTS) -out out/soak
+
 # Each starts processes in a script of its own: no program starts another.
 demo: build
 	@OUT=out/demo PORT=$(PORT) DEPLOY=$(DEPLOY) FOR=$(FOR) SEED=$(SEED) demo/run
--- a/agent/site/site.go
+++ b/agent/site/site.go
@@ -79,7 +79,7 @@
 	log.Info("start", "dc", set.DataCentre, "peers", mesh.Addr(), "upstream", set.Upstream, "service", set.Service)
 	d := start.Daemon{
 		Duties: []magno.Duty{mesh, k.Duty(), out, &admin.Server{
-			Listen: net.JoinHostPort("0.0.0.0", strconv.Itoa(metricsPort)), Allow: []string{anyone},
+			Listen: net.JoinHostPort(set.IP, strconv.Itoa(metricsPort)), Allow: []string{anyone},
 			Ready: func() bool { return true }, Status: func() any { return k.Name },
 			Events: &event.Ring{Process: set.Name, Size: 1},
 		}},
--- a/drive/main.go
+++ b/drive/main.go
@@ -4,6 +4,7 @@
 //	drive live    live processes over HTTP
 //	drive layout  writes the settings of a deployment on this machine
 //	drive capacity  slopes for docs/CAPACITY.md
+//	drive soak    real programs on a platform's stand-ins, with faults from outside
 package main
 
 import (
@@ -25,7 +26,7 @@
 
 func run(ctx context.Context, args []string) int {
 	if len(args) == 0 {
-		fmt.Fprintln(os.Stderr, "usage: drive sim|live|layout [flags]; -help lists them")
+		fmt.Fprintln(os.Stderr, "usage: drive sim|live|layout|capacity|soak [flags]; -help lists them")
 		return setup.ExitUsage
 	}
 	switch args[0] {
@@ -35,6 +36,8 @@
 		return runLive(ctx, args[1:])
 	case "capacity":
 		return capac.Run(ctx, args[1:])
+	case "soak":
+		return runSoak(args[1:])
 	case "layout":
 		return runLayout(args[1:])
 	}
--- /dev/null
+++ b/drive/soak/proxy.go
@@ -0,0 +1,151 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does to its connections.
+type mode int
+
+const (
+	modePass  mode = iota
+	modeDelay      // both ways are slow
+	modeMute       // nothing passes, connections stay open
+	modeNoWay      // nothing passes from the far side: a cut one way
+	modeReset      // connections are reset, new ones too
+)
+
+var modeNames = []string{"pass", "delay", "mute", "oneway", "reset"}
+
+// delayTime is what modeDelay adds to each piece.
+const delayTime = 60 * time.Millisecond
+
+// proxy forwards TCP connections and harms them.
+type proxy struct {
+	listen, target string
+
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+}
+
+// run forwards until ctx ends.
+func (p *proxy) run(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", p.listen)
+	if err != nil {
+		return err
+	}
+	p.conns = map[net.Conn]bool{}
+	go func() {
+		<-ctx.Done()
+		_ = l.Close()
+		p.set(modeReset)
+	}()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return nil
+}
+
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m != modeReset {
+		return
+	}
+	for c := range p.conns {
+		reset(c)
+	}
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *proxy) now() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *proxy) serve(near net.Conn) {
+	if p.now() == modeReset {
+		reset(near)
+		return
+	}
+	far, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		reset(near)
+		return
+	}
+	p.mu.Lock()
+	p.conns[near], p.conns[far] = true, true
+	p.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go p.copy(far, near, false, done)
+	go p.copy(near, far, true, done)
+	<-done
+	<-done
+	p.mu.Lock()
+	delete(p.conns, near)
+	delete(p.conns, far)
+	p.mu.Unlock()
+	_ = near.Close()
+	_ = far.Close()
+}
+
+// copy moves bytes until either side ends, as the mode lets it.
+func (p *proxy) copy(to, from net.Conn, answers bool, done chan struct{}) {
+	defer func() { done <- struct{}{} }()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		for p.holds(answers) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if p.now() == modeDelay {
+			time.Sleep(delayTime)
+		}
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err != nil {
+			p.close(to, err)
+			return
+		}
+	}
+}
+
+func (p *proxy) holds(answers bool) bool {
+	m := p.now()
+	return m == modeMute || (m == modeNoWay && answers)
+}
+
+// close passes the end of one side on as what it was.
+func (p *proxy) close(to net.Conn, err error) {
+	if err == io.EOF {
+		if t, ok := to.(*net.TCPConn); ok {
+			_ = t.CloseWrite()
+			return
+		}
+	}
+	reset(to)
+}
--- /dev/null
+++ b/drive/soak/soak.go
@@ -0,0 +1,301 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"magnoliastall.example/platform/fake"
+)
+
+const (
+	callers = 12
+	// adapters is how many are asked for: more than one engine holds.
+	adapters = 9
+	// pauseMost bounds the pause between two faults, faultMost how long one
+	// lasts; they overlap.
+	pauseMost = 500 * time.Millisecond
+	faultMost = 1500 * time.Millisecond
+	// calm is how long after the last fault the fleet must serve everything.
+	calm = 12 * time.Second
+	// afterwards is how many requests must then be served in a row.
+	afterwards = 30
+)
+
+// Soak is one run. Fields are set before Run.
+type Soak struct {
+	Seed uint64
+	For  time.Duration
+	// Dir takes settings and logs, Bin holds the programs.
+	Dir, Bin string
+	Out      io.Writer
+
+	fleet *fleet
+	mu    sync.Mutex
+	// sent are requests by id, with what their callers got.
+	sent   map[string]*request
+	kinds  map[string]int
+	faults map[string]int
+	broken []string
+}
+
+// request is one attempt.
+type request struct {
+	path    string
+	outcome fake.Outcome
+}
+
+// Run plays and returns the promises that were broken.
+func (s *Soak) Run(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.sent, s.kinds, s.faults = map[string]*request{}, map[string]int{}, map[string]int{}
+	s.fleet = newFleet(s.Dir, s.Bin)
+	if err := s.fleet.start(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.fleet.ready(ctx); err != nil {
+		return nil, err
+	}
+	playing, stop := context.WithTimeout(ctx, s.For)
+	defer stop()
+	var working sync.WaitGroup
+	for i := range callers {
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			s.call(ctx, playing, i)
+		}()
+	}
+	s.harm(playing)
+	working.Wait()
+	s.heal()
+	s.after(ctx)
+	s.check()
+	s.print()
+	return s.broken, nil
+}
+
+// call sends requests one after the other until playing ends.
+func (s *Soak) call(ctx, playing context.Context, n int) {
+	rnd := rand.New(rand.NewPCG(s.Seed, uint64(n)+1)) //nolint:gosec // no secret
+	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	for i := 0; playing.Err() == nil; i++ {
+		address := s.fleet.entries[rnd.IntN(entries)]
+		s.once(ctx, caller, address, fmt.Sprintf("s%d-%d-%d", s.Seed, n, i), rnd)
+		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
+	}
+}
+
+// once sends one request and notes what came of it.
+func (s *Soak) once(ctx context.Context, caller *fake.Caller, address, id string, rnd *rand.Rand) fake.Outcome {
+	path := []string{fake.PathOnce, fake.PathRepeat, fake.PathStream, fake.PathResume, fake.PathResume}[rnd.IntN(5)]
+	adapter := ""
+	if path == fake.PathStream || path == fake.PathResume {
+		adapter = fmt.Sprintf("a%d", 1+rnd.IntN(adapters))
+	}
+	limit := 6 * time.Second
+	if rnd.IntN(20) == 0 {
+		limit = time.Duration(rnd.IntN(60)) * time.Millisecond // it leaves early
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	o := caller.Send(ctx, address, path, id, adapter)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[id] = &request{path: path, outcome: o}
+	s.kinds[fmt.Sprintf("%s %s", strings.Trim(path, "/"), outcomeName(o))]++
+	return o
+}
+
+func outcomeName(o fake.Outcome) string {
+	switch {
+	case o.Status == 0:
+		return "no answer"
+	case o.Promised:
+		return "refused"
+	case o.Status == http.StatusOK && o.Whole:
+		return "served"
+	case o.Status == http.StatusOK:
+		return "broken off"
+	}
+	return "failed"
+}
+
+// harm injects faults until ctx ends. The seed decides all of them.
+func (s *Soak) harm(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(s.Seed, 0)) //nolint:gosec // no secret
+	var ending sync.WaitGroup
+	defer ending.Wait()
+	for ctx.Err() == nil {
+		pause := time.Duration(rnd.Int64N(int64(pauseMost)))
+		last := time.Duration(rnd.Int64N(int64(faultMost)))
+		name, undo := s.fault(rnd)
+		s.faults[name]++
+		ending.Add(1)
+		go func() {
+			defer ending.Done()
+			time.Sleep(last)
+			undo()
+		}()
+		time.Sleep(pause)
+	}
+}
+
+// fault begins one fault and returns what ends it.
+func (s *Soak) fault(rnd *rand.Rand) (string, func()) {
+	f := s.fleet
+	p := f.procs[rnd.IntN(len(f.procs))]
+	x := f.proxies[rnd.IntN(len(f.proxies))]
+	u := append(f.engines[:len(f.engines):len(f.engines)], f.plains...)[rnd.IntN(engines+plains)]
+	none := func() {}
+	switch n := rnd.IntN(16); n {
+	case 0, 1:
+		p.signal(syscall.SIGKILL)
+		return "kill " + p.kind, none
+	case 2:
+		p.signal(syscall.SIGSTOP)
+		return "pause " + p.kind, func() { p.signal(syscall.SIGCONT) }
+	case 3:
+		p.signal(syscall.SIGTERM)
+		return "term " + p.kind, none
+	case 4:
+		p.signal(syscall.SIGHUP)
+		return "hup " + p.kind, none
+	case 5, 6, 7, 8, 9:
+		m := mode(1 + rnd.IntN(len(modeNames)-1))
+		x.set(m)
+		return "path " + modeNames[m], func() { x.set(modePass) }
+	case 10:
+		f.store.Down.Store(true)
+		return "list down", func() { f.store.Down.Store(false) }
+	case 11:
+		f.store.Compact()
+		return "list compacted", none
+	case 12:
+		f.publish()
+		return "configuration", none
+	case 13:
+		f.renew(u)
+		return "upstream replaced", none
+	case 14:
+		f.restart(u)
+		return "upstream restarted", none
+	default:
+		u.worker.Break(1 + rnd.IntN(4))
+		return "answers broken", none
+	}
+}
+
+// heal ends what faults may be left.
+func (s *Soak) heal() {
+	for _, x := range s.fleet.proxies {
+		x.set(modePass)
+	}
+	for _, p := range s.fleet.procs {
+		p.signal(syscall.SIGCONT)
+	}
+	s.fleet.store.Down.Store(false)
+	for _, u := range append(s.fleet.engines, s.fleet.plains...) {
+		u.worker.Break(0)
+	}
+}
+
+// after sends requests once the faults are over; all must be served.
+func (s *Soak) after(ctx context.Context) {
+	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{}}}
+	rnd := rand.New(rand.NewPCG(s.Seed, 1<<32)) //nolint:gosec // no secret
+	row, last := 0, fake.Outcome{}
+	for i, end := 0, time.Now().Add(calm); row < afterwards && time.Now().Before(end); i++ {
+		o := s.once(ctx, caller, s.fleet.entries[i%entries], fmt.Sprintf("s%d-after-%d", s.Seed, i), rnd)
+		if o.Status == http.StatusOK && o.Whole {
+			row++
+			continue
+		}
+		// A caller that left early by itself proves nothing.
+		if o.Status != 0 {
+			row, last = 0, o
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if row < afterwards {
+		s.fail("only %d requests in a row were served %s after the last fault; last status %d", row, calm, last.Status)
+	}
+}
+
+func (s *Soak) fail(format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf(format, args...))
+}
+
+// check compares what callers got with what ran.
+func (s *Soak) check() {
+	ids := make([]string, 0, len(s.sent))
+	for id := range s.sent {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		s.one(id, s.sent[id])
+	}
+	for _, w := range s.fleet.all {
+		for _, what := range w.Faults() {
+			s.fail("upstream %s: %s", w.ID, what)
+		}
+	}
+}
+
+func (s *Soak) one(id string, r *request) {
+	runs, o := s.fleet.runs(id), r.outcome
+	if (r.path == fake.PathOnce || r.path == fake.PathStream) && runs > 1 {
+		s.fail("%s %s ran %d times", r.path, id, runs)
+	}
+	if o.Promised && runs > 0 && r.path != fake.PathRepeat {
+		s.fail("%s %s was told %d and ran %d times", r.path, id, o.Status, runs)
+	}
+	if o.Status != http.StatusOK {
+		return
+	}
+	want := "done " + id
+	if r.path == fake.PathStream || r.path == fake.PathResume {
+		want = ""
+		for n := 1; n <= events; n++ {
+			want += fake.Event(id, n)
+		}
+	}
+	if o.Whole && o.Body != want {
+		s.fail("%s %s looks whole and is %q", r.path, id, o.Body)
+	}
+	if !strings.HasPrefix(want, o.Body) {
+		s.fail("%s %s has other bytes than its own: %q", r.path, id, o.Body)
+	}
+}
+
+// print writes the table of one run.
+func (s *Soak) print() {
+	fmt.Fprintf(s.Out, "seed %d: %d requests, %d broken promises\n", s.Seed, len(s.sent), len(s.broken))
+	printCounts(s.Out, "  requests:", s.kinds)
+	printCounts(s.Out, "  faults:", s.faults)
+	for _, what := range s.broken {
+		fmt.Fprintln(s.Out, "  BROKEN:", what)
+	}
+}
+
+func printCounts(w io.Writer, title string, counts map[string]int) {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Fprint(w, title)
+	for _, name := range names {
+		fmt.Fprintf(w, " %s %d;", name, counts[name])
+	}
+	fmt.Fprintln(w)
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -150,7 +150,7 @@
 	return []magno.Duty{
 		e.mesh, e.reads, e.peers.Duty(), e.desk.Duty(), &follow{e}, e.front, &ready{e.front},
 		&admin.Server{
-			Listen: net.JoinHostPort("0.0.0.0", strconv.Itoa(MetricsPort)), Allow: []string{anyone},
+			Listen: net.JoinHostPort(e.set.IP, strconv.Itoa(MetricsPort)), Allow: []string{anyone},
 			Ready: e.front.ready, Status: func() any { return e.book.Now() }, Events: &event.Ring{Process: e.set.Name, Size: 1},
 		},
 	}
