--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -93,10 +93,9 @@
 	settings        string
 	log             *os.File
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	stopped bool
-	starts  int
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	starts int
 }
 
 func at(net, host, port int) string { return fmt.Sprintf("127.0.%d.%d:%d", net, host, portBase+port) }
--- a/drive/soak/proxy.go
+++ b/drive/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -88,7 +89,8 @@
 		reset(near)
 		return
 	}
-	far, err := net.DialTimeout("tcp", p.target, time.Second)
+	d := net.Dialer{Timeout: time.Second}
+	far, err := d.DialContext(context.Background(), "tcp", p.target)
 	if err != nil {
 		reset(near)
 		return
@@ -141,7 +143,7 @@
 
 // close passes the end of one side on as what it was.
 func (p *proxy) close(to net.Conn, err error) {
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		if t, ok := to.(*net.TCPConn); ok {
 			_ = t.CloseWrite()
 			return
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -46,11 +46,9 @@
 
 // pools sends to the replicas in order.
 type pools struct {
-	mu     sync.Mutex
-	names  []string
-	sends  int
-	allow  int
-	router magno.Router
+	mu    sync.Mutex
+	names []string
+	allow int
 }
 
 func (p *pools) Router(string) magno.Router { return p }
@@ -202,9 +200,15 @@
 	return s
 }
 
+// got is the head of an answer.
+type got struct {
+	StatusCode int
+	Header     http.Header
+}
+
 // get sends a request and returns status, header and body; the error tells that
 // the answer broke off.
-func (s *site) get(t *testing.T, method, id string) (*http.Response, string, error) {
+func (s *site) get(t *testing.T, method, id string) (*got, string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -225,7 +229,7 @@
 	}
 	defer res.Body.Close()
 	text, err := io.ReadAll(res.Body)
-	return res, string(text), err
+	return &got{res.StatusCode, res.Header}, string(text), err
 }
 
 func TestWholeAnswerGoesThrough(t *testing.T) {
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -30,9 +30,6 @@
 	streamBuffer = 2 << 10
 )
 
-// errStall tells that an upstream sent nothing for too long.
-var errStall = errors.New("the stream stands still")
-
 // stream passes events on as they come. Only whole ones are passed on, so that
 // the stream can go on elsewhere after the last of them.
 func (j *job) stream(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -73,11 +73,9 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	if err := s.Close(); err != nil {
-		return errors.Wrap(err, "close")
-	}
-	<-ended
-	return nil
+	err = s.Close()
+	_ = <-ended // it tells only that the server was closed
+	return errors.Wrap(err, "close")
 }
 
 // ready tells whether new connections should come here.
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -46,7 +46,6 @@
 type pool struct {
 	router *route.Route
 	allow  *allow.Window
-	engine bool
 }
 
 // get returns a service's pool, made on first use. The caller holds mu.
--- a/magno/paths/paths_test.go
+++ b/magno/paths/paths_test.go
@@ -39,10 +39,11 @@
 	n := map[string]int{}
 	for i := range 10000 {
 		id := fmt.Sprint("attempt", i)
-		if Split(r, id) != Split(r, id) {
+		service := Split(r, id)
+		if again := Split(r, id); again != service {
 			t.Fatal("an attempt changed its service")
 		}
-		n[Split(r, id)]++
+		n[service]++
 	}
 	if n["b"] < 900 || n["b"] > 1100 {
 		t.Errorf("b got %d of 10000, want about 1000", n["b"])
