--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -28,9 +28,14 @@
 )
 
 const (
-	// pollEvery is how often an agent in use is asked for its state. Waits at
-	// an engine change within a few hundred milliseconds.
+	// pollEvery is how often an agent is asked for its state unless an answer to
+	// a permit just told it. Waits at an engine change within a few hundred
+	// milliseconds. With more than pollScale agents the pause grows with their
+	// number, up to four times: at 52 agents and 29 entries, polls were most of
+	// the 0.36 GB that a day of 48 s moved between data centres.
 	pollEvery = 250 * magno.Millis(1)
+	pollScale = 26
+	pollMost  = 4
 	// pollTime bounds the answer: several round trips between data centres.
 	pollTime = 300 * magno.Millis(1)
 	// deadAfter is how many polls in a row must fail until permits are no longer
@@ -41,6 +46,8 @@
 	// mostPolled bounds the agents that one entry asks at each tick. With more,
 	// those that it lately sent requests to come first.
 	mostPolled = 64
+	// pollSlack lets a tick count that comes a little early.
+	pollSlack = 20 * magno.Millis(1)
 	// usedFor is how long an agent counts as in use after a permit.
 	usedFor = 5 * magno.Second
 	// heldFor is how long what an engine held counts after its agent went
@@ -82,7 +89,11 @@
 	heard    magno.Millis
 	used     magno.Millis
 	misses   int
-	polling  bool
+	// polling is true while a poll is under way; asked is when the last began or
+	// a permit told as much, told the revision that it was to bring.
+	polling bool
+	asked   magno.Millis
+	told    int64
 	// lost is closed once the agent counts as dead, and made anew when it
 	// answers again.
 	lost chan struct{}
@@ -159,12 +170,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
+	pause := pollEvery * magno.Millis(min(max(len(d.seats), pollScale), pollMost*pollScale)) / pollScale
 	list := make([]*seat, 0, min(len(d.seats), mostPolled))
 	for _, s := range d.seats {
-		if s.polling || (len(d.seats) > mostPolled && now-s.used > usedFor && !d.turn(s)) {
+		// A seat that changed is told at once; else the last word is fresh enough.
+		if s.polling || (now-s.asked < pause-pollSlack && s.told == s.revision) || (len(d.seats) > mostPolled && now-s.used > usedFor && !d.turn(s)) {
 			continue
 		}
-		s.polling = true
+		s.polling, s.asked, s.told = true, now, s.revision
 		list = append(list, s)
 	}
 	return list
@@ -263,6 +276,9 @@
 		return nil, errors.Mark(err, ErrDead)
 	}
 	d.heard(s, &reply.Status)
+	d.mu.Lock()
+	s.asked = d.Clock.Now()
+	d.mu.Unlock()
 	return &reply, nil
 }
 
