--- /dev/null
+++ b/agent/keep/keep_test.go
@@ -0,0 +1,214 @@
+package keep
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/wire"
+)
+
+// engine obeys orders at once.
+type engine struct {
+	mu     sync.Mutex
+	held   map[string]int64
+	model  bool
+	fence  int64
+	born   magno.Millis
+	fail   bool
+	fenced int
+	orders int64
+}
+
+func (e *engine) Report(context.Context) (*magno.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fail {
+		return nil, errors.New("no answer")
+	}
+	r := &magno.Report{Born: e.born, Orders: e.orders, Held: map[string]map[string]int64{}}
+	if e.model {
+		r.Held["m"] = map[string]int64{}
+		for name := range e.held {
+			r.Held["m"][name] = 1
+		}
+	}
+	return r, nil
+}
+
+func (e *engine) Order(_ context.Context, c magno.Command) (magno.Outcome, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.Fence < e.fence {
+		e.fenced++
+		return magno.OrderFenced, nil
+	}
+	e.orders++
+	switch {
+	case c.Adapter == "":
+		e.model = c.Load
+	case c.Load:
+		e.held[c.Adapter] = 1
+	default:
+		delete(e.held, c.Adapter)
+	}
+	return magno.OrderDone, nil
+}
+
+func (e *engine) set(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+}
+
+// agent is a keep before an engine, with a mesh that calls it.
+type agent struct {
+	*Keep
+	addr   string
+	caller *wire.Mesh
+}
+
+func start(t *testing.T, e *engine, fence int64) *agent {
+	t.Helper()
+	clock := magno.NewSteady()
+	a := &agent{caller: &wire.Mesh{Clock: clock}}
+	mesh := &wire.Mesh{Listen: "127.0.0.1:0", Clock: clock}
+	if err := mesh.Open(); err != nil {
+		t.Fatal(err)
+	}
+	a.addr = mesh.Addr()
+	a.Keep = &Keep{Name: "a", Engine: e, Mesh: mesh, Clock: clock, Log: slog.New(slog.DiscardHandler), Fence: fence}
+	a.Open()
+	ctx, cancel := context.WithCancel(context.Background())
+	ends := make(chan error, 3)
+	go func() { ends <- mesh.Run(ctx) }()
+	go func() { ends <- a.Duty().Run(ctx) }()
+	go func() { ends <- a.caller.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		for range 3 {
+			if err := <-ends; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	a.tell(t, "r@1", 1)
+	return a
+}
+
+// tell is what an entry does at each poll.
+func (a *agent) tell(t *testing.T, replica string, revision int64) gate.StatusReply {
+	t.Helper()
+	var reply gate.StatusReply
+	spec := &gate.Spec{Replica: replica, ID: "r", Engine: magno.Engine{
+		Models: []magno.Model{{Name: "m", Size: 10, Adapter: 1}}, Slots: 2, Memory: 100, Tokens: 10000, Batch: 4,
+	}}
+	err := a.caller.Call(t.Context(), a.addr, gate.MethodStatus, gate.StatusCall{Entry: "e", Spec: spec, Revision: revision}, &reply)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+func (a *agent) permit(t *testing.T, id, adapter string) (*gate.PermitReply, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var reply gate.PermitReply
+	err := a.caller.Call(ctx, a.addr, gate.MethodPermit, gate.PermitCall{Replica: "r@1", Ask: gate.Ask{
+		ID: id, Model: "m", Adapter: adapter, Prompt: 100, Output: 50, Aim: 60000, Patience: 60000, Left: 60000,
+	}}, &reply)
+	return &reply, err
+}
+
+func newEngine() *engine { return &engine{held: map[string]int64{}, born: 1} }
+
+func TestPermitComesOnceTheAdapterIsThere(t *testing.T) {
+	e := newEngine()
+	a := start(t, e, 5)
+	reply, err := a.permit(t, "1", "x")
+	if err != nil || reply.Refusal != nil || reply.Version != 1 {
+		t.Fatalf("got %+v, %v", reply, err)
+	}
+	if !e.model || e.held["x"] == 0 {
+		t.Error("the permit came before the adapter was there")
+	}
+}
+
+// An earlier start of this agent, with its clock ahead, gave orders. The engine
+// refuses lower fences; without learning a higher one, nothing could be loaded
+// any more.
+func TestFenceRisesUntilTheEngineHears(t *testing.T) {
+	e := newEngine()
+	e.fence = 10_000
+	a := start(t, e, 5)
+	if reply, err := a.permit(t, "1", "x"); err != nil || reply.Refusal != nil {
+		t.Fatalf("got %+v, %v", reply, err)
+	}
+	if e.fenced == 0 || e.fenced > 6 {
+		t.Errorf("%d orders were refused for their fence", e.fenced)
+	}
+}
+
+// The engine goes dark. Requests are sent elsewhere at once instead of waiting
+// for it, and are taken again when it is back.
+func TestDarkEngineRefusesAtOnce(t *testing.T) {
+	e := newEngine()
+	a := start(t, e, 5)
+	if _, err := a.permit(t, "1", "x"); err != nil {
+		t.Fatal(err)
+	}
+	e.set(func() { e.fail = true })
+	for down := false; !down; {
+		down = a.tell(t, "r@1", 2).Down
+	}
+	reply, err := a.permit(t, "2", "x")
+	if err != nil || reply.Refusal == nil || reply.Refusal.Kind != magno.KindNoUpstream {
+		t.Fatalf("got %+v, %v", reply, err)
+	}
+	e.set(func() { e.fail = false })
+	for down := true; down; {
+		down = a.tell(t, "r@1", 3).Down
+	}
+	if reply, err := a.permit(t, "3", "x"); err != nil || reply.Refusal != nil {
+		t.Fatalf("got %+v, %v", reply, err)
+	}
+}
+
+// An entry that was cut off tells of an engine that is gone. What is known to be
+// newer stays.
+func TestOlderWordOfTheEngineIsNotTaken(t *testing.T) {
+	a := start(t, newEngine(), 5)
+	a.tell(t, "r@9", 9)
+	if got := a.tell(t, "r@1", 4).Replica; got != "r@9" {
+		t.Errorf("the agent believes in %s, want r@9", got)
+	}
+}
+
+// Operators stop the agent while requests wait there. Each is sent elsewhere at
+// once.
+func TestStopTurnsAwayWhatWaits(t *testing.T) {
+	e := newEngine()
+	e.fence = 1 << 60 // nothing can be loaded
+	a := start(t, e, 5)
+	type result struct {
+		reply *gate.PermitReply
+		err   error
+	}
+	got := make(chan result, 1)
+	go func() {
+		reply, err := a.permit(t, "1", "x")
+		got <- result{reply, err}
+	}()
+	for a.tell(t, "r@1", 1).Backlog.Queued == 0 {
+	}
+	a.Leave()
+	if r := <-got; r.err != nil || r.reply.Refusal == nil || r.reply.Refusal.Kind != magno.KindLeaving {
+		t.Fatalf("got %+v, %v", r.reply, r.err)
+	}
+}
--- /dev/null
+++ b/entry/peers/peers_test.go
@@ -0,0 +1,156 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/view"
+	"magnoliastall.example/magno/wire"
+)
+
+// node is an entry's peers on a port of its own.
+type node struct {
+	*Peers
+	stop context.CancelFunc
+	ends chan error
+}
+
+func start(t *testing.T, name string, seeds ...string) *node {
+	t.Helper()
+	mesh := &wire.Mesh{Listen: "127.0.0.1:0"}
+	if err := mesh.Open(); err != nil {
+		t.Fatal(err)
+	}
+	clock := magno.NewSteady()
+	n := &node{ends: make(chan error, 2), Peers: &Peers{
+		Name: name, Addr: mesh.Addr(), Seeds: seeds, Mesh: mesh, Book: &view.Book{Clock: clock},
+		Suspects: &crash.Suspects{Clock: &magno.Clock{}}, Clock: clock, Log: slog.New(slog.DiscardHandler),
+	}}
+	n.Open()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { n.ends <- mesh.Run(ctx) }()
+	go func() { n.ends <- n.Duty().Run(ctx) }()
+	stopped := false
+	n.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		for range 2 {
+			if err := <-n.ends; err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
+func plan(version, rev int64) magno.Change {
+	return magno.Change{Key: "plan", Revision: rev, Plan: &magno.Plan{Version: version}}
+}
+
+// Processes know only a seed at their start. All of them learn of all, one
+// reads a change, and all have it.
+func TestNewsReachesAllThroughASeed(t *testing.T) {
+	seed := start(t, "seed")
+	nodes := []*node{seed}
+	for i := range 3 {
+		nodes = append(nodes, start(t, fmt.Sprint("n", i), seed.Addr))
+	}
+	for _, n := range nodes {
+		until(t, "all peers", func() bool { return n.Processes() == len(nodes) })
+	}
+	first := nodes[3]
+	news, since := first.Book.Read([]magno.Change{plan(7, 5)}, 5, true)
+	first.Push(news, since, 5)
+	for _, n := range nodes {
+		until(t, "the configuration", func() bool { p := n.Book.Now().Plan; return p != nil && p.Version == 7 })
+	}
+}
+
+// The word of a change is lost on the way to one process. It sees the higher
+// revision in the next exchange, and fetches what it missed.
+func TestLostNewsIsFetched(t *testing.T) {
+	a := start(t, "a")
+	a.Book.Read([]magno.Change{plan(3, 4)}, 4, true)
+	b := start(t, "b", a.Addr)
+	until(t, "the configuration", func() bool { p := b.Book.Now().Plan; return p != nil && p.Version == 3 })
+}
+
+// A request that crashed upstreams is sent again through another entry, which
+// must know it.
+func TestSuspectsAreShared(t *testing.T) {
+	a := start(t, "a")
+	b := start(t, "b", a.Addr)
+	a.Suspects.Failed(77)
+	a.Suspects.Failed(77)
+	until(t, "the suspect", func() bool { return b.Suspects.Refused(77) })
+}
+
+// Of all entries two read the list. One of them is lost, or the list refuses it:
+// another takes its place.
+func TestTwoReadAndAnotherTakesOver(t *testing.T) {
+	seed := start(t, "seed")
+	nodes := []*node{seed}
+	for i := range 3 {
+		nodes = append(nodes, start(t, fmt.Sprint("n", i), seed.Addr))
+	}
+	for _, n := range nodes {
+		until(t, "all peers", func() bool { return n.Processes() == len(nodes) })
+		n.Book.Read([]magno.Change{plan(1, 1)}, 1, true)
+	}
+	confirm := func() {
+		for _, n := range nodes {
+			n.Book.Read(nil, 1, false)
+		}
+	}
+	readers := func() (list []*node) {
+		confirm()
+		for _, n := range nodes {
+			if n.Mine() {
+				list = append(list, n)
+			}
+		}
+		return list
+	}
+	until(t, "two readers", func() bool { return len(readers()) == Readers })
+	refused := readers()[0]
+	refused.Able(false)
+	until(t, "another reader", func() bool {
+		now := readers()
+		return len(now) == Readers && now[0] != refused && now[1] != refused
+	})
+	lost := readers()[0]
+	for i, n := range nodes {
+		if n == lost {
+			nodes = append(nodes[:i], nodes[i+1:]...)
+			break
+		}
+	}
+	lost.stop()
+	until(t, "another reader after a loss", func() bool {
+		now := 0
+		for _, n := range readers() {
+			if n != refused {
+				now++
+			}
+		}
+		return now == Readers
+	})
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -78,10 +78,12 @@
 	Suspects *crash.Suspects
 	Log      *slog.Logger
 
-	table   atomic.Pointer[tabled]
-	active  atomic.Int64
-	leaving atomic.Int64
-	number  atomic.Uint64
+	table  atomic.Pointer[tabled]
+	active atomic.Int64
+	// streams and plain are until when such requests are still taken once a
+	// planned stop has begun, zero before.
+	streams, plain atomic.Int64
+	number         atomic.Uint64
 }
 
 // tabled is the routing table of one configuration.
@@ -93,12 +95,28 @@
 // Active counts requests that are being answered.
 func (h *Relay) Active() int64 { return h.active.Load() }
 
-// Leave begins a planned stop: answers ask callers to close their connections,
-// and after full no new request is taken that may outlast the process.
-func (h *Relay) Leave(full magno.Millis) { h.leaving.Store(int64(h.Clock.Now() + full)) }
+// Leave begins a planned stop: answers ask callers to close their connections.
+// New streams are taken for a while, and requests to plain services, which take
+// milliseconds, for longer. Connections go on coming for seconds, and where no
+// other instance of the data centre is ready until the end: each refusal costs
+// its caller one of few retries.
+func (h *Relay) Leave(streams, plain magno.Millis) {
+	now := h.Clock.Now()
+	h.plain.Store(int64(now + plain))
+	h.streams.Store(int64(now + streams))
+}
 
 // Leaving tells whether a planned stop has begun.
-func (h *Relay) Leaving() bool { return h.leaving.Load() != 0 }
+func (h *Relay) Leaving() bool { return h.streams.Load() != 0 }
+
+// closed tells whether requests of a kind are no longer taken.
+func (h *Relay) closed(kind magno.RouteKind) bool {
+	until := h.plain.Load()
+	if kind == magno.KindStream {
+		until = h.streams.Load()
+	}
+	return until != 0 && int64(h.Clock.Now()) > until
+}
 
 // find returns the configuration's routing table, made when it is new.
 func (h *Relay) find(plan *magno.Plan) *paths.Table {
@@ -140,7 +158,7 @@
 		return magno.Refuse(magno.KindMalformed, "the request has no id")
 	}
 	j.limit()
-	if until := magno.Millis(j.leaving.Load()); until != 0 && j.came > until {
+	if j.closed(j.route.Kind) {
 		return magno.Refuse(magno.KindLeaving, "this instance stops").Later(0)
 	}
 	return j.readBody()
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -204,6 +204,7 @@
 type got struct {
 	StatusCode int
 	Header     http.Header
+	Close      bool
 }
 
 // get sends a request and returns status, header and body; the error tells that
@@ -229,7 +230,7 @@
 	}
 	defer res.Body.Close()
 	text, err := io.ReadAll(res.Body)
-	return &got{res.StatusCode, res.Header}, string(text), err
+	return &got{res.StatusCode, res.Header, res.Close}, string(text), err
 }
 
 func TestWholeAnswerGoesThrough(t *testing.T) {
@@ -536,3 +537,25 @@
 		t.Fatalf("got %v %v, want 503 with a time to come back", res, err)
 	}
 }
+
+// The instance is stopped, and no other of its data centre is ready, so callers
+// go on coming here. Requests that take milliseconds are served to the end;
+// streams, which might be cut off, are told to come back at once.
+func TestStoppingInstanceServesWhatEndsInTime(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		whole(c, r.Header.Get("Id"), 200, "x")
+		return true
+	})
+	plain, stream := newSite(t, magno.KindOnce, false, u), newSite(t, magno.KindStream, false, u)
+	for _, s := range []*site{plain, stream} {
+		s.Leave(-1, magno.Minute)
+	}
+	res, _, err := plain.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != 200 || !res.Close {
+		t.Errorf("a short request got %v %v", res, err)
+	}
+	res, _, err = stream.get(t, http.MethodPost, "2")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+		t.Errorf("a stream got %v %v, want 503 with a time to come back", res, err)
+	}
+}
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -25,10 +25,13 @@
 	// any configuration lets callers stay idle, so that a request never crosses
 	// a close of ours.
 	idleTime = 2 * time.Minute
-	// fullFor is how long after the request to stop requests of any length are
-	// still taken. The balancer needs two to three seconds to send new
-	// connections elsewhere.
-	fullFor = 2500 * magno.Millis(1)
+	// streamsFor is how long after the request to stop new streams are taken. The
+	// balancer needs two to three seconds to send new connections elsewhere; a
+	// stream that began later might be cut off at the end of the grace.
+	streamsFor = 2800 * magno.Millis(1)
+	// plainLeft is what must be left of the grace for requests to plain services
+	// to be taken: their longest timeout, and stopSlack.
+	plainLeft = 2 * magno.Second
 	// stayFor is the least time from the request to stop to the end, for the
 	// same reason: connections that come meanwhile find somebody.
 	stayFor = 3500 * magno.Millis(1)
@@ -87,7 +90,7 @@
 // leave begins a planned stop.
 func (f *front) leave() {
 	f.left.Store(int64(f.clock.Now()))
-	f.relay.Leave(fullFor)
+	f.relay.Leave(streamsFor, max(f.set.Grace-plainLeft, streamsFor))
 }
 
 // busy counts what a planned stop waits for: requests, and the time that the
