gate: a request whose adapter can't come in time is refused as soon as that shows

Cause: refused requests had waited up to 2.8 s for a load that others came before. Kept for callers, who are told earlier and may come back.

--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -291,25 +291,50 @@
 	return magno.Refuse(magno.KindLeaving, "the engine leaves").Later(leastAfter)
 }
 
-// expire gives up what waited for too long.
+// expire gives up what waited for too long, and what would: a request for an
+// adapter that can't be there in time is refused now, while its caller may
+// still find another way.
 func (g *Gate) expire(s *Steps, now magno.Millis) {
+	eta := g.arrivals()
 	g.queue = slices.DeleteFunc(g.queue, func(w *waiting) bool {
-		if g.spec.Leaving {
-			s.Turned = append(s.Turned, Turned{ID: w.ID, Refusal: leaving()})
-			return true
+		r := g.hopeless(w, eta[w.name()], now)
+		if r != nil {
+			s.Turned = append(s.Turned, Turned{ID: w.ID, Refusal: r})
 		}
-		if now < w.until {
-			return false
-		}
-		r := magno.Refuse(magno.KindBusy, "it waited for %d ms", now-w.came).Later(leastAfter)
-		if !g.held.ready(&w.Ask) {
-			r = magno.Refuse(magno.KindLoading, "its adapter did not come within %d ms", now-w.came).Later(leastAfter)
-		}
-		s.Turned = append(s.Turned, Turned{ID: w.ID, Refusal: r})
-		return true
+		return r != nil
 	})
 }
 
+// arrivals estimates in how long each adapter that is waited for will be there,
+// if they are loaded one after the other.
+func (g *Gate) arrivals() map[string]magno.Millis {
+	eta := map[string]magno.Millis{}
+	wait := g.held.baseWait()
+	for _, name := range g.demand() {
+		model, adapter := split(name)
+		if g.held.ready(&Ask{Model: model, Adapter: adapter}) {
+			continue
+		}
+		wait += g.held.loadTime(name)
+		eta[name] = wait
+	}
+	return eta
+}
+
+// hopeless returns why a request is given up, nil while it may still begin.
+func (g *Gate) hopeless(w *waiting, eta, now magno.Millis) *magno.Refusal {
+	switch {
+	case g.spec.Leaving:
+		return leaving()
+	case now+eta >= w.until && eta > 0:
+		return magno.Refuse(magno.KindLoading, "its adapter is expected in %d ms, and it waited for %d", eta, now-w.came).
+			Later(min(max(now+eta-w.until, leastAfter), mostAfter))
+	case now >= w.until:
+		return magno.Refuse(magno.KindBusy, "it waited for %d ms", now-w.came).Later(leastAfter)
+	}
+	return nil
+}
+
 // order sorts the queue: first what can still begin in time, the more urgent
 // and the sooner due before the others, then what is late already. An engine
 // that is full gives its time to answers that are worth most, and a late one
--- a/magno/gate/gate_test.go
+++ b/magno/gate/gate_test.go
@@ -291,6 +291,29 @@
 	}
 }
 
+// Many adapters are asked for at once, more than can be loaded in time. Callers
+// whose adapter can't come are told so as soon as that shows, and not at the end
+// of their patience.
+func TestAdapterThatCannotComeInTimeIsRefusedEarly(t *testing.T) {
+	w := newWorld(t, 30)
+	start := w.clock.Now()
+	for i := range 20 {
+		a := w.ask(fmt.Sprint("hot", i), fmt.Sprint("a", i%10), 100)
+		a.Patience = 4000
+		w.offer(a)
+	}
+	late := w.ask("late", "rare", 100)
+	late.Patience = 2500
+	g := w.gate
+	g.queue = append(g.queue, &waiting{Ask: late, came: start, due: start + 800, until: start + 2500, end: start + 12000})
+	for w.turned["late"] == nil && w.clock.Now() < start+2400 {
+		w.run(30, nil)
+	}
+	if waited := w.clock.Now() - start; waited > 1000 {
+		t.Errorf("it was refused after %d ms", waited)
+	}
+}
+
 func BenchmarkOfferAndNext(b *testing.B) {
 	clock := magno.NewClock(magno.Hour)
 	w := &world{clock: clock, slots: 30, held: map[string]int64{"a": 1}, loading: map[string]magno.Millis{}}
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -232,13 +232,15 @@
 // loadWait is how long the load of an adapter takes that isn't held, with so
 // many others before it.
 func (s *shelf) loadWait(queued int) magno.Millis {
-	wait := coldLoad * magno.Millis(1+queued)
-	if s.spec != nil && len(s.models) == 0 {
-		for _, m := range s.spec.Engine.Models {
-			return wait + s.modelWait(m.Name)
-		}
+	return s.baseWait() + coldLoad*magno.Millis(1+queued)
+}
+
+// baseWait is how long the base model takes to load where none is held.
+func (s *shelf) baseWait() magno.Millis {
+	if s.spec == nil || len(s.models) > 0 || len(s.spec.Engine.Models) == 0 {
+		return 0
 	}
-	return wait
+	return s.modelWait(s.spec.Engine.Models[0].Name)
 }
 
 func (s *shelf) loadTime(name string) magno.Millis {
