--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -17,9 +17,12 @@
 const (
 	// loadMargin is how much longer than a load the wait at the holders of an
 	// adapter must be until another engine loads it.
-	loadMargin = 150 * magno.Millis(1)
+	loadMargin = 50 * magno.Millis(1)
+	// leastLoad is the least that a load counts: the quarter of a second that one
+	// takes from the weight store.
+	leastLoad = 250 * magno.Millis(1)
 	// homeStep is the cost of an adapter's second home where none holds it.
-	homeStep = 100 * magno.Millis(1)
+	homeStep = 40 * magno.Millis(1)
 	// prefixStep is the cost of leaving the holder that read the prompt's start.
 	prefixStep = 10 * magno.Millis(1)
 	// farCost is that of another data centre, in milliseconds: a round trip of
@@ -61,7 +64,7 @@
 	}
 	if s := p.book.Now().Plan.Service(service); s != nil && s.Engine != nil {
 		made.router.Tuning = route.Tuning{
-			Margin: loadMargin, Order: homeStep, Prefix: prefixStep, Far: farCost, Token: 1 / gate.ReadRate,
+			Margin: loadMargin, Order: homeStep, Prefix: prefixStep, Far: farCost, Load: leastLoad, Token: 1 / gate.ReadRate,
 		}
 	} else {
 		made.router.Tuning = route.Tuning{Far: farCost, Token: plainToken, Busy: plainBusy}
--- a/magno/gate/gate_test.go
+++ b/magno/gate/gate_test.go
@@ -314,6 +314,25 @@
 	}
 }
 
+// After a restart every engine loads at once, and each load takes longer than
+// usual; on a calm day the store has room. The loads under way at one engine
+// follow that.
+func TestLoadsAtOnceFollowTheStore(t *testing.T) {
+	var w width
+	for range 20 {
+		w.loaded(250)
+	}
+	if w.limit() != mostWidth {
+		t.Errorf("%d loads at once though the store has room", w.limit())
+	}
+	for range 5 {
+		w.loaded(700)
+	}
+	if w.limit() != leastWidth {
+		t.Errorf("%d loads at once though the store is slow", w.limit())
+	}
+}
+
 func BenchmarkOfferAndNext(b *testing.B) {
 	clock := magno.NewClock(magno.Hour)
 	w := &world{clock: clock, slots: 30, held: map[string]int64{"a": 1}, loading: map[string]magno.Millis{}}
--- a/magno/gate/orders.go
+++ b/magno/gate/orders.go
@@ -112,6 +112,9 @@
 	}
 	load := magno.Command{Load: true, Model: model, Adapter: adapter, Version: s.spec.Pins[name]}
 	if held || s.fits() {
+		if !s.known.Contains(name) {
+			s.began[name] = now
+		}
 		return s.take(load, now), true
 	}
 	victim, ok := s.victim(inUse, now)
@@ -149,7 +152,7 @@
 			}
 		}
 	}
-	return all < mostLoads && (s.known.Contains(name) || cold < coldLoads)
+	return all < mostLoads && (s.known.Contains(name) || cold < s.width.limit())
 }
 
 // fits tells whether one more adapter has a slot and memory.
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -15,9 +15,6 @@
 	// mostLoads is how many adapters may be on their way to an engine at once;
 	// it takes no more.
 	mostLoads = 4
-	// coldLoads is how many of them may come from the weight store, which
-	// slows down for everybody beyond eight over nine engines.
-	coldLoads = 1
 	// coldLoad is the time of a load from the store, warmLoad of one that the
 	// engine held lately; both by the deployments' sheets.
 	coldLoad = 250 * magno.Millis(1)
@@ -68,6 +65,10 @@
 	// taken maps the names of orders to when they were answered; the report
 	// may not show them yet.
 	taken map[string]order
+	// width bounds loads from the store; began is when those under way were
+	// ordered.
+	width width
+	began map[string]magno.Millis
 	// known are adapters that the engine held lately.
 	known *simplelru.LRU[string, struct{}]
 	// demands counts requests, decayed.
@@ -98,7 +99,7 @@
 // forget drops what only this incarnation of the engine held.
 func (s *shelf) forget() {
 	s.adapters, s.models, s.coming = map[string]int64{}, map[string]bool{}, map[string]bool{}
-	s.taken = map[string]order{}
+	s.taken, s.began = map[string]order{}, map[string]magno.Millis{}
 	s.known, _ = simplelru.NewLRU[string, struct{}](mostKnown, nil)
 	s.busy, s.running, s.disk = false, 0, nil
 }
@@ -118,6 +119,10 @@
 		for adapter, version := range held {
 			name := Name(model, adapter)
 			s.adapters[name] = version
+			if from, ok := s.began[name]; ok {
+				delete(s.began, name)
+				s.width.loaded(asked - from)
+			}
 			s.known.Add(name, struct{}{})
 		}
 	}
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -146,6 +146,6 @@
 	if _, holds := slices.BinarySearch(p.report.Warm, q.hash); holds {
 		return wait
 	}
-	load := min(max(p.report.LoadWait, defaultLoad), q.most)
+	load := min(max(p.report.LoadWait, r.Tuning.Load), q.most)
 	return max(wait, float64(load)) + float64(r.Tuning.Margin)
 }
--- a/magno/route/route.go
+++ b/magno/route/route.go
@@ -55,6 +55,8 @@
 	Far magno.Millis
 	// Busy is the share of a target's outstanding work that counts as cost.
 	Busy float64
+	// Load is the least wait for a load that counts, whatever was reported.
+	Load magno.Millis
 	// Token is by how many milliseconds a token of work delays others at a
 	// target; zero means that it is learned from answers.
 	Token float64
@@ -67,7 +69,7 @@
 	defaultPrefix = 100 * magno.Millis(1)
 	defaultFar    = 5 * magno.Millis(1)
 	defaultBusy   = 0.05
-	// defaultLoad is the wait for a load where none was reported yet.
+	// defaultLoad is Load's default; also the wait where none was reported yet.
 	defaultLoad = 500 * magno.Millis(1)
 )
 
@@ -107,6 +109,7 @@
 	defaultTo(&t.Order, defaultOrder)
 	defaultTo(&t.Prefix, defaultPrefix)
 	defaultTo(&t.Far, defaultFar)
+	defaultTo(&t.Load, defaultLoad)
 	if t.Busy == 0 {
 		t.Busy = defaultBusy
 	}
