--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -34,7 +34,7 @@
 	// number, up to four times: at 52 agents and 29 entries, polls were most of
 	// the 0.36 GB that a day of 48 s moved between data centres.
 	pollEvery = 250 * magno.Millis(1)
-	pollScale = 26
+	pollScale = 13
 	pollMost  = 4
 	// pollTime bounds the answer: several round trips between data centres.
 	pollTime = 300 * magno.Millis(1)
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -35,8 +35,12 @@
 
 const (
 	// helloEvery is how often each peer is asked; helloTime bounds its answer.
+	// With more than helloScale peers the pause grows with their number: each of
+	// 29 entries would have 140 exchanges a second, a sixth of the processor of
+	// the smallest machines.
 	helloEvery = 400 * magno.Millis(1)
 	helloTime  = 350 * magno.Millis(1)
+	helloScale = 6
 	// goneAfter is how many hellos in a row must fail until a peer counts as
 	// gone, and forgetAfter until it is no longer asked.
 	goneAfter   = 2
@@ -116,6 +120,8 @@
 	alive  bool
 	seen   magno.Millis
 	asking bool
+	// asked is when it was asked last.
+	asked magno.Millis
 }
 
 // Open takes the methods on the mesh, before either runs.
@@ -179,13 +185,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := map[string]*peer{}
+	now := p.Clock.Now()
+	pause := helloEvery * magno.Millis(max(len(p.known), helloScale)) / helloScale
 	for addr, k := range p.known {
 		if k.misses > forgetAfter && !slices.Contains(p.Seeds, addr) {
 			delete(p.known, addr)
 			continue
 		}
-		if !k.asking {
-			k.asking = true
+		if !k.asking && (now-k.asked >= pause-helloEvery/2 || k.misses > 0 || k.seen == 0) {
+			k.asking, k.asked = true, now
 			list[addr] = k
 		}
 	}
--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -108,9 +108,10 @@
 	r.hit()
 	r.whole, r.fresh = false, false
 	news, since := r.Book.Read(changes, revision, whole)
-	if len(news) > 0 {
-		r.Push(news, since, revision)
+	if len(news) == 0 {
+		since = revision // the others hear that what they know is the newest
 	}
+	r.Push(news, since, revision)
 	if len(changes) == 0 || whole {
 		return 0
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -27,6 +27,7 @@
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/gate"
 	"magnoliastall.example/magno/paths"
+	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
 )
 
@@ -83,7 +84,9 @@
 	// streams and plain are until when such requests are still taken once a
 	// planned stop has begun, zero before.
 	streams, plain atomic.Int64
-	number         atomic.Uint64
+	// behind tells how far the processor is behind.
+	behind atomic.Int32
+	number atomic.Uint64
 }
 
 // tabled is the routing table of one configuration.
@@ -109,6 +112,13 @@
 // Leaving tells whether a planned stop has begun.
 func (h *Relay) Leaving() bool { return h.streams.Load() != 0 }
 
+// Fall notes how far the processor is behind. While it is, answers ask callers to
+// close their connections; their next one finds another instance.
+func (h *Relay) Fall(level strain.Level) { h.behind.Store(int32(level)) }
+
+// Behind tells how far the processor is behind.
+func (h *Relay) Behind() strain.Level { return strain.Level(h.behind.Load()) }
+
 // closed tells whether requests of a kind are no longer taken.
 func (h *Relay) closed(kind magno.RouteKind) bool {
 	until := h.plain.Load()
@@ -158,6 +168,9 @@
 		return magno.Refuse(magno.KindMalformed, "the request has no id")
 	}
 	j.limit()
+	if j.Behind() == strain.Lost {
+		return magno.Refuse(magno.KindBusy, "this instance is far behind").Later(busyAfter)
+	}
 	if j.closed(j.route.Kind) {
 		return magno.Refuse(magno.KindLeaving, "this instance stops").Later(0)
 	}
@@ -231,9 +244,10 @@
 	return false
 }
 
-// closing asks the caller for a new connection while this process stops.
+// closing asks the caller for a new connection while this process stops or has
+// too much to do.
 func (j *job) closing(h http.Header) {
-	if j.Leaving() {
+	if j.Leaving() || j.Behind() != strain.Calm {
 		h.Set("Connection", "close")
 	}
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
 )
 
@@ -559,3 +560,23 @@
 		t.Errorf("a stream got %v %v, want 503 with a time to come back", res, err)
 	}
 }
+
+// A small machine is far behind its work. Requests are refused at once, with
+// word that they haven't run, instead of being answered when nobody waits.
+func TestInstanceFarBehindRefuses(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		whole(c, r.Header.Get("Id"), 200, "x")
+		return true
+	})
+	s := newSite(t, magno.KindOnce, false, u)
+	s.Fall(strain.Lost)
+	res, _, err := s.get(t, http.MethodPost, "1")
+	if err != nil || !promises(res.StatusCode) || res.Header.Get("Retry-After") == "" || !res.Close || u.count() != 0 {
+		t.Errorf("got %v %v after %d sends", res, err, u.count())
+	}
+	s.Fall(strain.Behind)
+	res, _, err = s.get(t, http.MethodPost, "2")
+	if err != nil || res.StatusCode != 200 || !res.Close {
+		t.Errorf("got %v %v, want an answer and the end of the connection", res, err)
+	}
+}
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -8,10 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"magnoliastall.example/entry/relay"
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
 )
 
@@ -84,7 +86,31 @@
 // ready tells whether new connections should come here.
 func (f *front) ready() bool {
 	snap := f.book.Now()
-	return !f.relay.Leaving() && snap.Plan != nil && len(snap.Replicas) > 0
+	return !f.relay.Leaving() && f.relay.Behind() == strain.Calm && snap.Plan != nil && len(snap.Replicas) > 0
+}
+
+// watch tells the relay when the processor falls behind.
+type watch struct {
+	*front
+}
+
+// Name implements magno.Duty.
+func (w *watch) Name() string { return "strain" }
+
+// Run observes the lag of a timer until ctx ends.
+func (w *watch) Run(ctx context.Context) error {
+	var s strain.Strain
+	lags := metrics.GetOrCreateHistogram("timer_lag_seconds")
+	for before := w.clock.Now(); magno.Pause(ctx, strain.Every); before = w.clock.Now() {
+		lag := w.clock.Now() - before - strain.Every
+		lags.Update(float64(lag) / 1000)
+		was, is := w.relay.Behind(), s.Observe(lag, w.clock.Now())
+		if was != is {
+			w.log.Info("strain", "level", is, "lag", s.Lag(), "active", w.relay.Active())
+			w.relay.Fall(is)
+		}
+	}
+	return nil
 }
 
 // leave begins a planned stop.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -148,7 +148,7 @@
 
 func (e *entry) duties() []magno.Duty {
 	return []magno.Duty{
-		e.mesh, e.reads, e.peers.Duty(), e.desk.Duty(), &follow{e}, e.front, &ready{e.front},
+		e.mesh, e.reads, e.peers.Duty(), e.desk.Duty(), &follow{e}, e.front, &ready{e.front}, &watch{e.front},
 		&admin.Server{
 			Listen: net.JoinHostPort(e.set.IP, strconv.Itoa(MetricsPort)), Allow: []string{anyone},
 			Ready: e.front.ready, Status: func() any { return e.book.Now() }, Events: &event.Ring{Process: e.set.Name, Size: 1},
