--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -73,7 +73,7 @@
 	caller *wire.Mesh
 }
 
-func start(t *testing.T, e *engine, fence int64) *agent {
+func start(t *testing.T, e *engine) *agent {
 	t.Helper()
 	clock := magno.NewSteady()
 	a := &agent{caller: &wire.Mesh{Clock: clock}}
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	a.addr = mesh.Addr()
-	a.Keep = &Keep{Name: "a", Engine: e, Mesh: mesh, Clock: clock, Log: slog.New(slog.DiscardHandler), Fence: fence}
+	a.Keep = &Keep{Name: "a", Engine: e, Mesh: mesh, Clock: clock, Log: slog.New(slog.DiscardHandler), Fence: 5}
 	a.Open()
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan error, 3)
@@ -115,13 +115,13 @@
 	return reply
 }
 
-func (a *agent) permit(t *testing.T, id, adapter string) (*gate.PermitReply, error) {
+func (a *agent) permit(t *testing.T, id string) (*gate.PermitReply, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	var reply gate.PermitReply
 	err := a.caller.Call(ctx, a.addr, gate.MethodPermit, gate.PermitCall{Replica: "r@1", Ask: gate.Ask{
-		ID: id, Model: "m", Adapter: adapter, Prompt: 100, Output: 50, Aim: 60000, Patience: 60000, Left: 60000,
+		ID: id, Model: "m", Adapter: "x", Prompt: 100, Output: 50, Aim: 60000, Patience: 60000, Left: 60000,
 	}}, &reply)
 	return &reply, err
 }
@@ -130,8 +130,8 @@
 
 func TestPermitComesOnceTheAdapterIsThere(t *testing.T) {
 	e := newEngine()
-	a := start(t, e, 5)
-	reply, err := a.permit(t, "1", "x")
+	a := start(t, e)
+	reply, err := a.permit(t, "1")
 	if err != nil || reply.Refusal != nil || reply.Version != 1 {
 		t.Fatalf("got %+v, %v", reply, err)
 	}
@@ -146,8 +146,8 @@
 func TestFenceRisesUntilTheEngineHears(t *testing.T) {
 	e := newEngine()
 	e.fence = 10_000
-	a := start(t, e, 5)
-	if reply, err := a.permit(t, "1", "x"); err != nil || reply.Refusal != nil {
+	a := start(t, e)
+	if reply, err := a.permit(t, "1"); err != nil || reply.Refusal != nil {
 		t.Fatalf("got %+v, %v", reply, err)
 	}
 	if e.fenced == 0 || e.fenced > 6 {
@@ -159,15 +159,15 @@
 // for it, and are taken again when it is back.
 func TestDarkEngineRefusesAtOnce(t *testing.T) {
 	e := newEngine()
-	a := start(t, e, 5)
-	if _, err := a.permit(t, "1", "x"); err != nil {
+	a := start(t, e)
+	if _, err := a.permit(t, "1"); err != nil {
 		t.Fatal(err)
 	}
 	e.set(func() { e.fail = true })
 	for down := false; !down; {
 		down = a.tell(t, "r@1", 2).Down
 	}
-	reply, err := a.permit(t, "2", "x")
+	reply, err := a.permit(t, "2")
 	if err != nil || reply.Refusal == nil || reply.Refusal.Kind != magno.KindNoUpstream {
 		t.Fatalf("got %+v, %v", reply, err)
 	}
@@ -175,7 +175,7 @@
 	for down := true; down; {
 		down = a.tell(t, "r@1", 3).Down
 	}
-	if reply, err := a.permit(t, "3", "x"); err != nil || reply.Refusal != nil {
+	if reply, err := a.permit(t, "3"); err != nil || reply.Refusal != nil {
 		t.Fatalf("got %+v, %v", reply, err)
 	}
 }
@@ -183,7 +183,7 @@
 // An entry that was cut off tells of an engine that is gone. What is known to be
 // newer stays.
 func TestOlderWordOfTheEngineIsNotTaken(t *testing.T) {
-	a := start(t, newEngine(), 5)
+	a := start(t, newEngine())
 	a.tell(t, "r@9", 9)
 	if got := a.tell(t, "r@1", 4).Replica; got != "r@9" {
 		t.Errorf("the agent believes in %s, want r@9", got)
@@ -195,14 +195,14 @@
 func TestStopTurnsAwayWhatWaits(t *testing.T) {
 	e := newEngine()
 	e.fence = 1 << 60 // nothing can be loaded
-	a := start(t, e, 5)
+	a := start(t, e)
 	type result struct {
 		reply *gate.PermitReply
 		err   error
 	}
 	got := make(chan result, 1)
 	go func() {
-		reply, err := a.permit(t, "1", "x")
+		reply, err := a.permit(t, "1")
 		got <- result{reply, err}
 	}()
 	for a.tell(t, "r@1", 1).Backlog.Queued == 0 {
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -78,9 +78,13 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	err = s.Close()
-	_ = <-ended // it tells only that the server was closed
-	return errors.Wrap(err, "close")
+	if err := s.Close(); err != nil {
+		return errors.Wrap(err, "close")
+	}
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
 }
 
 // ready tells whether new connections should come here.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -12,8 +12,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
-	"runtime/debug"
 	"strconv"
 
 	"magnoliastall.example/entry/desk"
@@ -26,7 +24,6 @@
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/event"
 	"magnoliastall.example/magno/lines"
-	"magnoliastall.example/magno/setup"
 	"magnoliastall.example/magno/start"
 	"magnoliastall.example/magno/view"
 	"magnoliastall.example/magno/wire"
@@ -35,43 +32,10 @@
 	_ "magnoliastall.example/platform"
 )
 
-const (
-	// anyone lets every address of the platform's network call: machines come
-	// and go, and the settings name no networks.
-	anyone = "0.0.0.0/0"
-	// collect is the garbage collector's target, in percent of the live heap:
-	// memory costs more here than the processor time that it saves.
-	collect = 50
-	// memoryPart is the part of the memory limit from which on the collector
-	// works harder instead of letting the process be killed.
-	memoryPart = 0.8
-)
-
 // Main runs an entry on the named site and returns its exit code.
-func Main(name string) int {
-	log := &lines.Writer{Out: os.Stdout}
-	code := run(name, log)
-	log.Flush()
-	return code
-}
+func Main(name string) int { return start.Site("entry", name, run) }
 
-func run(name string, out *lines.Writer) int {
-	made, err := magno.Plugin(magno.SortSite, name)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
-		return setup.ExitUsage
-	}
-	site, ok := made.(magno.Site)
-	if !ok {
-		fmt.Fprintf(os.Stderr, "entry: plug-in %q is no site\n", name)
-		return setup.ExitUsage
-	}
-	set, err := site.Settings()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
-		return setup.ExitUsage
-	}
-	Memory(set.Memory)
+func run(site magno.Site, set *magno.SiteSettings, out *lines.Writer) int {
 	log := start.Log(out, set.Name)
 	e := assemble(site, set, log)
 	if err := e.mesh.Open(); err != nil {
@@ -87,14 +51,6 @@
 	return d.Run()
 }
 
-// Memory sets the collector for a process with that limit, in bytes.
-func Memory(limit int64) {
-	debug.SetGCPercent(collect)
-	if limit > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(limit)))
-	}
-}
-
 // reload compares the settings. What an entry is told of itself holds until its
 // next start; the log says so where it changed.
 func reload(site magno.Site, set *magno.SiteSettings, log *slog.Logger) {
@@ -123,7 +79,7 @@
 func assemble(site magno.Site, set *magno.SiteSettings, log *slog.Logger) *entry {
 	clock := magno.NewSteady()
 	e := &entry{set: set, log: log}
-	e.mesh = &wire.Mesh{Listen: set.Peers, Allow: []string{anyone}, Clock: clock, Log: log}
+	e.mesh = &wire.Mesh{Listen: set.Peers, Allow: []string{start.Anyone}, Clock: clock, Log: log}
 	e.book = &view.Book{Clock: clock, Noted: noted(log)}
 	e.hops = &hop.Pool{Clock: clock}
 	suspects := &crash.Suspects{Clock: &magno.Clock{}}
@@ -150,15 +106,12 @@
 	return []magno.Duty{
 		e.mesh, e.reads, e.peers.Duty(), e.desk.Duty(), &follow{e}, e.front, &ready{e.front}, &watch{e.front},
 		&admin.Server{
-			Listen: net.JoinHostPort(e.set.IP, strconv.Itoa(MetricsPort)), Allow: []string{anyone},
+			Listen: net.JoinHostPort(e.set.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.Anyone},
 			Ready: e.front.ready, Status: func() any { return e.book.Now() }, Events: &event.Ring{Process: e.set.Name, Size: 1},
 		},
 	}
 }
 
-// MetricsPort is where metrics are served on each machine.
-const MetricsPort = 9464
-
 // noted logs each change of the list once.
 func noted(log *slog.Logger) func(magno.Change) {
 	return func(c magno.Change) {
