--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -53,6 +53,12 @@
 	// seenFor is how long a peer that was alive still counts among those that
 	// share the retry allowance: it may only be cut off from here.
 	seenFor = 30 * magno.Second
+	// suspectsFor is how long word of a suspect is repeated in hellos, several
+	// times as long as the pause between two with 30 entries. mostSuspects bounds
+	// them in one: a crash makes suspects of all that ran there, and with the
+	// whole list in each hello a few crashes filled the links of small machines.
+	suspectsFor  = 10 * magno.Second
+	mostSuspects = 64
 	// tryEvery is how often an entry that the list refuses tries again while
 	// others read for it.
 	tryEvery = 3 * magno.Second
@@ -76,7 +82,7 @@
 	Able bool `json:"able"`
 	// Peers are the addresses of entries that it knows.
 	Peers []string `json:"peers,omitempty"`
-	// Suspects are requests that crashed upstreams.
+	// Suspects are requests that crashed upstreams, as far as they are news.
 	Suspects []crash.Record `json:"suspects,omitempty"`
 }
 
@@ -223,7 +229,10 @@
 // self is what this entry tells.
 func (p *Peers) self() Hello {
 	snap := p.Book.Now()
-	h := Hello{Name: p.Name, Addr: p.Addr, Revision: snap.Revision, Age: p.Book.Age(), Suspects: p.Suspects.List()}
+	h := Hello{
+		Name: p.Name, Addr: p.Addr, Revision: snap.Revision, Age: p.Book.Age(),
+		Suspects: p.Suspects.Since(p.Suspects.Clock.Now()-suspectsFor, mostSuspects),
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h.Able = p.able
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -154,3 +154,16 @@
 		return now == Readers
 	})
 }
+
+// Upstreams crash one after the other, and all that ran there becomes suspect.
+// What entries tell each other stays small: with every suspect in every hello,
+// small machines had no room for callers' answers.
+func TestHelloStaysSmallAfterManyCrashes(t *testing.T) {
+	a := start(t, "a")
+	for i := range 3000 {
+		a.Suspects.Failed(uint64(i + 1))
+	}
+	if n := len(a.self().Suspects); n != mostSuspects {
+		t.Errorf("a hello has %d suspects, want %d", n, mostSuspects)
+	}
+}
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -105,7 +105,7 @@
 	got  []*http.Request
 }
 
-func serveUpstream(t *testing.T, script func(n int, r *http.Request, c net.Conn) bool) *upstream {
+func serveUpstream(t testing.TB, script func(n int, r *http.Request, c net.Conn) bool) *upstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -173,7 +173,7 @@
 	changes []magno.Change
 }
 
-func newSite(t *testing.T, kind magno.RouteKind, resume bool, ups ...*upstream) *site {
+func newSite(t testing.TB, kind magno.RouteKind, resume bool, ups ...*upstream) *site {
 	t.Helper()
 	clock := magno.NewSteady()
 	s := &site{pools: &pools{allow: 10}, permits: &permits{}}
@@ -210,7 +210,7 @@
 
 // get sends a request and returns status, header and body; the error tells that
 // the answer broke off.
-func (s *site) get(t *testing.T, method, id string) (*got, string, error) {
+func (s *site) get(t testing.TB, method, id string) (*got, string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
