--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -173,8 +173,7 @@
 	pause := pollEvery * magno.Millis(min(max(len(d.seats), pollScale), pollMost*pollScale)) / pollScale
 	list := make([]*seat, 0, min(len(d.seats), mostPolled))
 	for _, s := range d.seats {
-		// A seat that changed is told at once; else the last word is fresh enough.
-		if s.polling || (now-s.asked < pause-pollSlack && s.told == s.revision) || (len(d.seats) > mostPolled && now-s.used > usedFor && !d.turn(s)) {
+		if s.polling || s.fresh(now-pause+pollSlack) || !d.turn(s, now) {
 			continue
 		}
 		s.polling, s.asked, s.told = true, now, s.revision
@@ -183,10 +182,18 @@
 	return list
 }
 
-// turn lets agents that aren't in use have a poll now and then.
-func (d *Desk) turn(_ *seat) bool {
+// fresh tells whether the agent was asked since, and has been told all that
+// changed.
+func (s *seat) fresh(since magno.Millis) bool { return s.asked > since && s.told == s.revision }
+
+// turn tells whether an agent may be asked now. Of very many, those that aren't
+// in use are asked seldom.
+func (d *Desk) turn(s *seat, now magno.Millis) bool {
+	if len(d.seats) <= mostPolled || now-s.used <= usedFor {
+		return true
+	}
 	d.next++
-	return d.next%max(len(d.seats)/mostPolled, 1) == 0
+	return d.next%(len(d.seats)/mostPolled) == 0
 }
 
 // poll asks one agent, and tells it what it doesn't know yet.
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -11,15 +11,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/view"
@@ -316,90 +312,3 @@
 		}()
 	}
 }
-
-func (p *Peers) onHello(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
-	var h Hello
-	if err := json.Unmarshal(params, &h); err != nil {
-		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
-	}
-	p.heard(&h)
-	return p.self(), nil
-}
-
-func (p *Peers) onNews(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
-	var n News
-	if err := json.Unmarshal(params, &n); err != nil {
-		p.Log.Warn("news", "error", err)
-		return nil, err
-	}
-	p.Book.Heard(n.Changes, n.Since, n.Revision, n.Age)
-	return nil, nil
-}
-
-func (p *Peers) onItems(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
-	var s Since
-	if err := json.Unmarshal(params, &s); err != nil {
-		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
-	}
-	changes, revision, age := p.Book.Since(s.Revision)
-	return News{Changes: changes, Since: s.Revision, Revision: revision, Age: age}, nil
-}
-
-// Able notes whether the list answers this process.
-func (p *Peers) Able(able bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.able && !able {
-		p.unable = p.Clock.Now()
-	}
-	p.able = able
-}
-
-// Mine tells whether this process is to read the list: it is among the first
-// by a hash that all compute alike, of those that the list answers, or nobody
-// has told it anything for too long.
-func (p *Peers) Mine() bool {
-	if p.Book.Now().Plan == nil || p.Book.Age() > staleAge {
-		return true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.able {
-		// Somebody else reads; whether the list answers again is tried seldom.
-		if p.Clock.Now()-p.unable < tryEvery {
-			return false
-		}
-		p.unable = p.Clock.Now()
-		return true
-	}
-	before := 0
-	for _, k := range p.known {
-		if k.alive && k.hello.Able && over(k.hello.Name, p.Name) {
-			before++
-		}
-	}
-	return before < Readers
-}
-
-// over orders entries by hash.
-func over(a, b string) bool {
-	ha, hb := xxhash.Sum64String(a), xxhash.Sum64String(b)
-	if ha != hb {
-		return ha > hb
-	}
-	return strings.Compare(a, b) > 0
-}
-
-// Processes counts the entries that share the retry allowance, this one
-// included: those alive lately, and at least as many as there are seeds.
-func (p *Peers) Processes() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n, now := 1, p.Clock.Now()
-	for _, k := range p.known {
-		if k.seen > 0 && now-k.seen < seenFor {
-			n++
-		}
-	}
-	return max(n, len(p.Seeds))
-}
--- /dev/null
+++ b/entry/relay/help_test.go
@@ -0,0 +1,234 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastall.example/entry/desk"
+	"magnoliastall.example/entry/hop"
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/view"
+)
+
+// plainDialect has short header names of its own.
+type plainDialect struct{}
+
+func (plainDialect) Read(h http.Header) magno.Call {
+	h.Del("Only")
+	return magno.Call{ID: h.Get("Id"), Left: 2000, Model: "m", Adapter: "a", Prompt: 100, Output: 50}
+}
+
+func (plainDialect) Write(h http.Header, o magno.Onward) {
+	h.Set("Only", o.Replica)
+	if o.From != "" {
+		h.Set("From", o.From)
+	}
+}
+
+func (plainDialect) Reply(status int, h http.Header) magno.Reply {
+	return magno.Reply{
+		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "",
+		Elsewhere: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// pools sends to the replicas in order.
+type pools struct {
+	mu    sync.Mutex
+	names []string
+	allow int
+}
+
+func (p *pools) Router(string) magno.Router { return p }
+func (p *pools) Taken(string)               {}
+func (p *pools) Again(string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.allow--
+	return p.allow >= 0
+}
+func (p *pools) Update([]magno.Target) {}
+func (p *pools) Route(q magno.Query) []string {
+	var list []string
+	for _, n := range p.names {
+		avoided := false
+		for _, a := range q.Avoid {
+			avoided = avoided || a == n
+		}
+		if !avoided {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+func (p *pools) Report(string, magno.Backlog)          {}
+func (p *pools) Sent(string, int)                      {}
+func (p *pools) Ended(string, int, magno.Millis, bool) {}
+
+// permits lets everything through, after during has run.
+type permits struct {
+	during func(key string)
+	dead   bool
+}
+
+func (p *permits) Permit(_ context.Context, key string, _ gate.Ask) (*gate.PermitReply, error) {
+	if p.dead {
+		return nil, desk.ErrDead
+	}
+	if p.during != nil {
+		p.during(key)
+	}
+	return &gate.PermitReply{}, nil
+}
+func (p *permits) End(string, string, bool)  {}
+func (p *permits) Holds(string, string) bool { return true }
+func (p *permits) Down(string) bool          { return false }
+
+// upstream answers each request on a connection with what script writes, and
+// counts requests.
+type upstream struct {
+	addr string
+	mu   sync.Mutex
+	got  []*http.Request
+}
+
+func serveUpstream(t testing.TB, script func(n int, r *http.Request, c net.Conn) bool) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c, script)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c net.Conn, script func(int, *http.Request, net.Conn) bool) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadAll(r.Body)
+		u.mu.Lock()
+		u.got = append(u.got, r)
+		n := len(u.got)
+		u.mu.Unlock()
+		if !script(n, r, c) {
+			return
+		}
+	}
+}
+
+func (u *upstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.got)
+}
+
+// whole writes an answer with the request's id and a signature.
+func whole(c net.Conn, id string, status int, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d x\r\nId: %s\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+}
+
+// head begins a stream.
+func head(c net.Conn, id string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+}
+
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: x%d\n\n", n, n) }
+
+// site is a relay before its upstreams.
+type site struct {
+	*Relay
+	pools   *pools
+	permits *permits
+	server  *httptest.Server
+	changes []magno.Change
+}
+
+func newSite(t testing.TB, kind magno.RouteKind, resume bool, ups ...*upstream) *site {
+	t.Helper()
+	clock := magno.NewSteady()
+	s := &site{pools: &pools{allow: 10}, permits: &permits{}}
+	plan := &magno.Plan{Version: 1, Routes: []magno.Route{{
+		Name: "r", Host: "h.example", Prefix: "/p/", Kind: kind, Parts: []magno.Part{{Service: "s", Weight: 1}},
+		Attempts: 2, Timeout: 1500, Aim: 200, Gap: 100, Resume: resume,
+	}}, Services: []magno.Service{{Name: "s"}}}
+	if kind == magno.KindStream {
+		plan.Services[0].Engine = &magno.Engine{Batch: 4}
+	}
+	s.changes = []magno.Change{{Key: "plan", Revision: 1, Plan: plan}}
+	for i, u := range ups {
+		r := &magno.Replica{ID: fmt.Sprintf("u%d", i), Service: "s", Address: u.addr, DataCentre: "x", Slots: 4}
+		s.pools.names = append(s.pools.names, r.Key())
+		s.changes = append(s.changes, magno.Change{Key: r.ID, Revision: 1, Replica: r})
+	}
+	book := &view.Book{Clock: clock}
+	book.Read(s.changes, 1, true)
+	s.Relay = &Relay{
+		Name: "e", Clock: clock, Book: book, Dialect: plainDialect{}, Hops: &hop.Pool{Clock: clock}, Permits: s.permits,
+		Pools: s.pools, Suspects: &crash.Suspects{Clock: &magno.Clock{}}, Log: slog.New(slog.DiscardHandler),
+	}
+	s.server = httptest.NewServer(s.Relay)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+// got is the head of an answer.
+type got struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
+// get sends a request and returns status, header and body; the error tells that
+// the answer broke off.
+func (s *site) get(t testing.TB, method, id string) (*got, string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("body")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, s.server.URL+"/p/1", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Id", id)
+	req.Header.Set("Only", "forged")
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return &got{res.StatusCode, res.Header, res.Close}, string(text), err
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -212,8 +212,8 @@
 	return nil
 }
 
-// statuses are the kinds of answer whose status must not promise that the
-// request did not run, where it may have.
+// maybeRan is the status in place of one that would promise that the request
+// has not run, where it may have.
 const maybeRan = http.StatusBadGateway
 
 // refuse answers with a kind of this system's own.
--- /dev/null
+++ b/magno/gate/queue.go
@@ -0,0 +1,124 @@
+package gate
+
+import (
+	"slices"
+
+	"magnoliastall.example/magno"
+)
+
+// leaving sends a request elsewhere: an engine that leaves cuts off what begins
+// there too late.
+func leaving() *magno.Refusal {
+	return magno.Refuse(magno.KindLeaving, "the engine leaves").Later(leastAfter)
+}
+
+// expire gives up what waited for too long, and what would: a request for an
+// adapter that can't be there in time is refused now, while its caller may
+// still find another way.
+func (g *Gate) expire(s *Steps, now magno.Millis) {
+	eta := g.arrivals()
+	g.queue = slices.DeleteFunc(g.queue, func(w *waiting) bool {
+		r := g.hopeless(w, eta[w.name()], now)
+		if r != nil {
+			s.Turned = append(s.Turned, Turned{ID: w.ID, Refusal: r})
+		}
+		return r != nil
+	})
+}
+
+// arrivals estimates in how long each adapter that is waited for will be there,
+// if they are loaded one after the other.
+func (g *Gate) arrivals() map[string]magno.Millis {
+	eta := map[string]magno.Millis{}
+	wait := g.held.baseWait()
+	for _, name := range g.demand() {
+		model, adapter := split(name)
+		if g.held.ready(&Ask{Model: model, Adapter: adapter}) {
+			continue
+		}
+		wait += g.held.loadTime(name)
+		eta[name] = wait
+	}
+	return eta
+}
+
+// hopeless returns why a request is given up, nil while it may still begin.
+func (g *Gate) hopeless(w *waiting, eta, now magno.Millis) *magno.Refusal {
+	switch {
+	case g.spec.Leaving:
+		return leaving()
+	case now+eta >= w.until && eta > 0:
+		return magno.Refuse(magno.KindLoading, "its adapter is expected in %d ms, and it waited for %d", eta, now-w.came).
+			Later(min(max(now+eta-w.until, leastAfter), mostAfter))
+	case now >= w.until:
+		return magno.Refuse(magno.KindBusy, "it waited for %d ms", now-w.came).Later(leastAfter)
+	}
+	return nil
+}
+
+// order sorts the queue: first what can still begin in time, the more urgent
+// and the sooner due before the others, then what is late already. An engine
+// that is full gives its time to answers that are worth most, and a late one
+// is worth a third.
+func (g *Gate) order(now magno.Millis) {
+	slices.SortStableFunc(g.queue, func(a, b *waiting) int {
+		if lateA, lateB := now > a.due, now > b.due; lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		if a.Rank != b.Rank {
+			return a.Rank - b.Rank
+		}
+		return int(a.due - b.due)
+	})
+}
+
+// grant lets through what the engine can begin now. A request whose adapter
+// isn't there doesn't hold up those behind it; one that waits for its turn to
+// be read does, or long prompts would never get one.
+func (g *Gate) grant(s *Steps, now magno.Millis) {
+	blocked := false
+	g.queue = slices.DeleteFunc(g.queue, func(w *waiting) bool {
+		if blocked || !g.held.ready(&w.Ask) {
+			return false
+		}
+		tokens := g.unread(&w.Ask)
+		if !g.room(&w.Ask) || !g.pace.allows(tokens, now) {
+			blocked = true
+			return false
+		}
+		g.pace.take(tokens, now)
+		g.read.add(w.name(), w.Prefix)
+		g.runs[w.ID] = &granted{ask: w.Ask, at: now, until: w.end + grantSlack}
+		s.Grants = append(s.Grants, Grant{ID: w.ID, Version: g.held.version(&w.Ask), Waited: now - w.came})
+		return true
+	})
+}
+
+// unread is how many prompt tokens the engine has to read: parts that it read
+// for the same adapter lately are still there.
+func (g *Gate) unread(a *Ask) int {
+	if a.Shared > 0 && g.read.has(a.name(), a.Prefix) {
+		return a.Prompt - a.Shared
+	}
+	return a.Prompt
+}
+
+// room tells whether the engine has a place and memory for one more.
+func (g *Gate) room(a *Ask) bool {
+	if g.running() >= g.spec.Engine.Batch {
+		return false
+	}
+	if len(g.runs) == 0 {
+		return true
+	}
+	used := need(a)
+	for _, r := range g.runs {
+		used += need(&r.ask)
+	}
+	return float64(used) <= roomPart*float64(g.spec.Engine.Tokens)
+}
+
+func need(a *Ask) int { return a.Prompt + min(a.Output, mostMade) }
--- /dev/null
+++ b/magno/gate/waits.go
@@ -0,0 +1,41 @@
+package gate
+
+import "magnoliastall.example/magno"
+
+// expect estimates how long a request that came now would wait.
+func (g *Gate) expect(a *Ask, now magno.Millis) magno.Millis {
+	tokens := g.unread(a)
+	for _, w := range g.queue {
+		if w.Rank <= a.Rank && now <= w.due {
+			tokens += g.unread(&w.Ask)
+		}
+	}
+	return max(g.pace.wait(tokens, now), g.placeWait(), g.held.wait(a, len(g.demand()), now))
+}
+
+// placeWait is the wait for a place among the running requests.
+func (g *Gate) placeWait() magno.Millis {
+	batch := max(g.spec.Engine.Batch, 1)
+	over := g.running() + len(g.queue) - batch
+	if over < 0 {
+		return 0
+	}
+	return magno.Millis(g.run * float64(over+1) / float64(batch))
+}
+
+// Backlog describes the state for whoever chooses among engines.
+func (g *Gate) Backlog() magno.Backlog {
+	g.setup()
+	now := g.now()
+	queued := 0
+	for _, w := range g.queue {
+		queued += g.unread(&w.Ask)
+	}
+	b := magno.Backlog{
+		Queued: len(g.queue), Running: g.running(), Held: len(g.held.adapters),
+		Wait:     max(g.pace.wait(queued, now), g.placeWait()),
+		LoadWait: g.held.loadWait(len(g.demand())),
+		Warm:     g.held.warm(),
+	}
+	return b
+}
