relay: a caller that can't be written to is no failure of the upstream

Cause: a failed write to the caller ended the pump with an error like any other, so the stream went on at another upstream, from the retry allowance, until the server noticed that the caller was gone. Ruled out: the context, which ends only when the server's own read of that connection fails. Test first: one send to each of two upstreams before, one in all after.

--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -360,3 +362,37 @@
 		t.Errorf("got %v %v, want an answer and the end of the connection", res, err)
 	}
 }
+
+// deafWriter is a caller that can't be written to any more, though nothing has
+// told so yet.
+type deafWriter struct{ header http.Header }
+
+func (w *deafWriter) Header() http.Header       { return w.header }
+func (w *deafWriter) WriteHeader(int)           {}
+func (w *deafWriter) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+// A caller's connection breaks in the middle of its stream, and the write fails
+// before the server has noticed. The upstream is well: the stream must not begin
+// anew at another one for nobody.
+func TestBrokenCallerIsNoFailureOfTheUpstream(t *testing.T) {
+	answer := func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+	u, v := serveUpstream(t, answer), serveUpstream(t, answer)
+	s := newSite(t, magno.KindStream, true, u, v)
+	req := httptest.NewRequest(http.MethodPost, "http://h.example/p/1", strings.NewReader("b"))
+	req.Header.Set("Id", "1")
+	func() {
+		defer func() { _ = recover() }() // the answer is broken off
+		s.ServeHTTP(&deafWriter{http.Header{}}, req)
+	}()
+	if u.count() != 1 || v.count() != 0 {
+		t.Errorf("%d and %d sends, want one and none", u.count(), v.count())
+	}
+	if s.pools.allow != 10 {
+		t.Error("the retry allowance was spent on a caller that is gone")
+	}
+}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -30,6 +30,10 @@
 	streamBuffer = 2 << 10
 )
 
+// errCaller marks that the caller could not be written to. Taken for a failure of
+// the upstream, it would run the stream again at another one for nobody.
+var errCaller = errors.New("the caller is gone")
+
 // stream passes events on as they come. Only whole ones are passed on, so that
 // the stream can go on elsewhere after the last of them.
 func (j *job) stream(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
@@ -42,6 +46,9 @@
 	}
 	// Closing makes the upstream stop, before the stream goes on elsewhere.
 	_ = conn.Close()
+	if errors.Is(err, errCaller) {
+		return resultGone
+	}
 	return j.broken(ctx, r, err)
 }
 
@@ -63,14 +70,14 @@
 		}
 		j.begin(res)
 		if _, err := j.w.Write(event); err != nil {
-			return errors.Wrap(err, "caller")
+			return errors.Mark(err, errCaller)
 		}
 		j.timed()
 		if events.Buffered() > 0 {
 			continue // the next event goes out with it
 		}
 		if err := flush.Flush(); err != nil {
-			return errors.Wrap(err, "caller")
+			return errors.Mark(err, errCaller)
 		}
 	}
 }
