gate: a wait for a load counts loads, not names that wait for their turn

Cause: the estimate took every adapter that was waited for as a load to come, also those that are there; a request whose load would begin at once was refused (2,250 ms expected of 250), and entries were told so as well. Unused Cancel and parameters go with it.

--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -241,9 +241,6 @@
 	return nil
 }
 
-// Cancel ends a request that waits or runs: its caller has gone.
-func (g *Gate) Cancel(id string) { g.Done(id, false) }
-
 // Done ends a request; ok tells that it came to a good end.
 func (g *Gate) Done(id string, ok bool) {
 	g.setup()
@@ -313,6 +310,14 @@
 	return names
 }
 
+// missing lists what must still be loaded of what waits, in the order of loads.
+func (g *Gate) missing() []string {
+	return slices.DeleteFunc(g.demand(), func(name string) bool {
+		model, adapter := split(name)
+		return g.held.ready(&Ask{Model: model, Adapter: adapter})
+	})
+}
+
 // inUse tells which adapters requests use or wait for.
 func (g *Gate) inUse() map[string]bool {
 	used := make(map[string]bool, len(g.runs)+len(g.queue))
--- a/magno/gate/gate_test.go
+++ b/magno/gate/gate_test.go
@@ -333,6 +333,28 @@
 	}
 }
 
+// Requests for eight adapters that are there wait for their turn to be read, and
+// one comes for an adapter that isn't. Nothing else is to be loaded, so its load
+// begins at once; counted behind the eight, it was refused.
+func TestWaitForALoadCountsLoadsOnly(t *testing.T) {
+	w := newWorld(t, 12)
+	for i := range 8 {
+		w.held[fmt.Sprint("a", i)] = 1
+	}
+	w.report()
+	for i := range 8 {
+		w.offer(w.ask(fmt.Sprint(i), fmt.Sprint("a", i), 1200))
+	}
+	a := w.ask("x", "x", 100)
+	a.Patience = 1200
+	if r := w.gate.Offer(a); r != nil {
+		t.Errorf("refused: %s", r.Detail)
+	}
+	if wait := w.gate.Backlog().LoadWait; wait > 2*coldLoad {
+		t.Errorf("entries are told that a load takes %d ms", wait)
+	}
+}
+
 func BenchmarkOfferAndNext(b *testing.B) {
 	clock := magno.NewClock(magno.Hour)
 	w := &world{clock: clock, slots: 30, held: map[string]int64{"a": 1}, loading: map[string]magno.Millis{}}
--- a/magno/gate/orders.go
+++ b/magno/gate/orders.go
@@ -47,7 +47,7 @@
 	}
 	want := ""
 	for _, name := range wanted {
-		if model, _ := split(name); !s.models[model] && s.sized(model) {
+		if model, _ := split(name); !s.models[model] && s.size(model) > 0 {
 			want = model
 			break
 		}
@@ -85,8 +85,7 @@
 	return true
 }
 
-func (s *shelf) sized(model string) bool { return s.size(model) > 0 }
-
+// size is a base model's in megabytes, zero for one that isn't configured.
 func (s *shelf) size(model string) float64 {
 	for _, m := range s.spec.Engine.Models {
 		if m.Name == model {
--- a/magno/gate/queue.go
+++ b/magno/gate/queue.go
@@ -31,11 +31,7 @@
 func (g *Gate) arrivals() map[string]magno.Millis {
 	eta := map[string]magno.Millis{}
 	wait := g.held.baseWait()
-	for _, name := range g.demand() {
-		model, adapter := split(name)
-		if g.held.ready(&Ask{Model: model, Adapter: adapter}) {
-			continue
-		}
+	for _, name := range g.missing() {
 		wait += g.held.loadTime(name)
 		eta[name] = wait
 	}
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -208,15 +208,16 @@
 	}
 }
 
-// wait is how long a request waits for its model and adapter.
-func (s *shelf) wait(a *Ask, queued int, _ magno.Millis) magno.Millis {
+// wait is how long a request waits for its model and adapter, with so many
+// other loads before it.
+func (s *shelf) wait(a *Ask, before int) magno.Millis {
 	switch {
 	case s.ready(a):
 		return 0
 	case !s.models[a.Model]:
 		return s.modelWait(a.Model) + coldLoad
 	default:
-		return s.loadTime(a.name()) + s.loadWait(queued) - coldLoad
+		return s.loadTime(a.name()) + coldLoad*magno.Millis(before)
 	}
 }
 
@@ -234,12 +235,6 @@
 	return 0
 }
 
-// loadWait is how long the load of an adapter takes that isn't held, with so
-// many others before it.
-func (s *shelf) loadWait(queued int) magno.Millis {
-	return s.baseWait() + coldLoad*magno.Millis(1+queued)
-}
-
 // baseWait is how long the base model takes to load where none is held.
 func (s *shelf) baseWait() magno.Millis {
 	if s.spec == nil || len(s.models) > 0 || len(s.spec.Engine.Models) == 0 {
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -10,7 +10,7 @@
 			tokens += g.unread(&w.Ask)
 		}
 	}
-	return max(g.pace.wait(tokens, now), g.placeWait(), g.held.wait(a, len(g.demand()), now))
+	return max(g.pace.wait(tokens, now), g.placeWait(), g.held.wait(a, len(g.missing())))
 }
 
 // placeWait is the wait for a place among the running requests.
@@ -34,7 +34,7 @@
 	b := magno.Backlog{
 		Queued: len(g.queue), Running: g.running(), Held: len(g.held.adapters),
 		Wait:     max(g.pace.wait(queued, now), g.placeWait()),
-		LoadWait: g.held.loadWait(len(g.demand())),
+		LoadWait: g.held.baseWait() + coldLoad*magno.Millis(1+len(g.missing())),
 		Warm:     g.held.warm(),
 	}
 	return b
