Work done twice on the request path goes; dead state goes; the strain line's key no longer doubles the log's level

The set of headers of one connection was made anew for each request and answer; what every agent is to be told was compared at each tick, whether the list had changed or not.

--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -93,9 +93,8 @@
 	settings        string
 	log             *os.File
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	starts int
+	mu  sync.Mutex
+	cmd *exec.Cmd
 }
 
 func at(net, host, port int) string { return fmt.Sprintf("127.0.%d.%d:%d", net, host, portBase+port) }
@@ -261,7 +260,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cmd = cmd
-	p.starts++
 	return nil
 }
 
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -71,8 +71,10 @@
 	// Reported is told each backlog by the incarnation's key.
 	Reported func(service, key string, b magno.Backlog)
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// seats follow snap.
 	seats map[string]*seat
+	snap  *view.Snapshot
 	next  int
 	polls *metrics.Counter
 	fails *metrics.Counter
@@ -137,13 +139,15 @@
 	}
 }
 
-// seat brings the seats up to the list.
+// seat brings the seats up to the list, when that has changed: comparing what
+// every agent is to be told is too much to do at each tick.
 func (d *Desk) seat(snap *view.Snapshot) {
-	if snap.Plan == nil {
-		return
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if snap.Plan == nil || snap == d.snap {
+		return
+	}
+	d.snap = snap
 	old := d.seats
 	d.seats = make(map[string]*seat, len(old))
 	for _, r := range snap.Replicas {
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -59,9 +59,8 @@
 type Pool struct {
 	Clock *magno.Clock
 
-	mu   sync.Mutex
-	idle map[string][]*Conn
-	// gone holds upstreams to which no connection is kept any more.
+	mu    sync.Mutex
+	idle  map[string][]*Conn
 	dials *metrics.Counter
 }
 
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -396,3 +396,17 @@
 		t.Error("the retry allowance was spent on a caller that is gone")
 	}
 }
+
+// A caller names headers that concern its connection alone. Sent on, they would
+// change how the upstream treats ours.
+func TestHeadersOfOneConnectionStay(t *testing.T) {
+	from := http.Header{
+		"Connection": {"close, X-One", "x-two"}, "Keep-Alive": {"timeout=5"}, "Transfer-Encoding": {"chunked"},
+		"X-One": {"1"}, "X-Two": {"2"}, "X-Three": {"3"},
+	}
+	to := http.Header{}
+	copyHeader(to, from)
+	if len(to) != 1 || to.Get("X-Three") != "3" || len(from) != 6 {
+		t.Errorf("got %v", to)
+	}
+}
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -199,25 +200,23 @@
 }
 
 // hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true,
 }
 
-// copyHeader copies all but what concerns one connection.
+// copyHeader copies all but what concerns one connection: the headers above, and
+// those that Connection names.
 func copyHeader(to, from http.Header) {
-	drop := map[string]bool{}
-	for _, name := range hopHeaders {
-		drop[name] = true
-	}
-	for _, list := range from["Connection"] {
-		for _, name := range splitList(list) {
-			drop[http.CanonicalHeaderKey(name)] = true
-		}
-	}
 	for name, values := range from {
-		if !drop[name] {
+		if !hopHeaders[name] {
 			to[name] = values
 		}
 	}
+	for _, list := range from["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
 }
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -172,11 +171,3 @@
 	}
 	return n
 }
-
-func splitList(list string) []string {
-	parts := strings.Split(list, ",")
-	for i := range parts {
-		parts[i] = strings.TrimSpace(parts[i])
-	}
-	return parts
-}
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -110,7 +110,7 @@
 		lags.Update(float64(lag) / 1000)
 		was, is := w.relay.Behind(), s.Observe(lag, w.clock.Now())
 		if was != is {
-			w.log.Info("strain", "level", is, "lag", s.Lag(), "active", w.relay.Active())
+			w.log.Info("strain", "behind", is, "lag", s.Lag(), "active", w.relay.Active())
 			w.relay.Fall(is)
 		}
 	}
