--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -34,8 +34,8 @@
 
 // Keep is the duty that owns the gate. Fields are set before Open.
 type Keep struct {
-	// Name is this instance's, the holder of its orders.
-	Name   string
+	// Self is this instance's name, the holder of its orders.
+	Self   string
 	Engine magno.Engineer
 	Mesh   *wire.Mesh
 	Clock  *magno.Clock
@@ -72,18 +72,11 @@
 	k.Mesh.Handle(gate.MethodStatus, k.status)
 }
 
-// Duty is what the kernel runs.
-func (k *Keep) Duty() magno.Duty { return duty{k} }
-
-type duty struct{ keep *Keep }
-
 // Name implements magno.Duty.
-func (d duty) Name() string { return "keep" }
-
-// Run implements magno.Duty.
-func (d duty) Run(ctx context.Context) error { return d.keep.run(ctx) }
+func (k *Keep) Name() string { return "keep" }
 
-func (k *Keep) run(ctx context.Context) error {
+// Run decides until ctx ends.
+func (k *Keep) Run(ctx context.Context) error {
 	spoken := make(chan struct{})
 	go func() {
 		defer close(spoken)
--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -82,12 +82,12 @@
 		t.Fatal(err)
 	}
 	a.addr = mesh.Addr()
-	a.Keep = &Keep{Name: "a", Engine: e, Mesh: mesh, Clock: clock, Log: slog.New(slog.DiscardHandler), Fence: 5}
+	a.Keep = &Keep{Self: "a", Engine: e, Mesh: mesh, Clock: clock, Log: slog.New(slog.DiscardHandler), Fence: 5}
 	a.Open()
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan error, 3)
 	go func() { ends <- mesh.Run(ctx) }()
-	go func() { ends <- a.Duty().Run(ctx) }()
+	go func() { ends <- a.Run(ctx) }()
 	go func() { ends <- a.caller.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
--- a/agent/keep/speak.go
+++ b/agent/keep/speak.go
@@ -95,7 +95,7 @@
 
 // order gives one command and tells the gate what became of it.
 func (s *speaker) order(ctx context.Context, c magno.Command) {
-	c.Replica, c.Holder, c.Fence = s.spec(ctx), s.Name, s.fence
+	c.Replica, c.Holder, c.Fence = s.spec(ctx), s.Self, s.fence
 	call, cancel := context.WithTimeout(ctx, callTime.Span())
 	defer cancel()
 	o, err := s.Engine.Order(call, c)
--- a/agent/site/site.go
+++ b/agent/site/site.go
@@ -34,17 +34,17 @@
 		return start.ExitFailed
 	}
 	k := &keep.Keep{
-		Name: set.Name, Engine: site.Engine(set.Upstream), Mesh: mesh, Clock: clock, Log: log, Fence: int64(clock.Now()),
+		Self: set.Name, Engine: site.Engine(set.Upstream), Mesh: mesh, Clock: clock, Log: log, Fence: int64(clock.Now()),
 	}
 	k.Open()
 	log.Info("start", "dc", set.DataCentre, "peers", mesh.Addr(), "upstream", set.Upstream, "service", set.Service)
 	d := start.Daemon{
-		Duties: []magno.Duty{mesh, k.Duty(), out, &admin.Server{
+		Duties: []magno.Duty{mesh, k, out, &admin.Server{
 			Listen: net.JoinHostPort(set.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.Anyone},
-			Ready: func() bool { return true }, Status: func() any { return k.Name },
+			Ready: func() bool { return true }, Status: func() any { return k.Self },
 			Events: &event.Ring{Process: set.Name, Size: 1},
 		}},
-		Log: log, Leave: k.Leave, Busy: func() int64 { return 0 }, Drain: stopTime, Reload: func() {},
+		Log: log, Leave: k.Leave, Busy: func() int64 { return 0 }, Drain: stopTime, Reload: start.Reload(site, set, log),
 	}
 	return d.Run()
 }
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -60,8 +60,8 @@
 
 // Desk is the duty. Fields are set before Run.
 type Desk struct {
-	// Name is this instance's.
-	Name  string
+	// Self is this instance's name.
+	Self  string
 	Mesh  *wire.Mesh
 	Book  *view.Book
 	Clock *magno.Clock
@@ -102,18 +102,11 @@
 	dead bool
 }
 
-// Duty is what the kernel runs.
-func (d *Desk) Duty() magno.Duty { return runner{d} }
-
-type runner struct{ desk *Desk }
-
 // Name implements magno.Duty.
-func (r runner) Name() string { return "desk" }
-
-// Run implements magno.Duty.
-func (r runner) Run(ctx context.Context) error { return r.desk.run(ctx) }
+func (d *Desk) Name() string { return "desk" }
 
-func (d *Desk) run(ctx context.Context) error {
+// Run polls agents until ctx ends.
+func (d *Desk) Run(ctx context.Context) error {
 	d.polls = metrics.GetOrCreateCounter("agent_polls_total")
 	d.fails = metrics.GetOrCreateCounter("agent_poll_failures_total")
 	ticks := time.NewTicker(pollEvery.Span())
@@ -207,7 +200,7 @@
 	d.mu.Lock()
 	spec, revision := s.spec, s.revision
 	d.mu.Unlock()
-	call := gate.StatusCall{Entry: d.Name, Revision: revision}
+	call := gate.StatusCall{Entry: d.Self, Revision: revision}
 	var reply gate.StatusReply
 	err := d.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
 	if err == nil && (reply.Revision < revision || (reply.Replica != spec.Replica && reply.Revision <= revision)) {
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -76,11 +76,11 @@
 		{Key: "plan", Revision: 1, Plan: &magno.Plan{Version: 1, Services: []magno.Service{{Name: "s", Engine: &magno.Engine{Batch: 1}}}}},
 		{Key: "r", Revision: 1, Replica: &magno.Replica{ID: "r", Service: "s", Address: "127.0.0.1:1", DataCentre: "x", Slots: 1}},
 	}, 1, true)
-	d := &Desk{Name: "e", Mesh: &wire.Mesh{Clock: clock}, Book: book, Clock: clock, Log: slog.New(slog.DiscardHandler), Port: number}
+	d := &Desk{Self: "e", Mesh: &wire.Mesh{Clock: clock}, Book: book, Clock: clock, Log: slog.New(slog.DiscardHandler), Port: number}
 	ctx, cancel := context.WithCancel(context.Background())
 	gone, lose := context.WithCancel(ctx)
 	ends := make(chan error, 2)
-	go func() { ends <- d.Duty().Run(ctx) }()
+	go func() { ends <- d.Run(ctx) }()
 	go func() { ends <- served.Run(gone) }()
 	t.Cleanup(func() {
 		lose()
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -96,8 +96,8 @@
 
 // Peers is the duty. Fields are set before Open.
 type Peers struct {
-	// Name and Addr are this entry's.
-	Name, Addr string
+	// Self and Addr are this entry's name and address.
+	Self, Addr string
 	Seeds      []string
 	Mesh       *wire.Mesh
 	Book       *view.Book
@@ -136,17 +136,11 @@
 	p.Mesh.Handle(MethodItems, p.onItems)
 }
 
-type duty struct{ *Peers }
-
-// Duty is what the kernel runs.
-func (p *Peers) Duty() magno.Duty { return duty{p} }
-
 // Name implements magno.Duty.
-func (duty) Name() string { return "peers" }
+func (p *Peers) Name() string { return "peers" }
 
 // Run asks peers until ctx ends.
-func (d duty) Run(ctx context.Context) error {
-	p := d.Peers
+func (p *Peers) Run(ctx context.Context) error {
 	ticks := time.NewTicker(helloEvery.Span())
 	defer ticks.Stop()
 	var working sync.WaitGroup
@@ -225,7 +219,7 @@
 func (p *Peers) self() Hello {
 	snap := p.Book.Now()
 	h := Hello{
-		Name: p.Name, Addr: p.Addr, Revision: snap.Revision, Age: p.Book.Age(),
+		Name: p.Self, Addr: p.Addr, Revision: snap.Revision, Age: p.Book.Age(),
 		Suspects: p.Suspects.Since(p.Suspects.Clock.Now()-suspectsFor, mostSuspects),
 	}
 	p.mu.Lock()
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -28,13 +28,13 @@
 	}
 	clock := magno.NewSteady()
 	n := &node{ends: make(chan error, 2), Peers: &Peers{
-		Name: name, Addr: mesh.Addr(), Seeds: seeds, Mesh: mesh, Book: &view.Book{Clock: clock},
+		Self: name, Addr: mesh.Addr(), Seeds: seeds, Mesh: mesh, Book: &view.Book{Clock: clock},
 		Suspects: &crash.Suspects{Clock: &magno.Clock{}}, Clock: clock, Log: slog.New(slog.DiscardHandler),
 	}}
 	n.Open()
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { n.ends <- mesh.Run(ctx) }()
-	go func() { n.ends <- n.Duty().Run(ctx) }()
+	go func() { n.ends <- n.Run(ctx) }()
 	stopped := false
 	n.stop = func() {
 		if stopped {
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -35,7 +35,7 @@
 	}
 	before := 0
 	for _, k := range p.known {
-		if k.alive && k.hello.Able && over(k.hello.Name, p.Name) {
+		if k.alive && k.hello.Able && over(k.hello.Name, p.Self) {
 			before++
 		}
 	}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"strconv"
@@ -46,22 +45,11 @@
 		"seeds", len(set.Seeds), "list", set.List)
 	d := start.Daemon{
 		Duties: append(e.duties(), out), Log: log, Leave: e.front.leave, Busy: e.front.busy, Drain: set.Grace,
-		Reload: func() { reload(site, set, log) },
+		Reload: start.Reload(site, set, log),
 	}
 	return d.Run()
 }
 
-// reload compares the settings. What an entry is told of itself holds until its
-// next start; the log says so where it changed.
-func reload(site magno.Site, set *magno.SiteSettings, log *slog.Logger) {
-	now, err := site.Settings()
-	if err != nil {
-		log.Warn("reload", "error", err)
-		return
-	}
-	log.Info("reload", "changed", fmt.Sprint(*now) != fmt.Sprint(*set))
-}
-
 // entry is the process, put together.
 type entry struct {
 	set   *magno.SiteSettings
@@ -84,7 +72,7 @@
 	e.hops = &hop.Pool{Clock: clock}
 	suspects := &crash.Suspects{Clock: &magno.Clock{}}
 	e.peers = &peers.Peers{
-		Name: set.Name, Addr: set.Peers, Seeds: set.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
+		Self: set.Name, Addr: set.Peers, Seeds: set.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
 	}
 	e.peers.Open()
 	e.pools = &pools{clock: clock, book: e.book, peers: e.peers, set: set}
@@ -92,7 +80,7 @@
 		List: site.Lister(set.List), Book: e.book, Mine: e.peers.Mine, Push: e.peers.Push, Able: e.peers.Able, Log: log,
 	}
 	e.desk = &desk.Desk{
-		Name: set.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, Port: set.Inner, Reported: e.pools.report,
+		Self: set.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, Port: set.Inner, Reported: e.pools.report,
 	}
 	handler := &relay.Relay{
 		Name: set.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Hops: e.hops, Permits: e.desk, Pools: e.pools,
@@ -104,7 +92,7 @@
 
 func (e *entry) duties() []magno.Duty {
 	return []magno.Duty{
-		e.mesh, e.reads, e.peers.Duty(), e.desk.Duty(), &follow{e}, e.front, &ready{e.front}, &watch{e.front},
+		e.mesh, e.reads, e.peers, e.desk, &follow{e}, e.front, &ready{e.front}, &watch{e.front},
 		&admin.Server{
 			Listen: net.JoinHostPort(e.set.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.Anyone},
 			Ready: e.front.ready, Status: func() any { return e.book.Now() }, Events: &event.Ring{Process: e.set.Name, Size: 1},
--- a/magno/start/site.go
+++ b/magno/start/site.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
+	"reflect"
 	"runtime/debug"
 
 	"magnoliastall.example/magno"
@@ -54,3 +56,16 @@
 	set, err := site.Settings()
 	return site, set, err
 }
+
+// Reload returns what reads the settings again when they changed. What a process
+// is told of itself holds until its next start; the log says whether it changed.
+func Reload(site magno.Site, set *magno.SiteSettings, log *slog.Logger) func() {
+	return func() {
+		now, err := site.Settings()
+		if err != nil {
+			log.Warn("settings", "error", err)
+			return
+		}
+		log.Info("settings", "changed", !reflect.DeepEqual(now, set))
+	}
+}
