--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -410,3 +410,54 @@
 		t.Errorf("got %v", to)
 	}
 }
+
+// An answer comes without the id of any request. Whatever its status, it is not
+// known to be this request's, and is not passed on.
+func TestAnswerWithoutIDIsNobodys(t *testing.T) {
+	for _, status := range []int{200, 404, 500} {
+		u := serveUpstream(t, func(_ int, _ *http.Request, c net.Conn) bool {
+			fmt.Fprintf(c, "HTTP/1.1 %d x\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nother", status)
+			return true
+		})
+		s := newSite(t, magno.KindOnce, false, u)
+		res, body, err := s.get(t, http.MethodPost, "1")
+		if err != nil || res.StatusCode != http.StatusBadGateway || body != "" || res.Header.Get("Signed") != "" {
+			t.Errorf("status %d without an id came through as %v %q %v", status, res, body, err)
+		}
+	}
+}
+
+// A stream goes on at an upstream that begins it anew. The caller must not see
+// its first events twice.
+func TestEventsThatTheCallerHasAreLeftOut(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1)+event(2))
+		return false
+	})
+	v := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1)+event(2)+event(3))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	s := newSite(t, magno.KindStream, true, u, v)
+	if _, body, err := s.get(t, http.MethodPost, "1"); err != nil || body != event(1)+event(2)+event(3) {
+		t.Errorf("got %q %v", body, err)
+	}
+}
+
+// A request may have run, and is refused by whatever way. Its status must never
+// say that it has not run: the caller would send it again, and a receipt would
+// count twice.
+func TestNoRefusalPromisesWhatMayHaveRun(t *testing.T) {
+	s := newSite(t, magno.KindOnce, false)
+	for _, kind := range magno.Kinds() {
+		w := httptest.NewRecorder()
+		j := &job{Relay: s.Relay, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), snap: s.Book.Now(), ran: true}
+		j.refuse(magno.Refuse(kind, "for a test").Later(1))
+		if promises(w.Code) || w.Header().Get("Retry-After") != "" {
+			t.Errorf("kind %s: status %d, Retry-After %q", kind, w.Code, w.Header().Get("Retry-After"))
+		}
+	}
+}
--- a/magno/gate/gate_test.go
+++ b/magno/gate/gate_test.go
@@ -253,6 +253,36 @@
 	}
 }
 
+// The engine restarts within one report, with its base model there again. What
+// ran before is gone and must not keep the places of what comes; whether it says
+// when it started, or only counts its orders anew, it is noticed.
+func TestRestartFreesThePlaces(t *testing.T) {
+	for name, report := range map[string]*magno.Report{
+		"another start": {Born: 2, Orders: 9}, "orders counted anew": {Born: 1, Orders: 0},
+	} {
+		w := newWorld(t, 2)
+		spec := w.spec()
+		spec.Engine.Batch = 1
+		w.gate.Specify(spec)
+		w.held["a"] = 1
+		w.orders = 5
+		w.report()
+		w.offer(w.ask("1", "a", 100))
+		w.run(60, nil)
+		w.offer(w.ask("2", "a", 100))
+		w.run(300, nil)
+		if !w.granted["1"] || w.granted["2"] {
+			t.Fatal("one place, and not one request in it")
+		}
+		report.Held = map[string]map[string]int64{model: {"a": 1}}
+		w.gate.Reported(report, w.clock.Now())
+		w.step(nil)
+		if !w.granted["2"] {
+			t.Errorf("%s: a request that is gone still keeps its place", name)
+		}
+	}
+}
+
 // A new version of an adapter is declared while streams of the old one run. New
 // requests wait for it or go elsewhere; none begins on the old one for long.
 func TestOldVersionIsGivenOutForAWhileOnly(t *testing.T) {
