--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -26,7 +26,7 @@
 	specs  int
 	// hold makes permits wait until their caller gives up, mute polls as well.
 	hold, mute bool
-	ends []gate.EndCall
+	ends       []gate.EndCall
 }
 
 func (a *agent) open(m *wire.Mesh) {
