--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -49,6 +49,8 @@
 	mu    sync.Mutex
 	names []string
 	allow int
+	// open is the work that each replica was told to have.
+	open map[string]int
 }
 
 func (p *pools) Router(string) magno.Router { return p }
@@ -73,14 +75,28 @@
 	}
 	return list
 }
-func (p *pools) Report(string, magno.Backlog)          {}
-func (p *pools) Sent(string, int)                      {}
-func (p *pools) Ended(string, int, magno.Millis, bool) {}
+func (p *pools) Report(string, magno.Backlog) {}
+func (p *pools) Sent(name string, work int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open == nil {
+		p.open = map[string]int{}
+	}
+	p.open[name] += work
+}
+func (p *pools) work(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[name]
+}
+func (p *pools) Ended(name string, work int, _ magno.Millis, _ bool) { p.Sent(name, -work) }
 
-// permits lets everything through, after during has run.
+// permits lets everything through, after during has run, but what a replica in
+// full asks for.
 type permits struct {
 	during func(key string)
 	dead   bool
+	full   map[string]bool
 }
 
 func (p *permits) Permit(_ context.Context, key string, _ gate.Ask) (*gate.PermitReply, error) {
@@ -90,6 +106,9 @@
 	if p.during != nil {
 		p.during(key)
 	}
+	if p.full[key] {
+		return &gate.PermitReply{Refusal: magno.Refuse(magno.KindBusy, "full").Later(100)}, nil
+	}
 	return &gate.PermitReply{}, nil
 }
 func (p *permits) End(string, string, bool)  {}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -218,9 +218,30 @@
 	return resultRefused
 }
 
-// permitted sends to one engine, if it may; false when it may not.
+// permitted sends to one engine, if it may; false when it may not. What waits
+// for its permit counts as the engine's work as well: a clump of requests would
+// otherwise follow its first one to an engine that looks idle still.
 func (j *job) permitted(ctx context.Context, r *magno.Replica) (result, bool) {
-	key, from := r.Key(), j.Clock.Now()
+	key, work := r.Key(), j.call.Prompt
+	router := j.Pools.Router(j.service.Name)
+	router.Sent(key, work)
+	id, res := j.permit(ctx, key)
+	if res != resultDone {
+		router.Sent(key, -work)
+		return res, res == resultGone
+	}
+	sent := j.Clock.Now()
+	res = j.send(ctx, r, j.route.Rank)
+	router.Ended(key, work, j.Clock.Now()-sent, res != resultUnsent && res != resultFailed)
+	j.Permits.End(key, id, res == resultDone)
+	return res, true
+}
+
+// permit waits until the request may begin at a replica. It returns what the
+// permit goes by, with resultDone when the request may, resultRefused when it
+// may not, and resultGone when there is nobody left to serve.
+func (j *job) permit(ctx context.Context, key string) (string, result) {
+	from := j.Clock.Now()
 	ask := j.ask(from)
 	reply, err := j.Permits.Permit(ctx, key, ask)
 	j.waited += j.Clock.Now() - from
@@ -229,31 +250,24 @@
 		if err == nil {
 			j.Permits.End(key, ask.ID, false)
 		}
-		return resultGone, true
+		return "", resultGone
 	case err != nil:
 		// Nobody decides there now. What the engine held goes without.
 		if !j.Permits.Holds(key, gate.Name(j.call.Model, j.call.Adapter)) {
-			return resultRefused, false
+			return "", resultRefused
 		}
 	case reply.Refusal != nil:
 		if j.refusal == nil || reply.Refusal.After < j.refusal.After {
 			j.refusal = magno.Refuse(reply.Refusal.Kind, "%s", reply.Refusal.Detail).Later(max(reply.Refusal.After, busyAfter))
 		}
-		return resultRefused, false
+		return "", resultRefused
 	}
 	if len(j.replicas([]string{key})) == 0 {
 		// It began to leave while the request waited for its turn there.
 		j.Permits.End(key, ask.ID, false)
-		return resultRefused, false
+		return "", resultRefused
 	}
-	router := j.Pools.Router(j.service.Name)
-	work := j.call.Prompt
-	router.Sent(key, work)
-	sent := j.Clock.Now()
-	res := j.send(ctx, r, j.route.Rank)
-	router.Ended(key, work, j.Clock.Now()-sent, res != resultUnsent && res != resultFailed)
-	j.Permits.End(key, ask.ID, res == resultDone)
-	return res, true
+	return ask.ID, resultDone
 }
 
 // ask is the request as the gate sees it.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -265,6 +265,34 @@
 	}
 }
 
+// Callers come in clumps. If only what an upstream has begun counts as its work,
+// all of a clump goes where the first one still waits for its turn, and the last
+// ones' first events are late though other upstreams are idle. What is refused
+// there must count no more, or an upstream that is well looks busy for ever.
+func TestWaitingForAPermitCountsAsWork(t *testing.T) {
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		head(c, r.Header.Get("Id"))
+		chunk(c, event(1))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	v := serveUpstream(t, func(int, *http.Request, net.Conn) bool { return false })
+	s := newSite(t, magno.KindStream, false, v, u)
+	full := s.pools.names[0]
+	s.permits.full = map[string]bool{full: true}
+	s.permits.during = func(key string) {
+		if got := s.pools.work(key); got != 100 {
+			t.Errorf("%s has %d tokens of work while a request of 100 waits there", key, got)
+		}
+	}
+	if res, _, err := s.get(t, http.MethodPost, "1"); err != nil || res.StatusCode != 200 {
+		t.Fatalf("got %v %v", res, err)
+	}
+	if got := s.pools.work(full); got != 0 {
+		t.Errorf("%d tokens of work count where the request was refused", got)
+	}
+}
+
 // The agents are gone, but the engines are well. What they hold is sent there
 // without a permit.
 func TestSilentAgentsDoNotStopRequests(t *testing.T) {
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -176,8 +176,9 @@
 	Route(q Query) []string
 	// Report takes the backlog that rode on an answer of name.
 	Report(name string, b Backlog)
-	// Sent tells that work was sent, Ended that it was answered after took;
-	// ok is false when the target failed or couldn't be reached.
+	// Sent tells that work was sent, or with less than none that it was not
+	// after all. Ended tells that it was answered after took; ok is false when
+	// the target failed or couldn't be reached.
 	Sent(name string, work int)
 	Ended(name string, work int, took Millis, ok bool)
 }
--- a/magno/route/route.go
+++ b/magno/route/route.go
@@ -200,12 +200,12 @@
 	r.holders[hash] = list
 }
 
-// Sent tells that work was sent.
+// Sent tells that work was sent; less than none takes back what was not.
 func (r *Route) Sent(name string, work int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.peers[name]; p != nil {
-		p.fresh += work
+		p.fresh = max(p.fresh+work, 0) // a report since may have counted it
 		p.open += work
 	}
 }
