view: three ways in which a deletion was lost

Now news hold all changes between their two revisions, a whole list is told as such, changes up to the own revision are old by definition, and a whole list confirms nothing. A table test for each failed first (checked by undoing each mend).

--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/view"
 	"magnoliastall.example/magno/wire"
 )
 
@@ -18,12 +19,12 @@
 }
 
 func (p *Peers) onNews(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
-	var n News
+	var n view.News
 	if err := json.Unmarshal(params, &n); err != nil {
 		p.Log.Warn("news", "error", err)
 		return nil, err
 	}
-	p.Book.Heard(n.Changes, n.Since, n.Revision, n.Age)
+	p.Book.Heard(n)
 	return nil, nil
 }
 
@@ -32,6 +33,5 @@
 	if err := json.Unmarshal(params, &s); err != nil {
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
-	changes, revision, age := p.Book.Since(s.Revision)
-	return News{Changes: changes, Since: s.Revision, Revision: revision, Age: age}, nil
+	return p.Book.Since(s.Revision), nil
 }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -25,7 +25,7 @@
 // Methods between entries.
 const (
 	MethodHello = "hello" // Hello, answered by one
-	MethodNews  = "news"  // News, a notification
+	MethodNews  = "news"  // view.News, a notification
 	MethodItems = "items" // Since, answered by News
 )
 
@@ -81,14 +81,6 @@
 	Suspects []crash.Record `json:"suspects,omitempty"`
 }
 
-// News are the changes of the list after Since and up to Revision.
-type News struct {
-	Changes  []magno.Change `json:"changes"`
-	Since    int64          `json:"since"`
-	Revision int64          `json:"rev"`
-	Age      magno.Millis   `json:"age"`
-}
-
 // Since asks for the changes after a revision.
 type Since struct {
 	Revision int64 `json:"rev"`
@@ -111,7 +103,7 @@
 	// doesn't.
 	able    bool
 	unable  magno.Millis
-	news    chan News
+	news    chan view.News
 	pulling bool
 }
 
@@ -129,7 +121,7 @@
 func (p *Peers) Open() {
 	p.known = map[string]*peer{}
 	p.able = true
-	p.news = make(chan News, newsRoom)
+	p.news = make(chan view.News, newsRoom)
 	p.learn(p.Seeds)
 	p.Mesh.Handle(MethodHello, p.onHello)
 	p.Mesh.Handle(MethodNews, p.onNews)
@@ -252,7 +244,7 @@
 	p.pulling = p.pulling || pull
 	p.mu.Unlock()
 	if h.Revision == mine && h.Revision > 0 {
-		p.Book.Heard(nil, mine, h.Revision, h.Age)
+		p.Book.Heard(view.News{Since: mine, Revision: h.Revision, Age: h.Age})
 	}
 	if pull {
 		go p.pull(h.Addr, mine)
@@ -263,7 +255,7 @@
 func (p *Peers) pull(addr string, since int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTime.Span())
 	defer cancel()
-	var n News
+	var n view.News
 	err := p.Mesh.Call(ctx, addr, MethodItems, Since{Revision: since}, &n)
 	p.mu.Lock()
 	p.pulling = false
@@ -272,19 +264,19 @@
 		p.Log.Info("pull", "addr", addr, "since", since, "error", err)
 		return
 	}
-	p.Book.Heard(n.Changes, n.Since, n.Revision, n.Age)
+	p.Book.Heard(n)
 }
 
 // Push tells all peers what was read.
-func (p *Peers) Push(changes []magno.Change, since, revision int64) {
+func (p *Peers) Push(n view.News) {
 	select {
-	case p.news <- News{Changes: changes, Since: since, Revision: revision}:
+	case p.news <- n:
 	default: // they see the higher revision in the next hello, and ask
-		p.Log.Warn("news dropped", "changes", len(changes), "rev", revision)
+		p.Log.Warn("news dropped", "changes", len(n.Changes), "rev", n.Revision)
 	}
 }
 
-func (p *Peers) spread(ctx context.Context, working *sync.WaitGroup, n News) {
+func (p *Peers) spread(ctx context.Context, working *sync.WaitGroup, n view.News) {
 	p.mu.Lock()
 	var addrs []string
 	for addr, k := range p.known {
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -77,8 +77,7 @@
 		until(t, "all peers", func() bool { return n.Processes() == len(nodes) })
 	}
 	first := nodes[3]
-	news, since := first.Book.Read([]magno.Change{plan(7, 5)}, 5, true)
-	first.Push(news, since, 5)
+	first.Push(first.Book.Read([]magno.Change{plan(7, 5)}, 5, true))
 	for _, n := range nodes {
 		until(t, "the configuration", func() bool { p := n.Book.Now().Plan; return p != nil && p.Version == 7 })
 	}
--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -44,7 +44,7 @@
 	// Mine tells whether this process is to read now.
 	Mine func() bool
 	// Push tells the other entries what was read. It must not block.
-	Push func(changes []magno.Change, since, revision int64)
+	Push func(n view.News)
 	// Able is told whether the list answers this process.
 	Able func(bool)
 	Log  *slog.Logger
@@ -107,11 +107,7 @@
 	}
 	r.hit()
 	r.whole, r.fresh = false, false
-	news, since := r.Book.Read(changes, revision, whole)
-	if len(news) == 0 {
-		since = revision // the others hear that what they know is the newest
-	}
-	r.Push(news, since, revision)
+	r.Push(r.Book.Read(changes, revision, whole))
 	if len(changes) == 0 || whole {
 		return 0
 	}
--- a/entry/reads/reads_test.go
+++ b/entry/reads/reads_test.go
@@ -79,7 +79,7 @@
 	a := &able{is: true}
 	r := &Reads{
 		List: l, Book: &view.Book{Clock: magno.NewSteady()}, Mine: func() bool { return true },
-		Push: func([]magno.Change, int64, int64) {}, Able: a.set, Log: slog.New(slog.DiscardHandler),
+		Push: func(view.News) {}, Able: a.set, Log: slog.New(slog.DiscardHandler),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	end := make(chan error, 1)
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -13,6 +13,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -71,6 +72,8 @@
 	plan *magno.Plan
 	// confirmed is when Revision was known to be the list's newest.
 	confirmed magno.Millis
+	// floor is the revision up to which deletions may be unknown here.
+	floor int64
 	// failing is true from a failed read to the next good one; back is when
 	// that came.
 	failing bool
@@ -127,38 +130,55 @@
 }
 
 // Read notes a good answer of the list: changes up to revision. With all set
-// they are the whole list, and what it lacks was deleted. It returns what
-// changed since which revision.
-func (b *Book) Read(changes []magno.Change, revision int64, all bool) (applied []magno.Change, since int64) {
+// they are the whole list, and what it lacks was deleted; such an answer may be
+// seconds old, so it confirms nothing but the first time. Read returns what
+// others are to be told. That is more than was news here: a peer may have told
+// of later changes before, and whoever heard the rest without them would never
+// ask for them.
+func (b *Book) Read(changes []magno.Change, revision int64, all bool) News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setup()
-	if now := b.Clock.Now(); b.failing {
+	now := b.Clock.Now()
+	if b.failing {
 		b.failing = false
 		if now-b.confirmed > lapseLeast {
 			b.back = now
 		}
 	}
-	if all {
-		changes = append(changes, b.missing(changes, revision)...)
+	news := News{Changes: changes, Since: b.now.Revision, Revision: revision, All: all}
+	confirmed := now
+	if all && b.confirmed > 0 {
+		confirmed = b.confirmed
 	}
-	since = b.now.Revision
-	return b.take(changes, revision, b.Clock.Now()), since
+	b.takeNews(news, confirmed)
+	news.Age = now - b.confirmed
+	return news
 }
 
-// Heard takes what a peer knows to have changed after since and up to revision,
-// which was the newest age ago. Where this process doesn't know all up to
-// since, the changes are good but its revision stays: otherwise it would never
-// ask for those between.
-func (b *Book) Heard(changes []magno.Change, since, revision int64, age magno.Millis) {
+// Heard takes news of a peer. Where this process doesn't know all up to their
+// beginning, the changes are good but its revision stays: otherwise it would
+// never ask for those between.
+func (b *Book) Heard(n News) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setup()
-	confirmed := b.Clock.Now() - age
-	if since > b.now.Revision {
-		revision, confirmed = b.now.Revision, b.confirmed
+	confirmed := b.Clock.Now() - n.Age
+	if !n.All && n.Since > b.now.Revision {
+		n.Revision, confirmed = b.now.Revision, b.confirmed
+	}
+	b.takeNews(n, confirmed)
+}
+
+// takeNews applies news. A whole list tells nothing of what came and went before
+// it, so this process can't tell others of that either. The caller holds mu.
+func (b *Book) takeNews(n News, confirmed magno.Millis) {
+	changes := n.Changes
+	if n.All {
+		changes = append(slices.Clip(changes), b.missing(changes, n.Revision)...)
+		b.floor = max(b.floor, n.Revision)
 	}
-	b.take(changes, revision, confirmed)
+	b.take(changes, n.Revision, confirmed)
 }
 
 // missing makes deletions of what a whole list lacks. What is known to be
@@ -177,24 +197,26 @@
 	return gone
 }
 
-// take applies changes and returns those that were news. The caller holds mu.
-func (b *Book) take(changes []magno.Change, revision int64, confirmed magno.Millis) []magno.Change {
-	var news []magno.Change
+// take applies changes. The caller holds mu.
+func (b *Book) take(changes []magno.Change, revision int64, confirmed magno.Millis) {
+	changed := false
 	for i := range changes {
-		if b.apply(&changes[i]) {
-			news = append(news, changes[i])
-		}
+		changed = b.apply(&changes[i]) || changed
 	}
 	b.confirmed = max(b.confirmed, confirmed)
-	if revision > b.now.Revision || len(news) > 0 {
-		b.publish(max(revision, b.now.Revision), len(news) > 0)
+	if revision > b.now.Revision || changed {
+		b.publish(max(revision, b.now.Revision), changed)
 	}
-	return news
 }
 
 func (b *Book) apply(c *magno.Change) bool {
+	if c.Revision <= b.now.Revision {
+		// All that the list had at Revision is here. What an older answer tells
+		// beyond that is gone since, and would come back for good.
+		return false
+	}
 	old := b.items[c.Key]
-	if old != nil && (c.Revision < old.change.Revision || (c.Revision == old.change.Revision && c.Deleted == old.change.Deleted)) {
+	if old != nil && c.Revision <= old.change.Revision {
 		return false
 	}
 	now := b.Clock.Now()
@@ -240,8 +262,10 @@
 			rec.until, rec.last = 0, nil
 			changed = true
 		}
-		if rec.change.Deleted && rec.until == 0 && now-rec.at > graveLife {
+		known := rec.change.Revision <= b.now.Revision
+		if rec.change.Deleted && known && rec.until == 0 && now-rec.at > graveLife {
 			delete(b.items, key)
+			b.floor = max(b.floor, rec.change.Revision)
 		}
 	}
 	if changed {
@@ -282,18 +306,22 @@
 	return replicas, pins
 }
 
-// Since returns the newest change of each key after a revision, the revision
-// that they lead to, and how long ago that was the newest. Deletions of more
-// than a few minutes ago are missing.
-func (b *Book) Since(revision int64) ([]magno.Change, int64, magno.Millis) {
+// Since returns the news after a revision: the newest change of each key, or
+// all that there is where this process doesn't know each deletion since then.
+func (b *Book) Since(revision int64) News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setup()
-	var out []magno.Change
+	n := News{Since: revision, Revision: b.now.Revision, Age: b.Clock.Now() - b.confirmed, All: revision < b.floor}
+	if n.All {
+		revision = 0
+	}
 	for _, rec := range b.items {
-		if rec.change.Revision > revision {
-			out = append(out, rec.change)
+		// What a whole list lacks is gone; later deletions must be told.
+		gone := n.All && rec.change.Deleted && rec.change.Revision <= n.Revision
+		if rec.change.Revision > revision && !gone {
+			n.Changes = append(n.Changes, rec.change)
 		}
 	}
-	return out, b.now.Revision, b.Clock.Now() - b.confirmed
+	return n
 }
--- a/magno/view/view_test.go
+++ b/magno/view/view_test.go
@@ -50,7 +50,7 @@
 func TestConfigurationNeverFalls(t *testing.T) {
 	b, _ := newBook()
 	b.Read([]magno.Change{plan(7, 10)}, 10, true)
-	b.Heard([]magno.Change{plan(3, 4)}, 0, 4, 0)
+	b.Heard(News{Changes: []magno.Change{plan(3, 4)}, Since: 0, Revision: 4})
 	b.Read([]magno.Change{plan(5, 12)}, 12, false)
 	if v := b.Now().Plan.Version; v != 7 {
 		t.Errorf("version %d is in force, want 7", v)
@@ -109,16 +109,69 @@
 func TestGapInNewsIsNotForgotten(t *testing.T) {
 	b, _ := newBook()
 	b.Read([]magno.Change{up("a", 1, "10.0.0.1:80")}, 1, true)
-	b.Heard([]magno.Change{up("c", 9, "10.0.0.3:80")}, 8, 9, 0)
+	b.Heard(News{Changes: []magno.Change{up("c", 9, "10.0.0.3:80")}, Since: 8, Revision: 9})
 	if r := b.Now().Revision; r != 1 {
 		t.Errorf("revision %d, want 1", r)
 	}
-	b.Heard([]magno.Change{up("b", 5, "10.0.0.2:80"), up("c", 9, "10.0.0.3:80")}, 1, 9, 0)
+	b.Heard(News{Changes: []magno.Change{up("b", 5, "10.0.0.2:80"), up("c", 9, "10.0.0.3:80")}, Since: 1, Revision: 9})
 	if s := b.Now(); s.Revision != 9 || len(s.Replicas) != 3 {
 		t.Errorf("revision %d with %d upstreams, want 9 with 3", s.Revision, len(s.Replicas))
 	}
 }
 
+// A reader heard of a later change from a peer before it reads the one before.
+// It tells others both: one that hears only the first, with the revision of the
+// second, never asks for it, and goes on sending to an upstream that left.
+func TestNewsHoldsWhatAPeerToldBefore(t *testing.T) {
+	reader, _ := newBook()
+	other, _ := newBook()
+	for _, b := range []*Book{reader, other} {
+		b.Read([]magno.Change{up("a", 1, "10.0.0.1:80")}, 1, true)
+	}
+	reader.Heard(News{Changes: []magno.Change{down("a", 3)}, Since: 2, Revision: 3})
+	other.Heard(reader.Read([]magno.Change{up("b", 2, "10.0.0.2:80"), down("a", 3)}, 3, false))
+	if s := other.Now(); s.Revision != 3 || s.Replicas["a"] != nil || s.Replicas["b"] == nil {
+		t.Errorf("revision %d with %v, want 3 with b alone", s.Revision, s.Replicas)
+	}
+}
+
+// A process starts after an upstream left and reads the list, which doesn't have
+// it any more. One that was cut off meanwhile asks it for what changed. No
+// deletion can be told, and yet it must learn that the upstream is gone.
+func TestWholeListTellsWhatIsGone(t *testing.T) {
+	cut, _ := newBook()
+	cut.Read([]magno.Change{up("a", 1, "10.0.0.1:80")}, 1, true)
+	fresh, _ := newBook()
+	fresh.Read([]magno.Change{up("b", 4, "10.0.0.2:80")}, 5, true)
+	cut.Heard(fresh.Since(cut.Now().Revision))
+	if s := cut.Now(); s.Revision != 5 || s.Replicas["a"] != nil || s.Replicas["b"] == nil {
+		t.Errorf("revision %d with %v, want 5 with b alone", s.Revision, s.Replicas)
+	}
+}
+
+// A process that peers told all of reads the list, and gets an answer that is
+// seconds old, with an upstream that came and left before the process knew it.
+func TestOldListBringsNothingBack(t *testing.T) {
+	b, _ := newBook()
+	b.Heard(News{Changes: []magno.Change{up("b", 1, "10.0.0.2:80")}, Revision: 5, All: true})
+	b.Read([]magno.Change{up("b", 1, "10.0.0.2:80"), up("a", 3, "10.0.0.1:80")}, 3, true)
+	if s := b.Now(); s.Revision != 5 || len(s.Replicas) != 1 {
+		t.Errorf("revision %d with %v, want 5 with b alone", s.Revision, s.Replicas)
+	}
+}
+
+// A whole list may be seconds old. It doesn't make what is known any younger, or
+// a process would turn away callers of a route that is new as if it knew.
+func TestOldListConfirmsNothing(t *testing.T) {
+	b, clock := newBook()
+	b.Read(nil, 5, false)
+	clock.Advance(3000)
+	b.Read([]magno.Change{plan(1, 4)}, 4, true)
+	if age := b.Age(); age != 3000 {
+		t.Errorf("the age is %d ms, want 3000", age)
+	}
+}
+
 // Changes come twice, late and in any order, from the list and from peers. All
 // processes end with the same view.
 func TestAnyOrderEndsTheSame(t *testing.T) {
@@ -137,7 +190,7 @@
 		b, _ := newBook()
 		mixed := rapid.Permutation(append(log, log[:5]...)).Draw(t, "order")
 		for i := range mixed {
-			b.Heard(mixed[i:i+1], 0, mixed[i].Revision, 0)
+			b.Heard(News{Changes: mixed[i : i+1], Since: mixed[i].Revision - 1, Revision: mixed[i].Revision})
 		}
 		for id, r := range a.Now().Replicas {
 			if other := b.Now().Replicas[id]; other == nil || other.Since != r.Since {
