soak: promises are checked while it runs; a loss of all power at its end

Each answer is held against what ran as soon as it is there, upstreams are asked every 250 ms, and a broken promise is printed with its time; what runs after its caller had its answer is still found at the end. After the calm, all processes are killed and all upstreams emptied at once, with every other seed while the list is down for 2 s; 30 requests in a row must then be served within 6 s, half of the platform's bound.

--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -19,6 +19,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -210,6 +211,13 @@
 	return n
 }
 
+// workers are those of all incarnations so far.
+func (f *fleet) workers() []*fake.Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.all)
+}
+
 func (f *fleet) proxy(ctx context.Context, listen, target string) error {
 	p := &proxy{listen: listen, target: target}
 	f.proxies = append(f.proxies, p)
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -23,10 +23,17 @@
 	// lasts; they overlap.
 	pauseMost = 500 * time.Millisecond
 	faultMost = 1500 * time.Millisecond
-	// calm is how long after the last fault the fleet must serve everything.
-	calm = 12 * time.Second
+	// calm is how long after the last fault the fleet must serve everything,
+	// recovery how long after a loss of all power: half of what the platform
+	// allows.
+	calm     = 12 * time.Second
+	recovery = 6 * time.Second
 	// afterwards is how many requests must then be served in a row.
 	afterwards = 30
+	// outage is how long the list stays down after a loss of power.
+	outage = 2 * time.Second
+	// look is how often the upstreams are asked what they saw.
+	look = 250 * time.Millisecond
 )
 
 // Soak is one run. Fields are set before Run.
@@ -44,6 +51,9 @@
 	kinds  map[string]int
 	faults map[string]int
 	broken []string
+	// known are the promises in broken, from began on.
+	known map[string]bool
+	began time.Time
 }
 
 // request is one attempt.
@@ -56,7 +66,7 @@
 func (s *Soak) Run(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.sent, s.kinds, s.faults = map[string]*request{}, map[string]int{}, map[string]int{}
+	s.sent, s.kinds, s.faults, s.known = map[string]*request{}, map[string]int{}, map[string]int{}, map[string]bool{}
 	s.fleet = newFleet(s.Dir, s.Bin)
 	if err := s.fleet.start(ctx); err != nil {
 		return nil, err
@@ -64,6 +74,13 @@
 	if err := s.fleet.ready(ctx); err != nil {
 		return nil, err
 	}
+	s.began = time.Now()
+	watched := make(chan struct{})
+	watching, unwatch := context.WithCancel(ctx)
+	go func() {
+		defer close(watched)
+		s.watch(watching)
+	}()
 	playing, stop := context.WithTimeout(ctx, s.For)
 	defer stop()
 	var working sync.WaitGroup
@@ -77,7 +94,11 @@
 	s.harm(playing)
 	working.Wait()
 	s.heal()
-	s.after(ctx)
+	s.after(ctx, "the last fault", calm)
+	s.blackout()
+	s.after(ctx, "a loss of all power", recovery)
+	unwatch()
+	<-watched
 	s.check()
 	s.print()
 	return s.broken, nil
@@ -111,6 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent[id] = &request{path: path, outcome: o}
+	s.one(id, s.sent[id])
 	s.kinds[fmt.Sprintf("%s %s", strings.Trim(path, "/"), outcomeName(o))]++
 	return o
 }
@@ -208,13 +230,30 @@
 	}
 }
 
+// blackout ends all processes and empties all upstreams at once; with every
+// other seed the list comes back later than they do.
+func (s *Soak) blackout() {
+	late := s.Seed%2 == 1
+	s.fleet.store.Down.Store(late)
+	for _, p := range s.fleet.procs {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, u := range append(s.fleet.engines, s.fleet.plains...) {
+		s.fleet.restart(u)
+	}
+	if late {
+		time.Sleep(outage)
+		s.fleet.store.Down.Store(false)
+	}
+}
+
 // after sends requests once the faults are over; all must be served.
-func (s *Soak) after(ctx context.Context) {
+func (s *Soak) after(ctx context.Context, what string, within time.Duration) {
 	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{}}}
 	rnd := rand.New(rand.NewPCG(s.Seed, 1<<32)) //nolint:gosec // no secret
 	row, last := 0, fake.Outcome{}
-	for i, end := 0, time.Now().Add(calm); row < afterwards && time.Now().Before(end); i++ {
-		o := s.once(ctx, caller, s.fleet.entries[i%entries], fmt.Sprintf("s%d-after-%d", s.Seed, i), rnd)
+	for i, end := 0, time.Now().Add(within); row < afterwards && time.Now().Before(end); i++ {
+		o := s.once(ctx, caller, s.fleet.entries[i%entries], fmt.Sprintf("s%d-after %s-%d", s.Seed, what, i), rnd)
 		if o.Status == http.StatusOK && o.Whole {
 			row++
 			continue
@@ -226,16 +265,53 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	if row < afterwards {
-		s.fail("only %d requests in a row were served %s after the last fault; last status %d", row, calm, last.Status)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.fail("only %d requests in a row were served within %s of %s; last status %d", row, within, what, last.Status)
 	}
 }
 
+// fail notes a broken promise once, and says so at once. The caller holds mu.
 func (s *Soak) fail(format string, args ...any) {
-	s.broken = append(s.broken, fmt.Sprintf(format, args...))
+	what := fmt.Sprintf(format, args...)
+	if s.known[what] {
+		return
+	}
+	s.known[what] = true
+	s.broken = append(s.broken, what)
+	fmt.Fprintf(s.Out, "seed %d: BROKEN after %d ms: %s\n", s.Seed, time.Since(s.began).Milliseconds(), what)
+}
+
+// watch asks the upstreams, until ctx ends, for what they saw that must not be.
+func (s *Soak) watch(ctx context.Context) {
+	ticks := time.NewTicker(look)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			s.mu.Lock()
+			s.upstreams()
+			s.mu.Unlock()
+		}
+	}
+}
+
+// upstreams takes what the upstreams noted. The caller holds mu.
+func (s *Soak) upstreams() {
+	for _, w := range s.fleet.workers() {
+		for _, what := range w.Faults() {
+			s.fail("upstream %s: %s", w.ID, what)
+		}
+	}
 }
 
-// check compares what callers got with what ran.
+// check compares once more what callers got with what ran, for what ran only
+// after its caller had its answer.
 func (s *Soak) check() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	ids := make([]string, 0, len(s.sent))
 	for id := range s.sent {
 		ids = append(ids, id)
@@ -244,13 +320,10 @@
 	for _, id := range ids {
 		s.one(id, s.sent[id])
 	}
-	for _, w := range s.fleet.all {
-		for _, what := range w.Faults() {
-			s.fail("upstream %s: %s", w.ID, what)
-		}
-	}
+	s.upstreams()
 }
 
+// one holds what a caller got against what ran. The caller holds mu.
 func (s *Soak) one(id string, r *request) {
 	runs, o := s.fleet.runs(id), r.outcome
 	if (r.path == fake.PathOnce || r.path == fake.PathStream) && runs > 1 {
