view, peers: news without a gap only; a process that knows no deletion says for which revisions

Cause: processes kept later changes that they heard without the ones before, so what they held was the truth of no revision, and a process that had read a whole list answered everyone behind it with the whole list again, as it could not know which deletions they lacked. After a loss of all power each process also told all others its whole list. Now news that begin after what is known are left, and fetched at once from whom they came; so a process at a revision holds just what the list held then. One that read a whole list says between which revisions it is blind, and only to those between it answers with everything; whoever hears it is blind there too. A whole list is not pushed.

--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 
 	"magnoliastall.example/magno"
-	"magnoliastall.example/magno/view"
 	"magnoliastall.example/magno/wire"
 )
 
@@ -19,12 +18,13 @@
 }
 
 func (p *Peers) onNews(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
-	var n view.News
+	var n News
 	if err := json.Unmarshal(params, &n); err != nil {
 		p.Log.Warn("news", "error", err)
 		return nil, err
 	}
-	p.Book.Heard(n)
+	p.Book.Heard(n.News)
+	p.follow(n.From, n.Revision) // where news before these were lost
 	return nil, nil
 }
 
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -25,7 +25,7 @@
 // Methods between entries.
 const (
 	MethodHello = "hello" // Hello, answered by one
-	MethodNews  = "news"  // view.News, a notification
+	MethodNews  = "news"  // News, a notification
 	MethodItems = "items" // Since, answered by News
 )
 
@@ -81,6 +81,12 @@
 	Suspects []crash.Record `json:"suspects,omitempty"`
 }
 
+// News are what a reader tells of the list, and its address.
+type News struct {
+	view.News
+	From string `json:"from"`
+}
+
 // Since asks for the changes after a revision.
 type Since struct {
 	Revision int64 `json:"rev"`
@@ -239,15 +245,23 @@
 		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
 	}
 	k.hello, k.misses, k.alive, k.seen = *h, 0, true, p.Clock.Now()
-	mine := p.Book.Now().Revision
-	pull := h.Revision > mine && !p.pulling
-	p.pulling = p.pulling || pull
 	p.mu.Unlock()
-	if h.Revision == mine && h.Revision > 0 {
+	if mine := p.Book.Now().Revision; h.Revision == mine && h.Revision > 0 {
 		p.Book.Heard(view.News{Since: mine, Revision: h.Revision, Age: h.Age})
 	}
+	p.follow(h.Addr, h.Revision)
+}
+
+// follow fetches what a peer knows and this process doesn't, one fetch at a
+// time.
+func (p *Peers) follow(addr string, revision int64) {
+	p.mu.Lock()
+	mine := p.Book.Now().Revision
+	pull := revision > mine && !p.pulling
+	p.pulling = p.pulling || pull
+	p.mu.Unlock()
 	if pull {
-		go p.pull(h.Addr, mine)
+		go p.pull(addr, mine)
 	}
 }
 
@@ -291,7 +305,7 @@
 			defer working.Done()
 			ctx, cancel := context.WithTimeout(ctx, newsTime.Span())
 			defer cancel()
-			if err := p.Mesh.Notify(ctx, addr, MethodNews, n); err != nil {
+			if err := p.Mesh.Notify(ctx, addr, MethodNews, News{n, p.Addr}); err != nil {
 				p.Log.Info("news", "addr", addr, "rev", n.Revision, "error", err)
 			}
 		}()
--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -107,7 +107,12 @@
 	}
 	r.hit()
 	r.whole, r.fresh = false, false
-	r.Push(r.Book.Read(changes, revision, whole))
+	news := r.Book.Read(changes, revision, whole)
+	if !whole {
+		// After a loss of all power every process reads the whole list. If each
+		// then called all others to fetch it, small machines would do nothing else.
+		r.Push(news)
+	}
 	if len(changes) == 0 || whole {
 		return 0
 	}
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -73,8 +73,9 @@
 	plan *magno.Plan
 	// confirmed is when Revision was known to be the list's newest.
 	confirmed magno.Millis
-	// floor is the revision up to which deletions may be unknown here.
-	floor int64
+	// blind is where deletions may be unknown here: those of items that were made
+	// after its start.
+	blind Span
 	// failing is true from a failed read to the next good one; back is when
 	// that came.
 	failing bool
@@ -135,7 +136,8 @@
 // seconds old, so it confirms nothing but the first time. Read returns what
 // others are to be told. That is more than was news here: a peer may have told
 // of later changes before, and whoever heard the rest without them would never
-// ask for them.
+// ask for them. Of a whole list it is only the revision: each process reads one
+// when it starts, and those that are behind ask for what they lack.
 func (b *Book) Read(changes []magno.Change, revision int64, all bool) News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -154,6 +156,9 @@
 	}
 	b.takeNews(news, confirmed)
 	news.Age = now - b.confirmed
+	if all {
+		news = News{Since: revision, Revision: revision, Age: news.Age}
+	}
 	return news
 }
 
@@ -176,18 +181,16 @@
 	return told
 }
 
-// Heard takes news of a peer. Where this process doesn't know all up to their
-// beginning, the changes are good but its revision stays: otherwise it would
-// never ask for those between.
+// Heard takes news of a peer. News that begin after what this process knows are
+// left: it asks for all of it as soon as a hello tells it of the revision, and
+// so never knows a later change without the ones before.
 func (b *Book) Heard(n News) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setup()
-	confirmed := b.Clock.Now() - n.Age
-	if !n.All && n.Since > b.now.Revision {
-		n.Revision, confirmed = b.now.Revision, b.confirmed
+	if n.All || n.Since <= b.now.Revision {
+		b.takeNews(n, b.Clock.Now()-n.Age)
 	}
-	b.takeNews(n, confirmed)
 }
 
 // takeNews applies news. A whole list tells nothing of what came and went before
@@ -196,7 +199,10 @@
 	changes := n.Changes
 	if n.All {
 		changes = append(slices.Clip(changes), b.missing(changes, n.Revision)...)
-		b.floor = max(b.floor, n.Revision)
+		n.Blind.add(b.now.Revision, n.Revision)
+	}
+	if n.Blind.Before > b.now.Revision {
+		b.blind.add(n.Blind.After, n.Blind.Before)
 	}
 	b.take(changes, n.Revision, confirmed)
 }
@@ -260,7 +266,7 @@
 // repeats tells whether a change says what all who know the list up to Revision
 // know already.
 func (b *Book) repeats(old *record, c *magno.Change) bool {
-	if old == nil || old.change.Revision > b.now.Revision {
+	if old == nil {
 		return false
 	}
 	was := old.change
@@ -296,7 +302,7 @@
 		known := rec.change.Revision <= b.now.Revision
 		if rec.change.Deleted && known && rec.until == 0 && now-rec.at > graveLife {
 			delete(b.items, key)
-			b.floor = max(b.floor, rec.change.Revision)
+			b.blind.add(0, rec.change.Revision)
 		}
 	}
 	if changed {
@@ -343,7 +349,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setup()
-	n := News{Since: revision, Revision: b.now.Revision, Age: b.Clock.Now() - b.confirmed, All: revision < b.floor}
+	n := News{
+		Since: revision, Revision: b.now.Revision, Age: b.Clock.Now() - b.confirmed,
+		All: b.blind.holds(revision), Blind: b.blind,
+	}
 	if n.All {
 		revision = 0
 	}
--- a/magno/view/view_test.go
+++ b/magno/view/view_test.go
@@ -215,6 +215,7 @@
 		for i := range mixed {
 			b.Heard(News{Changes: mixed[i : i+1], Since: mixed[i].Revision - 1, Revision: mixed[i].Revision})
 		}
+		b.Heard(a.Since(b.Now().Revision))
 		for id, r := range a.Now().Replicas {
 			if other := b.Now().Replicas[id]; other == nil || other.Since != r.Since {
 				t.Fatalf("one has %v of %s, the other %v", r, id, other)
