--- a/magno/view/machine_test.go
+++ b/magno/view/machine_test.go
@@ -190,12 +190,17 @@
 			}
 		}
 		f.pins[i] = snap.Pins
-		for key, c := range f.list.asOf(snap.Revision) {
-			rec := b.items[key]
-			if rec == nil || (rec.change.Revision < c.Revision && !says(&rec.change, &c)) {
+		truth := f.list.asOf(snap.Revision)
+		for key, c := range truth {
+			if rec := b.items[key]; rec == nil || !says(&rec.change, &c) {
 				t.Fatalf("process %d states revision %d and lacks %s of %d", i, snap.Revision, key, c.Revision)
 			}
 		}
+		for key, rec := range b.items {
+			if _, there := truth[key]; !there && !rec.change.Deleted {
+				t.Fatalf("process %d states revision %d and has %s, which isn't there", i, snap.Revision, key)
+			}
+		}
 		if b.confirmed > 0 && f.list.at(now-b.Age()) > snap.Revision {
 			t.Fatalf("process %d states that revision %d was the newest %d ms ago; it was %d", i, snap.Revision, b.Age(), f.list.at(now-b.Age()))
 		}
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -7,8 +7,10 @@
 // revision, a slow answer would bring back a configuration that was replaced,
 // or hide an upstream that came back.
 //
-// A key's highest revision wins, so changes may come twice and in any order.
-// The configuration's version never falls within a process.
+// What is known is always what the list held at one revision: news that begin
+// after it are left, and asked for. So changes may come twice and in any order,
+// and two processes at one revision believe the same. The configuration's
+// version never falls within a process.
 package view
 
 import (
@@ -134,10 +136,8 @@
 // Read notes a good answer of the list: changes up to revision. With all set
 // they are the whole list, and what it lacks was deleted; such an answer may be
 // seconds old, so it confirms nothing but the first time. Read returns what
-// others are to be told. That is more than was news here: a peer may have told
-// of later changes before, and whoever heard the rest without them would never
-// ask for them. Of a whole list it is only the revision: each process reads one
-// when it starts, and those that are behind ask for what they lack.
+// others are to be told; of a whole list that is only the revision, as each
+// process reads one when it starts.
 func (b *Book) Read(changes []magno.Change, revision int64, all bool) News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -299,8 +299,7 @@
 			rec.until, rec.last = 0, nil
 			changed = true
 		}
-		known := rec.change.Revision <= b.now.Revision
-		if rec.change.Deleted && known && rec.until == 0 && now-rec.at > graveLife {
+		if rec.change.Deleted && rec.until == 0 && now-rec.at > graveLife {
 			delete(b.items, key)
 			b.blind.add(0, rec.change.Revision)
 		}
@@ -357,9 +356,8 @@
 		revision = 0
 	}
 	for _, rec := range b.items {
-		// What a whole list lacks is gone; later deletions must be told.
-		gone := n.All && rec.change.Deleted && rec.change.Revision <= n.Revision
-		if rec.change.Revision > revision && !gone {
+		// What a whole list lacks is gone.
+		if rec.change.Revision > revision && !(n.All && rec.change.Deleted) {
 			n.Changes = append(n.Changes, rec.change)
 		}
 	}
