peers: a hello names entries only to one that knows others

Cause: each hello and its answer listed all entries that are alive, which grows with their number: at a hundred entries 2 KB of 2.2, 15 hellos a second sent and as many answered. Now both state a hash of whom they know, and list them when the hashes differ. Test first failed (no such hash).

--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -14,7 +14,7 @@
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
 	p.heard(&h)
-	return p.self(), nil
+	return p.self(h.Crowd), nil
 }
 
 func (p *Peers) onNews(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/view"
@@ -75,7 +77,10 @@
 	Age      magno.Millis `json:"age"`
 	// Able is true while the platform's list answers it.
 	Able bool `json:"able"`
-	// Peers are the addresses of entries that it knows.
+	// Crowd stands for the addresses of all entries that are alive to it, its
+	// own included. Peers are those, unless the other's Crowd is the same: with
+	// a hundred entries the addresses would be most of what they tell.
+	Crowd uint64   `json:"crowd"`
 	Peers []string `json:"peers,omitempty"`
 	// Suspects are requests that crashed upstreams, as far as they are news.
 	Suspects []crash.Record `json:"suspects,omitempty"`
@@ -196,8 +201,11 @@
 func (p *Peers) ask(ctx context.Context, addr string, k *peer) {
 	ctx, cancel := context.WithTimeout(ctx, helloTime.Span())
 	defer cancel()
+	p.mu.Lock()
+	theirs := k.hello.Crowd
+	p.mu.Unlock()
 	var reply Hello
-	err := p.Mesh.Call(ctx, addr, MethodHello, p.self(), &reply)
+	err := p.Mesh.Call(ctx, addr, MethodHello, p.self(theirs), &reply)
 	p.mu.Lock()
 	k.asking = false
 	if err != nil {
@@ -213,8 +221,8 @@
 	}
 }
 
-// self is what this entry tells.
-func (p *Peers) self() Hello {
+// self is what this entry tells one whose crowd is theirs.
+func (p *Peers) self(theirs uint64) Hello {
 	snap := p.Book.Now()
 	h := Hello{
 		Name: p.Self, Addr: p.Addr, Revision: snap.Revision, Age: p.Book.Age(),
@@ -223,11 +231,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h.Able = p.able
+	h.Crowd = xxhash.Sum64String(p.Addr)
 	for addr, k := range p.known {
 		if k.alive {
+			h.Crowd ^= xxhash.Sum64String(addr)
 			h.Peers = append(h.Peers, addr)
 		}
 	}
+	if h.Crowd == theirs {
+		h.Peers = nil
+	}
 	return h
 }
 
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -162,7 +162,28 @@
 	for i := range 3000 {
 		a.Suspects.Failed(uint64(i + 1))
 	}
-	if n := len(a.self().Suspects); n != mostSuspects {
+	if n := len(a.self(0).Suspects); n != mostSuspects {
 		t.Errorf("a hello has %d suspects, want %d", n, mostSuspects)
 	}
 }
+
+// Entries say hello several times a second. Where both know the same entries
+// they don't name them again: of a hundred, that was more than all else they
+// tell, on machines that have little room. One that knows others is told of all.
+func TestHelloNamesNobodyWhomTheOtherKnows(t *testing.T) {
+	seed := start(t, "seed")
+	nodes := []*node{seed, start(t, "a", seed.Addr), start(t, "b", seed.Addr)}
+	for _, n := range nodes {
+		until(t, "all peers", func() bool { return n.Processes() == len(nodes) })
+	}
+	crowd := seed.self(0).Crowd
+	for _, n := range nodes {
+		until(t, "the same crowd", func() bool { return n.self(0).Crowd == crowd })
+		if got := n.self(crowd).Peers; len(got) != 0 {
+			t.Errorf("%s names %v to one that knows them", n.Self, got)
+		}
+		if got := n.self(crowd + 1).Peers; len(got) != 2 {
+			t.Errorf("%s names %v to one that knows others, want both", n.Self, got)
+		}
+	}
+}
