--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -162,10 +162,12 @@
 
 // state is what entries are told.
 func (k *Keep) state() gate.StatusReply {
-	return gate.StatusReply{
+	r := gate.StatusReply{
 		Replica: k.gate.Spec().Replica, Revision: k.revision, Born: k.born,
 		Down: k.down, Leaving: k.leaving, Backlog: k.gate.Backlog(),
 	}
+	r.Hold()
+	return r
 }
 
 // Leave refuses all that waits and comes from now on. Entries then send what
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -198,9 +198,9 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTime.Span())
 	defer cancel()
 	d.mu.Lock()
-	spec, revision := s.spec, s.revision
+	spec, revision, held := s.spec, s.revision, s.status.Held
 	d.mu.Unlock()
-	call := gate.StatusCall{Entry: d.Self, Revision: revision}
+	call := gate.StatusCall{Entry: d.Self, Revision: revision, Held: held}
 	var reply gate.StatusReply
 	err := d.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
 	if err == nil && (reply.Revision < revision || (reply.Replica != spec.Replica && reply.Revision <= revision)) {
@@ -216,7 +216,7 @@
 		d.missed(s, err)
 		return
 	}
-	d.heard(s, &reply)
+	d.heard(s, &reply, held)
 }
 
 func (d *Desk) missed(s *seat, err error) {
@@ -230,8 +230,10 @@
 	}
 }
 
-func (d *Desk) heard(s *seat, reply *gate.StatusReply) {
+// heard takes an agent's state, told to an entry that had the list held.
+func (d *Desk) heard(s *seat, reply *gate.StatusReply, held uint64) {
 	d.mu.Lock()
+	reply.Fill(held, &s.status)
 	if s.dead {
 		s.dead, s.lost = false, make(chan struct{})
 		d.Log.Info("agent back", "replica", s.replica.Key(), "addr", s.addr)
@@ -258,7 +260,7 @@
 		return nil, ErrDead
 	}
 	s.used = d.Clock.Now()
-	lost, addr := s.lost, s.addr
+	lost, addr, held := s.lost, s.addr, s.status.Held
 	d.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -272,14 +274,14 @@
 		}
 	}()
 	var reply gate.PermitReply
-	err := d.Mesh.Call(ctx, addr, gate.MethodPermit, gate.PermitCall{Ask: ask, Replica: key}, &reply)
+	err := d.Mesh.Call(ctx, addr, gate.MethodPermit, gate.PermitCall{Ask: ask, Replica: key, Held: held}, &reply)
 	if err != nil {
 		if !wire.NotSent(err) {
 			d.End(key, ask.ID, false) // it may have been let through since
 		}
 		return nil, errors.Mark(err, ErrDead)
 	}
-	d.heard(s, &reply.Status)
+	d.heard(s, &reply.Status, held)
 	d.mu.Lock()
 	s.asked = d.Clock.Now()
 	d.mu.Unlock()
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -13,6 +13,8 @@
 type PermitCall struct {
 	Ask
 	Replica string `json:"replica"`
+	// Held is the newest StatusReply.Held that the entry has.
+	Held uint64 `json:"held,omitempty"`
 }
 
 // PermitReply ends the wait.
@@ -38,6 +40,8 @@
 	Spec *Spec `json:"spec,omitempty"`
 	// Revision orders specs of several entries; the highest is in force.
 	Revision int64 `json:"rev"`
+	// Held is the newest StatusReply.Held that the entry has.
+	Held uint64 `json:"held,omitempty"`
 }
 
 // StatusReply is an agent's state.
@@ -51,4 +55,34 @@
 	Down    bool          `json:"down,omitempty"`
 	Leaving bool          `json:"leaving,omitempty"`
 	Backlog magno.Backlog `json:"backlog"`
+	// Held stands for Backlog.Warm, zero for an empty list. The list is left
+	// out for an entry that has it: it changes with each load only, and is most
+	// of the reply.
+	Held uint64 `json:"held,omitempty"`
+}
+
+// Hold sets Held by the list.
+func (r *StatusReply) Hold() {
+	r.Held = 0
+	for _, hash := range r.Backlog.Warm {
+		r.Held = r.Held*holdFactor + uint64(hash) + 1
+	}
+}
+
+// holdFactor is odd and large, so that each place of the list counts.
+const holdFactor = 0x9e3779b97f4a7c15
+
+// Short leaves out the list for an entry that has it.
+func (r *StatusReply) Short(known uint64) {
+	if known != 0 && known == r.Held {
+		r.Backlog.Warm = nil
+	}
+}
+
+// Fill puts the list back, which had has. An entry that was told of another one
+// since it asked keeps that.
+func (r *StatusReply) Fill(known uint64, had *StatusReply) {
+	if known != 0 && known == r.Held && len(r.Backlog.Warm) == 0 {
+		r.Held, r.Backlog.Warm = had.Held, had.Backlog.Warm
+	}
 }
