--- /dev/null
+++ b/drive/scene/scene.go
@@ -0,0 +1,258 @@
+// Package scene plays loads on the decisions that entries and agents run, with a
+// driven clock and without I/O.
+//
+//	Asks --> route (each entry) --> gate (each agent) --> engine
+//	              ^                     |
+//	              '----- reports -------'
+//
+// Load pattern: whatever a test draws up: clumps, adapters that nobody asked for
+// before, engines that vanish. Played on the bench, one such moment is seconds
+// of a day among thousands of requests, and a change of it is lost in the noise.
+// Here the same requests come at the same milliseconds each time.
+package scene
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/route"
+)
+
+// How engines work; by the sheets of both deployments.
+const (
+	// readRate is prompt tokens a millisecond, token the time that one of the
+	// answer takes, load that of an adapter from the store.
+	readRate = 38.4
+	token    = 6.0
+	load     = 250 * magno.Millis(1)
+	// freely is how many adapters are loaded at once before each takes longer.
+	freely = 8
+	// base is the time of the base model's load.
+	base = 1900 * magno.Millis(1)
+	// slots, batch, memory and tokens bound an engine.
+	slots  = 22
+	batch  = 32
+	memory = 70_000.0
+	tokens = 126_000
+)
+
+// How processes work.
+const (
+	tick = 5 * magno.Millis(1)
+	// reportEvery is how often an agent asks its engine, tellEvery how often an
+	// entry asks an agent that it has no fresher word of.
+	reportEvery = 30 * magno.Millis(1)
+	tellEvery   = 250 * magno.Millis(1)
+	// choices is how many engines a request is offered to.
+	choices = 3
+	// lateLeft is what must be left of a request to be worth beginning.
+	lateLeft = 200 * magno.Millis(1)
+	model    = "m"
+)
+
+// Ask is a request of a scene.
+type Ask struct {
+	// At is when it comes, to which Entry.
+	At      magno.Millis
+	Entry   int
+	Adapter string
+	Prompt  int
+	Output  int
+	// Rank is its urgency, 0 first; Aim the time to its first token, Limit that
+	// to its end.
+	Rank       int
+	Aim, Limit magno.Millis
+	// Stubborn callers come back at once when they are refused, so many times.
+	Stubborn int
+}
+
+// Result is what became of the asks, as shares of them.
+type Result struct {
+	InAim, Late, Refused, Failed float64
+	// Loads counts adapters brought from the store.
+	Loads int
+}
+
+// Scene is what is played. Fields are set before Play.
+type Scene struct {
+	Seed             uint64
+	Entries, Engines int
+	Asks             []Ask
+	// Lose engines at a time, Grey ones fail so large a share of what they run.
+	Lose   map[int]magno.Millis
+	Grey   map[int]float64
+	Cold   bool // engines begin without their base model
+	// Tuning is of all routers; empty for that of the entries.
+	Tuning route.Tuning
+
+	clock   *magno.Clock
+	rand    *rand.Rand
+	routers []*route.Route
+	engines []*engine
+	flights map[string]*flight
+	done    Result
+	loads   int
+}
+
+// flight is an ask on its way.
+type flight struct {
+	Ask
+	id    string
+	tries int
+	avoid []string
+	at    string
+	began magno.Millis
+	// again is when a refused caller comes back.
+	again magno.Millis
+}
+
+// engine is one with its agent's gate.
+type engine struct {
+	name    string
+	gate    *gate.Gate
+	lost    bool
+	born    magno.Millis
+	ready   magno.Millis
+	held    map[string]int64
+	known   map[string]bool
+	loading map[string]magno.Millis
+	orders  int64
+	// free is when all prompts are read; runs end at their times.
+	free magno.Millis
+	runs map[string]run
+}
+
+type run struct {
+	first, end magno.Millis
+	fails      bool
+}
+
+// Play returns what became of the asks.
+func (s *Scene) Play() Result {
+	s.setup()
+	last := s.Asks[len(s.Asks)-1].At
+	next := 0
+	for len(s.flights) > 0 || next < len(s.Asks) || s.clock.Now() < start+last {
+		now := s.clock.Now() - start
+		for ; next < len(s.Asks) && s.Asks[next].At <= now; next++ {
+			s.arrive(s.Asks[next], next)
+		}
+		s.returning()
+		for i, e := range s.engines {
+			s.step(i, e)
+		}
+		s.clock.Advance(tick)
+	}
+	n := float64(len(s.Asks))
+	r := s.done
+	return Result{InAim: r.InAim / n, Late: r.Late / n, Refused: r.Refused / n, Failed: r.Failed / n, Loads: s.loads}
+}
+
+// start is the time of day at which scenes begin: a clock never shows zero.
+const start = magno.Hour
+
+func (s *Scene) setup() {
+	s.clock = magno.NewClock(start)
+	s.rand = rand.New(rand.NewPCG(s.Seed, 1)) //nolint:gosec // no secret
+	s.flights = map[string]*flight{}
+	if s.Tuning == (route.Tuning{}) {
+		s.Tuning = route.Permitted(gate.ReadRate)
+	}
+	slices.SortStableFunc(s.Asks, func(a, b Ask) int { return int(a.At - b.At) })
+	var targets []magno.Target
+	for i := range s.Engines {
+		e := &engine{
+			name: fmt.Sprintf("e%d@1", i), gate: &gate.Gate{Clock: s.clock}, born: 1, ready: start,
+			held: map[string]int64{}, known: map[string]bool{}, loading: map[string]magno.Millis{}, runs: map[string]run{},
+		}
+		if s.Cold {
+			e.ready = 0
+		}
+		e.gate.Specify(gate.Spec{Replica: e.name, ID: e.name, Engine: magno.Engine{
+			Models: []magno.Model{{Name: model, Size: 66_000, Adapter: 12, Load: base, Disk: base / 2}},
+			Slots:  slots, Memory: memory, Tokens: tokens, Batch: batch,
+		}})
+		s.engines = append(s.engines, e)
+		targets = append(targets, magno.Target{Name: e.name, DataCentre: "x"})
+	}
+	for i := range s.Entries {
+		r := &route.Route{Clock: s.clock, Seed: s.Seed + uint64(i), DataCentre: "x", Tuning: s.Tuning}
+		r.Update(targets)
+		s.routers = append(s.routers, r)
+	}
+}
+
+func (s *Scene) engine(name string) *engine {
+	for _, e := range s.engines {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *Scene) arrive(a Ask, n int) {
+	f := &flight{Ask: a, id: fmt.Sprint(n), began: s.clock.Now()}
+	s.flights[f.id] = f
+	s.offer(f)
+}
+
+// offer asks the agents of the best engines in turn.
+func (s *Scene) offer(f *flight) {
+	router := s.routers[f.Entry]
+	ref := magno.Ref{Adapter: gate.Name(model, f.Adapter)}
+	names := router.Route(magno.Query{Ref: ref, Avoid: f.avoid})
+	for _, name := range names[:min(len(names), choices)] {
+		e := s.engine(name)
+		if e.lost {
+			continue
+		}
+		now := s.clock.Now()
+		left := f.began + f.Limit - now
+		router.Sent(name, f.Prompt)
+		if e.gate.Offer(gate.Ask{
+			ID: f.id, Model: model, Adapter: f.Adapter, Prompt: f.Prompt, Output: f.Output, Rank: f.Rank,
+			Aim: f.Aim - (now - f.began), Patience: left - lateLeft, Left: left,
+		}) == nil {
+			f.at = name
+			return
+		}
+		router.Sent(name, -f.Prompt)
+	}
+	s.refused(f)
+}
+
+// refused ends a flight, or has a stubborn caller come back.
+func (s *Scene) refused(f *flight) {
+	f.at, f.avoid = "", nil
+	f.tries++
+	if f.tries <= f.Stubborn && s.clock.Now()-f.began < f.Limit/2 {
+		f.again = s.clock.Now() + tick
+		return
+	}
+	s.done.Refused++
+	delete(s.flights, f.id)
+}
+
+// returning offers those that came back.
+func (s *Scene) returning() {
+	for _, id := range s.ids() {
+		if f := s.flights[id]; f.again > 0 && s.clock.Now() >= f.again {
+			f.again = 0
+			s.offer(f)
+		}
+	}
+}
+
+// ids are those of all flights, in an order that doesn't change.
+func (s *Scene) ids() []string {
+	list := make([]string, 0, len(s.flights))
+	for id := range s.flights {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -13,28 +13,6 @@
 	"magnoliastall.example/magno/view"
 )
 
-// How replicas are chosen; see package route.
-const (
-	// loadMargin is how much longer than a load the wait at the holders of an
-	// adapter must be until another engine loads it.
-	loadMargin = 50 * magno.Millis(1)
-	// leastLoad is the least that a load counts: the quarter of a second that one
-	// takes from the weight store.
-	leastLoad = 250 * magno.Millis(1)
-	// homeStep is the cost of an adapter's second home where none holds it.
-	homeStep = 40 * magno.Millis(1)
-	// prefixStep is the cost of leaving the holder that read the prompt's start.
-	prefixStep = 10 * magno.Millis(1)
-	// farCost is that of another data centre, in milliseconds: a round trip of
-	// two, and bytes that cost.
-	farCost = 3 * magno.Millis(1)
-	// plainToken is by how much one request delays others at a plain service,
-	// in milliseconds: about its work over its places.
-	plainToken = 5.0
-	// plainBusy counts all of what is outstanding there.
-	plainBusy = 1.0
-)
-
 // pools keeps a router and an allowance for each service.
 type pools struct {
 	clock *magno.Clock
@@ -63,11 +41,9 @@
 		allow: &allow.Window{Clock: p.clock, Ratio: p.set.RetryRatio, Slack: p.set.RetrySlack, Span: p.set.RetryWindow},
 	}
 	if s := p.book.Now().Plan.Service(service); s != nil && s.Engine != nil {
-		made.router.Tuning = route.Tuning{
-			Margin: loadMargin, Order: homeStep, Prefix: prefixStep, Far: farCost, Load: leastLoad, Token: 1 / gate.ReadRate,
-		}
+		made.router.Tuning = route.Permitted(gate.ReadRate)
 	} else {
-		made.router.Tuning = route.Tuning{Far: farCost, Token: plainToken, Busy: plainBusy}
+		made.router.Tuning = route.Plain()
 	}
 	if p.pools == nil {
 		p.pools = map[string]*pool{}
