--- a/drive/scene/scene.go
+++ b/drive/scene/scene.go
@@ -82,9 +82,9 @@
 	Entries, Engines int
 	Asks             []Ask
 	// Lose engines at a time, Grey ones fail so large a share of what they run.
-	Lose   map[int]magno.Millis
-	Grey   map[int]float64
-	Cold   bool // engines begin without their base model
+	Lose map[int]magno.Millis
+	Grey map[int]float64
+	Cold bool // engines begin without their base model
 	// Tuning is of all routers; empty for that of the entries.
 	Tuning route.Tuning
 
