--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -261,9 +261,16 @@
 	}
 	s.used = d.Clock.Now()
 	lost, addr, held := s.lost, s.addr, s.status.Held
+	unknown := s.status.Replica != key
 	d.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if unknown {
+		// An agent that just started refuses everything until it is told what
+		// stands beside it. Its turn to be polled may be a second away, and after
+		// a loss of all power that is so for all of them.
+		d.poll(ctx, s)
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -27,6 +27,8 @@
 	// hold makes permits wait until their caller gives up, mute polls as well.
 	hold, mute bool
 	ends       []gate.EndCall
+	// knew is what the agent knew when it was last asked for a permit.
+	knew string
 }
 
 func (a *agent) open(m *wire.Mesh) {
@@ -51,6 +53,7 @@
 	m.Handle(gate.MethodPermit, func(ctx context.Context, _ *wire.Peer, _ json.RawMessage) (any, error) {
 		a.mu.Lock()
 		hold, status := a.hold, a.status
+		a.knew = status.Replica
 		a.mu.Unlock()
 		if hold {
 			<-ctx.Done()
@@ -127,6 +130,33 @@
 	}
 }
 
+// An agent starts again and doesn't know what stands beside it. The next request
+// brings it word first; otherwise it is refused, as all are until a poll comes,
+// and after a loss of all power that is so at every engine.
+func TestAgentThatStartedIsToldBeforeItDecides(t *testing.T) {
+	a := &agent{}
+	d, _ := start(t, a)
+	until(t, "the agent", d.heardOnce)
+	permit := func() {
+		if _, err := d.Permit(context.Background(), key, gate.Ask{ID: "1"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 20 {
+		a.mu.Lock()
+		a.status = gate.StatusReply{}
+		a.mu.Unlock()
+		permit() // its refusal tells that it knows nothing
+		permit()
+		a.mu.Lock()
+		knew := a.knew
+		a.mu.Unlock()
+		if knew != key {
+			t.Fatalf("the agent knew %q when it was asked", knew)
+		}
+	}
+}
+
 // An agent stands still while a request waits for its word; its connection stays
 // open. The wait ends when the polls find that out, not at the request's
 // deadline.
