--- a/drive/scene/engine.go
+++ b/drive/scene/engine.go
@@ -59,16 +59,15 @@
 			continue
 		}
 		delete(e.runs, id)
-		delete(s.flights, id)
 		e.gate.Done(id, !r.fails)
 		s.routers[f.Entry].Ended(e.name, f.Prompt, now-f.began, !r.fails)
 		switch {
 		case r.fails:
-			s.done.Failed++
+			s.count(&s.done.Failed, f)
 		case r.first-f.began <= f.Aim:
-			s.done.InAim++
+			s.count(&s.done.InAim, f)
 		default:
-			s.done.Late++
+			s.count(&s.done.Late, f)
 		}
 	}
 }
@@ -91,8 +90,7 @@
 			continue
 		}
 		if _, ran := e.runs[id]; ran {
-			s.done.Failed++
-			delete(s.flights, id)
+			s.count(&s.done.Failed, f)
 			continue
 		}
 		s.offer(f)
--- a/drive/scene/scene.go
+++ b/drive/scene/scene.go
@@ -84,7 +84,10 @@
 	// Lose engines at a time, Grey ones fail so large a share of what they run.
 	Lose map[int]magno.Millis
 	Grey map[int]float64
-	Cold bool // engines begin without their base model
+	// Cold engines begin without their base model.
+	Cold bool
+	// Count tells which asks count; nil for all.
+	Count func(Ask) bool
 	// Tuning is of all routers; empty for that of the entries.
 	Tuning route.Tuning
 
@@ -97,6 +100,14 @@
 	loads   int
 }
 
+// count adds an ask to one of the shares.
+func (s *Scene) count(share *float64, f *flight) {
+	if s.Count == nil || s.Count(f.Ask) {
+		*share++
+	}
+	delete(s.flights, f.id)
+}
+
 // flight is an ask on its way.
 type flight struct {
 	Ask
@@ -146,8 +157,8 @@
 		}
 		s.clock.Advance(tick)
 	}
-	n := float64(len(s.Asks))
 	r := s.done
+	n := r.InAim + r.Late + r.Refused + r.Failed
 	return Result{InAim: r.InAim / n, Late: r.Late / n, Refused: r.Refused / n, Failed: r.Failed / n, Loads: s.loads}
 }
 
@@ -233,8 +244,7 @@
 		f.again = s.clock.Now() + tick
 		return
 	}
-	s.done.Refused++
-	delete(s.flights, f.id)
+	s.count(&s.done.Refused, f)
 }
 
 // returning offers those that came back.
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -1,6 +1,10 @@
 package gate
 
-import "magnoliastall.example/magno"
+import (
+	"slices"
+
+	"magnoliastall.example/magno"
+)
 
 // expect estimates how long a request that came now would wait.
 func (g *Gate) expect(a *Ask, now magno.Millis) magno.Millis {
@@ -36,6 +40,21 @@
 		Wait:     max(g.pace.wait(queued, now), g.placeWait()),
 		LoadWait: g.held.baseWait() + coldLoad*magno.Millis(1+len(g.missing())),
 		Warm:     g.held.warm(),
+		Coming:   g.coming(),
 	}
 	return b
 }
+
+// coming lists the hashes of what is on its way here or waited for, in
+// ascending order.
+func (g *Gate) coming() []uint32 {
+	var list []uint32
+	for _, name := range g.missing() {
+		list = append(list, magno.Ref{Adapter: name}.Hash())
+	}
+	for name := range g.held.coming {
+		list = append(list, magno.Ref{Adapter: name}.Hash())
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -103,6 +103,9 @@
 	// Warm holds Ref.Hash of each loaded adapter in ascending order; a slice
 	// that was handed out is never changed.
 	Warm []uint32 `json:"warm,omitempty"`
+	// Coming holds, likewise, those that are being loaded or that jobs wait
+	// for.
+	Coming []uint32 `json:"coming,omitempty"`
 }
 
 // Scheduler decides for one upstream: whom to serve, who waits, who is
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -95,8 +95,12 @@
 // as many more are looked at.
 func (r *Route) addHashed(q *query) {
 	key, found := uint64(q.hash), 0
-	for nth := 0; nth < 4*hashed+2*len(q.Avoid) && found < hashed+len(q.Avoid); nth++ {
-		if r.add(q, r.ring.find(key, nth), magno.Millis(found)*r.Tuning.Order) {
+	for nth := 0; nth < reach+2*len(q.Avoid) && found < hashed+len(q.Avoid); nth++ {
+		p := r.ring.find(key, nth)
+		if p != nil && p.holds(q.hash) {
+			continue
+		}
+		if r.add(q, p, magno.Millis(found)*r.Tuning.Order) {
 			found++
 		}
 	}
@@ -143,9 +147,12 @@
 	if q.hash == 0 {
 		return wait
 	}
-	if _, holds := slices.BinarySearch(p.report.Warm, q.hash); holds {
+	if p.holds(q.hash) {
 		return wait
 	}
+	if _, coming := slices.BinarySearch(p.report.Coming, q.hash); coming {
+		return max(wait, float64(r.Tuning.Load))
+	}
 	load := min(max(p.report.LoadWait, r.Tuning.Load), q.most)
 	return max(wait, float64(load)) + float64(r.Tuning.Margin)
 }
--- a/magno/route/peer.go
+++ b/magno/route/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"magnoliastall.example/magno"
 )
@@ -65,6 +66,12 @@
 	return math.Exp2(-float64(age) / float64(life))
 }
 
+// holds tells whether the adapter was in the last report.
+func (p *peer) holds(hash uint32) bool {
+	_, held := slices.BinarySearch(p.report.Warm, hash)
+	return held
+}
+
 // share returns ease, brought up to now.
 func (p *peer) share(now magno.Millis) float64 {
 	if p.ease < 1 {
--- a/magno/route/route.go
+++ b/magno/route/route.go
@@ -39,6 +39,10 @@
 	// (Mitzenmacher, 2001).
 	hashed = 2
 	held   = 4
+	// reach is how far the hash candidates are looked for past those that hold
+	// the adapter already. With 8 an adapter had at most seven replicas, however
+	// many callers asked for it.
+	reach = 32
 )
 
 // Tuning holds what measurements set; zero values mean the defaults.
