--- a/drive/scene/engine.go
+++ b/drive/scene/engine.go
@@ -55,7 +55,7 @@
 func (s *Scene) ended(e *engine, now magno.Millis) {
 	for _, id := range slices.Sorted(maps.Keys(e.runs)) {
 		r, f := e.runs[id], s.flights[id]
-		if now < r.end && !(r.fails && now >= r.first) {
+		if now < r.first || (now < r.end && !r.fails) {
 			continue
 		}
 		delete(e.runs, id)
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -356,8 +356,10 @@
 		revision = 0
 	}
 	for _, rec := range b.items {
-		// What a whole list lacks is gone.
-		if rec.change.Revision > revision && !(n.All && rec.change.Deleted) {
+		if n.All && rec.change.Deleted {
+			continue // what a whole list lacks is gone
+		}
+		if rec.change.Revision > revision {
 			n.Changes = append(n.Changes, rec.change)
 		}
 	}
