--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -182,8 +182,8 @@
 }
 
 // Heard takes news of a peer. News that begin after what this process knows are
-// left: it asks for all of it as soon as a hello tells it of the revision, and
-// so never knows a later change without the ones before.
+// left; it then asks for all that it lacks, and so never knows a later change
+// without the ones before.
 func (b *Book) Heard(n News) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
