desk: a permit brings word of the engine itself

Cause: for an agent that wasn't known to know its engine, a permit made a poll first, with the caller's own context. A caller that left then counted as a poll that failed, and two of them in a row made the agent count as lost: requests went past it without permits until it was heard again. Requests at once each made such a poll, and ended the mark of one that was under way. The poll was the wrong means. Now the permit itself carries the engine's description where it may be unknown: one exchange in place of up to three, and nothing to count. Tests: TestCallersThatLeaveLoseNoAgent failed before; TestPermitBringsWordOfTheEngine.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -47,6 +47,7 @@
 // offer runs on the gate's goroutine.
 func (k *Keep) offer(call *gate.PermitCall, ch chan gate.PermitReply) {
 	k.asks[call.ID] = ch
+	k.specify(call.Spec, call.Revision)
 	r := k.check(call)
 	if r == nil {
 		r = k.gate.Offer(call.Ask)
@@ -111,12 +112,18 @@
 
 // learn runs on the gate's goroutine.
 func (k *Keep) learn(call *gate.StatusCall) gate.StatusReply {
-	if call.Spec != nil && call.Revision > k.revision {
-		if call.Spec.Replica != k.gate.Spec().Replica {
-			k.Log.Info("replica", "is", call.Spec.Replica, "was", k.gate.Spec().Replica, "rev", call.Revision, "from", call.Entry)
-		}
-		k.revision = call.Revision
-		k.gate.Specify(*call.Spec)
-	}
+	k.specify(call.Spec, call.Revision)
 	return k.state()
 }
+
+// specify takes what an entry tells of the engine, unless it is old or nothing.
+func (k *Keep) specify(spec *gate.Spec, revision int64) {
+	if spec == nil || revision <= k.revision {
+		return
+	}
+	if was := k.gate.Spec().Replica; spec.Replica != was {
+		k.Log.Info("replica", "is", spec.Replica, "was", was, "rev", revision)
+	}
+	k.revision = revision
+	k.gate.Specify(*spec)
+}
--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -101,14 +101,18 @@
 	return a
 }
 
+func spec(replica string) *gate.Spec {
+	return &gate.Spec{Replica: replica, ID: "r", Engine: magno.Engine{
+		Models: []magno.Model{{Name: "m", Size: 10, Adapter: 1}}, Slots: 2, Memory: 100, Tokens: 10000, Batch: 4,
+	}}
+}
+
 // tell is what an entry does at each poll.
 func (a *agent) tell(t *testing.T, replica string, revision int64) gate.StatusReply {
 	t.Helper()
 	var reply gate.StatusReply
-	spec := &gate.Spec{Replica: replica, ID: "r", Engine: magno.Engine{
-		Models: []magno.Model{{Name: "m", Size: 10, Adapter: 1}}, Slots: 2, Memory: 100, Tokens: 10000, Batch: 4,
-	}}
-	err := a.caller.Call(t.Context(), a.addr, gate.MethodStatus, gate.StatusCall{Entry: "e", Spec: spec, Revision: revision}, &reply)
+	call := gate.StatusCall{Entry: "e", Spec: spec(replica), Revision: revision}
+	err := a.caller.Call(t.Context(), a.addr, gate.MethodStatus, call, &reply)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,6 +144,28 @@
 	}
 }
 
+// What stands beside the agent changed, and a request brings word of it. It is not
+// refused for what the agent didn't know a moment ago; older word changes nothing.
+func TestPermitBringsWordOfTheEngine(t *testing.T) {
+	a := start(t, newEngine())
+	ask := func(revision int64, replica string) *magno.Refusal {
+		var reply gate.PermitReply
+		call := gate.PermitCall{Replica: replica, Spec: spec(replica), Revision: revision, Ask: gate.Ask{
+			ID: replica, Model: "m", Adapter: "x", Prompt: 100, Output: 50, Aim: 60000, Patience: 60000, Left: 60000,
+		}}
+		if err := a.caller.Call(t.Context(), a.addr, gate.MethodPermit, call, &reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply.Refusal
+	}
+	if r := ask(2, "r@2"); r != nil {
+		t.Errorf("refused: %v", r)
+	}
+	if r := ask(1, "r@1"); r == nil {
+		t.Error("older word was taken")
+	}
+}
+
 // An earlier start of this agent, with its clock ahead, gave orders. The engine
 // refuses lower fences; without learning a higher one, nothing could be loaded
 // any more.
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -260,17 +260,16 @@
 		return nil, ErrDead
 	}
 	s.used = d.Clock.Now()
-	lost, addr, held := s.lost, s.addr, s.status.Held
-	unknown := s.status.Replica != key
+	lost, addr := s.lost, s.addr
+	call := gate.PermitCall{Ask: ask, Replica: key, Held: s.status.Held}
+	if s.status.Replica != key {
+		// The agent's turn to be polled may be a second away, and after a loss
+		// of all power that is so for all agents.
+		call.Spec, call.Revision = s.spec, s.revision
+	}
 	d.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if unknown {
-		// An agent that just started refuses everything until it is told what
-		// stands beside it. Its turn to be polled may be a second away, and after
-		// a loss of all power that is so for all of them.
-		d.poll(ctx, s)
-	}
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
@@ -281,14 +280,14 @@
 		}
 	}()
 	var reply gate.PermitReply
-	err := d.Mesh.Call(ctx, addr, gate.MethodPermit, gate.PermitCall{Ask: ask, Replica: key, Held: held}, &reply)
+	err := d.Mesh.Call(ctx, addr, gate.MethodPermit, call, &reply)
 	if err != nil {
 		if !wire.NotSent(err) {
 			d.End(key, ask.ID, false) // it may have been let through since
 		}
 		return nil, errors.Mark(err, ErrDead)
 	}
-	d.heard(s, &reply.Status, held)
+	d.heard(s, &reply.Status, call.Held)
 	d.mu.Lock()
 	s.asked = d.Clock.Now()
 	d.mu.Unlock()
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -50,8 +50,13 @@
 		}
 		return a.status, nil
 	})
-	m.Handle(gate.MethodPermit, func(ctx context.Context, _ *wire.Peer, _ json.RawMessage) (any, error) {
+	m.Handle(gate.MethodPermit, func(ctx context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+		var call gate.PermitCall
+		_ = json.Unmarshal(params, &call)
 		a.mu.Lock()
+		if call.Spec != nil {
+			a.status.Replica, a.status.Revision = call.Spec.Replica, call.Revision
+		}
 		hold, status := a.hold, a.status
 		a.knew = status.Replica
 		a.mu.Unlock()
@@ -130,6 +135,34 @@
 	}
 }
 
+// Callers that leave are no sign that an agent is gone. Taken for one, two of them
+// at once would have all others' requests go on without permits.
+func TestCallersThatLeaveLoseNoAgent(t *testing.T) {
+	a := &agent{hold: true}
+	d, _ := start(t, a)
+	until(t, "the agent", d.heardOnce)
+	for range 5 {
+		a.mu.Lock()
+		a.status = gate.StatusReply{}
+		a.mu.Unlock()
+		d.mu.Lock()
+		s := d.seats[key]
+		s.status = gate.StatusReply{}
+		d.mu.Unlock()
+		ctx, leave := context.WithCancel(context.Background())
+		leave()
+		if _, err := d.Permit(ctx, key, gate.Ask{ID: "1"}); err == nil {
+			t.Fatal("a caller that left got a permit")
+		}
+		d.mu.Lock()
+		dead := s.dead
+		d.mu.Unlock()
+		if dead {
+			t.Fatal("the agent counts as lost because callers left")
+		}
+	}
+}
+
 // An agent starts again and doesn't know what stands beside it. The next request
 // brings it word first; otherwise it is refused, as all are until a poll comes,
 // and after a loss of all power that is so at every engine.
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -15,6 +15,10 @@
 	Replica string `json:"replica"`
 	// Held is the newest StatusReply.Held that the entry has.
 	Held uint64 `json:"held,omitempty"`
+	// Spec is set where the agent isn't known to have it: one that just started
+	// refuses everything until it does. Revision is the spec's.
+	Spec     *Spec `json:"spec,omitempty"`
+	Revision int64 `json:"rev,omitempty"`
 }
 
 // PermitReply ends the wait.
