keep: an agent's lines on orders and refusals tell the age of what they rest on

A refusal or an order rests on the engine's last report and on the description that an entry told; neither line said how old these were, so a wrong decision from a fresh report looked like one from an old report. Both now state the report's age and the list's revision.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -47,13 +47,13 @@
 // offer runs on the gate's goroutine.
 func (k *Keep) offer(call *gate.PermitCall, ch chan gate.PermitReply) {
 	k.asks[call.ID] = ch
-	k.specify(call.Spec, call.Revision)
+	k.specify(call.Spec, call.Revision, call.ID)
 	r := k.check(call)
 	if r == nil {
 		r = k.gate.Offer(call.Ask)
 	}
 	if r != nil {
-		k.Log.Info("refused", "request", call.ID, "kind", r.Kind, "why", r.Detail, "rank", call.Rank, "left", call.Left)
+		k.refused(call.ID, r, "rank", call.Rank, "left", call.Left)
 		k.served.refusals.Inc()
 		k.reply(call.ID, gate.PermitReply{Refusal: r})
 	}
@@ -112,17 +112,18 @@
 
 // learn runs on the gate's goroutine.
 func (k *Keep) learn(call *gate.StatusCall) gate.StatusReply {
-	k.specify(call.Spec, call.Revision)
+	k.specify(call.Spec, call.Revision, call.Entry)
 	return k.state()
 }
 
 // specify takes what an entry tells of the engine, unless it is old or nothing.
-func (k *Keep) specify(spec *gate.Spec, revision int64) {
+// from is the entry, or its request.
+func (k *Keep) specify(spec *gate.Spec, revision int64, from string) {
 	if spec == nil || revision <= k.revision {
 		return
 	}
 	if was := k.gate.Spec().Replica; spec.Replica != was {
-		k.Log.Info("replica", "is", spec.Replica, "was", was, "rev", revision)
+		k.Log.Info("replica", "is", spec.Replica, "was", was, "rev", revision, "from", from)
 	}
 	k.revision = revision
 	k.gate.Specify(*spec)
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -50,9 +50,11 @@
 	busy  bool
 	// asks maps the ID of a waiting request to where its reply goes.
 	asks map[string]chan gate.PermitReply
-	// revision is that of the spec in force, born the engine's last report's.
+	// revision is that of the spec in force, born the engine's last report's,
+	// which was asked for at asked.
 	revision int64
 	born     magno.Millis
+	asked    magno.Millis
 	down     bool
 	leaving  bool
 	// pressed is true while requests wait.
@@ -135,7 +137,7 @@
 		k.reply(g.ID, gate.PermitReply{Version: g.Version, Waited: g.Waited})
 	}
 	for _, t := range s.Turned {
-		k.Log.Info("refused", "request", t.ID, "kind", t.Refusal.Kind, "why", t.Refusal.Detail)
+		k.refused(t.ID, t.Refusal)
 		k.served.refusals.Inc()
 		k.reply(t.ID, gate.PermitReply{Refusal: t.Refusal})
 	}
@@ -149,6 +151,16 @@
 	}
 }
 
+// refused logs why a request doesn't begin here, and how old what that rests on
+// is: the engine's report in ms, the revision of its description.
+func (k *Keep) refused(id string, r *magno.Refusal, more ...any) {
+	line := append([]any{"request", id, "kind", r.Kind, "why", r.Detail, "age", k.age(), "rev", k.revision}, more...)
+	k.Log.Info("refused", line...)
+}
+
+// age is how old the engine's last report is.
+func (k *Keep) age() magno.Millis { return k.Clock.Now() - k.asked }
+
 // reply ends the wait of a request.
 func (k *Keep) reply(id string, r gate.PermitReply) {
 	ch := k.asks[id]
--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -71,6 +72,7 @@
 	*Keep
 	addr   string
 	caller *wire.Mesh
+	log    text
 }
 
 func start(t *testing.T, e *engine) *agent {
@@ -82,7 +84,7 @@
 		t.Fatal(err)
 	}
 	a.addr = mesh.Addr()
-	a.Keep = &Keep{Self: "a", Engine: e, Mesh: mesh, Clock: clock, Log: slog.New(slog.DiscardHandler), Fence: 5}
+	a.Keep = &Keep{Self: "a", Engine: e, Mesh: mesh, Clock: clock, Log: slog.New(slog.NewTextHandler(&a.log, nil)), Fence: 5}
 	a.Open()
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan error, 3)
@@ -107,6 +109,30 @@
 	}}
 }
 
+// text is a log that may be read while it is written.
+type text struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (x *text) Write(p []byte) (int, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.b.Write(p)
+}
+
+func (x *text) lines(msg string) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var list []string
+	for _, line := range strings.Split(x.b.String(), "\n") {
+		if strings.Contains(line, "msg="+msg+" ") {
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
 // tell is what an entry does at each poll.
 func (a *agent) tell(t *testing.T, replica string, revision int64) gate.StatusReply {
 	t.Helper()
@@ -166,6 +192,31 @@
 	}
 }
 
+// Whoever looks for the cause of an order or a refusal must see what it rested on:
+// a wrong one from a fresh report is another fault than one from an old report.
+func TestLinesTellTheAgeOfWhatTheyRestOn(t *testing.T) {
+	a := start(t, newEngine())
+	if _, err := a.permit(t, "1"); err != nil {
+		t.Fatal(err)
+	}
+	a.tell(t, "r@2", 7)
+	if reply, err := a.permit(t, "2"); err != nil || reply.Refusal == nil {
+		t.Fatalf("got %+v, %v", reply, err)
+	}
+	// An order may be given before or after the agent hears of another engine.
+	for msg, rev := range map[string]string{"order": " rev=", "refused": " rev=7"} {
+		lines := a.log.lines(msg)
+		if len(lines) == 0 {
+			t.Errorf("no line of %q", msg)
+		}
+		for _, line := range lines {
+			if !strings.Contains(line, " age=") || !strings.Contains(line, rev) {
+				t.Errorf("%s: want age and %s", line, rev)
+			}
+		}
+	}
+}
+
 // An earlier start of this agent, with its clock ahead, gave orders. The engine
 // refuses lower fences; without learning a higher one, nothing could be loaded
 // any more.
--- a/agent/keep/speak.go
+++ b/agent/keep/speak.go
@@ -89,13 +89,14 @@
 	if k.born != r.Born {
 		k.Log.Info("engine", "born", r.Born, "before", k.born, "models", len(r.Held))
 	}
-	k.born, k.down = r.Born, false
+	k.born, k.asked, k.down = r.Born, asked, false
 	k.gate.Reported(r, asked)
 }
 
 // order gives one command and tells the gate what became of it.
 func (s *speaker) order(ctx context.Context, c magno.Command) {
-	c.Replica, c.Holder, c.Fence = s.spec(ctx), s.Self, s.fence
+	on := s.basis(ctx)
+	c.Replica, c.Holder, c.Fence = on.id, s.Self, s.fence
 	call, cancel := context.WithTimeout(ctx, callTime.Span())
 	defer cancel()
 	o, err := s.Engine.Order(call, c)
@@ -104,7 +105,7 @@
 		level = slog.LevelWarn
 	}
 	s.Log.Log(ctx, level, "order", "load", c.Load, "model", c.Model, "adapter", c.Adapter, "version", c.Version,
-		"fence", c.Fence, "outcome", o, "error", err)
+		"fence", c.Fence, "outcome", o, "error", err, "age", on.age, "rev", on.revision)
 	if o == magno.OrderFenced {
 		// Another start of this process, with a clock ahead of ours, gave
 		// orders. Only a higher fence is heard again.
@@ -116,16 +117,24 @@
 	s.post(ctx, func() { s.gate.Ordered(c, o, at) })
 }
 
-// spec asks the gate's goroutine for the incarnation that orders are for.
-func (s *speaker) spec(ctx context.Context) string {
-	id := make(chan string, 1)
-	if !s.post(ctx, func() { id <- s.gate.Spec().ID }) {
-		return ""
+// basis is what an order rests on: the incarnation that it is for, with the
+// revision that told it, and how old the engine's last report is.
+type basis struct {
+	id       string
+	revision int64
+	age      magno.Millis
+}
+
+// basis asks the gate's goroutine.
+func (s *speaker) basis(ctx context.Context) basis {
+	ch := make(chan basis, 1)
+	if !s.post(ctx, func() { ch <- basis{s.gate.Spec().ID, s.revision, s.age()} }) {
+		return basis{}
 	}
 	select {
-	case v := <-id:
-		return v
+	case b := <-ch:
+		return b
 	case <-ctx.Done():
-		return ""
+		return basis{}
 	}
 }
