gate: what is missing is worked out once for a backlog, and not at all for a request that can begin

missing sorts the queue's names by demand; Backlog did it twice with each permit and poll since it lists what is coming, and each offer did it though its adapter was there.

--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -208,17 +208,13 @@
 	}
 }
 
-// wait is how long a request waits for its model and adapter, with so many
-// other loads before it.
+// wait is how long a request waits for its model and adapter, which aren't
+// there, with so many other loads before it.
 func (s *shelf) wait(a *Ask, before int) magno.Millis {
-	switch {
-	case s.ready(a):
-		return 0
-	case !s.models[a.Model]:
+	if !s.models[a.Model] {
 		return s.modelWait(a.Model) + coldLoad
-	default:
-		return s.loadTime(a.name()) + coldLoad*magno.Millis(before)
 	}
+	return s.loadTime(a.name()) + coldLoad*magno.Millis(before)
 }
 
 // modelWait is how long a base model takes to load.
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -14,7 +14,11 @@
 			tokens += g.unread(&w.Ask)
 		}
 	}
-	return max(g.pace.wait(tokens, now), g.placeWait(), g.held.wait(a, len(g.missing())))
+	wait := max(g.pace.wait(tokens, now), g.placeWait())
+	if g.held.ready(a) {
+		return wait
+	}
+	return max(wait, g.held.wait(a, len(g.missing())))
 }
 
 // placeWait is the wait for a place among the running requests.
@@ -35,21 +39,21 @@
 	for _, w := range g.queue {
 		queued += g.unread(&w.Ask)
 	}
-	b := magno.Backlog{
+	missing := g.missing()
+	return magno.Backlog{
 		Queued: len(g.queue), Running: g.running(), Held: len(g.held.adapters),
 		Wait:     max(g.pace.wait(queued, now), g.placeWait()),
-		LoadWait: g.held.baseWait() + coldLoad*magno.Millis(1+len(g.missing())),
+		LoadWait: g.held.baseWait() + coldLoad*magno.Millis(1+len(missing)),
 		Warm:     g.held.warm(),
-		Coming:   g.coming(),
+		Coming:   g.coming(missing),
 	}
-	return b
 }
 
 // coming lists the hashes of what is on its way here or waited for, in
 // ascending order.
-func (g *Gate) coming() []uint32 {
-	var list []uint32
-	for _, name := range g.missing() {
+func (g *Gate) coming(missing []string) []uint32 {
+	list := make([]uint32, 0, len(missing)+len(g.held.coming))
+	for _, name := range missing {
 		list = append(list, magno.Ref{Adapter: name}.Hash())
 	}
 	for name := range g.held.coming {
