--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -149,31 +149,28 @@
 			b.back = now
 		}
 	}
-	news := News{Changes: b.telling(changes, all), Since: b.now.Revision, Revision: revision, All: all}
-	confirmed := now
-	if all && b.confirmed > 0 {
-		confirmed = b.confirmed
-	}
-	b.takeNews(news, confirmed)
-	news.Age = now - b.confirmed
 	if all {
-		news = News{Since: revision, Revision: revision, Age: news.Age}
+		confirmed := b.confirmed
+		if confirmed == 0 {
+			confirmed = now
+		}
+		b.takeNews(News{Changes: changes, Revision: revision, All: true}, confirmed)
+		return News{Since: revision, Revision: revision, Age: now - b.confirmed}
 	}
+	news := News{Changes: b.telling(changes), Since: b.now.Revision, Revision: revision}
+	b.takeNews(news, now)
 	return news
 }
 
 // telling leaves out of the list's changes what repeats. Of 10,000 upstreams that
 // load an adapter every few seconds, the entries alone would be 150 KB/s to each
 // process.
-func (b *Book) telling(changes []magno.Change, all bool) []magno.Change {
-	if all {
-		return changes
-	}
+func (b *Book) telling(changes []magno.Change) []magno.Change {
 	var told []magno.Change
 	changed := map[string]bool{}
 	for i := range changes {
 		c := &changes[i]
-		if changed[c.Key] || !b.repeats(b.items[c.Key], c) {
+		if changed[c.Key] || !repeats(b.items[c.Key], c) {
 			changed[c.Key] = true
 			told = append(told, *c)
 		}
@@ -241,11 +238,7 @@
 		// beyond that is gone since, and would come back for good.
 		return false
 	}
-	old := b.items[c.Key]
-	if old != nil && c.Revision <= old.change.Revision {
-		return false
-	}
-	now := b.Clock.Now()
+	old, now := b.items[c.Key], b.Clock.Now()
 	rec := &record{change: *c, at: now}
 	if c.Deleted && old != nil {
 		b.lapse(rec, old, now)
@@ -265,7 +258,7 @@
 
 // repeats tells whether a change says what all who know the list up to Revision
 // know already.
-func (b *Book) repeats(old *record, c *magno.Change) bool {
+func repeats(old *record, c *magno.Change) bool {
 	if old == nil {
 		return false
 	}
