--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -251,3 +251,11 @@
 	text, err := io.ReadAll(res.Body)
 	return &got{res.StatusCode, res.Header, res.Close}, string(text), err
 }
+
+// oneEvent answers with a stream of one event.
+func oneEvent(_ int, r *http.Request, c net.Conn) bool {
+	head(c, r.Header.Get("Id"))
+	chunk(c, event(1))
+	fmt.Fprint(c, "0\r\n\r\n")
+	return true
+}
--- a/entry/relay/machine_test.go
+++ b/entry/relay/machine_test.go
@@ -137,15 +137,9 @@
 // cut off when the upstream goes.
 func TestNothingBeginsWhereUpstreamsLeave(t *testing.T) {
 	const ups = 3
-	answer := func(_ int, r *http.Request, c net.Conn) bool {
-		head(c, r.Header.Get("Id"))
-		chunk(c, event(1))
-		fmt.Fprint(c, "0\r\n\r\n")
-		return true
-	}
 	var list []*upstream
 	for range ups {
-		list = append(list, serveUpstream(t, answer))
+		list = append(list, serveUpstream(t, oneEvent))
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSite(t, magno.KindStream, true, list...)
