view: the map of versions stays the same while none changes

With each change of the list all agents' descriptions are compared under the lock that permits take, and each comparison went through all versions.

--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -332,6 +332,9 @@
 			pins[name] = max(pins[name], p.Number)
 		}
 	}
+	if maps.Equal(pins, b.now.Pins) {
+		pins = b.now.Pins // whoever compares what all agents are told sees at once that it is the same
+	}
 	return replicas, pins
 }
 
--- a/magno/view/view_test.go
+++ b/magno/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -160,6 +161,20 @@
 	}
 }
 
+// An upstream leaves, and what entries tell each agent is compared with what it was
+// told before. With a copy of all versions for each, that is their number times
+// that of the agents, while requests wait for the same lock.
+func TestVersionsStayTheSameMap(t *testing.T) {
+	b, _ := newBook()
+	pin := magno.Change{Key: "pin", Revision: 1, Pin: &magno.Pin{Model: "m", Adapter: "a", Number: 2}}
+	b.Read([]magno.Change{pin, up("a", 2, "10.0.0.1:80")}, 2, true)
+	before := b.Now().Pins
+	b.Read([]magno.Change{down("a", 3)}, 3, false)
+	if after := b.Now().Pins; reflect.ValueOf(after).Pointer() != reflect.ValueOf(before).Pointer() {
+		t.Error("the versions were copied though none changed")
+	}
+}
+
 // Upstreams write their entries with each adapter that they load, and nothing in
 // them that counts here changes. Told to all, that is most of what processes hear,
 // and small machines are busy with it.
