wire, gate, peers: what a connection keeps, and lists told by their change

At hundreds of machines each entry has a connection to each agent and two with each other entry.

- A connection reads through one kilobyte and writes through a buffer that all share; its end is told by its own closing, without a goroutine that waits for it.
- One of each pair of entries says hello, which tells both; the other one does when it hears nothing for a tick longer.
- An engine changes what it holds about once a second, and each entry then was told all hashes anew.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -55,7 +55,7 @@
 	}
 	select {
 	case r := <-ch:
-		r.Status.Short(call.Held)
+		k.recent.Short(&r.Status, call.Held)
 		return r, nil
 	case <-ctx.Done(): // the entry is gone, and with it the request
 		k.post(context.WithoutCancel(ctx), func() { k.drop(call.ID, false) })
@@ -130,7 +130,7 @@
 	}
 	select {
 	case r := <-ch:
-		r.Short(call.Held)
+		k.recent.Short(&r, call.Held)
 		return r, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -60,6 +60,8 @@
 	// pressed is true while requests wait.
 	pressed atomic.Bool
 	served  served
+	// recent are the lists that entries may have.
+	recent gate.Recent
 }
 
 // Open takes the methods on the mesh, before either runs.
@@ -179,6 +181,7 @@
 		Down: k.down, Leaving: k.leaving, Backlog: k.gate.Backlog(),
 	}
 	r.Hold()
+	k.recent.Note(&r)
 	return r
 }
 
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -194,7 +194,12 @@
 			delete(p.known, addr)
 			continue
 		}
-		if !k.asking && (now-k.asked >= pause-helloEvery/2 || k.misses > 0 || k.seen == 0) {
+		wait := pause
+		if !p.asks(addr) {
+			wait += helloEvery
+		}
+		quiet := now-max(k.asked, k.seen) >= wait-helloEvery/2
+		if !k.asking && (quiet || k.misses > 0 || k.seen == 0) {
 			k.asking, k.asked = true, now
 			list[addr] = k
 		}
@@ -202,6 +207,14 @@
 	return list
 }
 
+// asks tells whether this entry is the one of a pair that says hello; the other is
+// told as much by it, and says hello itself only when none came for longer. Else a
+// fleet of entries would keep two connections for each pair.
+func (p *Peers) asks(addr string) bool {
+	mine, theirs := xxhash.Sum64String(p.Addr+addr), xxhash.Sum64String(addr+p.Addr)
+	return mine > theirs || (mine == theirs && p.Addr > addr)
+}
+
 func (p *Peers) ask(ctx context.Context, addr string, k *peer) {
 	ctx, cancel := context.WithTimeout(ctx, helloTime.Span())
 	defer cancel()
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -218,3 +218,47 @@
 		}
 	}
 }
+
+// Each entry of a large fleet says hello to each other one. Were both of a pair to do
+// so, weak machines would keep twice the connections and answer twice the hellos, and
+// callers wait behind them. One of each pair asks, and goes on when the other is
+// silent.
+func TestOneOfEachPairSaysHello(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	pair := func(self, other string) *Peers {
+		p := &Peers{
+			Self: self, Addr: self, Seeds: []string{other}, Mesh: &wire.Mesh{}, Book: &view.Book{Clock: clock},
+			Suspects: &crash.Suspects{Clock: clock}, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		}
+		p.Open()
+		return p
+	}
+	a, b := pair("10.0.0.1:7", "10.0.0.2:7"), pair("10.0.0.2:7", "10.0.0.1:7")
+	if a.asks(b.Addr) == b.asks(a.Addr) {
+		t.Fatal("both of the pair ask, or neither does")
+	}
+	if b.asks(a.Addr) {
+		a, b = b, a
+	}
+	meet := func() {
+		hello, reply := a.self(0), b.self(0)
+		b.heard(&hello)
+		a.heard(&reply)
+	}
+	meet()
+	for range 20 {
+		clock.Advance(helloEvery)
+		if len(b.due()) > 0 {
+			t.Fatal("the one that is asked says hello as well")
+		}
+		if len(a.due()) == 0 {
+			t.Fatal("nobody says hello")
+		}
+		a.known[b.Addr].asking = false
+		meet()
+	}
+	clock.Advance(2 * helloEvery)
+	if len(b.due()) == 0 {
+		t.Error("the other one is silent, and nobody asks it")
+	}
+}
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -44,7 +44,8 @@
 
 // StatusCall asks for an agent's state and tells it what its entry knows.
 type StatusCall struct {
-	Entry string `json:"entry"`
+	// Entry is the caller's name; it goes with Spec.
+	Entry string `json:"entry,omitempty"`
 	// Spec is left out when the agent is known to have it.
 	Spec *Spec `json:"spec,omitempty"`
 	// Revision orders specs of several entries; the highest is in force.
@@ -68,6 +69,11 @@
 	// out for an entry that has them: they change with each load only, and are
 	// most of the reply.
 	Held uint64 `json:"held,omitempty"`
+	// Since is the Held of the lists that Warm and Kept are changes of, zero where
+	// the backlog has the lists, or the entry does.
+	Since uint64 `json:"since,omitempty"`
+	Warm  Change `json:"warm,omitzero"`
+	Kept  Change `json:"kept,omitzero"`
 }
 
 // Hold sets Held by the lists.
@@ -83,18 +89,3 @@
 
 // holdFactor is odd and large, so that each place of the list counts.
 const holdFactor = 0x9e3779b97f4a7c15
-
-// Short leaves out the lists for an entry that has them.
-func (r *StatusReply) Short(known uint64) {
-	if known != 0 && known == r.Held {
-		r.Backlog.Warm, r.Backlog.Kept = nil, nil
-	}
-}
-
-// Fill puts the lists back, which had has. An entry that was told of another one
-// since it asked keeps that.
-func (r *StatusReply) Fill(known uint64, had *StatusReply) {
-	if known != 0 && known == r.Held && len(r.Backlog.Warm) == 0 && len(r.Backlog.Kept) == 0 {
-		r.Held, r.Backlog.Warm, r.Backlog.Kept = had.Held, had.Backlog.Warm, had.Backlog.Kept
-	}
-}
--- a/magno/gate/calls_test.go
+++ b/magno/gate/calls_test.go
@@ -33,7 +33,8 @@
 		{"another order is another list", reply(1, 2), reply(2, 1), reply(1, 2), false, []uint32{2, 1}},
 	} {
 		r := c.told
-		r.Short(c.known.Held)
+		var recent Recent // the agent remembers nothing
+		recent.Short(&r, c.known.Held)
 		if short := len(r.Backlog.Warm) == 0; short != c.short && len(c.told.Backlog.Warm) > 0 {
 			t.Errorf("%s: left out is %v, want %v", c.name, short, c.short)
 		}
@@ -61,7 +62,8 @@
 		t.Fatal("another list goes by the same number")
 	}
 	told := is
-	told.Short(is.Held)
+	var recent Recent
+	recent.Short(&told, is.Held)
 	if len(told.Backlog.Kept) != 0 {
 		t.Error("the list is told to an entry that has it")
 	}
@@ -70,3 +72,76 @@
 		t.Errorf("put back as %v", told.Backlog.Kept)
 	}
 }
+
+// An engine loads an adapter about once a second, and each of many entries asks its
+// agent as often. Told whole lists each time, weak machines spend their links on
+// what they know already. An entry that has one of the agent's last lists is told
+// the change, and must end with the same lists as one that is told all.
+func TestListsAreToldByTheirChange(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		wasWarm, wasKept     []uint32
+		isWarm, isKept       []uint32
+		wantWarmer, wantLost []uint32
+	}{
+		{"loaded", []uint32{3, 5}, nil, []uint32{3, 4, 5}, nil, []uint32{4}, nil},
+		{"evicted", []uint32{3, 4, 5}, nil, []uint32{3, 5}, []uint32{4}, nil, []uint32{4}},
+		{"one in place of another", []uint32{1, 9}, []uint32{2}, []uint32{2, 9}, []uint32{1}, []uint32{2}, []uint32{1}},
+		{"all gone but one", []uint32{1, 2, 3}, []uint32{7}, []uint32{2}, nil, nil, []uint32{1, 3}},
+	} {
+		var recent Recent
+		was, is := reply(c.wasWarm...), reply(c.isWarm...)
+		was.Backlog.Kept, is.Backlog.Kept = c.wasKept, c.isKept
+		was.Hold()
+		is.Hold()
+		recent.Note(&was)
+		recent.Note(&is)
+		told := is
+		recent.Short(&told, was.Held)
+		if len(told.Backlog.Warm) != 0 || !slices.Equal(told.Warm.Gained, c.wantWarmer) || !slices.Equal(told.Warm.Lost, c.wantLost) {
+			t.Errorf("%s: told %v and %v", c.name, told.Backlog.Warm, told.Warm)
+		}
+		told.Fill(was.Held, &was)
+		if told.Held != is.Held || !slices.Equal(told.Backlog.Warm, c.isWarm) || !slices.Equal(told.Backlog.Kept, c.isKept) {
+			t.Errorf("%s: has %v and %v", c.name, told.Backlog.Warm, told.Backlog.Kept)
+		}
+		if !slices.Equal(was.Backlog.Warm, c.wasWarm) {
+			t.Errorf("%s: the list before is %v now", c.name, was.Backlog.Warm)
+		}
+	}
+}
+
+// Two answers of an agent overtake each other on their way to an entry. The change
+// that comes late is one of a list that the entry no longer has: applied to another
+// one, it would leave adapters there that are gone, for good.
+func TestChangeOfAnotherListIsNotApplied(t *testing.T) {
+	var recent Recent
+	first, second, third := reply(1), reply(1, 2), reply(2, 3)
+	for _, r := range []*StatusReply{&first, &second, &third} {
+		recent.Note(r)
+	}
+	late := second
+	recent.Short(&late, first.Held)
+	late.Fill(first.Held, &third)
+	if late.Held != third.Held || !slices.Equal(late.Backlog.Warm, third.Backlog.Warm) {
+		t.Errorf("has %v by %d, want what it had", late.Backlog.Warm, late.Held)
+	}
+}
+
+// An agent remembers few lists. An entry that asks seldom has one that is forgotten,
+// and is told everything.
+func TestForgottenListIsToldWhole(t *testing.T) {
+	var recent Recent
+	old := reply(1)
+	recent.Note(&old)
+	var is StatusReply
+	for i := range uint32(mostRecent) {
+		is = reply(i+2, i+3)
+		recent.Note(&is)
+	}
+	told := is
+	recent.Short(&told, old.Held)
+	if told.Since != 0 || !slices.Equal(told.Backlog.Warm, is.Backlog.Warm) {
+		t.Errorf("told %v since %d", told.Backlog.Warm, told.Since)
+	}
+}
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -82,18 +82,18 @@
 type Backlog struct {
 	// Wait is the expected time until a job that came now would start, its
 	// adapter being loaded.
-	Wait Millis `json:"wait"`
+	Wait Millis `json:"wait,omitempty"`
 	// Queued and Running count jobs.
-	Queued  int `json:"queued"`
-	Running int `json:"running"`
+	Queued  int `json:"queued,omitempty"`
+	Running int `json:"running,omitempty"`
 	// Work is the tokens queued and still to be made.
-	Work int `json:"work"`
+	Work int `json:"work,omitempty"`
 	// Rate is how many tokens of work it takes in a millisecond, zero when it
 	// doesn't say.
 	Rate float64 `json:"rate,omitempty"`
 	// Pinned and Held count adapters.
-	Pinned int `json:"pinned"`
-	Held   int `json:"held"`
+	Pinned int `json:"pinned,omitempty"`
+	Held   int `json:"held,omitempty"`
 	// Business maps a business to its queued tokens.
 	Business map[string]int `json:"business,omitempty"`
 	// Waits maps each business with queued jobs to the Wait of one more of its
--- a/magno/wire/call.go
+++ b/magno/wire/call.go
@@ -238,8 +238,6 @@
 		return
 	}
 	l.attach(conn)
-	<-l.conn.DisconnectNotify()
-	m.forget(l)
 }
 
 // encode puts err into a jsonrpc2 error with the refusal as its data.
--- a/magno/wire/frames.go
+++ b/magno/wire/frames.go
@@ -2,32 +2,69 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"io"
 	"net"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// readSlack is what the buffered reader may hold beyond a message, and its
-// header, in bytes.
-const readSlack = 8 << 10
+const (
+	// readBuffer holds a usual message, in bytes. A process keeps hundreds of
+	// connections that are idle most of the time, each with a buffer of its own.
+	readBuffer = 1 << 10
+	// readSlack is what the buffered reader may hold beyond a message, and its
+	// header, in bytes.
+	readSlack = 8 << 10
+	// mostPooled bounds the buffers that are kept for further messages, in bytes:
+	// one that a rare long message needed would stay in memory.
+	mostPooled = 16 << 10
+	// lengthHeader begins the line that tells a message's length.
+	lengthHeader = "Content-Length: "
+)
+
+var (
+	errTooLarge = errors.New("message over the size limit")
+	errNoLength = errors.New("a message without its length")
+)
 
-var errTooLarge = errors.New("message over the size limit")
+// buffers are shared by all connections, each for the time of one message.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// giveBack keeps a buffer for further messages.
+func giveBack(b *bytes.Buffer) {
+	if b.Cap() > mostPooled {
+		return
+	}
+	b.Reset()
+	buffers.Put(b)
+}
 
-// codec frames messages by Content-Length and bounds their size both ways.
-// Without the bound one length of four gigabytes from a broken peer would make
-// the decoder grow its buffer until the process is killed.
-type codec struct {
-	jsonrpc2.VSCodeObjectCodec
+// frames carries messages over one connection, each behind a line with its
+// length and an empty one. It bounds their size both ways. Without the bound one
+// length of four gigabytes from a broken peer would make the decoder grow its
+// buffer until the process is killed.
+type frames struct {
 	conn *bounded
+	read *bufio.Reader
+	// mu keeps messages of several goroutines apart.
+	mu sync.Mutex
+}
+
+var _ jsonrpc2.ObjectStream = (*frames)(nil)
+
+func newFrames(conn *bounded) *frames {
+	return &frames{conn: conn, read: bufio.NewReaderSize(conn, readBuffer)}
 }
 
 // WriteObject encodes obj once and refuses it before a byte is sent when it is
 // too large.
-func (c codec) WriteObject(w io.Writer, obj any) error {
+func (f *frames) WriteObject(obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return err
@@ -35,18 +72,70 @@
 	if len(data) > maxMessage {
 		return errors.Wrapf(errTooLarge, "%d bytes", len(data))
 	}
+	b := buffers.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds nothing else
+	defer giveBack(b)
+	b.WriteString(lengthHeader)
+	b.WriteString(strconv.Itoa(len(data)))
+	b.WriteString("\r\n\r\n")
+	b.Write(data)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	// A peer that stopped reading would otherwise hold the connection's send
 	// lock, and with it every caller, until TCP gives up.
-	if err := c.conn.SetWriteDeadline(time.Now().Add(sendTimeout.Span())); err != nil {
+	if err := f.conn.SetWriteDeadline(time.Now().Add(sendTimeout.Span())); err != nil {
 		return err
 	}
-	return c.VSCodeObjectCodec.WriteObject(w, json.RawMessage(data))
+	_, err = f.conn.Write(b.Bytes())
+	return err
 }
 
 // ReadObject reads one message of at most maxMessage bytes.
-func (c codec) ReadObject(r *bufio.Reader, v any) error {
-	c.conn.left = maxMessage + readSlack
-	return c.VSCodeObjectCodec.ReadObject(r, v)
+func (f *frames) ReadObject(v any) error {
+	f.conn.left = maxMessage + readSlack
+	n, err := f.length()
+	if err != nil {
+		return err
+	}
+	if n > maxMessage {
+		return errors.Wrapf(errTooLarge, "%d bytes", n)
+	}
+	b := buffers.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds nothing else
+	defer giveBack(b)
+	if _, err := io.CopyN(b, f.read, n); err != nil {
+		return err
+	}
+	return json.Unmarshal(b.Bytes(), v)
+}
+
+// length reads the lines before a message.
+func (f *frames) length() (int64, error) {
+	length := int64(-1)
+	for {
+		line, err := f.read.ReadSlice('\n')
+		if err != nil {
+			return 0, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			break
+		}
+		if value, ok := bytes.CutPrefix(line, []byte(lengthHeader)); ok {
+			if length, err = strconv.ParseInt(string(value), 10, 64); err != nil {
+				return 0, errors.Wrap(err, "length")
+			}
+		}
+	}
+	if length < 0 {
+		return 0, errNoLength
+	}
+	return length, nil
+}
+
+// Close closes the connection, which isn't used any more from then on. The
+// library calls it at the end of each connection, whoever ended it.
+func (f *frames) Close() error {
+	f.conn.link.mesh.forget(f.conn.link)
+	return f.conn.Close()
 }
 
 // bounded is a connection that stops at a message that is too long.
--- a/magno/wire/fuzz_test.go
+++ b/magno/wire/fuzz_test.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"io"
@@ -31,10 +30,10 @@
 
 func decodeAll(t *testing.T, data []byte) {
 	b := &bounded{Conn: &bytesConn{data: data}, link: newLink(&Mesh{}, "peer")}
-	reader := bufio.NewReader(b)
+	frames := newFrames(b)
 	for {
 		var req jsonrpc2.Request
-		if err := (codec{conn: b}).ReadObject(reader, &req); err != nil {
+		if err := frames.ReadObject(&req); err != nil {
 			return
 		}
 		if b.left < 0 {
--- a/magno/wire/link.go
+++ b/magno/wire/link.go
@@ -64,8 +64,7 @@
 // attach starts to read from conn.
 func (l *link) attach(conn net.Conn) {
 	b := &bounded{Conn: conn, link: l}
-	stream := jsonrpc2.NewBufferedStream(b, codec{conn: b})
-	l.conn = jsonrpc2.NewConn(context.Background(), stream, l, jsonrpc2.SetLogger(logger{l}))
+	l.conn = jsonrpc2.NewConn(context.Background(), newFrames(b), l, jsonrpc2.SetLogger(logger{l}))
 	close(l.ready)
 }
 
--- a/magno/wire/mesh.go
+++ b/magno/wire/mesh.go
@@ -237,10 +237,6 @@
 		m.Log.Warn("denied", "peer", l.addr)
 	}
 	l.attach(conn)
-	go func() {
-		<-l.conn.DisconnectNotify()
-		m.forget(l)
-	}()
 }
 
 // forget drops a connection that closed or must not be used again.
