relay: a stream that broke off late is awaited from its last event on

Cause: the patience of a request counted from its first attempt, 3.2 s for an aim of 0.8 s. A stream that broke off after 2.7 s therefore asked for its second engine with a patience below zero, and every engine refused it: its caller was left with half an answer.

Ruled out: the retry allowance (an entry had used 4 of 14), connections.

--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -120,15 +120,28 @@
 // ask is the request as the gate sees it.
 func (j *job) ask(now magno.Millis) gate.Ask {
 	left := j.end - now
+	due, until := j.awaited()
 	patience := left - leastRun
 	if j.route.Kind == magno.KindStream {
-		patience = min(patience, max(callersGap, aimGaps*j.route.Aim, pauseGaps*j.route.Gap)-waitSlack-(now-j.came))
+		patience = min(patience, until-waitSlack-now)
 	}
 	return gate.Ask{
 		ID:    j.Name + "/" + strconv.FormatUint(j.number.Add(1), 10) + "/" + j.id,
 		Model: j.call.Model, Adapter: j.call.Adapter, Prompt: j.call.Prompt, Output: j.call.Output, Length: j.call.Length,
 		Shared: j.call.Shared, Prefix: j.call.Prefix, Rank: j.route.Rank,
-		Aim: j.route.Aim - (now - j.came), Patience: patience, Left: left,
+		Aim: due - now, Patience: patience, Left: left,
 		Gap: j.route.Gap,
 	}
 }
+
+// awaited tells when the caller's next event is due, and when a caller of a stream
+// leaves without it. Both count from the last event that the caller got: a stream
+// that broke off after some seconds goes on elsewhere if that one takes it at once.
+// Counted from the first attempt, its time had always passed, and no engine took it.
+func (j *job) awaited() (due, until magno.Millis) {
+	gap := max(callersGap, aimGaps*j.route.Aim, pauseGaps*j.route.Gap)
+	if j.events > 0 {
+		return j.passed + j.route.Gap, j.passed + gap
+	}
+	return j.came + j.route.Aim, j.came + gap
+}
--- a/entry/relay/stream_test.go
+++ b/entry/relay/stream_test.go
@@ -114,3 +114,30 @@
 		t.Error("the retry allowance was spent on a caller that is gone")
 	}
 }
+
+// An engine crashes while it makes an answer that takes several seconds. The caller
+// has got events until now and waits for the next one for two seconds or more, so the
+// rest can still come from another engine. Its patience counted from the first
+// attempt would be over, every engine would refuse the stream, and the caller would
+// be left with half an answer.
+func TestStreamThatBrokeOffLateIsStillAwaited(t *testing.T) {
+	const now = magno.Hour
+	for _, c := range []struct {
+		name             string
+		events           int
+		passed           magno.Millis
+		wantAim, wantPat magno.Millis
+	}{
+		{"nothing came yet", 0, 0, -4200, -2300},
+		{"it made events until now", 40, now - 20, 230, 2680},
+		{"it has been silent for a while", 40, now - 1500, -1250, 1200},
+	} {
+		j := &job{
+			Relay: &Relay{}, route: &magno.Route{Kind: magno.KindStream, Aim: 800, Gap: 250},
+			came: now - 5000, end: now + 7000, events: c.events, passed: c.passed,
+		}
+		if a := j.ask(now); a.Aim != c.wantAim || a.Patience != c.wantPat {
+			t.Errorf("%s: due in %d ms, waits for %d; want %d and %d", c.name, a.Aim, a.Patience, c.wantAim, c.wantPat)
+		}
+	}
+}
