desk, route: engines that are down aren't named, and lost machines are noticed sooner

Cause: the router knew nothing of engines that crashed. Besides, agents are asked once a second in a large fleet, so it took over two seconds to notice a machine without power, against half a second in a small one; and what it had held still counted, so 317 sends lost 400 ms each.

- What an agent says of an engine that is down goes to the router, which names others.
- An agent that missed a poll, or doesn't answer a permit, is asked at the next tick.
- An engine that can't be connected to, with its agent dead, holds nothing.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -36,7 +36,10 @@
 	pollEvery = 250 * magno.Millis(1)
 	pollScale = 13
 	pollMost  = 4
-	// pollTime bounds the answer: several round trips between data centres.
+	// pollDown is the most for an engine that is down: it may be back any moment.
+	pollDown = 500 * magno.Millis(1)
+	// pollTime bounds the answer: several round trips between data centres. A permit
+	// that isn't answered within it may wait, or its machine may be gone.
 	pollTime = 300 * magno.Millis(1)
 	// deadAfter is how many polls in a row must fail until permits are no longer
 	// waited for.
@@ -80,28 +83,6 @@
 	fails *metrics.Counter
 }
 
-// seat is what is known of one agent.
-type seat struct {
-	replica *magno.Replica
-	addr    string
-	spec    *gate.Spec
-	// revision is that of the list when spec last changed.
-	revision int64
-	status   gate.StatusReply
-	heard    magno.Millis
-	used     magno.Millis
-	misses   int
-	// polling is true while a poll is under way; asked is when the last began or
-	// a permit told as much, told the revision that it was to bring.
-	polling bool
-	asked   magno.Millis
-	told    int64
-	// lost is closed once the agent counts as dead, and made anew when it
-	// answers again.
-	lost chan struct{}
-	dead bool
-}
-
 // Name implements magno.Duty.
 func (d *Desk) Name() string { return "desk" }
 
@@ -170,7 +151,7 @@
 	pause := pollEvery * magno.Millis(min(max(len(d.seats), pollScale), pollMost*pollScale)) / pollScale
 	list := make([]*seat, 0, min(len(d.seats), mostPolled))
 	for _, s := range d.seats {
-		if s.polling || s.fresh(now-pause+pollSlack) || !d.turn(s, now) {
+		if s.polling || s.fresh(now-s.pause(pause)+pollSlack) || !d.turn(s, now) {
 			continue
 		}
 		s.polling, s.asked, s.told = true, now, s.revision
@@ -179,14 +160,10 @@
 	return list
 }
 
-// fresh tells whether the agent was asked since, and has been told all that
-// changed.
-func (s *seat) fresh(since magno.Millis) bool { return s.asked > since && s.told == s.revision }
-
 // turn tells whether an agent may be asked now. Of very many, those that aren't
 // in use are asked seldom.
 func (d *Desk) turn(s *seat, now magno.Millis) bool {
-	if len(d.seats) <= mostPolled || now-s.used <= usedFor {
+	if len(d.seats) <= mostPolled || now-s.used <= usedFor || s.misses > 0 {
 		return true
 	}
 	d.next++
@@ -200,11 +177,11 @@
 	d.mu.Lock()
 	spec, revision, held := s.spec, s.revision, s.status.Held
 	d.mu.Unlock()
-	call := gate.StatusCall{Entry: d.Self, Revision: revision, Held: held}
+	call := gate.StatusCall{Revision: revision, Held: held}
 	var reply gate.StatusReply
 	err := d.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
 	if err == nil && (reply.Revision < revision || (reply.Replica != spec.Replica && reply.Revision <= revision)) {
-		call.Spec = spec
+		call.Spec, call.Entry = spec, d.Self
 		err = d.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
 	}
 	d.polls.Inc()
@@ -241,72 +218,41 @@
 	if reply.Down != s.status.Down {
 		d.Log.Info("engine", "replica", s.replica.Key(), "down", reply.Down)
 	}
-	s.misses, s.heard, s.status = 0, d.Clock.Now(), *reply
+	s.misses, s.unreached, s.heard, s.status = 0, false, d.Clock.Now(), *reply
 	key, service := s.replica.Key(), s.replica.Service
-	mine := reply.Replica == key
+	mine, b := reply.Replica == key, reply.Backlog
+	b.Down = s.down()
 	d.mu.Unlock()
 	if mine && d.Reported != nil {
-		d.Reported(service, key, reply.Backlog)
+		d.Reported(service, key, b)
 	}
 }
 
-// Permit asks that a request may begin at a replica, and waits. ErrDead means
-// that nobody decided.
-func (d *Desk) Permit(ctx context.Context, key string, ask gate.Ask) (*gate.PermitReply, error) {
+// Unreached tells that an engine couldn't be connected to. With its agent dead too
+// the machine is gone: what it held is no longer there, and nothing is sent to it
+// until its agent answers again.
+func (d *Desk) Unreached(key string) {
 	d.mu.Lock()
 	s := d.seats[key]
-	if s == nil || s.dead {
+	if s == nil || !s.dead || s.unreached {
 		d.mu.Unlock()
-		return nil, ErrDead
-	}
-	s.used = d.Clock.Now()
-	lost, addr := s.lost, s.addr
-	call := gate.PermitCall{Ask: ask, Replica: key, Held: s.status.Held}
-	if s.status.Replica != key {
-		// The agent's turn to be polled may be a second away, and after a loss
-		// of all power that is so for all agents.
-		call.Spec, call.Revision = s.spec, s.revision
+		return
 	}
+	s.unreached = true
+	service := s.replica.Service
+	d.Log.Info("engine unreached", "replica", key, "addr", s.addr)
 	d.mu.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		select {
-		case <-lost:
-			cancel()
-		case <-stop:
-		}
-	}()
-	var reply gate.PermitReply
-	err := d.Mesh.Call(ctx, addr, gate.MethodPermit, call, &reply)
-	if err != nil {
-		if !wire.NotSent(err) {
-			d.End(key, gate.EndCall{ID: ask.ID}) // it may have been let through since
-		}
-		return nil, errors.Mark(err, ErrDead)
+	if d.Reported != nil {
+		d.Reported(service, key, magno.Backlog{Down: true})
 	}
-	d.heard(s, &reply.Status, call.Held)
-	d.mu.Lock()
-	s.asked = d.Clock.Now()
-	d.mu.Unlock()
-	return &reply, nil
 }
 
-// End tells the agent that a request ended. If the word is lost, the agent
-// forgets the request at its deadline.
-func (d *Desk) End(key string, call gate.EndCall) {
+// hurry has an agent asked at the next tick that wasn't heard since.
+func (d *Desk) hurry(s *seat, since magno.Millis) {
 	d.mu.Lock()
-	s := d.seats[key]
-	d.mu.Unlock()
-	if s == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), endTime.Span())
-	defer cancel()
-	if err := d.Mesh.Notify(ctx, s.addr, gate.MethodEnd, call); err != nil {
-		d.Log.Debug("end", "replica", key, "request", call.ID, "error", err)
+	defer d.mu.Unlock()
+	if s.heard < since && !s.dead {
+		s.asked = 0
 	}
 }
 
@@ -316,7 +262,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.seats[key]
-	if s == nil || s.status.Replica != key || d.Clock.Now()-s.heard > heldFor {
+	if s == nil || s.unreached || s.status.Replica != key || d.Clock.Now()-s.heard > heldFor {
 		return false
 	}
 	hash := magno.Ref{Adapter: name}.Hash()
@@ -337,5 +283,5 @@
 	if s == nil {
 		return true
 	}
-	return !s.dead && (s.status.Down || (s.status.Born != 0 && s.status.Born != s.replica.Born))
+	return s.down()
 }
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -263,3 +263,96 @@
 	s := d.seats[key]
 	return s != nil && s.status.Replica == key
 }
+
+// fleet is a desk with so many agents that all answered a moment ago.
+func fleet(n int) (*Desk, *magno.Clock) {
+	clock := magno.NewClock(magno.Hour)
+	d := &Desk{Clock: clock, Log: slog.New(slog.DiscardHandler), seats: map[string]*seat{}}
+	for i := range n {
+		r := &magno.Replica{ID: strconv.Itoa(i), Service: "s"}
+		s := &seat{replica: r, asked: clock.Now(), heard: clock.Now(), lost: make(chan struct{})}
+		s.status.Replica = r.Key()
+		d.seats[r.Key()] = s
+	}
+	return d, clock
+}
+
+// asks tells which agents are asked at the next tick.
+func asks(d *Desk, clock *magno.Clock, key string) bool {
+	clock.Advance(pollEvery)
+	asked := false
+	for _, s := range d.due() {
+		s.polling = false
+		asked = asked || s.replica.Key() == key
+	}
+	return asked
+}
+
+// A machine of a large fleet loses power. Agents are asked about each second there,
+// and it takes two polls without an answer to tell; meanwhile callers whose requests
+// wait for its agent get nothing. The second poll must follow the first at once.
+func TestAgentThatMissesIsAskedAtOnce(t *testing.T) {
+	for _, n := range []int{4, 120, 1000} {
+		d, clock := fleet(n)
+		const key = "1@0"
+		asks(d, clock, key)
+		d.missed(d.seats[key], errors.New("no answer"))
+		if !asks(d, clock, key) {
+			t.Errorf("of %d agents, one that missed a poll isn't asked at the next tick", n)
+		}
+	}
+}
+
+// A request waits for a permit of an agent whose machine is gone. Its agent isn't
+// asked before a second has passed, and the request would wait for that.
+func TestAgentThatOwesAPermitIsAskedAtOnce(t *testing.T) {
+	d, clock := fleet(120)
+	key := "7@0"
+	sent := clock.Now() + 1
+	clock.Advance(10)
+	if asks(d, clock, key) {
+		t.Fatal("it is asked in any case")
+	}
+	d.hurry(d.seats[key], sent)
+	if !asks(d, clock, key) {
+		t.Error("an agent that doesn't answer a permit isn't asked at the next tick")
+	}
+	d.seats[key].heard = clock.Now()
+	d.hurry(d.seats[key], sent)
+	if asks(d, clock, key) {
+		t.Error("one that was heard since is asked again")
+	}
+}
+
+// A machine with an engine loses power. Its agent is silent and nothing connects to
+// the engine, but its adapters were there a moment ago, so request after request was
+// sent to it and each lost 400 ms. After the first, nobody is sent there, until its
+// agent answers again.
+func TestUnreachedEngineHoldsNothing(t *testing.T) {
+	d, clock := fleet(2)
+	key := "1@0"
+	var told []magno.Backlog
+	d.Reported = func(_, _ string, b magno.Backlog) { told = append(told, b) }
+	status := d.seats[key].status
+	status.Backlog.Warm = []uint32{magno.Ref{Adapter: "m/a"}.Hash()}
+	d.heard(d.seats[key], &status, 0)
+	d.Unreached(key)
+	if !d.Holds(key, "m/a") {
+		t.Fatal("an engine whose agent answers counts as gone")
+	}
+	for range deadAfter {
+		d.missed(d.seats[key], errors.New("no answer"))
+	}
+	if !d.Holds(key, "m/a") {
+		t.Fatal("an agent that is silent alone takes its engine away")
+	}
+	d.Unreached(key)
+	if d.Holds(key, "m/a") || !told[len(told)-1].Down {
+		t.Errorf("the engine still counts, told %+v", told)
+	}
+	clock.Advance(pollEvery)
+	d.heard(d.seats[key], &status, 0)
+	if !d.Holds(key, "m/a") || told[len(told)-1].Down {
+		t.Errorf("its agent is back, and the engine isn't, told %+v", told)
+	}
+}
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -138,6 +138,7 @@
 func (p *permits) End(string, gate.EndCall)  {}
 func (p *permits) Holds(string, string) bool { return true }
 func (p *permits) Down(string) bool          { return false }
+func (p *permits) Unreached(string)          {}
 
 // upstream answers each request on a connection with what script writes, and
 // counts requests.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -56,6 +56,8 @@
 	End(key string, call gate.EndCall)
 	Holds(key, name string) bool
 	Down(key string) bool
+	// Unreached tells that an engine couldn't be connected to.
+	Unreached(key string)
 }
 
 // Pools choose among the replicas of a service and bound sends beyond the
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -42,6 +42,9 @@
 	if err != nil {
 		j.retrying("connect", err)
 		j.avoid = append(j.avoid, key)
+		if j.service.Engine != nil && ctx.Err() == nil {
+			j.Permits.Unreached(key)
+		}
 		return j.over(ctx, resultUnsent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(deadConn, 0)) })
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -113,6 +113,9 @@
 	// Coming holds, likewise, those that are being loaded or that jobs wait
 	// for.
 	Coming []uint32 `json:"coming,omitempty"`
+	// Down is true while the upstream is known not to answer. Whoever asks for the
+	// rest finds that out, so it isn't told with it.
+	Down bool `json:"-"`
 }
 
 // Scheduler decides for one upstream: whom to serve, who waits, who is
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -126,7 +126,7 @@
 
 // add adds a candidate once; it returns whether it did.
 func (r *Route) add(q *query, p *peer, extra magno.Millis) bool {
-	if p == nil || p.leaving || slices.Contains(q.Avoid, p.name) {
+	if p == nil || !p.usable() || slices.Contains(q.Avoid, p.name) {
 		return false
 	}
 	for i := range r.list {
--- a/magno/route/home.go
+++ b/magno/route/home.go
@@ -77,7 +77,7 @@
 	holders := r.holders[q.hash]
 	homes := make([]home, 0, homeHeld+hashed)
 	add := func(p *peer) int {
-		if p == nil || p.leaving || slices.ContainsFunc(homes, func(h home) bool { return h.peer == p }) {
+		if p == nil || !p.usable() || slices.ContainsFunc(homes, func(h home) bool { return h.peer == p }) {
 			return 0
 		}
 		steps := int((r.busyAt(p) + r.waitAt(q, p)) / float64(homeStep))
--- a/magno/route/peer.go
+++ b/magno/route/peer.go
@@ -66,6 +66,10 @@
 	return math.Exp2(-float64(age) / float64(life))
 }
 
+// usable tells whether work may be sent there. A choice of upstreams that are all
+// known to be down would have the work refused beside others that are well.
+func (p *peer) usable() bool { return !p.leaving && !p.report.Down }
+
 // holds tells whether the adapter was in the last report.
 func (p *peer) holds(hash uint32) bool {
 	_, held := slices.BinarySearch(p.report.Warm, hash)
--- a/magno/route/route_test.go
+++ b/magno/route/route_test.go
@@ -313,3 +313,26 @@
 		t.Errorf("an only target is worth %d ms, want any", c.Most)
 	}
 }
+
+// An engine crashes and its agent says so. Named among the few that a request may
+// ask, it would take the place of one that is well, and requests were refused since
+// all that they asked were down.
+func TestTargetThatIsDownIsNotNamed(t *testing.T) {
+	r := &Route{Clock: magno.NewClock(magno.Hour)}
+	var targets []magno.Target
+	for i := range 20 {
+		targets = append(targets, magno.Target{Name: fmt.Sprint("t", i)})
+	}
+	r.Update(targets)
+	q := magno.Query{Ref: magno.Ref{Adapter: "m/a"}}
+	home := r.Route(q)[0]
+	r.Report(home, magno.Backlog{Warm: []uint32{q.Ref.Hash()}, Down: true})
+	names := r.Route(q)
+	if slices.Contains(names, home) || len(names) == 0 {
+		t.Errorf("named %v while %s is down", names, home)
+	}
+	r.Report(home, magno.Backlog{Warm: []uint32{q.Ref.Hash()}})
+	if names := r.Route(q); names[0] != home {
+		t.Errorf("named %v, and %s is back with the adapter", names, home)
+	}
+}
