route: further replicas of a hot adapter by doubling; targets without their base model don't count

Cause: demand moves to another adapter a few times a minute at this size, 88 requests a second from one moment on, which need a dozen engines. By the lines of requests its replicas came one after the other, one each 250 to 300 ms, for all entries took the same next one, and each was full as soon as it was there: of 352 requests for the adapter that became hot at second 21, 145 came late. And from 21.5 to 23.2 s none came at all while its callers waited for one to two seconds: both candidates were engines that had just joined and loaded their base model.

Ruled out: loads that are slow (0 ms of the wait), engines without places (775 of 1,440 in use).

drive/scene plays such a fleet now: many entries that hear of each engine once a second, engines of 12 places, engines that join, engines that decline.

--- a/drive/scene/engine.go
+++ b/drive/scene/engine.go
@@ -10,6 +10,11 @@
 // step lets an engine work and its agent decide.
 func (s *Scene) step(i int, e *engine) {
 	now := s.clock.Now()
+	if at, ok := s.Join[i]; ok && e.lost && now >= start+at {
+		delete(s.Join, i)
+		e.lost, e.ready = false, 0
+		s.list()
+	}
 	if e.lost {
 		return
 	}
@@ -35,7 +40,7 @@
 	for _, c := range e.gate.Commands() {
 		e.gate.Ordered(c, s.obey(e, c, now), now)
 	}
-	if (now+magno.Millis(i)*tick)%tellEvery < tick {
+	if (now+magno.Millis(i)*tick)%s.Shape.Tell < tick {
 		for _, r := range s.routers {
 			r.Report(e.name, e.gate.Backlog())
 		}
@@ -75,15 +80,7 @@
 // lose takes an engine away: what ran there fails, what waited goes elsewhere.
 func (s *Scene) lose(e *engine) {
 	e.lost = true
-	var targets []magno.Target
-	for _, other := range s.engines {
-		if !other.lost {
-			targets = append(targets, magno.Target{Name: other.name, DataCentre: "x"})
-		}
-	}
-	for _, r := range s.routers {
-		r.Update(targets)
-	}
+	s.list()
 	for _, id := range s.ids() {
 		f := s.flights[id]
 		if f.at != e.name {
@@ -133,7 +130,7 @@
 		e.loading[c.Adapter] = now + load/10
 	default:
 		s.loads++
-		e.loading[c.Adapter] = now + load*magno.Millis(max(s.coming(), freely))/freely
+		e.loading[c.Adapter] = now + load*magno.Millis(max(s.coming(), s.Shape.Freely))/magno.Millis(s.Shape.Freely)
 	}
 	e.orders++
 	return magno.OrderAccepted
--- a/drive/scene/scene.go
+++ b/drive/scene/scene.go
@@ -49,8 +49,10 @@
 	// entry asks an agent that it has no fresher word of.
 	reportEvery = 30 * magno.Millis(1)
 	tellEvery   = 250 * magno.Millis(1)
-	// choices is how many engines a request is offered to.
-	choices = 3
+	// choices is how many engines a request is offered to, declines how many of
+	// them may say that another is better by now.
+	choices  = 3
+	declines = 2
 	// lateLeft is what must be left of a request to be worth beginning.
 	lateLeft = 200 * magno.Millis(1)
 	model    = "m"
@@ -64,6 +66,8 @@
 	Adapter string
 	Prompt  int
 	Output  int
+	// Hint is the caller's estimate of Output, zero for none.
+	Hint int
 	// Rank is its urgency, 0 first; Aim the time to its first token, Limit that
 	// to its end.
 	Rank       int
@@ -79,14 +83,27 @@
 	Loads int
 }
 
+// Shape is what differs between fleets; zero values mean the constants above.
+type Shape struct {
+	// Slots and Batch bound what an engine holds and runs.
+	Slots, Batch int
+	// Tell is how often an entry asks an agent that it has no fresher word of.
+	Tell magno.Millis
+	// Freely is how many adapters the store loads at once before each takes longer.
+	Freely int
+}
+
 // Scene is what is played. Fields are set before Play.
 type Scene struct {
 	Seed             uint64
 	Entries, Engines int
+	Shape            Shape
 	Asks             []Ask
 	// Lose engines at a time, Grey ones fail so large a share of what they run.
 	Lose map[int]magno.Millis
 	Grey map[int]float64
+	// Join are engines that come at a time, empty and without their base model.
+	Join map[int]magno.Millis
 	// Cold engines begin without their base model.
 	Cold bool
 	// Count tells which asks count; nil for all.
@@ -175,8 +192,8 @@
 	if s.Tuning == (route.Tuning{}) {
 		s.Tuning = route.Permitted()
 	}
+	s.Shape.fill()
 	slices.SortStableFunc(s.Asks, func(a, b Ask) int { return int(a.At - b.At) })
-	var targets []magno.Target
 	for i := range s.Engines {
 		e := &engine{
 			name: fmt.Sprintf("e%d@1", i), gate: &gate.Gate{Clock: s.clock}, born: 1, ready: start,
@@ -187,15 +204,43 @@
 		}
 		e.gate.Specify(gate.Spec{Replica: e.name, ID: e.name, Engine: magno.Engine{
 			Models: []magno.Model{{Name: model, Size: 66_000, Adapter: 12, Load: base, Disk: base / 2}},
-			Slots:  slots, Memory: memory, Tokens: tokens, Batch: batch, Stride: stride,
+			Slots:  s.Shape.Slots, Memory: memory, Tokens: tokens, Batch: s.Shape.Batch, Stride: stride,
 		}})
+		_, joins := s.Join[i]
+		e.lost = joins
 		s.engines = append(s.engines, e)
-		targets = append(targets, magno.Target{Name: e.name, DataCentre: "x"})
 	}
 	for i := range s.Entries {
-		r := &route.Route{Clock: s.clock, Seed: s.Seed + uint64(i), DataCentre: "x", Tuning: s.Tuning}
+		s.routers = append(s.routers, &route.Route{Clock: s.clock, Seed: s.Seed + uint64(i), DataCentre: "x", Tuning: s.Tuning})
+	}
+	s.list()
+}
+
+// list tells all entries which engines there are.
+func (s *Scene) list() {
+	var targets []magno.Target
+	for _, e := range s.engines {
+		if !e.lost {
+			targets = append(targets, magno.Target{Name: e.name, DataCentre: "x"})
+		}
+	}
+	for _, r := range s.routers {
 		r.Update(targets)
-		s.routers = append(s.routers, r)
+	}
+}
+
+func (s *Shape) fill() {
+	if s.Slots == 0 {
+		s.Slots = slots
+	}
+	if s.Batch == 0 {
+		s.Batch = batch
+	}
+	if s.Tell == 0 {
+		s.Tell = tellEvery
+	}
+	if s.Freely == 0 {
+		s.Freely = freely
 	}
 }
 
@@ -214,23 +259,25 @@
 	s.offer(f)
 }
 
-// offer asks the agents of the best engines in turn.
+// offer asks the agents of the best engines in turn. The first may say that another
+// is better by now.
 func (s *Scene) offer(f *flight) {
 	router := s.routers[f.Entry]
-	ref := magno.Ref{Adapter: gate.Name(model, f.Adapter)}
-	names := router.Route(magno.Query{Ref: ref, Avoid: f.avoid})
-	for _, name := range names[:min(len(names), choices)] {
+	q := magno.Query{Ref: magno.Ref{Adapter: gate.Name(model, f.Adapter)}, Avoid: f.avoid}
+	choice := router.Choose(q)
+	for range declines {
+		if !s.declined(f, choice) {
+			break
+		}
+		choice = router.Choose(q)
+	}
+	for _, name := range choice.Names[:min(len(choice.Names), choices)] {
 		e := s.engine(name)
 		if e.lost {
 			continue
 		}
-		now := s.clock.Now()
-		left := f.began + f.Limit - now
 		router.Sent(name, f.Prompt)
-		if e.gate.Offer(gate.Ask{
-			ID: f.id, Model: model, Adapter: f.Adapter, Prompt: f.Prompt, Output: f.Output, Rank: f.Rank,
-			Aim: f.Aim - (now - f.began), Patience: left - lateLeft, Left: left, Gap: gap,
-		}) == nil {
+		if e.gate.Offer(s.ask(f)) == nil {
 			f.at = name
 			return
 		}
@@ -239,6 +286,32 @@
 	s.refused(f)
 }
 
+// declined asks the first of a choice, and brings its word to the router if it says
+// that another is better.
+func (s *Scene) declined(f *flight, choice magno.Choice) bool {
+	if len(choice.Names) == 0 {
+		return false
+	}
+	e := s.engine(choice.Names[0])
+	a := s.ask(f)
+	a.Most = choice.Most
+	if e.lost || !e.gate.Declines(&a) {
+		return false
+	}
+	s.routers[f.Entry].Report(e.name, e.gate.Backlog())
+	return true
+}
+
+// ask is a flight as a gate sees it.
+func (s *Scene) ask(f *flight) gate.Ask {
+	now := s.clock.Now()
+	left := f.began + f.Limit - now
+	return gate.Ask{
+		ID: f.id, Model: model, Adapter: f.Adapter, Prompt: f.Prompt, Output: f.Output, Length: f.Hint, Rank: f.Rank,
+		Aim: f.Aim - (now - f.began), Patience: left - lateLeft, Left: left, Gap: gap,
+	}
+}
+
 // refused ends a flight, or has a stubborn caller come back.
 func (s *Scene) refused(f *flight) {
 	f.at, f.avoid = "", nil
--- /dev/null
+++ b/drive/scene/wide_test.go
@@ -0,0 +1,71 @@
+package scene
+
+import (
+	"testing"
+
+	"magnoliastall.example/magno"
+)
+
+// A fleet as at a site of hundreds of machines, at a quarter of its size: many
+// entries that hear of each engine once a second, and engines of few places.
+const (
+	wideEntries = 17
+	wideEngines = 30
+	wideSeeds   = 3
+	wideSpan    = 7 * magno.Second
+	// wideRate is 60 in 100 of what the engines' places hold.
+	wideRate = 140
+)
+
+var wideShape = Shape{Slots: 11, Batch: 12, Tell: magno.Second, Freely: 14}
+
+// wide plays a scene of the wide fleet with each seed.
+func wide(scene func(seed uint64) *Scene) Result {
+	var sum Result
+	for seed := uint64(1); seed <= wideSeeds; seed++ {
+		s := scene(seed)
+		s.Seed, s.Entries, s.Engines, s.Shape = seed, wideEntries, wideEngines, wideShape
+		r := s.Play()
+		sum.InAim += r.InAim / wideSeeds
+		sum.Late += r.Late / wideSeeds
+		sum.Refused += r.Refused / wideSeeds
+		sum.Failed += r.Failed / wideSeeds
+		sum.Loads += r.Loads
+	}
+	return sum
+}
+
+// shift is traffic in which one adapter that nobody held takes a quarter of all from
+// one moment on.
+func shift(seed uint64) []Ask {
+	const hot = wideRate / 4 * 4
+	list := Burst(seed, Reading, hot, 2500, 4000, named("hot"))
+	for i := range list {
+		list[i].Entry = i % wideEntries
+	}
+	return append(Wide(seed, wideSpan, wideRate, wideEntries), list...)
+}
+
+// Demand moves to another adapter within a moment, as it does a few times a minute at
+// a large site. One replica holds up its callers for as long as it takes to get a
+// dozen: nine of ten must be in time all the same, also while new engines come that
+// have no base model yet.
+func TestAdapterThatBecomesHotInAWideFleet(t *testing.T) {
+	const inTime = 0.9
+	hot := func(a Ask) bool { return a.Adapter == "hot" }
+	for _, c := range []struct {
+		name  string
+		joins int
+	}{{"all engines there", 0}, {"engines join just before", 8}} {
+		r := wide(func(seed uint64) *Scene {
+			join := map[int]magno.Millis{}
+			for i := range c.joins {
+				join[i] = 2300
+			}
+			return &Scene{Asks: shift(seed), Join: join, Count: hot}
+		})
+		if r.InAim < inTime {
+			t.Errorf("%s: %+v, want %.2f in time", c.name, r, inTime)
+		}
+	}
+}
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -53,6 +53,7 @@
 		Queued: len(g.queue), Running: g.running(), Held: len(g.held.adapters),
 		Wait:     max(g.pace.wait(queued, now), g.placeWait()),
 		LoadWait: next,
+		BaseWait: g.held.baseWait(),
 		Warm:     g.held.warm(),
 		Kept:     g.held.kept(),
 		KeptWait: next - g.held.cold() + g.held.warmLoad(),
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -103,6 +103,8 @@
 	// expected wait of one more.
 	Loads    int    `json:"loads,omitempty"`
 	LoadWait Millis `json:"loadwait,omitempty"`
+	// BaseWait is how long until a base model is there, zero where one is.
+	BaseWait Millis `json:"basewait,omitempty"`
 	// Warm holds Ref.Hash of each loaded adapter in ascending order; a slice
 	// that was handed out is never changed.
 	Warm []uint32 `json:"warm,omitempty"`
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -109,16 +109,37 @@
 	}
 }
 
-// addHashed adds the adapter's hash candidates. When the query avoids some,
-// as many more are looked at.
+// addHashed adds the adapter's hash candidates among the targets that don't hold
+// it. When the query avoids some, as many more are looked at, and those without
+// their base model don't count: they take seconds to load it, and a request that
+// knew only of such would wait at a full holder beside idle targets.
+//
+// Load pattern: one adapter becomes hot within a second, and needs a dozen replicas.
+// If all entries took the same next one, replicas would come one after the other, and
+// each would be full as soon as its load ends. So the candidates begin at one of as
+// many as there are replicas: their number doubles with each load, and an adapter
+// with one replica or none still has the same home for all.
 func (r *Route) addHashed(q *query) {
-	key, found := uint64(q.hash), 0
-	for nth := 0; nth < reach+2*len(q.Avoid) && found < hashed+len(q.Avoid); nth++ {
-		p := r.ring.find(key, nth)
-		if p != nil && p.holds(q.hash) {
+	skip, found, extra := 0, 0, magno.Millis(0)
+	if n := len(r.holders[q.hash]); n > 1 {
+		skip = r.rand.IntN(n)
+	}
+	most := hashed + len(q.Avoid)
+	for nth := 0; nth < reach+2*len(q.Avoid) && found < most; nth++ {
+		p := r.ring.find(uint64(q.hash), nth)
+		if p == nil || p.holds(q.hash) {
 			continue
 		}
-		if r.add(q, p, magno.Millis(found)*r.Tuning.Order) {
+		ready := p.report.BaseWait == 0
+		if ready && skip > 0 {
+			skip--
+			continue
+		}
+		if !r.add(q, p, extra) {
+			continue
+		}
+		extra += r.Tuning.Order
+		if ready {
 			found++
 		}
 	}
--- a/magno/route/route.go
+++ b/magno/route/route.go
@@ -46,9 +46,8 @@
 	// than that at the second: about the exchange that finds out.
 	mostSlack = 10 * magno.Millis(1)
 	// reach is how far the hash candidates are looked for past those that hold
-	// the adapter already. With 8 an adapter had at most seven replicas, however
-	// many callers asked for it.
-	reach = 32
+	// the adapter already: it bounds the replicas of a hot one to about half of it.
+	reach = 64
 )
 
 // Tuning holds what measurements set; zero values mean the defaults.
--- a/magno/route/route_test.go
+++ b/magno/route/route_test.go
@@ -336,3 +336,43 @@
 		t.Errorf("named %v, and %s is back with the adapter", names, home)
 	}
 }
+
+// Engines join a fleet without their base model, and an adapter's next homes are
+// among them. They take seconds to load it. If they counted as candidates, its
+// requests would go on waiting at a full holder beside idle engines.
+func TestTargetsWithoutBaseModelDoNotCount(t *testing.T) {
+	r := &Route{Clock: magno.NewClock(magno.Hour)}
+	targets := fleet(20)
+	r.Update(targets)
+	q := magno.Query{Ref: magno.Ref{Adapter: "m/a"}}
+	empty := r.Route(q)[:hashed]
+	for _, name := range empty {
+		r.Report(name, magno.Backlog{BaseWait: 3000, LoadWait: 3250})
+	}
+	names := r.Route(q)
+	if len(names) < 2*hashed || slices.Contains(empty, names[0]) || slices.Contains(empty, names[1]) {
+		t.Errorf("named %v while %v load their base model", names, empty)
+	}
+}
+
+// An adapter becomes hot. Its holders are full, and all entries look for the next
+// one within the same moment. With several holders they must not all find the same,
+// or its replicas come one after the other, each full as soon as it is there; with
+// one, they must, or a rare adapter is loaded twice.
+func TestReplicasOfAHotAdapterDouble(t *testing.T) {
+	q := magno.Query{Ref: magno.Ref{Adapter: "m/a"}}
+	for _, c := range []struct{ holders, least, most int }{{0, 1, 1}, {1, 1, 1}, {4, 3, 4}, {12, 8, 12}} {
+		next := map[string]bool{}
+		for seed := range uint64(60) {
+			r := &Route{Clock: magno.NewClock(magno.Hour), Seed: seed}
+			r.Update(fleet(60))
+			for i := range c.holders {
+				r.Report(fmt.Sprint("u", i), magno.Backlog{Warm: []uint32{q.Ref.Hash()}, Wait: magno.Minute})
+			}
+			next[r.Route(q)[0]] = true
+		}
+		if len(next) < c.least || len(next) > c.most {
+			t.Errorf("%d holders: %d different next ones, want %d to %d", c.holders, len(next), c.least, c.most)
+		}
+	}
+}
