gate: a place costs more as an engine fills

Cause: a further replica was made only once the wait at the holders was longer than a load by 50 ms, that is with two or three requests waiting at each.

--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -130,7 +130,7 @@
 // first, that engine says so within a round trip, and its word is fresh.
 func (g *Gate) Declines(a *Ask) bool {
 	g.setup()
-	return a.Most > 0 && g.spec.Replica != "" && !g.spec.Leaving && g.expect(a, g.now()) > a.Most
+	return a.Most > 0 && g.spec.Replica != "" && !g.spec.Leaving && g.expect(a, g.now())+g.congestion() > a.Most
 }
 
 // Offer takes a request into the queue, or refuses it at once when its wait is
--- a/magno/gate/loads.go
+++ b/magno/gate/loads.go
@@ -78,6 +78,14 @@
 	return magno.Millis(s.coldTime)
 }
 
+// idleLoad is the time of a load from the store while it isn't busy.
+func (s *shelf) idleLoad() magno.Millis {
+	if s.width.best == 0 {
+		return magno.Millis(priorCold)
+	}
+	return s.width.best
+}
+
 // warmLoad is the time of a load from the engine's own memory.
 func (s *shelf) warmLoad() magno.Millis {
 	if s.warmTime == 0 {
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -39,6 +39,22 @@
 	return magno.Millis(g.run * float64(over+1) / float64(batch))
 }
 
+// congestionPower is how steeply an engine gets dearer as its places fill: half full it is
+// hardly dearer than an idle one.
+const congestionPower = 4
+
+// congestion is what one more request costs those that come after it.
+//
+// Load pattern: a few adapters take a large part of all requests. The engines that
+// hold them fill before a wait shows there, and then whatever else they hold waits as
+// well, beside engines with free places. The last place of an engine costs as much as
+// a load from an idle store, so that a hot adapter gets a further replica before its
+// engines are full. A busy store makes replicas dearer, and places not.
+func (g *Gate) congestion() magno.Millis {
+	part := float64(g.running()+len(g.queue)) / float64(max(g.spec.Engine.Batch, 1))
+	return magno.Millis(float64(g.held.idleLoad()) * math.Pow(min(part, 1), congestionPower))
+}
+
 // Backlog describes the state for whoever chooses among engines.
 func (g *Gate) Backlog() magno.Backlog {
 	g.setup()
@@ -51,7 +67,7 @@
 	next := g.forecast(now).next
 	return magno.Backlog{
 		Queued: len(g.queue), Running: g.running(), Held: len(g.held.adapters),
-		Wait:     max(g.pace.wait(queued, now), g.placeWait()),
+		Wait:     max(g.pace.wait(queued, now), g.placeWait()) + g.congestion(),
 		LoadWait: next,
 		BaseWait: g.held.baseWait(),
 		Warm:     g.held.warm(),
