--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PORT ?= 7000
 DEPLOY ?= delta
 
-.PHONY: all build test race lint fmt demo chaos up down soak soaksite clean tools capacity
+.PHONY: all build test race lint fmt demo chaos up down soak soaksite clean tools
 
 all: build test
 
@@ -64,7 +64,3 @@
 
 down:
 	@demo/down out/up
-
-# The slopes of docs/CAPACITY.md, all or those named in MEASURES.
-capacity:
-	@go build -o $(BIN)/drive ./drive && $(BIN)/drive capacity $(MEASURES)
--- a/drive/main.go
+++ b/drive/main.go
@@ -3,7 +3,6 @@
 //	drive sim     decision modules between fakes, driven clock
 //	drive live    live processes over HTTP
 //	drive layout  writes the settings of a deployment on this machine
-//	drive capacity  slopes for docs/CAPACITY.md
 //	drive soak    real programs on a platform's stand-ins, with faults from outside
 package main
 
@@ -13,7 +12,6 @@
 	"os"
 	"os/signal"
 
-	"magnoliastall.example/drive/capac"
 	"magnoliastall.example/magno/setup"
 )
 
@@ -26,7 +24,7 @@
 
 func run(ctx context.Context, args []string) int {
 	if len(args) == 0 {
-		fmt.Fprintln(os.Stderr, "usage: drive sim|live|layout|capacity|soak [flags]; -help lists them")
+		fmt.Fprintln(os.Stderr, "usage: drive sim|live|layout|soak [flags]; -help lists them")
 		return setup.ExitUsage
 	}
 	switch args[0] {
@@ -34,8 +32,6 @@
 		return runSim(ctx, args[1:])
 	case "live":
 		return runLive(ctx, args[1:])
-	case "capacity":
-		return capac.Run(ctx, args[1:])
 	case "soak":
 		return runSoak(args[1:])
 	case "layout":
