--- a/drive/scene/scene_test.go
+++ b/drive/scene/scene_test.go
@@ -17,15 +17,25 @@
 
 // mean plays a scene with each seed.
 func mean(scene func(seed uint64) *Scene) Result {
+	return over(seeds, func(seed uint64) *Scene {
+		s := scene(seed)
+		s.Entries, s.Engines = entries, engines
+		return s
+	})
+}
+
+// over plays a scene with so many seeds; loads are summed up, shares are the mean.
+func over(seeds int, scene func(seed uint64) *Scene) Result {
 	var sum Result
-	for seed := uint64(1); seed <= seeds; seed++ {
+	n := float64(seeds)
+	for seed := uint64(1); seed <= uint64(seeds); seed++ {
 		s := scene(seed)
-		s.Seed, s.Entries, s.Engines = seed, entries, engines
+		s.Seed = seed
 		r := s.Play()
-		sum.InAim += r.InAim / seeds
-		sum.Late += r.Late / seeds
-		sum.Refused += r.Refused / seeds
-		sum.Failed += r.Failed / seeds
+		sum.InAim += r.InAim / n
+		sum.Late += r.Late / n
+		sum.Refused += r.Refused / n
+		sum.Failed += r.Failed / n
 		sum.Loads += r.Loads
 	}
 	return sum
--- a/drive/scene/wide_test.go
+++ b/drive/scene/wide_test.go
@@ -19,26 +19,10 @@
 
 var wideShape = Shape{Slots: 11, Batch: 12, Tell: magno.Second, Freely: 14}
 
-// wide plays a scene of the wide fleet with each seed.
-func wide(scene func(seed uint64) *Scene) Result {
-	var sum Result
-	for seed := uint64(1); seed <= wideSeeds; seed++ {
-		s := scene(seed)
-		s.Seed, s.Entries, s.Engines, s.Shape = seed, wideEntries, wideEngines, wideShape
-		r := s.Play()
-		sum.InAim += r.InAim / wideSeeds
-		sum.Late += r.Late / wideSeeds
-		sum.Refused += r.Refused / wideSeeds
-		sum.Failed += r.Failed / wideSeeds
-		sum.Loads += r.Loads
-	}
-	return sum
-}
-
 // shift is traffic in which one adapter that nobody held takes a quarter of all from
 // one moment on.
 func shift(seed uint64) []Ask {
-	const hot = wideRate / 4 * 4
+	const hot = wideRate / 4 * 4 // a quarter of the rate for four seconds
 	list := Burst(seed, Reading, hot, 2500, 4000, named("hot"))
 	for i := range list {
 		list[i].Entry = i % wideEntries
@@ -57,12 +41,15 @@
 		name  string
 		joins int
 	}{{"all engines there", 0}, {"engines join just before", 8}} {
-		r := wide(func(seed uint64) *Scene {
+		r := over(wideSeeds, func(seed uint64) *Scene {
 			join := map[int]magno.Millis{}
 			for i := range c.joins {
 				join[i] = 2300
 			}
-			return &Scene{Asks: shift(seed), Join: join, Count: hot}
+			return &Scene{
+				Entries: wideEntries, Engines: wideEngines, Shape: wideShape,
+				Asks: shift(seed), Join: join, Count: hot,
+			}
 		})
 		if r.InAim < inTime {
 			t.Errorf("%s: %+v, want %.2f in time", c.name, r, inTime)
