start: the collector runs at 20 in 100 of the live heap

Cause: heaps of both programs are a few megabytes, so collecting twice as often costs little, and memory at its peak is dear.

--- a/magno/start/site.go
+++ b/magno/start/site.go
@@ -20,8 +20,9 @@
 	// names it too.
 	MetricsPort = 9464
 	// collect is the garbage collector's target, in percent of the live heap:
-	// memory costs more on the platform than the processor time that it saves.
-	collect = 50
+	// memory costs more on the platform than the processor time that it saves, and live
+	// heaps are a few megabytes.
+	collect = 20
 	// memoryPart is the part of the memory limit from which on the collector
 	// works harder instead of letting the process be killed.
 	memoryPart = 0.8
