peers: entries step in one after the other, a storm is told once

- Who isn't a reader steps in later by its place in the order of readers, 40 ms each.
- Of several changes of a key in one answer the last sound one is told and taken.
- A message to all is encoded once.

Ruled out: strain (no word of it in that process's log), the herd of new processes (all who pushed had started before).

Hellos say the data centre, for the next change.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"slices"
 	"sync"
@@ -33,8 +34,8 @@
 
 const (
 	// helloEvery is how often each peer is asked; helloTime bounds its answer.
-	// With more than helloScale peers the pause grows with their number: each of
-	// 29 entries would send 70 hellos a second and answer as many.
+	// With more than helloScale peers the pause grows with their number, so that
+	// the hellos of one entry don't.
 	helloEvery = 400 * magno.Millis(1)
 	helloTime  = 350 * magno.Millis(1)
 	helloScale = 6
@@ -47,13 +48,17 @@
 	Readers = 2
 	// staleAge is the age from which a process reads by itself, whoever should.
 	staleAge = 2500 * magno.Millis(1)
+	// stepIn is how much later each next one does, in the order of readers: about the
+	// time to read and to tell all others. stepMost bounds it.
+	stepIn   = 40 * magno.Millis(1)
+	stepMost = magno.Second
 	// seenFor is how long a peer that was alive still counts among those that
 	// share the retry allowance: it may only be cut off from here.
 	seenFor = 30 * magno.Second
-	// suspectsFor is how long word of a suspect is repeated in hellos, several
-	// times as long as the pause between two with 30 entries. mostSuspects bounds
-	// them in one: a crash makes suspects of all that ran there, and with the
-	// whole list in each hello a few crashes filled the links of small machines.
+	// suspectsFor is how long word of a suspect is repeated in hellos: more than the
+	// pause between two in a large fleet. mostSuspects bounds them in one: a crash
+	// makes suspects of all that ran there, and with the whole list in each hello a
+	// few crashes fill the links of small machines.
 	suspectsFor  = 10 * magno.Second
 	mostSuspects = 64
 	// tryEvery is how often an entry that the list refuses tries again while
@@ -77,6 +82,8 @@
 	Age      magno.Millis `json:"age"`
 	// Able is true while the platform's list answers it.
 	Able bool `json:"able"`
+	// DataCentre is where it runs.
+	DataCentre string `json:"dc,omitempty"`
 	// Link is its machine's bandwidth in megabits a second.
 	Link float64 `json:"link,omitempty"`
 	// Crowd stands for the addresses of all entries that are alive to it, its
@@ -105,6 +112,7 @@
 	// machine in megabits a second.
 	Self, Addr string
 	Link       float64
+	DataCentre string
 	Seeds      []string
 	Mesh       *wire.Mesh
 	Book       *view.Book
@@ -242,7 +250,7 @@
 func (p *Peers) self(theirs uint64) Hello {
 	snap := p.Book.Now()
 	h := Hello{
-		Name: p.Self, Addr: p.Addr, Link: p.Link, Revision: snap.Revision, Age: p.Book.Age(),
+		Name: p.Self, Addr: p.Addr, Link: p.Link, DataCentre: p.DataCentre, Revision: snap.Revision, Age: p.Book.Age(),
 		Suspects: p.Suspects.Since(p.Suspects.Clock.Now()-suspectsFor, mostSuspects),
 	}
 	p.mu.Lock()
@@ -329,13 +337,18 @@
 		}
 	}
 	p.mu.Unlock()
+	encoded, err := json.Marshal(News{n, p.Addr}) // once for all
+	if err != nil {
+		p.Log.Error("news", "rev", n.Revision, "error", err)
+		return
+	}
 	for _, addr := range addrs {
 		working.Add(1)
 		go func() {
 			defer working.Done()
 			ctx, cancel := context.WithTimeout(ctx, newsTime.Span())
 			defer cancel()
-			if err := p.Mesh.Notify(ctx, addr, MethodNews, News{n, p.Addr}); err != nil {
+			if err := p.Mesh.Notify(ctx, addr, MethodNews, json.RawMessage(encoded)); err != nil {
 				p.Log.Info("news", "addr", addr, "rev", n.Revision, "error", err)
 			}
 		}()
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -262,3 +262,39 @@
 		t.Error("the other one is silent, and nobody asks it")
 	}
 }
+
+// Both readers of a large fleet are lost, and all others know nothing new from the same
+// moment on. Were each to read and tell all others, what they tell would be the square
+// of their number, and small machines sent requests on long after their callers had
+// left. They step in one after the other, those with the widest links first.
+func TestEntriesStepInOneAfterTheOther(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	place := func(before int) *Peers {
+		p := &Peers{
+			Self: "self", Addr: "10.0.0.1:7", Link: 20, Mesh: &wire.Mesh{}, Book: &view.Book{Clock: clock},
+			Suspects: &crash.Suspects{Clock: clock}, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		}
+		p.Open()
+		for i := range before {
+			addr := fmt.Sprintf("10.0.1.%d:7", i)
+			p.learn([]string{addr})
+			p.heard(&Hello{Name: addr, Addr: addr, Able: true, Link: 200})
+		}
+		return p
+	}
+	for _, c := range []struct {
+		before int
+		after  magno.Millis
+	}{{0, 0}, {1, 0}, {2, staleAge}, {3, staleAge + stepIn}, {12, staleAge + 10*stepIn}, {60, staleAge + stepMost}} {
+		p := place(c.before)
+		p.Book.Read([]magno.Change{plan(1, 1)}, 1, false)
+		clock.Advance(c.after)
+		if first := c.before < Readers; p.Mine() != first {
+			t.Errorf("with %d before it, it reads after %d ms", c.before, c.after)
+		}
+		clock.Advance(1)
+		if !p.Mine() {
+			t.Errorf("with %d before it, it doesn't read after %d ms", c.before, c.after+1)
+		}
+	}
+}
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -4,6 +4,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"magnoliastall.example/magno"
 )
 
 // Able notes whether the list answers this process.
@@ -19,12 +21,23 @@
 // Mine tells whether this process is to read the list: it is among the first
 // in an order that all compute alike, of those that the list answers, or nobody
 // has told it anything for too long.
+//
+// Load pattern: the readers are lost, or the list turns them away, and all others
+// notice within the same tenth of a second. Were all of them to read and to tell all
+// others, a fleet of n entries would send n times n times the configuration, and fill
+// the links of small machines while callers' requests wait behind it. So they step in
+// one after the other, and the first tells the rest.
 func (p *Peers) Mine() bool {
-	if p.Book.Now().Plan == nil || p.Book.Age() > staleAge {
+	if p.Book.Now().Plan == nil {
 		return true
 	}
+	age := p.Book.Age()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.before()
+	if age > staleAge+min(stepIn*magno.Millis(max(before-Readers, 0)), stepMost) {
+		return true
+	}
 	if !p.able {
 		// Somebody else reads; whether the list answers again is tried seldom.
 		if p.Clock.Now()-p.unable < tryEvery {
@@ -33,20 +46,24 @@
 		p.unable = p.Clock.Now()
 		return true
 	}
-	before, mine := 0, Hello{Name: p.Self, Link: p.Link}
+	return before < Readers
+}
+
+// before counts the entries that are to read the list rather than this one. The
+// caller holds mu.
+func (p *Peers) before() int {
+	n, mine := 0, Hello{Name: p.Self, Link: p.Link}
 	for _, k := range p.known {
 		if k.alive && k.hello.Able && over(&k.hello, &mine) {
-			before++
+			n++
 		}
 	}
-	return before < Readers
+	return n
 }
 
 // over orders entries by the bandwidth of their machines, then by hash. A reader
-// tells each change to all others: of 29 entries, one with 10 megabits a second
-// told a configuration of 70 routes twice a second, its callers' requests waited
-// behind that for over a second, and nine were sent on after their callers had
-// left.
+// tells each change to all others: with a narrow link, its callers' requests wait
+// behind that, and are sent on after their callers have left.
 func over(a, b *Hello) bool {
 	if a.Link != b.Link {
 		return a.Link > b.Link
@@ -71,3 +88,16 @@
 	}
 	return max(n, len(p.Seeds))
 }
+
+// Mates lists the addresses of the other entries of this data centre that are alive.
+func (p *Peers) Mates() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for addr, k := range p.known {
+		if k.alive && k.hello.DataCentre == p.DataCentre {
+			list = append(list, addr)
+		}
+	}
+	return list
+}
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -162,22 +162,42 @@
 	return news
 }
 
-// telling leaves out of the list's changes what repeats. Of 10,000 upstreams that
-// load an adapter every few seconds, the entries alone would be 150 KB/s to each
-// process.
+// telling leaves out of the list's changes what repeats, and what a later one of them
+// replaces. Of 10,000 upstreams that load an adapter every few seconds, the entries
+// alone would be 150 KB/s to each process; and of a storm of configurations each would
+// go to each process, where only the last is of use.
 func (b *Book) telling(changes []magno.Change) []magno.Change {
-	var told []magno.Change
+	last := map[string]int{}
 	changed := map[string]bool{}
 	for i := range changes {
 		c := &changes[i]
-		if changed[c.Key] || !repeats(b.items[c.Key], c) {
+		if c.Fault == "" {
+			last[c.Key] = i
+		}
+		if !repeats(b.items[c.Key], c) {
 			changed[c.Key] = true
-			told = append(told, *c)
 		}
 	}
+	var told []magno.Change
+	for i := range changes {
+		c := &changes[i]
+		if at, ok := last[c.Key]; !changed[c.Key] || (ok && i < at && replaces(&changes[at], c)) {
+			continue
+		}
+		told = append(told, *c)
+	}
 	return told
 }
 
+// replaces tells whether a later change of the same key leaves nothing of c. One
+// that is faulty doesn't, nor does an older configuration.
+func replaces(later, c *magno.Change) bool {
+	if later.Plan != nil && c.Plan != nil {
+		return later.Plan.Version >= c.Plan.Version
+	}
+	return later.Fault == ""
+}
+
 // Heard takes news of a peer. News that begin after what this process knows are
 // left; it then asks for all that it lacks, and so never knows a later change
 // without the ones before.
--- a/magno/view/view_test.go
+++ b/magno/view/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -241,3 +242,33 @@
 		}
 	})
 }
+
+// Fifty configurations come within a second, and one answer of the list holds them
+// all. A reader told each of them to all others, and callers' requests waited behind
+// that on the links of small machines. Only the last is of use; one that can't be read
+// takes nothing away.
+func TestStormOfConfigurationsIsToldOnce(t *testing.T) {
+	bad := magno.Change{Key: "plan", Revision: 60, Fault: "no configuration"}
+	for _, c := range []struct {
+		name    string
+		changes []magno.Change
+		want    []int64
+		version int64
+	}{
+		{"a storm", []magno.Change{plan(2, 10), plan(3, 11), plan(4, 12)}, []int64{12}, 4},
+		{"the last can't be read", []magno.Change{plan(2, 10), plan(3, 11), bad}, []int64{11, 60}, 3},
+		{"the last is an older one", []magno.Change{plan(3, 10), plan(2, 11)}, []int64{10, 11}, 3},
+		{"between others", []magno.Change{plan(2, 10), up("a", 11, "10.0.0.1:80"), plan(3, 12), down("a", 13)}, []int64{12, 13}, 3},
+	} {
+		b, _ := newBook()
+		b.Read([]magno.Change{plan(1, 1)}, 1, true)
+		news := b.Read(c.changes, 60, false)
+		var got []int64
+		for _, told := range news.Changes {
+			got = append(got, told.Revision)
+		}
+		if !slices.Equal(got, c.want) || b.Now().Plan.Version != c.version {
+			t.Errorf("%s: told %v, in force %d; want %v and %d", c.name, got, b.Now().Plan.Version, c.want, c.version)
+		}
+	}
+}
