outages: the base model on an engine's disk is loaded at once, and callers come back later the longer it lasts

- An agent that nobody has told anything loads the one model whose copy is on its empty engine's disk.
- A process without any configuration tells callers to come back after twice as long as it has been so, a second at least and eight at most.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -40,11 +40,14 @@
 	// staleAge is the age of the list from which on an unknown path may be a
 	// route that this process hasn't heard of yet.
 	staleAge = 1500 * magno.Millis(1)
-	// startAfter is when a caller should come back to a process that has no
-	// configuration yet. Callers come back once or twice, and after a loss of all
-	// processes a third of a second was too soon for most: 3.0% of a day's
-	// requests stayed refused, with a second 1.5%.
+	// startAfter is the least after which a caller should come back to a process
+	// that has no configuration yet, mostAfter the most. Callers come back once or
+	// twice, so too soon is worse than a little late.
 	startAfter = magno.Second
+	mostAfter  = 8 * magno.Second
+	// outageTimes is how many times as long as it has lasted an outage is taken to
+	// last still.
+	outageTimes = 2
 	// endSlack is how long before a route's time is over its answer is given, so
 	// that it is there in time.
 	endSlack = 20 * magno.Millis(1)
@@ -82,6 +85,8 @@
 	// Suspects are requests that crash upstreams.
 	Suspects *crash.Suspects
 	Log      *slog.Logger
+	// Since is when this process started.
+	Since magno.Millis
 
 	table  atomic.Pointer[tabled]
 	active atomic.Int64
@@ -159,7 +164,7 @@
 // prepare finds the route and reads the body.
 func (j *job) prepare() *magno.Refusal {
 	if j.snap.Plan == nil {
-		return magno.Refuse(magno.KindStarting, "no configuration yet").Later(startAfter)
+		return magno.Refuse(magno.KindStarting, "no configuration yet").Later(j.startingAfter())
 	}
 	j.route = j.find(j.snap.Plan).Find(j.r.Host, j.r.URL.Path)
 	if j.route == nil {
@@ -181,6 +186,15 @@
 	return j.readBody()
 }
 
+// startingAfter is when a caller should come back to a process without any
+// configuration. One that starts beside others has it within a fraction of a second.
+// When it hasn't, the platform's list is away and nobody else has it either; how long
+// that goes on isn't known, and most likely it is about as long as it has been. Told a
+// second each time, callers come back in the outage, are refused again and give up.
+func (h *Relay) startingAfter() magno.Millis {
+	return min(max(outageTimes*(h.Clock.Now()-h.Since), startAfter), mostAfter)
+}
+
 // limit sets when the request must have its answer.
 func (j *job) limit() {
 	j.end = j.came + defaultTime
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -269,6 +269,22 @@
 	}
 }
 
+// All machines lose power while the platform's list is away for some seconds. Callers
+// that were told to come back after a second were refused again, and most of them come
+// back once only. The longer it lasts, the later they are told to come back.
+func TestCallersComeBackAfterAnOutage(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	h := &Relay{Clock: clock, Since: clock.Now()}
+	for _, c := range []struct{ up, want magno.Millis }{
+		{0, startAfter}, {300, startAfter}, {1000, 2 * magno.Second}, {2500, 5 * magno.Second}, {60_000, mostAfter},
+	} {
+		clock.Advance(h.Since + c.up - clock.Now())
+		if got := h.startingAfter(); got != c.want {
+			t.Errorf("%d ms after the start: come back in %d ms, want %d", c.up, got, c.want)
+		}
+	}
+}
+
 // The instance is stopped, and no other of its data centre is ready, so callers
 // go on coming here. Requests that take milliseconds are served to the end;
 // streams, which might be cut off, are told to come back at once.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -84,7 +84,7 @@
 	}
 	handler := &relay.Relay{
 		Name: set.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Hops: e.hops, Permits: e.desk, Pools: e.pools,
-		Suspects: suspects, Log: log,
+		Suspects: suspects, Log: log, Since: clock.Now(),
 	}
 	e.front = &front{set: set, path: site.ReadyPath(), relay: handler, book: e.book, clock: clock, log: log}
 	return e
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -39,8 +39,6 @@
 	// deadline.
 	mostWaiting = 512
 	// lateGain is what a late answer counts of one in time when loads are ordered.
-	// How much doesn't matter: with a three hundredth of this the mean worth of ten
-	// days was 0.003 lower, within noise.
 	lateGain = 0.3
 	// runGain weighs a new run in the average time of runs.
 	runGain = 0.05
@@ -88,7 +86,7 @@
 // the one before held, and what ran there is gone.
 func (g *Gate) Specify(s Spec) {
 	g.setup()
-	if s.Replica != g.spec.Replica {
+	if g.spec.Replica != "" && s.Replica != g.spec.Replica {
 		g.forget()
 	}
 	g.spec = s
--- a/magno/gate/orders.go
+++ b/magno/gate/orders.go
@@ -13,9 +13,12 @@
 // engine refuses it.
 func (s *shelf) commands(wanted []string, inUse map[string]bool, now magno.Millis) []magno.Command {
 	s.at = now
-	if s.spec == nil || s.spec.Replica == "" || !s.told || s.busy || s.modelMoving() {
+	if !s.told || s.busy || s.modelMoving() {
 		return nil
 	}
+	if s.spec == nil || s.spec.Replica == "" {
+		return s.untold(now)
+	}
 	if c, ok := s.model(wanted, inUse, now); ok {
 		return []magno.Command{c}
 	}
@@ -28,6 +31,34 @@
 	return list
 }
 
+// untold returns what to order while nobody has told what the engine is to hold.
+//
+// Load pattern: all machines lose power while the platform's list is away. Agents and
+// entries then know of no configuration until it is back, and an engine that begins to
+// load its base model only then keeps callers waiting for seconds longer. The one model
+// whose copy is on its disk is the one that it held before; which of several it was
+// isn't known.
+func (s *shelf) untold(now magno.Millis) []magno.Command {
+	if len(s.models) > 0 {
+		return nil
+	}
+	only := ""
+	for _, name := range s.disk {
+		if _, adapter := split(name); adapter != "" || name == only {
+			continue
+		}
+		if only != "" {
+			return nil
+		}
+		only = name
+	}
+	if only == "" {
+		return nil
+	}
+	s.modelAt = now
+	return []magno.Command{s.take(magno.Command{Load: true, Model: only}, now)}
+}
+
 func (s *shelf) modelMoving() bool {
 	for _, o := range s.taken {
 		if o.command.Adapter == "" {
--- a/magno/gate/orders_test.go
+++ b/magno/gate/orders_test.go
@@ -102,3 +102,56 @@
 		t.Errorf("%d loads at once though the store is slow", w.limit())
 	}
 }
+
+// All machines lose power while the platform's list is away for some seconds more.
+// The engines are empty, and nobody knows which models they are to hold, but the
+// copy of one is on their disks. Loaded only once the list is back, it would keep all
+// callers waiting for a second or three after that.
+func TestModelOnDiskIsLoadedBeforeAnyoneTells(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		disk []string
+		held map[string]map[string]int64
+		want string
+	}{
+		{"one copy", []string{"m"}, nil, "m"},
+		{"in memory and on disk", []string{"m", "m", "m/a@1"}, nil, "m"},
+		{"adapters only", []string{"m/a@1"}, nil, ""},
+		{"nothing", nil, nil, ""},
+		{"which of two was held isn't known", []string{"m", "n"}, nil, ""},
+		{"it holds one", []string{"m"}, map[string]map[string]int64{"m": {}}, ""},
+	} {
+		clock := magno.NewClock(magno.Hour)
+		g := &Gate{Clock: clock}
+		g.Reported(&magno.Report{Held: c.held, Warm: c.disk}, clock.Now())
+		g.Next()
+		got := ""
+		if list := g.Commands(); len(list) > 0 {
+			got = list[0].Model
+		}
+		if got != c.want {
+			t.Errorf("%s: ordered %q, want %q", c.name, got, c.want)
+		}
+		if more := g.Commands(); len(more) > 0 {
+			t.Errorf("%s: ordered again: %v", c.name, more)
+		}
+	}
+}
+
+// The list is back, and the agent is told what stands beside it while the base model
+// is being loaded. The load goes on, and what is left of it is what callers are told.
+func TestModelThatIsBeingLoadedStaysWhenAgentIsTold(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	g := &Gate{Clock: clock}
+	g.Reported(&magno.Report{Warm: []string{model}}, clock.Now())
+	g.Ordered(g.Commands()[0], magno.OrderAccepted, clock.Now())
+	clock.Advance(1000)
+	g.Specify((&world{slots: 2}).spec())
+	g.Reported(&magno.Report{Warm: []string{model}, Busy: true}, clock.Now())
+	if list := g.Commands(); len(list) > 0 {
+		t.Errorf("ordered %v while the model is on its way", list)
+	}
+	if wait := g.Backlog().LoadWait; wait < 300 || wait > 800 {
+		t.Errorf("a wait of %d ms, want what is left of 1,300 and an adapter's load", wait)
+	}
+}
