desk: one entry of a data centre asks an agent, and passes on what it answers

One entry of a data centre, by the highest hash of both, asks an agent and tells the others there in one message for all it asked in 40 ms. The others ask themselves when no word came for half a second more than the usual pause, when an agent missed, or when the word is of a list that they don't have; word of another doesn't bring back an agent that this entry can't reach.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -1,7 +1,10 @@
 // Package desk speaks to the agents beside engines: it asks for permits, and
 // keeps what each agent tells of its engine.
 //
-//	Run: every Poll --status--> agents --> seats --> Reported (router)
+//	Run: each tick --status--> agents --> seats --> Reported (router)
+//	                                       |  ^
+//	                                  word v  | word
+//	                     other entries of the data centre
 //	relay --Permit--> agent;  relay --End--> agent
 //
 // An agent that doesn't answer is no reason to refuse: what its engine held a
@@ -19,6 +22,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"magnoliastall.example/magno"
@@ -31,8 +35,7 @@
 	// pollEvery is how often an agent is asked for its state unless an answer to
 	// a permit just told it. Waits at an engine change within a few hundred
 	// milliseconds. With more than pollScale agents the pause grows with their
-	// number, up to four times: 29 entries that ask 52 agents four times a second
-	// are 6,000 exchanges a second, for a choice among four of them.
+	// number, up to pollMost times.
 	pollEvery = 250 * magno.Millis(1)
 	pollScale = 13
 	pollMost  = 4
@@ -71,9 +74,16 @@
 	Log   *slog.Logger
 	// Port is where agents listen, the same on all machines.
 	Port int
+	// Addr is this entry's own address, Mates lists those of the other entries of its
+	// data centre; nil for none.
+	Addr  string
+	Mates func() []string
 	// Reported is told each backlog by the incarnation's key.
 	Reported func(service, key string, b magno.Backlog)
 
+	// answers are what agents answered and mates don't know yet.
+	answers chan gate.StatusReply
+
 	mu sync.Mutex
 	// seats follow snap.
 	seats map[string]*seat
@@ -86,33 +96,58 @@
 // Name implements magno.Duty.
 func (d *Desk) Name() string { return "desk" }
 
+// Open takes the methods on the mesh, before either runs.
+func (d *Desk) Open() {
+	d.answers = make(chan gate.StatusReply, mostAnswers)
+	d.Mesh.Handle(MethodWord, d.onWord)
+}
+
 // Run polls agents until ctx ends.
 func (d *Desk) Run(ctx context.Context) error {
 	d.polls = metrics.GetOrCreateCounter("agent_polls_total")
 	d.fails = metrics.GetOrCreateCounter("agent_poll_failures_total")
 	ticks := time.NewTicker(pollEvery.Span())
 	defer ticks.Stop()
+	gather := time.NewTimer(wordDelay.Span())
+	defer gather.Stop()
 	var working sync.WaitGroup
 	defer working.Wait()
+	var answers []gate.StatusReply
+	changed := d.Book.Changed()
+	d.ask(ctx, &working)
 	for {
-		changed := d.Book.Changed()
-		d.seat(d.Book.Now())
-		for _, s := range d.due() {
-			working.Add(1)
-			go func() {
-				defer working.Done()
-				d.poll(ctx, s)
-			}()
-		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+			changed = d.Book.Changed()
+			d.ask(ctx, &working)
 		case <-ticks.C:
+			d.ask(ctx, &working)
+		case a := <-d.answers:
+			if len(answers) == 0 {
+				gather.Reset(wordDelay.Span())
+			}
+			answers = append(answers, a)
+		case <-gather.C:
+			d.pass(ctx, &working, answers)
+			answers = nil
 		}
 	}
 }
 
+// ask asks the agents whose turn it is.
+func (d *Desk) ask(ctx context.Context, working *sync.WaitGroup) {
+	d.seat(d.Book.Now())
+	for _, s := range d.due() {
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			d.poll(ctx, s)
+		}()
+	}
+}
+
 // seat brings the seats up to the list, when that has changed: comparing what
 // every agent is to be told is too much to do at each tick.
 func (d *Desk) seat(snap *view.Snapshot) {
@@ -132,7 +167,10 @@
 		host, _, _ := net.SplitHostPort(r.Address) // checked when it was decoded
 		s := old[r.Key()]
 		if s == nil {
-			s = &seat{addr: net.JoinHostPort(host, strconv.Itoa(d.Port)), lost: make(chan struct{}), heard: d.Clock.Now()}
+			s = &seat{
+				addr: net.JoinHostPort(host, strconv.Itoa(d.Port)), hash: xxhash.Sum64String(r.Key()),
+				lost: make(chan struct{}), heard: d.Clock.Now(),
+			}
 		}
 		s.replica = r
 		spec := &gate.Spec{Replica: r.Key(), ID: r.ID, Engine: *service.Engine, Pins: snap.Pins, Leaving: r.Leaving}
@@ -145,13 +183,17 @@
 
 // due lists the agents to ask now.
 func (d *Desk) due() []*seat {
+	share := d.share()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
-	pause := pollEvery * magno.Millis(min(max(len(d.seats), pollScale), pollMost*pollScale)) / pollScale
+	usual := pollEvery * magno.Millis(min(max(len(d.seats), pollScale), pollMost*pollScale)) / pollScale
+	if len(share.mates) > 0 {
+		usual = max(usual/matesHalve, pollEvery)
+	}
 	list := make([]*seat, 0, min(len(d.seats), mostPolled))
 	for _, s := range d.seats {
-		if s.polling || s.fresh(now-s.pause(pause)+pollSlack) || !d.turn(s, now) {
+		if s.polling || s.fresh(now, usual, share.mine(s)) || !d.turn(s, now, len(d.seats)/(len(share.mates)+1)) {
 			continue
 		}
 		s.polling, s.asked, s.told = true, now, s.revision
@@ -160,14 +202,14 @@
 	return list
 }
 
-// turn tells whether an agent may be asked now. Of very many, those that aren't
-// in use are asked seldom.
-func (d *Desk) turn(s *seat, now magno.Millis) bool {
-	if len(d.seats) <= mostPolled || now-s.used <= usedFor || s.misses > 0 {
+// turn tells whether an agent may be asked now, where so many are this entry's to ask.
+// Of very many, those that aren't in use are asked seldom.
+func (d *Desk) turn(s *seat, now magno.Millis, share int) bool {
+	if share <= mostPolled || now-s.used <= usedFor || s.misses > 0 {
 		return true
 	}
 	d.next++
-	return d.next%(len(d.seats)/mostPolled) == 0
+	return d.next%(share/mostPolled) == 0
 }
 
 // poll asks one agent, and tells it what it doesn't know yet.
@@ -193,6 +235,7 @@
 		d.missed(s, err)
 		return
 	}
+	d.tell(reply)
 	d.heard(s, &reply, held)
 }
 
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"magnoliastall.example/magno"
@@ -91,6 +92,7 @@
 		{Key: "r", Revision: 1, Replica: &magno.Replica{ID: "r", Service: "s", Address: "127.0.0.1:1", DataCentre: "x", Slots: 1}},
 	}, 1, true)
 	d := &Desk{Self: "e", Mesh: &wire.Mesh{Clock: clock}, Book: book, Clock: clock, Log: slog.New(slog.DiscardHandler), Port: number}
+	d.Open()
 	ctx, cancel := context.WithCancel(context.Background())
 	gone, lose := context.WithCancel(ctx)
 	ends := make(chan error, 2)
@@ -270,7 +272,7 @@
 	d := &Desk{Clock: clock, Log: slog.New(slog.DiscardHandler), seats: map[string]*seat{}}
 	for i := range n {
 		r := &magno.Replica{ID: strconv.Itoa(i), Service: "s"}
-		s := &seat{replica: r, asked: clock.Now(), heard: clock.Now(), lost: make(chan struct{})}
+		s := &seat{replica: r, asked: clock.Now(), heard: clock.Now(), lost: make(chan struct{}), hash: xxhash.Sum64String(r.Key())}
 		s.status.Replica = r.Key()
 		d.seats[r.Key()] = s
 	}
--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -9,7 +9,9 @@
 type seat struct {
 	replica *magno.Replica
 	addr    string
-	spec    *gate.Spec
+	// hash is that of the replica's key.
+	hash uint64
+	spec *gate.Spec
 	// revision is that of the list when spec last changed.
 	revision int64
 	status   gate.StatusReply
@@ -48,6 +50,13 @@
 	return usual
 }
 
-// fresh tells whether the agent was asked since, and has been told all that
-// changed.
-func (s *seat) fresh(since magno.Millis) bool { return s.asked > since && s.told == s.revision }
+// fresh tells whether the agent needn't be asked now, given the usual pause. Mine is
+// true when this entry is the one of its data centre that asks it: the others are told
+// what it answers, and ask only when no word came for longer.
+func (s *seat) fresh(now, usual magno.Millis, mine bool) bool {
+	pause := s.pause(usual) - pollSlack
+	if !mine {
+		return now-s.asked < pause+wordSlack
+	}
+	return now-s.asked < pause && s.told == s.revision
+}
--- /dev/null
+++ b/entry/desk/share.go
@@ -0,0 +1,140 @@
+package desk
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/wire"
+)
+
+// MethodWord is between entries of one data centre: Word, a notification.
+const MethodWord = "word"
+
+const (
+	// matesHalve is by how much the pause between two polls of an agent is shorter
+	// where the entries of a data centre share them.
+	matesHalve = 2
+	// wordDelay is how long answers are gathered to be passed on in one message.
+	wordDelay = 40 * magno.Millis(1)
+	// wordSlack is how much longer than the usual pause no word of an agent may come
+	// until an entry asks it itself.
+	wordSlack = 2 * pollEvery
+	// mostAnswers bounds the answers that wait to be passed on.
+	mostAnswers = 256
+)
+
+// Word is what an entry passes on: the answers of agents that it asked.
+type Word struct {
+	Answers []gate.StatusReply `json:"answers"`
+}
+
+// share tells which agents this entry asks for its data centre.
+//
+// Load pattern: each entry needs fresh word of each engine. If each asked each agent,
+// a fleet of n entries and m agents would exchange n times m answers a second, most of
+// them between data centres. So one entry of a data centre asks, chosen by the highest
+// hash of both, and passes the answers on to the others there.
+type share struct {
+	own   uint64
+	mates []uint64
+}
+
+func (d *Desk) share() share {
+	sh := share{own: xxhash.Sum64String(d.Addr)}
+	if d.Mates == nil {
+		return sh
+	}
+	for _, addr := range d.Mates() {
+		sh.mates = append(sh.mates, xxhash.Sum64String(addr))
+	}
+	return sh
+}
+
+// mine tells whether this entry is the one that asks an agent.
+func (sh *share) mine(s *seat) bool {
+	own := weight(sh.own, s.hash)
+	for _, mate := range sh.mates {
+		if weight(mate, s.hash) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// weight mixes the hashes of an entry and an agent.
+func weight(entry, agent uint64) uint64 {
+	const odd = 0x9e3779b97f4a7c15
+	x := (entry ^ agent) * odd
+	x ^= x >> 32
+	return x * odd
+}
+
+// tell has an agent's answer passed on. Where too many wait it is left out: the others
+// ask the agent themselves after a while.
+func (d *Desk) tell(a gate.StatusReply) {
+	select {
+	case d.answers <- a:
+	default:
+	}
+}
+
+// pass tells the other entries of this data centre what agents answered.
+func (d *Desk) pass(ctx context.Context, working *sync.WaitGroup, answers []gate.StatusReply) {
+	if len(answers) == 0 || d.Mates == nil {
+		return
+	}
+	encoded, err := json.Marshal(Word{Answers: answers}) // once for all
+	if err != nil {
+		d.Log.Error("word", "answers", len(answers), "error", err)
+		return
+	}
+	for _, addr := range d.Mates() {
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			ctx, cancel := context.WithTimeout(ctx, pollTime.Span())
+			defer cancel()
+			if err := d.Mesh.Notify(ctx, addr, MethodWord, json.RawMessage(encoded)); err != nil {
+				d.Log.Debug("word", "addr", addr, "error", err)
+			}
+		}()
+	}
+}
+
+func (d *Desk) onWord(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var w Word
+	if err := json.Unmarshal(params, &w); err != nil {
+		d.Log.Warn("word", "error", err)
+		return nil, err
+	}
+	for i := range w.Answers {
+		d.told(&w.Answers[i])
+	}
+	return nil, nil
+}
+
+// told takes an answer that another entry passed on. An agent that didn't answer this
+// entry isn't taken for well by it: only its own question tells.
+func (d *Desk) told(a *gate.StatusReply) {
+	d.mu.Lock()
+	s := d.seats[a.Replica]
+	newer := s != nil && !s.dead && s.misses == 0 && d.Clock.Now()-s.heard >= wordDelay
+	d.mu.Unlock()
+	if !newer {
+		return
+	}
+	held := a.Held
+	d.heard(s, a, held)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// Changes of a list that this entry hasn't, or an agent that knows less than it:
+	// then this entry asks by itself.
+	if s.status.Held == held && a.Revision >= s.revision {
+		s.asked, s.told = d.Clock.Now(), s.revision
+	}
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -72,7 +72,7 @@
 	e.hops = &hop.Pool{Clock: clock}
 	suspects := &crash.Suspects{Clock: &magno.Clock{}}
 	e.peers = &peers.Peers{
-		Self: set.Name, Addr: set.Peers, Link: set.Link, Seeds: set.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
+		Self: set.Name, Addr: set.Peers, Link: set.Link, DataCentre: set.DataCentre, Seeds: set.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
 	}
 	e.peers.Open()
 	e.pools = &pools{clock: clock, book: e.book, peers: e.peers, set: set}
@@ -81,7 +81,9 @@
 	}
 	e.desk = &desk.Desk{
 		Self: set.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, Port: set.Inner, Reported: e.pools.report,
+		Addr: set.Peers, Mates: e.peers.Mates,
 	}
+	e.desk.Open()
 	handler := &relay.Relay{
 		Name: set.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Hops: e.hops, Permits: e.desk, Pools: e.pools,
 		Suspects: suspects, Log: log, Since: clock.Now(),
