--- a/magno/gate/pace.go
+++ b/magno/gate/pace.go
@@ -9,8 +9,7 @@
 
 const (
 	// pauseSlack is by how much the longest pause of a stream exceeds the usual
-	// one while prompts are read: p99 of a busy day was 1.12 of what steps and
-	// pieces make, for full batches step more slowly.
+	// one while prompts are read: full batches step more slowly.
 	pauseSlack = 1.2
 	// readDepth is how much reading an engine that needs no spacing is given
 	// ahead, in ms: more than the time between two of its reports, so that it
@@ -40,9 +39,7 @@
 // Load pattern: prompts come in clumps, and an engine reads in pieces between
 // its steps. Where the pauses that this makes are longer than streams may have,
 // prompts are spaced: in each window as long as the allowed pause less an event,
-// they get what another event leaves of it. With spacing that came and went, for
-// pauses taken for half as long, a busy day of such engines was worth 0.06 less.
-// Where the engine's own pauses stay within what is allowed, spacing would only keep
+// they get what another event leaves of it. Where the engine's own pauses stay within what is allowed, spacing would only keep
 // it idle between clumps: it is given readDepth of reading at a time, so that the
 // order among what waits is still this process's.
 type pace struct {
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -15,8 +15,8 @@
 	// mostLoads is how many adapters may be on their way to an engine at once;
 	// it takes no more.
 	mostLoads = 4
-	// priorCold is the time of a load from the store, priorWarm of one that the
-	// engine held lately, until loads show; by the sheets of three deployments.
+	// priorCold is the time of a load from the store in ms, priorWarm of one that
+	// the engine held lately, until loads show.
 	priorCold = 250.0
 	priorWarm = 25.0
 	// keepPart is by what part of the difference one load corrects how many
--- a/magno/gate/slots.go
+++ b/magno/gate/slots.go
@@ -6,9 +6,8 @@
 	"magnoliastall.example/magno"
 )
 
-// usualPart is what part of the most that it may make an answer has where its
-// caller doesn't say. The mean is a quarter to a third of the most for all kinds of
-// stream of the deployments that were played.
+// usualPart is how many times as long as a usual answer the longest may be, where its
+// caller doesn't say: callers state a maximum that leaves room.
 const usualPart = 3
 
 // forecast tells when what is waited for will be there.
@@ -16,9 +15,8 @@
 // Load pattern: an engine of six slots runs up to sixty requests, and each
 // request of another adapter keeps a slot for its whole run. While all are in
 // use nothing can be loaded, however idle the store is. Counted by loads only, a
-// wait of two seconds looked like one of 250 ms: entries sent more to engines
-// without a free slot beside engines that had some, and what was refused on a busy
-// day had waited 1.4 s for a slot on average.
+// wait of seconds looks like that of one load: entries send more to engines
+// without a free slot beside engines that have some.
 type forecast struct {
 	// eta is when each adapter that is waited for will be ready, from now; next
 	// is that of one more that isn't waited for yet.
--- a/magno/gate/width.go
+++ b/magno/gate/width.go
@@ -24,8 +24,7 @@
 // longer in proportion. With one load at a time an engine to which several new
 // adapters move at once serves the last of them a second late, though the store
 // is idle. The store tells nobody how busy it is, but its loads do: the width
-// grows while they take their usual time, and falls when they don't. On the quiet
-// days of two deployments 9 and 33 first events were late, of 23 and 53 before.
+// grows while they take their usual time, and falls when they don't.
 type width struct {
 	now float64
 	// best is the shortest load seen, zero before the first.
--- a/magno/learn/learn.go
+++ b/magno/learn/learn.go
@@ -6,8 +6,7 @@
 // another 40 and more; they read in pieces between the steps that make the
 // tokens of all that runs, so the same clump of prompts stops the streams of one
 // for 260 ms and those of another for 390. Without this package a constant names
-// one of them: with the figures of one kind, prompts were spaced on engines whose
-// streams need no spacing, and the mean worth of ten busy days was 0.03 lower.
+// one of them, and prompts are spaced on engines whose streams need no spacing.
 //
 // Each estimate begins with a prior that weighs as much as a second or so of
 // work, and what was seen counts half after a while, so a change of the engine
@@ -20,12 +19,10 @@
 
 const (
 	// PriorRate is how many prompt tokens an engine reads in a millisecond until
-	// it shows: between the 23 and the 37 that two kinds of engine showed. What
-	// it is matters for the first dozen prompts.
+	// it shows, which takes a dozen prompts.
 	PriorRate = 32.0
-	// priorStep is the time of a step that reads nothing, between the 5 and the 8
-	// ms of the same two. priorPiece is how many tokens one reads at most between
-	// two steps; both read so many, and nothing shows it. Where an engine reads
+	// priorStep is the time of a step that reads nothing, in ms. priorPiece is how
+	// many tokens are read at most between two steps; nothing shows it. Where an engine reads
 	// more at once, the pauses of its streams must correct what rests on it.
 	priorStep  = 7.0
 	priorPiece = 2048.0
--- a/magno/route/peer.go
+++ b/magno/route/peer.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// reportHalf is the age at which a reported wait counts half: queues of
-	// the workloads in docs/LOAD.md turn over within seconds.
+	// reportHalf is the age at which a reported wait counts half: queues turn over
+	// within seconds.
 	reportHalf = 20 * magno.Second
 
 	// slowGain weighs a new answer in a target's pace; ten or so count.
--- a/magno/strain/strain.go
+++ b/magno/strain/strain.go
@@ -13,10 +13,6 @@
 // while; so each machine takes the share that it can serve. One that is far
 // behind refuses at once: a refusal is far less work than a stream of dozens of
 // events, and its caller finds another instance while there is time.
-//
-// Measured with half of 24 instances six to eight times slower for eight
-// seconds, twice, three seeds: 0.015, 0.015 and 0.024 of the requests failed;
-// 0.027, 0.028 and 0.036 without this package.
 package strain
 
 import "magnoliastall.example/magno"
