--- a/magno/gate/pace.go
+++ b/magno/gate/pace.go
@@ -39,9 +39,10 @@
 // Load pattern: prompts come in clumps, and an engine reads in pieces between
 // its steps. Where the pauses that this makes are longer than streams may have,
 // prompts are spaced: in each window as long as the allowed pause less an event,
-// they get what another event leaves of it. Where the engine's own pauses stay within what is allowed, spacing would only keep
-// it idle between clumps: it is given readDepth of reading at a time, so that the
-// order among what waits is still this process's.
+// they get what another event leaves of it. Where the engine's own pauses stay within
+// what is allowed, spacing would only keep it idle between clumps: it is given
+// readDepth of reading at a time, so that the order among what waits is still this
+// process's.
 type pace struct {
 	// engine is what is known of its speed.
 	engine learn.Engine
--- a/magno/learn/learn.go
+++ b/magno/learn/learn.go
@@ -22,8 +22,9 @@
 	// it shows, which takes a dozen prompts.
 	PriorRate = 32.0
 	// priorStep is the time of a step that reads nothing, in ms. priorPiece is how
-	// many tokens are read at most between two steps; nothing shows it. Where an engine reads
-	// more at once, the pauses of its streams must correct what rests on it.
+	// many tokens are read at most between two steps; nothing shows it. Where an
+	// engine reads more at once, the pauses of its streams must correct what rests
+	// on it.
 	priorStep  = 7.0
 	priorPiece = 2048.0
 	// usualTimes is by how much steps that read lengthen a usual event until the
