desk: of thousands of lost agents few are asked at a tick

Cause: an agent that missed polls was due at each pause for good, lost ones too, and the part that an entry asks was counted against all agents. With 3,000 engines of which most have no agent, one entry of a dozen asked 244 at a tick where 64 are meant. Up to 127 engines nothing changes: there each is asked in its turn, before and after.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -193,7 +193,11 @@
 	}
 	list := make([]*seat, 0, min(len(d.seats), mostPolled))
 	for _, s := range d.seats {
-		if s.polling || s.fresh(now, usual, share.mine(s)) || !d.turn(s, now, len(d.seats)/(len(share.mates)+1)) {
+		mine, of := share.mine(s), len(d.seats)
+		if mine {
+			of /= len(share.mates) + 1
+		}
+		if s.polling || s.fresh(now, usual, mine) || !d.turn(s, now, of) {
 			continue
 		}
 		s.polling, s.asked, s.told = true, now, s.revision
@@ -202,14 +206,16 @@
 	return list
 }
 
-// turn tells whether an agent may be asked now, where so many are this entry's to ask.
-// Of very many, those that aren't in use are asked seldom.
-func (d *Desk) turn(s *seat, now magno.Millis, share int) bool {
-	if share <= mostPolled || now-s.used <= usedFor || s.misses > 0 {
+// turn tells whether an agent may be asked now, one of so many that may be due. Of very
+// many, those that aren't in use are asked seldom, and those that are lost as well: a
+// thousand of them would otherwise take up all of a small machine.
+func (d *Desk) turn(s *seat, now magno.Millis, of int) bool {
+	missed := s.misses > 0 && !s.dead
+	if of <= mostPolled || now-s.used <= usedFor || missed {
 		return true
 	}
 	d.next++
-	return d.next%(share/mostPolled) == 0
+	return d.next%(of/mostPolled) == 0
 }
 
 // poll asks one agent, and tells it what it doesn't know yet.
--- a/entry/desk/share_test.go
+++ b/entry/desk/share_test.go
@@ -148,3 +148,28 @@
 		t.Errorf("%d answers wait", len(d.answers))
 	}
 }
+
+// Of thousands of engines most have no agent that answers: their machines are lost, or
+// a list names what isn't there. Nobody has word of them. Were each entry to ask all of
+// them at each pause, a small machine would do nothing else for its callers.
+func TestThousandsOfLostAgentsAreAskedSeldom(t *testing.T) {
+	const agents = 3000
+	desks, clocks := mates(12, agents)
+	d, clock := desks[0], clocks[0]
+	for _, s := range d.seats {
+		for range deadAfter {
+			d.missed(s, errors.New("no answer"))
+		}
+	}
+	for range 8 {
+		clock.Advance(pollEvery)
+		list := d.due()
+		if most := 2 * mostPolled; len(list) > most {
+			t.Fatalf("%d agents are asked at one tick, want %d at most", len(list), most)
+		}
+		for _, s := range list {
+			s.polling = false
+			d.missed(s, errors.New("no answer"))
+		}
+	}
+}
