--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -240,7 +240,7 @@
 func (a *agent) follow(snap *config.Snapshot) {
 	a.history.add(snap.Version, a.Clock.Now())
 	weights := map[string]float64{}
-	for _, b := range snap.Businesses() {
+	for _, b := range snap.Customers() {
 		weights[b.Name] = b.Weight
 	}
 	a.loop.SetWeights(weights)
--- a/agent/loop/state.go
+++ b/agent/loop/state.go
@@ -48,7 +48,7 @@
 	return len(known) == len(held)
 }
 
-// SetWeights tells the businesses' shares.
+// SetWeights tells the customers' shares.
 func (l *Loop) SetWeights(weights map[string]float64) {
 	l.post(func() {
 		if tuner, ok := l.Sched.(magno.Tuner); ok {
--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -162,7 +162,7 @@
 func (s *Server) keyed(ctx context.Context, peer *wire.Peer, call *magno.RunCall) magno.RunReply {
 	keyed := once.Call{
 		Key:   call.Key,
-		Scope: call.Work.Job.Business,
+		Scope: call.Work.Job.Customer,
 		Body:  xxhash.Sum64String(call.Work.Job.Profile + "\x00" + call.Work.Path + "\x00" + call.Work.Body),
 	}
 	if refusal := s.refusal(call); refusal != nil && !s.Ledger.Knows(keyed) {
--- a/drive/aims/aims.go
+++ b/drive/aims/aims.go
@@ -55,11 +55,11 @@
 
 func (r results) get(scene, policy string) *tally.Line { return r[scene+"/"+policy] }
 
-// From works out the aims that lines over all businesses have figures for.
+// From works out the aims that lines over all customers have figures for.
 func From(deploy string, lines []tally.Line) []Aim {
 	r := results{}
 	for i := range lines {
-		if l := &lines[i]; l.Business == "all" || l.Policy == sim.Bound {
+		if l := &lines[i]; l.Customer == "all" || l.Policy == sim.Bound {
 			r[l.Case+"/"+l.Policy] = l
 		}
 	}
--- a/drive/bound/line.go
+++ b/drive/bound/line.go
@@ -20,7 +20,7 @@
 // is zero.
 func (b *Bound) Line() tally.Line {
 	return tally.Line{
-		Business: tally.Bounded, Offered: b.Requests, Admitted: b.Requests,
+		Customer: tally.Bounded, Offered: b.Requests, Admitted: b.Requests,
 		Good: int(b.Good * float64(b.Requests)), Goodput: b.Goodput, Batch: b.Batch,
 		Stall: tally.Spread{Mean: b.Stall},
 	}
--- a/drive/curvecmd.go
+++ b/drive/curvecmd.go
@@ -73,7 +73,7 @@
 		index := map[string]int{}
 		for i := range lines {
 			l := &lines[i]
-			if l.Policy == sim.Bound || (l.Business != "all" && l.Business != "") {
+			if l.Policy == sim.Bound || (l.Customer != "all" && l.Customer != "") {
 				continue
 			}
 			at, ok := index[l.Policy]
--- a/drive/layout/config.go
+++ b/drive/layout/config.go
@@ -11,12 +11,12 @@
 
 // Config returns the configuration of the deployment. Each adapter has a
 // profile read-NNN; the other profiles stand for the kinds of request that
-// the two businesses send.
+// the two customers send.
 func (l *Layout) Config(version int64) magno.Config {
 	rate, width := l.allowance()
 	cfg := magno.Config{
 		Version: version,
-		Businesses: []magno.Business{
+		Customers: []magno.Customer{
 			{Name: "delta", Weight: 1},
 			{Name: "cursada", Weight: 1},
 		},
@@ -30,7 +30,7 @@
 		name := fmt.Sprintf("a%03d", n)
 		cfg.Adapters = append(cfg.Adapters, magno.Adapter{Name: name, Base: base, Versions: []string{"v1", "v2"}})
 		cfg.Profiles = append(cfg.Profiles, magno.Profile{
-			Name: fmt.Sprintf("read-%03d", n), Business: []string{"delta", "cursada"}[n%2], Pool: "reading",
+			Name: fmt.Sprintf("read-%03d", n), Customer: []string{"delta", "cursada"}[n%2], Pool: "reading",
 			Adapter: name, Version: "v1", Urgency: 5, Repeat: true, Deadline: 20 * magno.Second, Stall: 0.5,
 		})
 	}
@@ -46,13 +46,13 @@
 	return cfg
 }
 
-func engine(name, business, adapter string, urgency int, repeat bool, stall float64) magno.Profile {
-	return magno.Profile{Name: name, Business: business, Pool: "reading", Adapter: adapter, Version: "v1",
+func engine(name, customer, adapter string, urgency int, repeat bool, stall float64) magno.Profile {
+	return magno.Profile{Name: name, Customer: customer, Pool: "reading", Adapter: adapter, Version: "v1",
 		Urgency: urgency, Repeat: repeat, Deadline: 20 * magno.Second, Stall: stall}
 }
 
-func service(name, business string, urgency int, repeat bool) magno.Profile {
-	return magno.Profile{Name: name, Business: business, Pool: "status", Urgency: urgency, Repeat: repeat,
+func service(name, customer string, urgency int, repeat bool) magno.Profile {
+	return magno.Profile{Name: name, Customer: customer, Pool: "status", Urgency: urgency, Repeat: repeat,
 		Deadline: 5 * magno.Second}
 }
 
--- a/drive/live/live_test.go
+++ b/drive/live/live_test.go
@@ -154,10 +154,10 @@
 		Config: magno.Config{
 			Pools: []magno.Pool{{Name: "e", Kind: magno.PoolEngine}, {Name: "p", Kind: magno.PoolPlain}},
 			Profiles: []magno.Profile{
-				{Name: "read", Business: "x", Pool: "e", Adapter: "a", Version: "1", Repeat: true},
-				{Name: "once", Business: "x", Pool: "e", Adapter: "a", Version: "1"},
-				{Name: "record", Business: "y", Pool: "p"},
-				{Name: "old", Business: "y", Pool: "p", Retired: true},
+				{Name: "read", Customer: "x", Pool: "e", Adapter: "a", Version: "1", Repeat: true},
+				{Name: "once", Customer: "x", Pool: "e", Adapter: "a", Version: "1"},
+				{Name: "record", Customer: "y", Pool: "p"},
+				{Name: "old", Customer: "y", Pool: "p", Retired: true},
 			},
 		},
 	}
--- a/drive/live/report.go
+++ b/drive/live/report.go
@@ -42,7 +42,7 @@
 	rows     map[string]*row
 }
 
-// row holds one business.
+// row holds one customer.
 type row struct {
 	served, refused, stalled, known int
 	late                            int
@@ -78,10 +78,10 @@
 		r.Skipped++
 		return
 	}
-	b := r.rows[o.request.Business]
+	b := r.rows[o.request.Customer]
 	if b == nil {
 		b = newRow()
-		r.rows[o.request.Business] = b
+		r.rows[o.request.Customer] = b
 	}
 	b.add(&o)
 	r.count(&o)
@@ -150,7 +150,7 @@
 // Print writes the final table.
 func (r *Report) Print(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "business\tserved\tlate\trefused\tstalled%\tstall p50\tp95\tp99\tfirst p50\tp95\tgap p95\tanswer p50\tp95\tby kind\t")
+	fmt.Fprintln(tw, "customer\tserved\tlate\trefused\tstalled%\tstall p50\tp95\tp99\tfirst p50\tp95\tgap p95\tanswer p50\tp95\tby kind\t")
 	names := make([]string, 0, len(r.rows))
 	for name := range r.rows {
 		names = append(names, name)
--- a/drive/live/request.go
+++ b/drive/live/request.go
@@ -25,7 +25,7 @@
 	namedShare = 0.2
 	// streamed is the share of engine requests that are streamed.
 	streamed = 0.5
-	// callers is the number of callers of each business.
+	// callers is the number of callers of each customer.
 	callers = 12
 	// startSpan is how long before its resend a request was sent at most.
 	startSpan = 400 * time.Millisecond
@@ -105,13 +105,13 @@
 	if r.left == 0 {
 		r.left = 20 * magno.Second
 	}
-	r.caller = fmt.Sprintf("%s-%02d", r.Business, l.rand.IntN(callers))
+	r.caller = fmt.Sprintf("%s-%02d", r.Customer, l.rand.IntN(callers))
 	r.max = wordsLeast + l.rand.IntN(wordsMost-wordsLeast)
 	if l.rand.IntN(longEvery) == 0 {
 		r.max *= longFactor
 	}
 	filler := strings.Repeat(" line of text", 1+l.rand.IntN(60))
-	r.text = fmt.Sprintf("%s of %s, run %s, number %d:%s", r.Name, r.Business, l.mark, n, filler)
+	r.text = fmt.Sprintf("%s of %s, run %s, number %d:%s", r.Name, r.Customer, l.mark, n, filler)
 	if r.plain {
 		r.text = fmt.Sprintf(`{"run": %q, "number": %d}`, l.mark, n)
 	}
--- a/drive/load/deploy.go
+++ b/drive/load/deploy.go
@@ -13,7 +13,7 @@
 )
 
 // Deploy is one deployment of the brief: its upstreams, weight store and the
-// work that its businesses send.
+// work that its customers send.
 type Deploy struct {
 	Name string
 	// Engines and Plain count upstreams of the two pools.
@@ -30,18 +30,18 @@
 	// how many run at once without slowing each other.
 	LoadRate  float64
 	LoadWidth int
-	// Adapters is the number over all businesses.
+	// Adapters is the number over all customers.
 	Adapters int
 	// Hop is the time between data centres, Client that to a caller.
 	Hop, Client magno.Millis
-	Businesses  []magno.Business
+	Customers   []magno.Customer
 	Classes     []Class
 }
 
-// Class is one kind of work of one business.
+// Class is one kind of work of one customer.
 type Class struct {
 	Name     string
-	Business string
+	Customer string
 	Pool     string
 	// Share is its part of all requests; the shares of a deployment sum to 1.
 	Share float64
@@ -57,8 +57,8 @@
 	Repeat   bool
 }
 
-// PerBusiness returns the number of adapters that each business has.
-func (d *Deploy) PerBusiness() int { return d.Adapters / len(d.Businesses) }
+// PerCustomer returns the number of adapters that each customer has.
+func (d *Deploy) PerCustomer() int { return d.Adapters / len(d.Customers) }
 
 // Find returns the deployment of that name.
 func Find(name string) (Deploy, error) {
@@ -80,17 +80,17 @@
 		Limits:      magno.Limits{Slots: 8, Batch: 16, Tokens: 64, Step: 10, Load: 500},
 		PlainLimits: magno.Limits{Batch: 8, Tokens: 8, Step: 5},
 		Cache:       32, LoadRate: 2, LoadWidth: 1, Adapters: 3000, Hop: 1, Client: 1,
-		Businesses: []magno.Business{
+		Customers: []magno.Customer{
 			{Name: "agents", Weight: 3}, {Name: "mail", Weight: 1}, {Name: "helpline", Weight: 2},
 		},
 		Classes: []Class{
-			{Name: "reading", Business: "agents", Pool: PoolReading, Share: 0.4, Prompt: 2000, Output: 300,
+			{Name: "reading", Customer: "agents", Pool: PoolReading, Share: 0.4, Prompt: 2000, Output: 300,
 				Spread: 0.4, Prefix: 0.3, Deadline: 60 * magno.Second, Urgency: 5, Stall: 0.2},
-			{Name: "scan", Business: "mail", Pool: PoolReading, Share: 0.3, Prompt: 2400, Output: 400,
+			{Name: "scan", Customer: "mail", Pool: PoolReading, Share: 0.3, Prompt: 2400, Output: 400,
 				Spread: 0.5, Prefix: 0.3, Deadline: 180 * magno.Second, Urgency: 2, Stall: 0.1},
-			{Name: "question", Business: "helpline", Pool: PoolReading, Share: 0.1, Prompt: 500, Output: 60,
+			{Name: "question", Customer: "helpline", Pool: PoolReading, Share: 0.1, Prompt: 500, Output: 60,
 				Spread: 0.4, Prefix: 0.6, Deadline: 20 * magno.Second, Urgency: 7, Stall: 0.5, Repeat: true},
-			{Name: "status", Business: "helpline", Pool: PoolPlain, Share: 0.2, Output: 6,
+			{Name: "status", Customer: "helpline", Pool: PoolPlain, Share: 0.2, Output: 6,
 				Spread: 0.3, Deadline: 5 * magno.Second, Urgency: 8, Repeat: true},
 		},
 	}
@@ -104,21 +104,21 @@
 		Limits:      magno.Limits{Slots: 8, Batch: 16, Tokens: 64, Step: 10, Load: 333},
 		PlainLimits: magno.Limits{Batch: 8, Tokens: 8, Step: 5},
 		Cache:       32, LoadRate: 6, LoadWidth: 2, Adapters: 3000, Hop: 1, Client: 3,
-		Businesses: []magno.Business{
+		Customers: []magno.Customer{
 			{Name: "languages", Weight: 2}, {Name: "trades", Weight: 1}, {Name: "secondary", Weight: 1},
 		},
 		Classes: []Class{
-			{Name: "advisor", Business: "languages", Pool: PoolReading, Share: 0.4, Prompt: 1200, Output: 200,
+			{Name: "advisor", Customer: "languages", Pool: PoolReading, Share: 0.4, Prompt: 1200, Output: 200,
 				Spread: 0.5, Prefix: 0.5, Deadline: 20 * magno.Second, Urgency: 6, Stall: 0.9, Repeat: true},
-			{Name: "course", Business: "trades", Pool: PoolReading, Share: 0.2, Prompt: 1000, Output: 160,
+			{Name: "course", Customer: "trades", Pool: PoolReading, Share: 0.2, Prompt: 1000, Output: 160,
 				Spread: 0.5, Prefix: 0.5, Deadline: 20 * magno.Second, Urgency: 6, Stall: 0.9, Repeat: true},
-			{Name: "advice", Business: "secondary", Pool: PoolReading, Share: 0.15, Prompt: 1200, Output: 200,
+			{Name: "advice", Customer: "secondary", Pool: PoolReading, Share: 0.15, Prompt: 1200, Output: 200,
 				Spread: 0.5, Prefix: 0.5, Deadline: 20 * magno.Second, Urgency: 6, Stall: 0.9, Repeat: true},
-			{Name: "draft", Business: "secondary", Pool: PoolReading, Share: 0.05, Prompt: 2500, Output: 1500,
+			{Name: "draft", Customer: "secondary", Pool: PoolReading, Share: 0.05, Prompt: 2500, Output: 1500,
 				Spread: 0.3, Prefix: 0.2, Deadline: 90 * magno.Second, Urgency: 4, Stall: 0.8, Repeat: true},
-			{Name: "waitlist", Business: "languages", Pool: PoolPlain, Share: 0.15, Output: 5,
+			{Name: "waitlist", Customer: "languages", Pool: PoolPlain, Share: 0.15, Output: 5,
 				Spread: 0.3, Deadline: 5 * magno.Second, Urgency: 8, Repeat: true},
-			{Name: "seat", Business: "trades", Pool: PoolPlain, Share: 0.05, Output: 8,
+			{Name: "seat", Customer: "trades", Pool: PoolPlain, Share: 0.05, Output: 8,
 				Spread: 0.3, Deadline: 10 * magno.Second, Urgency: 7},
 		},
 	}
--- a/drive/load/load.go
+++ b/drive/load/load.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// callers is the number of callers of each business.
+	// callers is the number of callers of each customer.
 	callers = 20
 	// wave and period shape the day, squeezed into minutes: the rate swings
 	// by 15% so that the peak of a load of 0.8 stays under capacity.
@@ -32,11 +32,11 @@
 	hotCaller = 10
 	// coldRank is the rank of the adapter that becomes the hot key.
 	coldRank = 500
-	// drift is how often a business's popularity moves: one hot adapter and
-	// one cold one change places, so that 60 an hour in each business, 6% of
+	// drift is how often a customer's popularity moves: one hot adapter and
+	// one cold one change places, so that 60 an hour in each customer, 6% of
 	// 1,000, wake up or fall idle.
 	drift = 2 * magno.Minute
-	// hotRanks is how many adapters of a business count as hot.
+	// hotRanks is how many adapters of a customer count as hot.
 	hotRanks = 30
 	// prefixes is how many known prompt starts an adapter has.
 	prefixes = 3
@@ -88,7 +88,7 @@
 	*Load
 	r    *rand.Rand
 	zipf []float64
-	// rank maps a business and a rank to an adapter's number.
+	// rank maps a customer and a rank to an adapter's number.
 	rank  map[string][]int
 	moved magno.Millis
 	done  bool
@@ -98,9 +98,9 @@
 // Jobs returns every arrival in order of time.
 func (l *Load) Jobs() []Arrival {
 	m := &maker{Load: l, r: rand.New(rand.NewPCG(l.Seed, 0x10ad)), rank: map[string][]int{}}
-	m.zipf = zipfTable(l.Deploy.PerBusiness(), l.Zipf)
-	for _, b := range l.Deploy.Businesses {
-		m.rank[b.Name] = m.r.Perm(l.Deploy.PerBusiness())
+	m.zipf = zipfTable(l.Deploy.PerCustomer(), l.Zipf)
+	for _, b := range l.Deploy.Customers {
+		m.rank[b.Name] = m.r.Perm(l.Deploy.PerCustomer())
 	}
 	peak := l.Rate * m.peak()
 	jobs := make([]Arrival, 0, int(l.Rate*float64(l.For)/1000))
@@ -142,13 +142,13 @@
 // move lets popularity drift, and shift at once in its case.
 func (m *maker) move(now magno.Millis) {
 	for ; m.moved+drift <= now; m.moved += drift {
-		for _, b := range m.Deploy.Businesses {
+		for _, b := range m.Deploy.Customers {
 			m.swap(m.rank[b.Name], 1)
 		}
 	}
 	if m.Case == Shift && !m.done && now >= m.For/2 {
 		m.done = true
-		for _, b := range m.Deploy.Businesses {
+		for _, b := range m.Deploy.Customers {
 			m.swap(m.rank[b.Name], hotRanks/2)
 		}
 	}
@@ -165,7 +165,7 @@
 func (m *maker) arrival(now magno.Millis) Arrival {
 	class := m.class()
 	c := &m.Deploy.Classes[class]
-	caller := fmt.Sprintf("%s-%02d", c.Business, m.r.IntN(callers))
+	caller := fmt.Sprintf("%s-%02d", c.Customer, m.r.IntN(callers))
 	return m.job(now, class, caller)
 }
 
@@ -173,7 +173,7 @@
 	c := &m.Deploy.Classes[class]
 	m.n++
 	j := magno.Job{
-		ID: fmt.Sprintf("r%07d", m.n), Business: c.Business, Caller: caller, Profile: c.Name,
+		ID: fmt.Sprintf("r%07d", m.n), Customer: c.Customer, Caller: caller, Profile: c.Name,
 		Urgency: c.Urgency, Stall: c.Stall, Repeat: c.Repeat, Print: m.r.Uint64(),
 		Prompt: m.size(c.Prompt, c.Spread), Output: int(allowed * float64(c.Output)),
 		Arrived: now, Deadline: now + c.Deadline,
@@ -192,8 +192,8 @@
 }
 
 func (m *maker) engineJob(j *magno.Job, c *Class, now magno.Millis) {
-	n := m.pick(c.Business, now)
-	name := fmt.Sprintf("%s-%04d", c.Business, n)
+	n := m.pick(c.Customer, now)
+	name := fmt.Sprintf("%s-%04d", c.Customer, n)
 	j.Profile = c.Name + "-" + name
 	j.Ref = magno.Ref{Adapter: name, Version: "1"}
 	if m.Stall >= 0 {
@@ -204,11 +204,11 @@
 	}
 }
 
-// pick draws an adapter of a business.
-func (m *maker) pick(business string, now magno.Millis) int {
-	rank := m.rank[business]
+// pick draws an adapter of a customer.
+func (m *maker) pick(customer string, now magno.Millis) int {
+	rank := m.rank[customer]
 	if m.Case == HotKey && now >= m.For/3 && m.r.Float64() < hotShare*float64(len(m.rank)) &&
-		business == m.Deploy.Businesses[0].Name {
+		customer == m.Deploy.Customers[0].Name {
 		return rank[min(coldRank, len(rank)-1)]
 	}
 	i := sort.SearchFloat64s(m.zipf, m.r.Float64())
@@ -244,7 +244,7 @@
 		if magno.Millis(at) >= m.For {
 			break
 		}
-		a := m.job(magno.Millis(at), class, m.Deploy.Businesses[0].Name+"-00")
+		a := m.job(magno.Millis(at), class, m.Deploy.Customers[0].Name+"-00")
 		a.Hot = true
 		jobs = append(jobs, a)
 	}
--- a/drive/load/scene.go
+++ b/drive/load/scene.go
@@ -18,7 +18,7 @@
 	Full      = "full"      // at capacity
 	Over15    = "over1.5"   // 1.5 times capacity
 	Over3     = "over3"     // 3 times capacity
-	Shift     = "shift"     // half of each business's 30 hottest adapters change at 1/2
+	Shift     = "shift"     // half of each customer's 30 hottest adapters change at 1/2
 	Restart   = "restart"   // a third of the engines restarts empty at 1/2
 	Store     = "store"     // loads take twice as long and 1 of 5 fails, 1/3 to 2/3
 )
--- a/drive/sim/request.go
+++ b/drive/sim/request.go
@@ -48,11 +48,11 @@
 func (r *request) attempt() {
 	var names []string
 	if homer, ok := r.homer(); ok {
-		names = homer.Homes(magno.Query{Ref: r.job.Ref, Business: r.job.Business}, r.job.ID, attempts)
+		names = homer.Homes(magno.Query{Ref: r.job.Ref, Customer: r.job.Customer}, r.job.ID, attempts)
 		names = names[min(len(r.avoid), len(names)):]
 	} else {
 		names = r.router.Route(magno.Query{
-			Ref: r.job.Ref, Prefix: r.job.Prefix, Business: r.job.Business, Work: r.work(), Avoid: r.avoid, DataCentre: r.home,
+			Ref: r.job.Ref, Prefix: r.job.Prefix, Customer: r.job.Customer, Work: r.work(), Avoid: r.avoid, DataCentre: r.home,
 		})
 	}
 	if len(names) == 0 {
--- a/drive/sim/sim.go
+++ b/drive/sim/sim.go
@@ -76,7 +76,7 @@
 // Run plays the run to its end.
 func (s *Sim) Run() (*tally.Tally, error) {
 	s.clock = magno.NewClock(start)
-	s.tally = tally.New(s.Load.Deploy.Businesses)
+	s.tally = tally.New(s.Load.Deploy.Customers)
 	s.loads = map[int64]pending{}
 	d := &s.Load.Deploy
 	s.store = &store.Store{Rate: d.LoadRate, Load: d.Limits.Load, Width: d.LoadWidth, Rand: rand.New(rand.NewPCG(s.Load.Seed, 0x5703))}
@@ -129,7 +129,7 @@
 	s.ups = map[string]*upstream{}
 	s.entries = map[string][]entry{}
 	weights := map[string]float64{}
-	for _, b := range d.Businesses {
+	for _, b := range d.Customers {
 		weights[b.Name] = b.Weight
 	}
 	pools := []struct {
--- a/drive/simcmd.go
+++ b/drive/simcmd.go
@@ -38,7 +38,7 @@
 	Stall  float64 `json:"stall" help:"Stall setting of every profile, 0 to 1; -1 keeps the profiles' own"`
 	Out    string  `json:"out" help:"directory for JSON lines and plots"`
 	Page   bool    `json:"page" help:"print the table in Markdown"`
-	Wide   bool    `json:"wide" help:"also a row for each business"`
+	Wide   bool    `json:"wide" help:"also a row for each customer"`
 	Curve  bool    `json:"curve" help:"instead, ours over the Stall setting"`
 }
 
@@ -179,7 +179,7 @@
 		}
 		lines = []tally.Line{bound.Join(bounds).Line()}
 	} else {
-		sum := tally.New(t.Deploy.Businesses)
+		sum := tally.New(t.Deploy.Customers)
 		for i := range runs {
 			sum.Merge(runs[i].Tally)
 		}
--- a/drive/tally/line.go
+++ b/drive/tally/line.go
@@ -4,7 +4,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Bounded stands for a business on a line that bounds all engine requests; what
+// Bounded stands for a customer on a line that bounds all engine requests; what
 // it doesn't bound is zero.
 const Bounded = "engines"
 
@@ -16,7 +16,7 @@
 	P99  int64   `json:"p99"`
 }
 
-// Line is one line of results: a business, or all, in one run. Times are in
+// Line is one line of results: a customer, or all, in one run. Times are in
 // milliseconds but for Gap, which is in microseconds.
 type Line struct {
 	Deploy   string  `json:"deploy"`
@@ -24,7 +24,7 @@
 	Policy   string  `json:"policy"`
 	Seed     uint64  `json:"seed"`
 	Load     float64 `json:"load"`
-	Business string  `json:"business"`
+	Customer string  `json:"customer"`
 	Offered  int     `json:"offered"`
 	Admitted int     `json:"admitted"`
 	Served   int     `json:"served"`
@@ -48,7 +48,7 @@
 	// Steps counts the engines' steps that had work.
 	Steps int64   `json:"steps,omitempty"`
 	Jain  float64 `json:"jain,omitempty"`
-	// Worst is the business that got the smallest Part of its fair share.
+	// Worst is the customer that got the smallest Part of its fair share.
 	Worst  string  `json:"worst,omitempty"`
 	Part   float64 `json:"part,omitempty"`
 	Loads  int     `json:"loads,omitempty"`
@@ -59,7 +59,7 @@
 // Kept is the share of admitted requests that were answered in time.
 func (l *Line) Kept() float64 { return ratio(float64(l.Good), float64(l.Admitted)) }
 
-// Lines returns the line of all and one a business; seconds is the length of
+// Lines returns the line of all and one a customer; seconds is the length of
 // the run.
 func (t *Tally) Lines(seconds float64) []Line {
 	all := line(t.all, seconds)
@@ -76,7 +76,7 @@
 
 func line(r *Row, seconds float64) Line {
 	return Line{
-		Business: r.Business, Offered: r.Offered, Admitted: r.Admitted, Served: r.Served, Good: r.Good,
+		Customer: r.Customer, Offered: r.Offered, Admitted: r.Admitted, Served: r.Served, Good: r.Good,
 		Goodput: ratio(float64(r.GoodTokens), seconds), Refused: r.Refused,
 		Stalled: ratio(float64(r.Stalled), float64(r.Stall.TotalCount())),
 		Stall:   spread(r.Stall), Full: spread(r.Full), First: spread(r.First), Gap: spread(r.Gap),
--- a/drive/tally/page.go
+++ b/drive/tally/page.go
@@ -21,7 +21,7 @@
 	}
 	for i := range lines {
 		l := &lines[i]
-		if l.Business == Bounded {
+		if l.Customer == Bounded {
 			if _, err := fmt.Fprintf(w, "| %s | %s | %s | | %.0f | | %.2f | | | | | | | %s | | | |\n",
 				l.Case, l.Policy, percent(l.Good, l.Offered), l.Goodput, l.Stall.Mean/1000, blank(l.Batch)); err != nil {
 				return err
@@ -29,8 +29,8 @@
 			continue
 		}
 		name := l.Policy
-		if l.Business != "all" {
-			name += " / " + l.Business
+		if l.Customer != "all" {
+			name += " / " + l.Customer
 		}
 		_, err := fmt.Fprintf(w, "| %s | %s | %s | %s | %.0f | %.1f | %.2f | %s | %s | %s | %s | %s | %.1f | %s | %s | %s | %s |\n",
 			l.Case, name, percent(l.Good, l.Offered), percent(l.Good, l.Admitted), l.Goodput, 100*l.Stalled,
--- a/drive/tally/table.go
+++ b/drive/tally/table.go
@@ -12,12 +12,12 @@
 // Print writes lines as a table.
 func Print(w io.Writer, lines []Line) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "deploy\tcase\tpolicy\tload\tbusiness\toffered\tadmit%\tgood%\tkept%\ttok/s\t"+
+	fmt.Fprintln(tw, "deploy\tcase\tpolicy\tload\tcustomer\toffered\tadmit%\tgood%\tkept%\ttok/s\t"+
 		"stall%\tmean\tp50\tp95\tp99\tfull p99\tfirst p95\tgap p95\tend p95\tbatch\tjain\tworst\trefused\t")
 	for i := range lines {
 		l := &lines[i]
 		fmt.Fprintf(tw, "%s\t%s\t%s\t%.2g\t%s\t%d\t%s\t%s\t%s\t%.0f\t%s\t%.0f\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%s\t%s\t%s\t%s\t\n",
-			l.Deploy, l.Case, l.Policy, l.Load, l.Business, l.Offered,
+			l.Deploy, l.Case, l.Policy, l.Load, l.Customer, l.Offered,
 			percent(l.Admitted, l.Offered), percent(l.Good, l.Offered), percent(l.Good, l.Admitted),
 			l.Goodput, fmt.Sprintf("%.1f", 100*l.Stalled), l.Stall.Mean, l.Stall.P50, l.Stall.P95, l.Stall.P99,
 			l.Full.P99, l.First.P95, float64(l.Gap.P95)/1000, l.End.P95, blank(l.Batch), blank(l.Jain), worst(l), kinds(l.Refused))
--- a/drive/tally/tally.go
+++ b/drive/tally/tally.go
@@ -1,4 +1,4 @@
-// Package tally counts what callers received in one run, by business: served,
+// Package tally counts what callers received in one run, by customer: served,
 // refused by kind, stalls, token times, fairness.
 package tally
 
@@ -35,13 +35,13 @@
 	Gap        int64
 	// Engine is true when a model engine ran it.
 	Engine bool
-	// Hot work counts for its business but not among the others.
+	// Hot work counts for its customer but not among the others.
 	Hot bool
 }
 
-// Row sums up the answers of one business, or of all.
+// Row sums up the answers of one customer, or of all.
 type Row struct {
-	Business string `json:"business"`
+	Customer string `json:"customer"`
 	// Offered counts requests, Admitted those taken into a queue, Served
 	// whole answers, Good those within their deadline.
 	Offered  int `json:"offered"`
@@ -72,7 +72,7 @@
 
 // Tally is the result of one run. Add is called by one goroutine.
 type Tally struct {
-	// Weights maps a business to its share.
+	// Weights maps a customer to its share.
 	Weights map[string]float64
 	// Steps, Capacity and Used sum the model engines' steps and tokens.
 	Steps, Capacity, Used int64
@@ -85,10 +85,10 @@
 	all  *Row
 }
 
-// New returns an empty tally for those businesses.
-func New(businesses []magno.Business) *Tally {
+// New returns an empty tally for those customers.
+func New(customers []magno.Customer) *Tally {
 	t := &Tally{Weights: map[string]float64{}, rows: map[string]*Row{}, all: newRow("all")}
-	for _, b := range businesses {
+	for _, b := range customers {
 		t.Weights[b.Name] = b.Weight
 		t.rows[b.Name] = newRow(b.Name)
 	}
@@ -98,7 +98,7 @@
 func newRow(name string) *Row {
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(0, top, digits) }
 	return &Row{
-		Business: name, Refused: map[string]int{},
+		Customer: name, Refused: map[string]int{},
 		Stall: h(), Full: h(), First: h(), End: h(), Other: h(),
 		Gap: hdrhistogram.New(0, topGap, digits),
 	}
@@ -106,10 +106,10 @@
 
 // Add counts one answer.
 func (t *Tally) Add(a Answer) {
-	row := t.rows[a.Job.Business]
+	row := t.rows[a.Job.Customer]
 	if row == nil {
-		row = newRow(a.Job.Business)
-		t.rows[a.Job.Business] = row
+		row = newRow(a.Job.Customer)
+		t.rows[a.Job.Customer] = row
 	}
 	row.add(a)
 	t.all.add(a)
@@ -160,23 +160,23 @@
 	_ = h.RecordValue(min(max(v, 0), h.HighestTrackableValue()))
 }
 
-// All returns the row over all businesses.
+// All returns the row over all customers.
 func (t *Tally) All() *Row { return t.all }
 
-// Rows returns a row a business, in order of name.
+// Rows returns a row a customer, in order of name.
 func (t *Tally) Rows() []*Row {
 	rows := make([]*Row, 0, len(t.rows))
 	for _, r := range t.rows {
 		rows = append(rows, r)
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Business < rows[j].Business })
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Customer < rows[j].Customer })
 	return rows
 }
 
 // Efficiency is tokens over the capacity of all steps that had work.
 func (t *Tally) Efficiency() float64 { return ratio(float64(t.Used), float64(t.Capacity)) }
 
-// Fairness returns Jain's index and the worst business. Each business counts
+// Fairness returns Jain's index and the worst customer. Each customer counts
 // with the tokens it got within deadlines over its max-min fair part of all
 // such tokens, so one that asked for little isn't taken as treated badly.
 func (t *Tally) Fairness() (jain float64, worst string, part float64) {
@@ -185,15 +185,15 @@
 	n := 0
 	part = math.Inf(1)
 	for _, r := range t.Rows() {
-		if fair[r.Business] <= 0 {
+		if fair[r.Customer] <= 0 {
 			continue
 		}
-		x := float64(r.GoodTokens) / fair[r.Business]
+		x := float64(r.GoodTokens) / fair[r.Customer]
 		n++
 		sum += x
 		squares += x * x
 		if x < part {
-			part, worst = x, r.Business
+			part, worst = x, r.Customer
 		}
 	}
 	if n == 0 || squares == 0 {
@@ -203,7 +203,7 @@
 }
 
 // fairParts shares the tokens that were served by weight, never more to a
-// business than it asked for.
+// customer than it asked for.
 func (t *Tally) fairParts() map[string]float64 {
 	fair := map[string]float64{}
 	left := float64(t.all.GoodTokens)
@@ -211,13 +211,13 @@
 	for len(open) > 0 && left > 0 {
 		weights := 0.0
 		for _, r := range open {
-			weights += t.weight(r.Business)
+			weights += t.weight(r.Customer)
 		}
 		var next []*Row
 		given := 0.0
 		for _, r := range open {
-			if float64(r.Work) <= left*t.weight(r.Business)/weights {
-				fair[r.Business] = float64(r.Work)
+			if float64(r.Work) <= left*t.weight(r.Customer)/weights {
+				fair[r.Customer] = float64(r.Work)
 				given += float64(r.Work)
 			} else {
 				next = append(next, r)
@@ -225,7 +225,7 @@
 		}
 		if len(next) == len(open) {
 			for _, r := range open {
-				fair[r.Business] = left * t.weight(r.Business) / weights
+				fair[r.Customer] = left * t.weight(r.Customer) / weights
 			}
 			return fair
 		}
@@ -235,8 +235,8 @@
 	return fair
 }
 
-func (t *Tally) weight(business string) float64 {
-	if w := t.Weights[business]; w > 0 {
+func (t *Tally) weight(customer string) float64 {
+	if w := t.Weights[customer]; w > 0 {
 		return w
 	}
 	return 1
--- a/drive/tally/tally_test.go
+++ b/drive/tally/tally_test.go
@@ -7,12 +7,12 @@
 	"magnoliastall.example/magno"
 )
 
-// A business that asks for little must not look badly treated, and one that
+// A customer that asks for little must not look badly treated, and one that
 // takes another's part must show.
 func TestFairness(t *testing.T) {
 	tests := []struct {
 		name string
-		// asked and got are tokens of a business of weight 3 and one of 1.
+		// asked and got are tokens of a customer of weight 3 and one of 1.
 		asked, got [2]int
 		jain, part float64
 	}{
@@ -24,10 +24,10 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			tl := New([]magno.Business{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}})
+			tl := New([]magno.Customer{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}})
 			for i, name := range []string{"a", "b"} {
 				add := func(tokens int, refusal *magno.Refusal) {
-					job := magno.Job{Business: name, Output: tokens, Deadline: 10}
+					job := magno.Job{Customer: name, Output: tokens, Deadline: 10}
 					tl.Add(Answer{Job: job, Refusal: refusal, Admitted: refusal == nil, End: 5, Engine: true})
 				}
 				add(tt.got[i], nil)
@@ -45,7 +45,7 @@
 // hide it.
 func TestRefusedLoadsCountAsStalls(t *testing.T) {
 	tl := New(nil)
-	job := magno.Job{Business: "a", Output: 1, Arrived: 100, Deadline: 20100}
+	job := magno.Job{Customer: "a", Output: 1, Arrived: 100, Deadline: 20100}
 	tl.Add(Answer{Job: job, Admitted: true, Engine: true, Stall: 7, End: 50})
 	tl.Add(Answer{Job: job, Engine: true, Refusal: magno.Refuse(magno.KindLoading, "no")})
 	tl.Add(Answer{Job: job, Engine: true, Admitted: true, End: 30000})
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -94,8 +94,8 @@
 	f.Log.Info("request", "id", id(c), "kind", "ok", "profile", r.Work.Job.Profile, "took", int64(took),
 		"stall", int64(result.Stall), "tokens", result.Output, "replay", replay)
 	metrics.GetOrCreateCounter(`magno_requests_total{outcome="ok"}`).Inc()
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`magno_request_seconds{business=%q}`, r.Work.Job.Business)).Update(took.Span().Seconds())
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`magno_stall_seconds{business=%q}`, r.Work.Job.Business)).Update(result.Stall.Span().Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`magno_request_seconds{customer=%q}`, r.Work.Job.Customer)).Update(took.Span().Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`magno_stall_seconds{customer=%q}`, r.Work.Job.Customer)).Update(result.Stall.Span().Seconds())
 }
 
 // whole answers with the result in one piece.
--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -195,7 +195,7 @@
 	r.Deadline = now + left
 	r.Work.Job = magno.Job{
 		ID:       id(c),
-		Business: p.Business,
+		Customer: p.Customer,
 		Caller:   caller(c, user),
 		Profile:  p.Name,
 		Ref:      magno.Ref{Adapter: p.Adapter, Version: p.Version},
@@ -232,7 +232,7 @@
 }
 
 // key returns the idempotency key of a call that may not be repeated. It is
-// told apart by business, for two may choose the same.
+// told apart by customer, for two may choose the same.
 func key(c echo.Context, p magno.Profile) (string, *magno.Refusal) {
 	k := c.Request().Header.Get(headerKey)
 	if k == "" {
--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -9,12 +9,15 @@
 )
 
 func (p *Peers) onHello(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	came := p.Book.Clock.Now()
 	var h Hello
 	if err := json.Unmarshal(params, &h); err != nil {
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
 	p.heard(&h)
-	return p.self(h.Crowd), nil
+	reply := p.self(h.Crowd)
+	reply.Proof = p.prove(stamped{stamp: h.Stamp, came: came})
+	return reply, nil
 }
 
 func (p *Peers) onNews(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
@@ -26,15 +29,17 @@
 	p.mu.Lock()
 	p.told = max(p.told, n.Revision)
 	p.mu.Unlock()
-	p.take(n.News, n.From)
+	p.take(&n, n.From)
 	p.follow(n.From, n.Revision) // where news before these were lost
 	return nil, nil
 }
 
 func (p *Peers) onItems(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	came := p.Book.Clock.Now()
 	var s Since
 	if err := json.Unmarshal(params, &s); err != nil {
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
-	return p.Book.Since(s.Revision), nil
+	proof := p.prove(stamped{stamp: s.Stamp, came: came})
+	return News{News: p.Book.Since(s.Revision), Proof: proof}, nil
 }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -11,8 +11,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -100,17 +100,23 @@
 	Peers []string `json:"peers,omitempty"`
 	// Suspects are requests that crashed upstreams, as far as they are news.
 	Suspects []crash.Record `json:"suspects,omitempty"`
+	// Stamp is its time. Proof is for whom this is sent to, and may be nil.
+	Stamp Stamp  `json:"stamp"`
+	Proof *Proof `json:"proof,omitempty"`
 }
 
-// News are what a reader tells of the list, and its address.
+// News are what a process tells of the list, and its address.
 type News struct {
 	view.News
-	From string `json:"from"`
+	From string `json:"from,omitempty"`
+	// Proof is for whom this is sent to, and may be nil.
+	Proof *Proof `json:"proof,omitempty"`
 }
 
 // Since asks for the changes after a revision.
 type Since struct {
 	Revision int64 `json:"rev"`
+	Stamp    Stamp `json:"stamp"`
 }
 
 // Peers is the duty. Fields are set before Open.
@@ -129,6 +135,9 @@
 	Clock   *magno.Clock
 	Log     *slog.Logger
 
+	// life tells this process's stamps from those of an earlier one.
+	life uint64
+
 	mu    sync.Mutex
 	known map[string]*peer
 	// able tells whether the list answers this process, tried when it was last asked
@@ -151,11 +160,14 @@
 	asking bool
 	// asked is when it was asked last.
 	asked magno.Millis
+	// stamped is the last stamp that came from it.
+	stamped stamped
 }
 
 // Open takes the methods on the mesh, before either runs.
 func (p *Peers) Open() {
 	p.known = map[string]*peer{}
+	p.life = rand.Uint64() | 1
 	p.able = true
 	p.news = make(chan view.News, newsRoom)
 	p.learn(p.Seeds)
@@ -244,10 +256,12 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTime.Span())
 	defer cancel()
 	p.mu.Lock()
-	theirs := k.hello.Crowd
+	theirs, last := k.hello.Crowd, k.stamped
 	p.mu.Unlock()
 	var reply Hello
-	err := p.Mesh.Call(ctx, addr, MethodHello, p.self(theirs), &reply)
+	h := p.self(theirs)
+	h.Proof = p.prove(last)
+	err := p.Mesh.Call(ctx, addr, MethodHello, h, &reply)
 	p.mu.Lock()
 	k.asking = false
 	if err != nil {
@@ -273,6 +287,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h.Able, h.Leaving = p.able, p.leaving()
+	h.Stamp = p.stamp()
 	h.Crowd = xxhash.Sum64String(p.Addr)
 	for addr, k := range p.known {
 		if k.alive {
@@ -300,10 +315,12 @@
 		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
 	}
 	k.hello, k.misses, k.alive, k.seen = *h, 0, true, p.Clock.Now()
+	k.stamped = stamped{stamp: h.Stamp, came: p.Book.Clock.Now()}
 	p.mu.Unlock()
 	if mine := p.Book.Now().Revision; h.Revision == mine && h.Revision > 0 {
-		p.take(view.News{Since: mine, Revision: h.Revision, Age: h.Age}, h.Addr)
+		p.take(&News{News: view.News{Since: mine, Revision: h.Revision, Age: h.Age}}, h.Addr)
 	}
+	p.vouch(h.Proof)
 	p.follow(h.Addr, h.Revision)
 }
 
@@ -327,8 +344,8 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), limit.Span())
 	defer cancel()
-	var n view.News
-	err := p.Mesh.Call(ctx, addr, MethodItems, Since{Revision: since}, &n)
+	var n News
+	err := p.Mesh.Call(ctx, addr, MethodItems, Since{Revision: since, Stamp: p.stamp()}, &n)
 	p.mu.Lock()
 	p.pulling = false
 	p.pulls = 0
@@ -340,14 +357,16 @@
 		p.Log.Info("pull", "addr", addr, "since", since, "error", err)
 		return
 	}
-	p.take(n, addr)
+	p.take(&n, addr)
 }
 
 // take brings what a peer told into the book. What can't be used is fetched later.
-func (p *Peers) take(n view.News, from string) {
-	if err := p.Book.Heard(n); err != nil {
+func (p *Peers) take(n *News, from string) {
+	if err := p.Book.Heard(n.News); err != nil {
 		p.Log.Info("news left", "from", from, "rev", n.Revision, "error", err)
+		return
 	}
+	p.vouch(n.Proof)
 }
 
 // Push tells all peers what was read.
@@ -366,35 +385,31 @@
 			return
 		}
 	}
-	encoded, err := json.Marshal(News{n, p.Addr}) // once for all
-	if err != nil {
-		p.Log.Error("news", "rev", n.Revision, "error", err)
-		return
-	}
 	var telling sync.WaitGroup
 	defer telling.Wait()
-	for _, addr := range p.alive() {
+	for addr, last := range p.alive() {
 		telling.Add(1)
 		go func() {
 			defer telling.Done()
 			ctx, cancel := context.WithTimeout(ctx, newsTime.Span())
 			defer cancel()
-			if err := p.Mesh.Notify(ctx, addr, MethodNews, json.RawMessage(encoded)); err != nil {
+			news := News{News: n, From: p.Addr, Proof: p.prove(last)}
+			if err := p.Mesh.Notify(ctx, addr, MethodNews, news); err != nil {
 				p.Log.Info("news", "addr", addr, "rev", n.Revision, "error", err)
 			}
 		}()
 	}
 }
 
-// alive lists the addresses of the other entries that answer.
-func (p *Peers) alive() []string {
+// alive maps the addresses of the other entries that answer to their last stamps.
+func (p *Peers) alive() map[string]stamped {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var addrs []string
+	list := make(map[string]stamped, len(p.known))
 	for addr, k := range p.known {
 		if k.alive {
-			addrs = append(addrs, addr)
+			list[addr] = k.stamped
 		}
 	}
-	return addrs
+	return list
 }
--- /dev/null
+++ b/entry/peers/proof.go
@@ -0,0 +1,53 @@
+package peers
+
+import (
+	"magnoliastall.example/magno"
+)
+
+// Stamp is a process's own time, which another one sends back to it.
+type Stamp struct {
+	// Life is drawn anew at each start: a time of an earlier one says nothing.
+	Life uint64       `json:"life"`
+	At   magno.Millis `json:"at"`
+}
+
+// Proof tells up to when what a message brings was the list's newest, in the time of
+// whoever receives it: Lead after its own Stamp was received.
+//
+// Load pattern: a message may be held up for seconds on its way, by a link that is cut
+// and heals, or by a process that stood still. Its receiver can't tell how old it is,
+// and would go on using keys that were withdrawn meanwhile. It can tell that nothing
+// sent after its own stamp came is older than that stamp.
+type Proof struct {
+	Stamp Stamp `json:"stamp"`
+	// Lead may be negative.
+	Lead magno.Millis `json:"lead"`
+	// Revision was the list's newest then, or newer than that.
+	Revision int64 `json:"rev"`
+}
+
+// stamped is another process's stamp, and when it came.
+type stamped struct {
+	stamp Stamp
+	came  magno.Millis
+}
+
+// stamp is this process's own, now.
+func (p *Peers) stamp() Stamp { return Stamp{Life: p.life, At: p.Book.Clock.Now()} }
+
+// prove tells a process up to when what this one knows was the newest. It is nil where
+// nothing vouches for that, or no stamp came from there.
+func (p *Peers) prove(s stamped) *Proof {
+	vouched, revision := p.Book.Vouched()
+	if s.stamp.Life == 0 || vouched == 0 {
+		return nil
+	}
+	return &Proof{Stamp: s.stamp, Lead: vouched - s.came, Revision: revision}
+}
+
+// vouch takes the proof of a message, after what else it brings.
+func (p *Peers) vouch(proof *Proof) {
+	if proof != nil && proof.Stamp.Life == p.life {
+		p.Book.Vouch(proof.Revision, proof.Stamp.At+proof.Lead)
+	}
+}
--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -22,7 +22,14 @@
 const (
 	// waitFor is how long a watch waits. An answer without changes confirms
 	// that what is known is still the newest.
-	waitFor = magno.Second
+	waitFor = deaf
+	// deaf is how long watches may miss changes before the list ends them, so a watch
+	// that waited for less vouches only for the time before that.
+	deaf = 1100 * magno.Millis(1)
+	// soon is how long a watch waits where nothing has vouched for what is known for
+	// longer than unsure.
+	soon   = 100 * magno.Millis(1)
+	unsure = 2 * magno.Second
 	// gap is the pause between two watches. While upstreams load adapters the
 	// list changes several times a second, and one answer then holds all
 	// changes of the pause.
@@ -47,7 +54,10 @@
 	Push func(n view.News)
 	// Able is told whether the list answers this process.
 	Able func(bool)
-	Log  *slog.Logger
+	// Fresh is true where the first reading must vouch for what it brings. It costs
+	// the platform more.
+	Fresh bool
+	Log   *slog.Logger
 
 	failed int
 	back   magno.Millis
@@ -65,7 +75,7 @@
 func (r *Reads) Run(ctx context.Context) error {
 	r.calls = metrics.GetOrCreateCounter("list_calls_total")
 	r.fails = metrics.GetOrCreateCounter("list_failures_total")
-	r.whole = true
+	r.whole, r.fresh = true, r.Fresh
 	for ctx.Err() == nil {
 		r.Book.Tick()
 		if !r.whole && !r.Mine() {
@@ -84,15 +94,15 @@
 // round makes one call and returns the pause until the next.
 func (r *Reads) round(ctx context.Context) magno.Millis {
 	r.calls.Inc()
-	before := r.Book.Now().Revision
+	before, asked := r.Book.Now().Revision, r.Book.Clock.Now()
 	var changes []magno.Change
 	var revision int64
 	var err error
-	whole := r.whole
+	whole, fresh, wait := r.whole, r.fresh, r.wait()
 	if whole {
-		changes, revision, err = r.List.All(ctx, r.fresh)
+		changes, revision, err = r.List.All(ctx, fresh)
 	} else {
-		changes, revision, err = r.List.Wait(ctx, before, waitFor)
+		changes, revision, err = r.List.Wait(ctx, before, wait)
 	}
 	if ctx.Err() != nil {
 		return 0
@@ -108,6 +118,12 @@
 	r.hit()
 	r.whole, r.fresh = false, false
 	news := r.Book.Read(changes, revision, whole)
+	switch {
+	case !whole:
+		r.Book.Vouch(revision, asked-(deaf-wait))
+	case fresh:
+		r.Book.Vouch(revision, asked)
+	}
 	if !whole {
 		// After a loss of all power every process reads the whole list. If each
 		// then called all others to fetch it, small machines would do nothing else.
@@ -119,6 +135,14 @@
 	return gap
 }
 
+// wait is how long the next watch waits.
+func (r *Reads) wait() magno.Millis {
+	if r.Book.Unvouched() > unsure {
+		return soon
+	}
+	return waitFor
+}
+
 func (r *Reads) miss(err error) magno.Millis {
 	r.fails.Inc()
 	r.Book.Failed()
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -46,6 +46,10 @@
 	id    string
 	route *magno.Route
 	body  []byte
+	// customer is whom the caller's key belongs to, nil where none is needed. cost is
+	// what the request took from its allowance.
+	customer *magno.Customer
+	cost     float64
 	// print is the request's fingerprint as a suspect, zero without a body.
 	print uint64
 	// came is when it was read, end when it must have its answer.
@@ -102,9 +106,14 @@
 		j.refuse(magno.Refuse(magno.KindSuspect, "requests like it crashed upstreams"))
 		return
 	}
-	j.Pools.Taken(j.service.Name)
 	ctx, cancel := context.WithTimeout(j.r.Context(), (j.end - j.Clock.Now()).Span())
 	defer cancel()
+	if refusal := j.take(ctx); refusal != nil {
+		j.refuse(refusal)
+		return
+	}
+	defer j.give()
+	j.Pools.Taken(j.service.Name)
 	for {
 		res := j.attempt(ctx)
 		if res == resultDone || !j.again(ctx, res) {
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -71,7 +71,7 @@
 		return res, res == resultGone
 	}
 	sent := j.Clock.Now()
-	res = j.send(ctx, r, j.route.Rank)
+	res = j.send(ctx, r, j.rank())
 	router.Ended(key, work, j.Clock.Now()-sent, res != resultUnsent && res != resultFailed)
 	j.Permits.End(key, gate.EndCall{ID: id, OK: res == resultDone, Pause: j.pause})
 	return res, true
@@ -128,7 +128,7 @@
 	return gate.Ask{
 		ID:    j.Name + "/" + strconv.FormatUint(j.number.Add(1), 10) + "/" + j.id,
 		Model: j.call.Model, Adapter: j.call.Adapter, Prompt: j.call.Prompt, Output: j.call.Output, Length: j.call.Length,
-		Shared: j.call.Shared, Prefix: j.call.Prefix, Rank: j.route.Rank,
+		Shared: j.call.Shared, Prefix: j.call.Prefix, Rank: j.rank(),
 		Aim: due - now, Patience: patience, Left: left,
 		Gap: j.route.Gap,
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -26,6 +26,7 @@
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/keys"
 	"magnoliastall.example/magno/paths"
 	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
@@ -85,6 +86,11 @@
 	// Suspects are requests that crash upstreams.
 	Suspects *crash.Suspects
 	Log      *slog.Logger
+	// Quotas is nil where nothing is bounded.
+	Quotas Quotas
+	// Revoke is how long after its withdrawal a key may still be accepted, zero where
+	// that isn't bounded.
+	Revoke magno.Millis
 	// Since is when this process started.
 	Since magno.Millis
 
@@ -98,10 +104,11 @@
 	number atomic.Uint64
 }
 
-// tabled is the routing table of one configuration.
+// tabled are the tables of one configuration.
 type tabled struct {
 	plan  *magno.Plan
-	table *paths.Table
+	paths *paths.Table
+	keys  *keys.Keys
 }
 
 // Active counts requests that are being answered.
@@ -137,14 +144,14 @@
 	return until != 0 && int64(h.Clock.Now()) > until
 }
 
-// find returns the configuration's routing table, made when it is new.
-func (h *Relay) find(plan *magno.Plan) *paths.Table {
+// find returns the configuration's tables, made when it is new.
+func (h *Relay) find(plan *magno.Plan) *tabled {
 	t := h.table.Load()
 	if t == nil || t.plan != plan {
-		t = &tabled{plan: plan, table: paths.New(plan)}
+		t = &tabled{plan: plan, paths: paths.New(plan), keys: keys.New(plan.Customers)}
 		h.table.Store(t)
 	}
-	return t.table
+	return t
 }
 
 // ServeHTTP answers one request.
@@ -166,7 +173,7 @@
 	if j.snap.Plan == nil {
 		return magno.Refuse(magno.KindStarting, "no configuration yet").Later(j.startingAfter())
 	}
-	j.route = j.find(j.snap.Plan).Find(j.r.Host, j.r.URL.Path)
+	j.route = j.find(j.snap.Plan).paths.Find(j.r.Host, j.r.URL.Path)
 	if j.route == nil {
 		if age := j.Book.Age(); age > staleAge {
 			return magno.Refuse(magno.KindStarting, "no route, and the configuration is %d ms old", age).Later(startAfter)
@@ -183,7 +190,10 @@
 	if j.closed(j.route.Kind) {
 		return magno.Refuse(magno.KindLeaving, "this instance stops").Later(0)
 	}
-	return j.readBody()
+	if refusal := j.readBody(); refusal != nil {
+		return refusal
+	}
+	return j.authorize()
 }
 
 // startingAfter is when a caller should come back to a process without any
@@ -245,6 +255,9 @@
 	if again := refusal.Kind.Answer().Again; again && !j.ran {
 		h.Set("Retry-After", strconv.FormatFloat(float64(refusal.After)/1000, 'f', 3, 64))
 	}
+	if refusal.Kind == magno.KindCredential {
+		challenge(h)
+	}
 	j.closing(h)
 	h.Set("Content-Length", "0")
 	j.w.WriteHeader(status)
@@ -265,7 +278,7 @@
 // closing asks the caller for a new connection while this process stops or has
 // too much to do.
 func (j *job) closing(h http.Header) {
-	if j.Leaving() || j.Behind() != strain.Calm {
+	if j.Leaving() || j.Behind() != strain.Calm || !j.Sure() {
 		h.Set("Connection", "close")
 	}
 }
@@ -280,7 +293,7 @@
 		route = j.route.Name
 	}
 	line := []any{
-		"request", j.id, "route", route, "adapter", gate.Name(j.call.Model, j.call.Adapter), "status", status, "outcome", outcome, "why", why,
+		"request", j.id, "route", route, "customer", j.owner(), "adapter", gate.Name(j.call.Model, j.call.Adapter), "status", status, "outcome", outcome, "why", why,
 		"replica", j.at, "tries", j.tries, "waited", j.waited, "took", took, "events", j.events, "first", j.first, "pause", j.pause,
 		"config", j.version(), "age", j.Book.Age(),
 	}
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -109,6 +109,7 @@
 	copyHeader(h, j.r.Header)
 	j.Dialect.Write(h, magno.Onward{
 		Replica: r.ID, Left: j.end - j.Clock.Now(), Urgency: min(max(urgency, 0), 9), From: j.last,
+		Customer: j.owner(), Keyed: len(j.snap.Plan.Customers) > 0,
 	})
 	return &hop.Request{Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body}
 }
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -121,7 +121,7 @@
 		return "", outcome{refusal: magno.Refuse(magno.KindSuspect, "requests like it crashed upstreams")}
 	}
 	router := s.Router(r.Pool)
-	q := magno.Query{Ref: job.Ref, Prefix: job.Prefix, Business: job.Business, DataCentre: s.DataCentre, Work: job.Prompt + job.Output, Avoid: tried}
+	q := magno.Query{Ref: job.Ref, Prefix: job.Prefix, Customer: job.Customer, DataCentre: s.DataCentre, Work: job.Prompt + job.Output, Avoid: tried}
 	names := router.Route(q)
 	if len(names) == 0 && len(tried) > 0 {
 		// All were tried; in a pool of one, the same upstream may be back.
@@ -212,7 +212,7 @@
 	if !ok {
 		return nil
 	}
-	return homer.Homes(magno.Query{Ref: r.Work.Job.Ref, Business: r.Work.Job.Business}, r.Key, homesAsked)
+	return homer.Homes(magno.Query{Ref: r.Work.Job.Ref, Customer: r.Work.Job.Customer}, r.Key, homesAsked)
 }
 
 // elsewhere tells whether the next home is to be asked.
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -100,7 +100,8 @@
 // ready tells whether new connections should come here.
 func (f *front) ready() bool {
 	snap := f.book.Now()
-	return !f.relay.Leaving() && f.relay.Behind() == strain.Calm && snap.Plan != nil && len(snap.Replicas) > 0
+	sure := snap.Plan == nil || len(snap.Plan.Customers) == 0 || f.relay.Sure()
+	return !f.relay.Leaving() && f.relay.Behind() == strain.Calm && snap.Plan != nil && len(snap.Replicas) > 0 && sure
 }
 
 // watch tells the relay when the processor falls behind.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -68,7 +68,7 @@
 	clock := magno.NewSteady()
 	e := &entry{set: set, log: log}
 	e.mesh = &wire.Mesh{Listen: set.Peers, Allow: []string{start.Anyone}, Clock: clock, Log: log}
-	e.book = &view.Book{Clock: clock, Noted: noted(log), Log: log}
+	e.book = &view.Book{Clock: magno.NewBoot(), Noted: noted(log), Log: log}
 	e.hops = &hop.Pool{Clock: clock}
 	suspects := &crash.Suspects{Clock: &magno.Clock{}}
 	e.peers = &peers.Peers{
@@ -77,7 +77,7 @@
 	e.peers.Open()
 	e.pools = &pools{clock: clock, book: e.book, peers: e.peers, set: set}
 	e.reads = &reads.Reads{
-		List: site.Lister(set.List), Book: e.book, Mine: e.peers.Mine, Push: e.peers.Push, Able: e.peers.Able, Log: log,
+		List: site.Lister(set.List), Book: e.book, Mine: e.peers.Mine, Push: e.peers.Push, Able: e.peers.Able, Fresh: set.Revoke > 0, Log: log,
 	}
 	e.desk = &desk.Desk{
 		Self: set.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, Port: set.Inner, Reported: e.pools.report,
@@ -86,7 +86,7 @@
 	e.desk.Open()
 	handler := &relay.Relay{
 		Name: set.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Hops: e.hops, Permits: e.desk, Pools: e.pools,
-		Suspects: suspects, Log: log, Since: clock.Now(),
+		Suspects: suspects, Log: log, Since: clock.Now(), Revoke: set.Revoke,
 	}
 	e.peers.Leaving = handler.Leaving
 	e.front = &front{set: set, path: site.ReadyPath(), relay: handler, book: e.book, clock: clock, log: log}
--- a/magctl/check.go
+++ b/magctl/check.go
@@ -35,8 +35,8 @@
 	if len(faults) > 0 {
 		return told(f, out, faults)
 	}
-	_, _ = fmt.Fprintf(out, "%s: version %d is sound: %d businesses, %d pools, %d adapters, %d profiles, %d drained, %d rosters\n",
-		rest[0], cfg.Version, len(cfg.Businesses), len(cfg.Pools), len(cfg.Adapters), len(cfg.Profiles), len(cfg.Drained), len(cfg.Rosters))
+	_, _ = fmt.Fprintf(out, "%s: version %d is sound: %d customers, %d pools, %d adapters, %d profiles, %d drained, %d rosters\n",
+		rest[0], cfg.Version, len(cfg.Customers), len(cfg.Pools), len(cfg.Adapters), len(cfg.Profiles), len(cfg.Drained), len(cfg.Rosters))
 	return exitOK
 }
 
--- a/magctl/diff.go
+++ b/magctl/diff.go
@@ -55,7 +55,7 @@
 	}
 	changes = append(changes, lists(old.Adapters, next.Adapters, func(a magno.Adapter) string { return a.Name }, adapterEffect)...)
 	changes = append(changes, lists(old.Profiles, next.Profiles, func(p magno.Profile) string { return p.Name }, profileEffect)...)
-	changes = append(changes, lists(old.Businesses, next.Businesses, func(b magno.Business) string { return b.Name }, businessEffect)...)
+	changes = append(changes, lists(old.Customers, next.Customers, func(b magno.Customer) string { return b.Name }, customerEffect)...)
 	changes = append(changes, lists(old.Pools, next.Pools, func(p magno.Pool) string { return p.Name }, poolEffect)...)
 	changes = append(changes, lists(old.Drained, next.Drained, func(d string) string { return d }, drainEffect)...)
 	changes = append(changes, lists(old.Rosters, next.Rosters, func(r magno.Roster) string { return fmt.Sprint(int64(r.Since)) }, rosterEffect)...)
@@ -135,8 +135,8 @@
 	return c
 }
 
-func businessEffect(before, after *magno.Business) change {
-	c := change{What: verb("business", before, after), Effect: "shares of engine time change at once"}
+func customerEffect(before, after *magno.Customer) change {
+	c := change{What: verb("customer", before, after), Effect: "shares of engine time change at once"}
 	if before != nil && after != nil {
 		c.Effect = fmt.Sprintf("weight %v becomes %v", before.Weight, after.Weight)
 	}
--- a/magctl/explain.go
+++ b/magctl/explain.go
@@ -47,8 +47,8 @@
 	}
 	e := found[0]
 	p := e.Profile
-	_, _ = fmt.Fprintf(out, "profile  %s  business %s  pool %s  adapter %s@%s  urgency %d  repeat %t  retired %t\n",
-		p.Name, p.Business, p.Pool, p.Adapter, p.Version, p.Urgency, p.Repeat, e.Retired)
+	_, _ = fmt.Fprintf(out, "profile  %s  customer %s  pool %s  adapter %s@%s  urgency %d  repeat %t  retired %t\n",
+		p.Name, p.Customer, p.Pool, p.Adapter, p.Version, p.Urgency, p.Repeat, e.Retired)
 	for i, one := range found {
 		_, _ = fmt.Fprintf(out, "entry %d would try  %s\n", i, strings.Join(one.Order, ", "))
 	}
--- a/magctl/status.go
+++ b/magctl/status.go
@@ -52,7 +52,7 @@
 	for _, s := range states {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Name, s.Role, s.DataCentre, s.Pool,
 			s.word(), s.Config.Version, s.Busy, s.Backlog.Queued, s.Backlog.Wait, len(s.Held), len(s.Pinned),
-			s.Keys, s.Grants, s.Suspects, businesses(s.Backlog.Business))
+			s.Keys, s.Grants, s.Suspects, customers(s.Backlog.Customer))
 	}
 	_ = w.Flush()
 	for _, s := range states {
@@ -78,7 +78,7 @@
 	return "ready"
 }
 
-func businesses(tokens map[string]int) string {
+func customers(tokens map[string]int) string {
 	list := make([]string, 0, len(tokens))
 	for name, n := range tokens {
 		list = append(list, fmt.Sprintf("%s=%d", name, n))
--- a/magno/admit/admit.go
+++ b/magno/admit/admit.go
@@ -10,7 +10,7 @@
 // and a margin that grows by lateGrowth with each admitted job that turns out
 // late and shrinks by onTimeDecay with each in time. The two balance where one
 // admitted job in lateGrowth/onTimeDecay = 500 is late, well under the 1 in
-// 100 that issue 5 allows. Each business has its own, and all have one that
+// 100 that issue 5 allows. Each customer has its own, and all have one that
 // grows more slowly.
 //
 // The wait for an adapter is estimated by the harm that waits had done when
@@ -38,7 +38,7 @@
 	// wrong estimate shows, as many jobs again were admitted by it.
 	farMargin = 0.5
 	farWait   = 60 * magno.Second
-	// mostMargins bounds the businesses whose margin is known.
+	// mostMargins bounds the customers whose margin is known.
 	mostMargins = 1024
 
 	// runGain weighs a new run in the averages: the last fifty or so count.
@@ -83,7 +83,7 @@
 // weight store serves a few tens within the longest deadline.
 const mostWanted = 256
 
-// everyone is the key of the margin of all businesses.
+// everyone is the key of the margin of all customers.
 const everyone = ""
 
 // View is what a decision depends on besides the job.
@@ -96,7 +96,7 @@
 	Held magno.Millis
 	// Ahead is the place time of the work that runs first.
 	Ahead magno.Millis
-	// Over is true when the job's business or caller is over its share.
+	// Over is true when the job's customer or caller is over its share.
 	Over bool
 	// Load is the wait for the job's adapter, zero when it is loaded, and
 	// Patience the longest that the job is queued for.
@@ -114,7 +114,7 @@
 	Queued int
 
 	stretch float64
-	// margins holds one for each business: their queues are served apart, and
+	// margins holds one for each customer: their queues are served apart, and
 	// one that plans three minutes ahead errs more than one that plans one.
 	margins map[string]float64
 	// level is the harm at which loads began lately, as of levelAt.
@@ -123,10 +123,10 @@
 	loadMargin float64
 }
 
-// factor is the margin in force for a business: its own, or that of all, which
+// factor is the margin in force for a customer: its own, or that of all, which
 // grows more slowly.
-func (g *Gate) factor(business string) float64 {
-	return max(g.margins[business], g.margins[everyone], leastMargin)
+func (g *Gate) factor(customer string) float64 {
+	return max(g.margins[customer], g.margins[everyone], leastMargin)
 }
 
 // nominal is a run's time by the engine's own figures: a step for each token
@@ -155,22 +155,22 @@
 	g.stretch = min(max(g.stretch, minStretch), maxStretch)
 }
 
-// Ended takes whether an admitted job of a business ended before its deadline.
-func (g *Gate) Ended(business string, inTime bool) {
+// Ended takes whether an admitted job of a customer ended before its deadline.
+func (g *Gate) Ended(customer string, inTime bool) {
 	if g.margins == nil || len(g.margins) >= mostMargins {
 		g.margins = map[string]float64{}
 	}
 	if inTime {
-		g.move(business, -onTimeDecay)
+		g.move(customer, -onTimeDecay)
 		g.move(everyone, -onTimeDecay)
 		return
 	}
-	g.move(business, lateGrowth)
+	g.move(customer, lateGrowth)
 	g.move(everyone, lateForAll)
 }
 
-func (g *Gate) move(business string, by float64) {
-	g.margins[business] = min(max(g.margins[business]+by, leastMargin), maxMargin)
+func (g *Gate) move(customer string, by float64) {
+	g.margins[customer] = min(max(g.margins[customer]+by, leastMargin), maxMargin)
 }
 
 // Begun takes the harm that the wait for an adapter had done when its load
@@ -219,7 +219,7 @@
 		wait := g.Wait(v.Ahead, 0, run)
 		return magno.Refuse(magno.KindBusy, "%d jobs are queued", v.Queued).Later(after(job, wait/2))
 	}
-	margin := g.factor(job.Business)
+	margin := g.factor(job.Customer)
 	wait := g.Wait(v.Ahead, v.Free, run)
 	far := min(float64(wait)/float64(farWait), 1)
 	place := max(scale(wait, margin+farMargin*far), v.Held)
@@ -235,7 +235,7 @@
 // between it falls with the square, for most of the effect of a lower Stall
 // comes with the first steps.
 func (g *Gate) Patience(now magno.Millis, job *magno.Job) magno.Millis {
-	room := max(scale(job.Deadline-now-scale(g.Run(job), g.factor(job.Business)), waitPart), 1)
+	room := max(scale(job.Deadline-now-scale(g.Run(job), g.factor(job.Customer)), waitPart), 1)
 	least := min(room, stallLoads*g.Limits.Load)
 	loose := (1 - job.Stall) * (1 - job.Stall)
 	return least + scale(room-least, loose)
--- a/magno/check/check.go
+++ b/magno/check/check.go
@@ -42,7 +42,7 @@
 
 // View is what records are checked against: the version as it would be.
 type View interface {
-	Business(name string) (magno.Business, bool)
+	Customer(name string) (magno.Customer, bool)
 	Pool(name string) (magno.Pool, bool)
 	Adapter(name string) (magno.Adapter, bool)
 	Rosters() []magno.Roster
@@ -106,7 +106,7 @@
 
 // Append adds the records of part to all.
 func Append(all, part *magno.Config) {
-	all.Businesses = append(all.Businesses, part.Businesses...)
+	all.Customers = append(all.Customers, part.Customers...)
 	all.Pools = append(all.Pools, part.Pools...)
 	all.Adapters = append(all.Adapters, part.Adapters...)
 	all.Profiles = append(all.Profiles, part.Profiles...)
@@ -154,28 +154,28 @@
 
 // Gone names records that a change takes away.
 type Gone struct {
-	Businesses []string `json:"businesses,omitempty"`
-	Pools      []string `json:"pools,omitempty"`
-	Adapters   []string `json:"adapters,omitempty"`
-	Profiles   []string `json:"profiles,omitempty"`
-	Drained    []string `json:"drained,omitempty"`
+	Customers []string `json:"customers,omitempty"`
+	Pools     []string `json:"pools,omitempty"`
+	Adapters  []string `json:"adapters,omitempty"`
+	Profiles  []string `json:"profiles,omitempty"`
+	Drained   []string `json:"drained,omitempty"`
 	// Rosters is true when the list of rosters became empty.
 	Rosters bool `json:"rosters,omitempty"`
 }
 
 // table is a View of a plain configuration.
 type table struct {
-	cfg        *magno.Config
-	businesses map[string]int
-	pools      map[string]int
-	adapters   map[string]int
+	cfg       *magno.Config
+	customers map[string]int
+	pools     map[string]int
+	adapters  map[string]int
 }
 
 func newTable(cfg *magno.Config) *table {
-	t := &table{cfg: cfg, businesses: map[string]int{}, pools: map[string]int{},
+	t := &table{cfg: cfg, customers: map[string]int{}, pools: map[string]int{},
 		adapters: make(map[string]int, len(cfg.Adapters))}
-	for i := range cfg.Businesses {
-		t.businesses[cfg.Businesses[i].Name] = i
+	for i := range cfg.Customers {
+		t.customers[cfg.Customers[i].Name] = i
 	}
 	for i := range cfg.Pools {
 		t.pools[cfg.Pools[i].Name] = i
@@ -186,9 +186,9 @@
 	return t
 }
 
-// Business finds a business by name.
-func (t *table) Business(name string) (magno.Business, bool) {
-	return find(t.cfg.Businesses, t.businesses, name)
+// Customer finds a customer by name.
+func (t *table) Customer(name string) (magno.Customer, bool) {
+	return find(t.cfg.Customers, t.customers, name)
 }
 
 // Pool finds a pool by name.
--- a/magno/check/check_test.go
+++ b/magno/check/check_test.go
@@ -11,7 +11,7 @@
 
 const base = `{
   // Customers of the group.
-  "businesses": [{"name": "delta", "weight": 2}],
+  "customers": [{"name": "delta", "weight": 2}],
   "pools": [
     {"name": "read", "kind": "engine", "base": "llama"},
     {"name": "mail", "kind": "plain"}
@@ -24,9 +24,9 @@
      "versions": ["v2"], "retired": ["v1"]},
   ],
   "profiles": [
-    {"name": "p", "business": "delta", "pool": "read",
+    {"name": "p", "customer": "delta", "pool": "read",
      "adapter": "a", "version": "v2"},
-    {"name": "q", "business": "delta", "pool": "mail"}
+    {"name": "q", "customer": "delta", "pool": "mail"}
   ],
   "rosters": [{"since": 0, "until": 9, "members": ["x", "y"]}]
 }`
@@ -63,13 +63,13 @@
 		key            string
 	}{
 		{"unknown key", `"versions"`, `"verzions"`, 4, "verzions"},
-		{"broken text", `"q", "business"`, `"q" "business"`, 9, ""},
+		{"broken text", `"q", "customer"`, `"q" "customer"`, 9, ""},
 		{"version in a shard", `"adapters"`, `"version": 3, "adapters"`, 2, "version"},
 		{"name twice", `"name": "q"`, `"name": "p"`, 9, "profiles[p].name"},
 		{"no adapter", `"adapter": "a"`, `"adapter": "b"`, 8, "profiles[p].adapter"},
 		{"retired version", `"version": "v2"}`, `"version": "v1"}`, 8, "profiles[p].version"},
 		{"unknown version", `"version": "v2"}`, `"version": "v9"}`, 8, "profiles[p].version"},
-		{"no business", `"delta", "pool": "mail"`, `"other", "pool": "mail"`, 9, "profiles[q].business"},
+		{"no customer", `"delta", "pool": "mail"`, `"other", "pool": "mail"`, 9, "profiles[q].customer"},
 		{"adapter on a plain pool", `"pool": "mail"`, `"pool": "mail", "adapter": "a"`, 9, "profiles[q].adapter"},
 		{"other base model", `"base": "llama"`, `"base": "qwen"`, 8, "profiles[p].adapter"},
 		{"retired and not", `["v1"]`, `["v2"]`, 4, "adapters[a].retired"},
@@ -148,7 +148,7 @@
 	}
 	cfg := &magno.Config{Version: 1}
 	for i := range 100 {
-		cfg.Businesses = append(cfg.Businesses, magno.Business{Name: fmt.Sprint(i)})
+		cfg.Customers = append(cfg.Customers, magno.Customer{Name: fmt.Sprint(i)})
 	}
 	if faults := (&Checker{}).Whole(cfg, nil, nil); len(faults) != MaxFaults {
 		t.Fatalf("%d faults", len(faults))
--- a/magno/check/rules.go
+++ b/magno/check/rules.go
@@ -12,19 +12,19 @@
 
 // The JSON keys of the lists.
 const (
-	listBusinesses = "businesses"
-	listPools      = "pools"
-	listAdapters   = "adapters"
-	listProfiles   = "profiles"
-	listDrained    = "drained"
-	listRosters    = "rosters"
+	listCustomers = "customers"
+	listPools     = "pools"
+	listAdapters  = "adapters"
+	listProfiles  = "profiles"
+	listDrained   = "drained"
+	listRosters   = "rosters"
 )
 
 // sizes bounds each list.
 func sizes(cfg *magno.Config) []fault {
 	var found []fault
 	for list, n := range map[string]int{
-		listBusinesses: len(cfg.Businesses), listPools: len(cfg.Pools), listAdapters: len(cfg.Adapters),
+		listCustomers: len(cfg.Customers), listPools: len(cfg.Pools), listAdapters: len(cfg.Adapters),
 		listProfiles: len(cfg.Profiles), listDrained: len(cfg.Drained), listRosters: len(cfg.Rosters),
 	} {
 		if n > maxRecords {
@@ -36,7 +36,7 @@
 
 // doubles finds names that stand twice in a list.
 func doubles(cfg *magno.Config) []fault {
-	found := double(nil, listBusinesses, cfg.Businesses, func(b magno.Business) string { return b.Name })
+	found := double(nil, listCustomers, cfg.Customers, func(b magno.Customer) string { return b.Name })
 	found = double(found, listPools, cfg.Pools, func(p magno.Pool) string { return p.Name })
 	found = double(found, listAdapters, cfg.Adapters, func(a magno.Adapter) string { return a.Name })
 	found = double(found, listProfiles, cfg.Profiles, func(p magno.Profile) string { return p.Name })
@@ -58,8 +58,8 @@
 // records checks each record of cfg by itself and against view.
 func records(cfg *magno.Config, view View) []fault {
 	var f findings
-	for _, b := range cfg.Businesses {
-		f.business(b)
+	for _, b := range cfg.Customers {
+		f.customer(b)
 	}
 	for _, p := range cfg.Pools {
 		f.pool(p)
@@ -130,10 +130,10 @@
 	}
 }
 
-func (f *findings) business(b magno.Business) {
-	f.at(listBusinesses, b.Name, "name").name(b.Name)
+func (f *findings) customer(b magno.Customer) {
+	f.at(listCustomers, b.Name, "name").name(b.Name)
 	if !(b.Weight > 0 && b.Weight <= maxWeight) {
-		f.at(listBusinesses, b.Name, "weight").add("%v is not over zero and at most %v", b.Weight, maxWeight)
+		f.at(listCustomers, b.Name, "weight").add("%v is not over zero and at most %v", b.Weight, maxWeight)
 	}
 }
 
@@ -187,8 +187,8 @@
 // refs checks what a profile names. A retired one serves nothing, so its
 // adapter may be gone.
 func (f *findings) refs(p *magno.Profile, view View) {
-	if _, ok := view.Business(p.Business); !ok {
-		f.at(listProfiles, p.Name, "business").add("there is no business %q", p.Business)
+	if _, ok := view.Customer(p.Customer); !ok {
+		f.at(listProfiles, p.Name, "customer").add("there is no customer %q", p.Customer)
 	}
 	pool, ok := view.Pool(p.Pool)
 	if !ok {
@@ -222,7 +222,7 @@
 func orphans(lost lost, view View) []fault {
 	var f findings
 	view.EachProfile(func(p magno.Profile) bool {
-		if lost.businesses[p.Business] || lost.pools[p.Pool] || lost.adapters[p.Adapter] {
+		if lost.customers[p.Customer] || lost.pools[p.Pool] || lost.adapters[p.Adapter] {
 			f.refs(&p, view)
 		}
 		return len(f.list) < MaxFaults
@@ -232,7 +232,7 @@
 
 // lost are records that profiles may name and that went, or lost something.
 type lost struct {
-	businesses, pools, adapters map[string]bool
+	customers, pools, adapters map[string]bool
 }
 
 // newLost leaves out what only gained, such as an adapter with one version
@@ -240,8 +240,8 @@
 // would take a hundred times as long as the change itself.
 func newLost(set *magno.Config, gone Gone, before View) lost {
 	l := lost{map[string]bool{}, map[string]bool{}, map[string]bool{}}
-	for _, b := range gone.Businesses {
-		l.businesses[b] = true
+	for _, b := range gone.Customers {
+		l.customers[b] = true
 	}
 	for _, p := range gone.Pools {
 		l.pools[p] = true
@@ -263,7 +263,7 @@
 	return l
 }
 
-func (l lost) any() bool { return len(l.businesses)+len(l.pools)+len(l.adapters) > 0 }
+func (l lost) any() bool { return len(l.customers)+len(l.pools)+len(l.adapters) > 0 }
 
 // covers is true when whatever could name old can name a.
 func covers(a, old *magno.Adapter) bool {
--- a/magno/clock.go
+++ b/magno/clock.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point in time since the Unix epoch, or a span, in milliseconds.
@@ -29,8 +31,9 @@
 	mu sync.Mutex
 	// driven is true when only Advance moves the clock.
 	driven bool
-	// steady is true when no step of the time of day moves the clock.
-	steady bool
+	// steady is true when no step of the time of day moves the clock, boot when it
+	// also goes on while the machine is suspended.
+	steady, boot bool
 	// now is the current time of a driven clock. It never decreases.
 	now Millis
 }
@@ -46,11 +49,32 @@
 // keep a request waiting for as long.
 func NewSteady() *Clock { return &Clock{steady: true} }
 
+// NewBoot returns a steady clock that goes on while the machine is suspended. What
+// is known for a bounded time only is judged by it: after a suspension a monotonic
+// clock says that no time has passed.
+func NewBoot() *Clock { return &Clock{steady: true, boot: true} }
+
+// bootTime is how long the machine has run, suspensions included. Where the system
+// has no such clock it is the monotonic one's.
+func bootTime() Millis {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return ToMillis(time.Since(started))
+	}
+	return Millis(t.Nano() / int64(time.Millisecond))
+}
+
+// booted anchors boot clocks.
+var booted = bootTime()
+
 // started anchors steady clocks. It holds a monotonic reading.
 var started = time.Now()
 
 // Now returns the current time.
 func (c *Clock) Now() Millis {
+	if c != nil && c.boot {
+		return Millis(started.UnixMilli()) + bootTime() - booted
+	}
 	if c != nil && c.steady {
 		return Millis(started.UnixMilli()) + ToMillis(time.Since(started))
 	}
--- a/magno/config.go
+++ b/magno/config.go
@@ -5,13 +5,13 @@
 type Config struct {
 	// Version only grows; a lower one is never put in force.
 	Version int64 `json:"version"`
-	// Businesses have unique names.
-	Businesses []Business `json:"businesses"`
+	// Customers have unique names.
+	Customers []Customer `json:"customers"`
 	// Pools have unique names.
 	Pools []Pool `json:"pools"`
 	// Adapters have unique names.
 	Adapters []Adapter `json:"adapters"`
-	// Profiles have unique names; each names a known business and pool, and
+	// Profiles have unique names; each names a known customer and pool, and
 	// a known version of a known adapter unless its pool is plain.
 	Profiles []Profile `json:"profiles"`
 	// Drained lists instances that take no new work.
@@ -20,11 +20,40 @@
 	Rosters []Roster `json:"rosters,omitempty"`
 }
 
-// Business is one customer of the platform.
-type Business struct {
+// Customer is one of the organisations whose callers send requests.
+type Customer struct {
 	Name string `json:"name"`
 	// Weight is its share of engine time against the others', over zero.
 	Weight float64 `json:"weight"`
+	// Keys are the digests of its callers' keys; no two customers share one.
+	Keys []Digest `json:"keys,omitempty"`
+	// Rank is its urgency, 0 first. It goes before that of a route; nil for none.
+	Rank *int `json:"rank,omitempty"`
+	// Limit is nil where its requests aren't limited.
+	Limit *Limit `json:"limit,omitempty"`
+}
+
+// Limit is how much a customer may have run, over all processes.
+type Limit struct {
+	// Rate is so much a second, Burst what may come at once beside it; both are over
+	// zero.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Tokens is true where tokens count, of prompt and answer together, and false where
+	// requests do. Plain is what a request counts that names no tokens.
+	Tokens bool    `json:"tokens,omitempty"`
+	Plain  float64 `json:"plain,omitempty"`
+}
+
+// Cost is what a request counts that names so many tokens, zero for none.
+func (l *Limit) Cost(tokens int) float64 {
+	switch {
+	case !l.Tokens:
+		return 1
+	case tokens == 0:
+		return l.Plain
+	}
+	return float64(tokens)
 }
 
 // PoolKind says what stands behind a pool.
@@ -62,11 +91,11 @@
 // Profile states what a kind of work needs. Callers name it as the model.
 type Profile struct {
 	Name     string `json:"name"`
-	Business string `json:"business"`
+	Customer string `json:"customer"`
 	Pool     string `json:"pool"`
 	Adapter  string `json:"adapter,omitempty"`
 	Version  string `json:"version,omitempty"`
-	// Urgency orders work within a business; 0 is the least urgent, 9 the
+	// Urgency orders work within a customer; 0 is the least urgent, 9 the
 	// most.
 	Urgency int `json:"urgency,omitempty"`
 	// Repeat is true when the work is idempotent and may be run again.
--- a/magno/config/delta.go
+++ b/magno/config/delta.go
@@ -52,8 +52,8 @@
 
 // Size counts records.
 func (d *Delta) Size() int {
-	return len(d.Set.Adapters) + len(d.Set.Profiles) + len(d.Set.Businesses) + len(d.Set.Pools) + len(d.Set.Drained) +
-		len(d.Gone.Adapters) + len(d.Gone.Profiles) + len(d.Gone.Businesses) + len(d.Gone.Pools) + len(d.Gone.Drained)
+	return len(d.Set.Adapters) + len(d.Set.Profiles) + len(d.Set.Customers) + len(d.Set.Pools) + len(d.Set.Drained) +
+		len(d.Gone.Adapters) + len(d.Gone.Profiles) + len(d.Gone.Customers) + len(d.Gone.Pools) + len(d.Gone.Drained)
 }
 
 // Diff returns what leads from old to next. Groups that both share cost
@@ -66,9 +66,9 @@
 		}
 	}
 	o, n := old.few, next.few
-	compare(o.businesses, n.businesses, businessName, equal, func(b *magno.Business) {
-		d.Set.Businesses = append(d.Set.Businesses, *b)
-	}, func(name string) { d.Gone.Businesses = append(d.Gone.Businesses, name) })
+	compare(o.customers, n.customers, customerName, equalCustomer, func(b *magno.Customer) {
+		d.Set.Customers = append(d.Set.Customers, *b)
+	}, func(name string) { d.Gone.Customers = append(d.Gone.Customers, name) })
 	compare(o.pools, n.pools, poolName, equal, func(p *magno.Pool) {
 		d.Set.Pools = append(d.Set.Pools, *p)
 	}, func(name string) { d.Gone.Pools = append(d.Gone.Pools, name) })
@@ -83,6 +83,8 @@
 
 func equal[T comparable](a, b *T) bool { return *a == *b }
 
+func equalCustomer(a, b *magno.Customer) bool { return reflect.DeepEqual(a, b) }
+
 func (d *Delta) bucket(old, next *bucket) {
 	compare(old.adapters, next.adapters, adapterName, equal, func(r *adapterRec) {
 		d.Set.Adapters = append(d.Set.Adapters, r.unpack())
--- a/magno/config/record.go
+++ b/magno/config/record.go
@@ -33,7 +33,7 @@
 
 // shape is what many profiles have in common; each is held once.
 type shape struct {
-	business, pool string
+	customer, pool string
 	urgency        int
 	repeat         bool
 	deadline       magno.Millis
@@ -63,7 +63,7 @@
 	return profileRec{
 		name: p.Name, adapter: p.Adapter, version: p.Version,
 		shape: unique.Make(shape{
-			business: p.Business, pool: p.Pool, urgency: p.Urgency, repeat: p.Repeat,
+			customer: p.Customer, pool: p.Pool, urgency: p.Urgency, repeat: p.Repeat,
 			deadline: p.Deadline, stall: p.Stall, retired: p.Retired,
 		}),
 	}
@@ -72,7 +72,7 @@
 func (r *profileRec) unpack() magno.Profile {
 	s := r.shape.Value()
 	return magno.Profile{
-		Name: r.name, Business: s.business, Pool: s.pool, Adapter: r.adapter, Version: r.version,
+		Name: r.name, Customer: s.customer, Pool: s.pool, Adapter: r.adapter, Version: r.version,
 		Urgency: s.urgency, Repeat: s.repeat, Deadline: s.deadline, Stall: s.stall, Retired: s.retired,
 	}
 }
@@ -114,7 +114,7 @@
 
 func (h *hasher) profile(r *profileRec) uint64 {
 	s := r.shape.Value()
-	h.text("p", r.name, r.adapter, r.version, s.business, s.pool)
+	h.text("p", r.name, r.adapter, r.version, s.customer, s.pool)
 	h.number(uint64(s.urgency), uint64(s.deadline), math.Float64bits(s.stall), bit(s.repeat), bit(s.retired))
 	return h.done()
 }
@@ -128,7 +128,7 @@
 		h.text(kind, string(text))
 		sum += h.done()
 	}
-	for _, b := range f.businesses {
+	for _, b := range f.customers {
 		add("b", b)
 	}
 	for _, p := range f.pools {
--- a/magno/config/snap.go
+++ b/magno/config/snap.go
@@ -41,16 +41,16 @@
 
 // few holds the short lists, each ordered by name.
 type few struct {
-	sum        uint64
-	businesses []magno.Business
-	pools      []magno.Pool
-	drained    []string
-	rosters    []magno.Roster
+	sum       uint64
+	customers []magno.Customer
+	pools     []magno.Pool
+	drained   []string
+	rosters   []magno.Roster
 }
 
 func adapterName(r *adapterRec) string      { return r.name }
 func profileName(r *profileRec) string      { return r.name }
-func businessName(r *magno.Business) string { return r.Name }
+func customerName(r *magno.Customer) string { return r.Name }
 func poolName(r *magno.Pool) string         { return r.Name }
 func drainedName(r *string) string          { return *r }
 
@@ -88,15 +88,15 @@
 	for i, c := range group(set, gone) {
 		next.put(i, c)
 	}
-	if len(set.Businesses)+len(set.Pools)+len(set.Drained)+len(gone.Businesses)+len(gone.Pools)+len(gone.Drained) == 0 &&
+	if len(set.Customers)+len(set.Pools)+len(set.Drained)+len(gone.Customers)+len(gone.Pools)+len(gone.Drained) == 0 &&
 		set.Rosters == nil && !gone.Rosters {
 		return &next
 	}
 	f := few{
-		businesses: merge(s.few.businesses, set.Businesses, gone.Businesses, businessName),
-		pools:      merge(s.few.pools, set.Pools, gone.Pools, poolName),
-		drained:    merge(s.few.drained, set.Drained, gone.Drained, drainedName),
-		rosters:    s.few.rosters,
+		customers: merge(s.few.customers, set.Customers, gone.Customers, customerName),
+		pools:     merge(s.few.pools, set.Pools, gone.Pools, poolName),
+		drained:   merge(s.few.drained, set.Drained, gone.Drained, drainedName),
+		rosters:   s.few.rosters,
 	}
 	if set.Rosters != nil || gone.Rosters {
 		f.rosters = set.Rosters
@@ -212,9 +212,9 @@
 	return false
 }
 
-// Business finds a business by name.
-func (s *Snapshot) Business(name string) (magno.Business, bool) {
-	return copied(lookup(s.few.businesses, name, businessName))
+// Customer finds a customer by name.
+func (s *Snapshot) Customer(name string) (magno.Customer, bool) {
+	return copied(lookup(s.few.customers, name, customerName))
 }
 
 // Pool finds a pool by name.
@@ -236,9 +236,9 @@
 	return *r, true
 }
 
-// Businesses lists every business in order of name; like the lists below, it
+// Customers lists every customer in order of name; like the lists below, it
 // must not be changed.
-func (s *Snapshot) Businesses() []magno.Business { return s.few.businesses }
+func (s *Snapshot) Customers() []magno.Customer { return s.few.customers }
 
 // Pools lists every pool in order of name.
 func (s *Snapshot) Pools() []magno.Pool { return s.few.pools }
@@ -270,7 +270,7 @@
 // Bucket returns the records of one group, FewBucket included.
 func (s *Snapshot) Bucket(i int) *magno.Config {
 	if i == FewBucket {
-		return &magno.Config{Businesses: s.few.businesses, Pools: s.few.pools, Drained: s.few.drained, Rosters: s.few.rosters}
+		return &magno.Config{Customers: s.few.customers, Pools: s.few.pools, Drained: s.few.drained, Rosters: s.few.rosters}
 	}
 	b := s.buckets[i]
 	cfg := &magno.Config{Adapters: make([]magno.Adapter, len(b.adapters)), Profiles: make([]magno.Profile, len(b.profiles))}
@@ -288,7 +288,7 @@
 func (s *Snapshot) Replace(i int, cfg *magno.Config) *Snapshot {
 	next := *s
 	if i == FewBucket {
-		next.swap(&few{businesses: cfg.Businesses, pools: cfg.Pools, drained: cfg.Drained, rosters: cfg.Rosters})
+		next.swap(&few{customers: cfg.Customers, pools: cfg.Pools, drained: cfg.Drained, rosters: cfg.Rosters})
 		return &next
 	}
 	next.Sum -= s.buckets[i].sum
--- a/magno/config/store_test.go
+++ b/magno/config/store_test.go
@@ -15,14 +15,14 @@
 // sample returns a sound version with n adapters and profiles.
 func sample(version int64, n int) *magno.Config {
 	cfg := &magno.Config{
-		Version:    version,
-		Businesses: []magno.Business{{Name: "delta", Weight: 1}},
-		Pools:      []magno.Pool{{Name: "read", Kind: magno.PoolEngine, Base: "llama"}},
+		Version:   version,
+		Customers: []magno.Customer{{Name: "delta", Weight: 1}},
+		Pools:     []magno.Pool{{Name: "read", Kind: magno.PoolEngine, Base: "llama"}},
 	}
 	for i := range n {
 		name := fmt.Sprintf("a%d", i)
 		cfg.Adapters = append(cfg.Adapters, magno.Adapter{Name: name, Base: "llama", Versions: []string{"v1", "v2"}})
-		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Business: "delta", Pool: "read",
+		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Customer: "delta", Pool: "read",
 			Adapter: name, Version: "v1"})
 	}
 	return cfg
@@ -96,7 +96,7 @@
 // times with a fault.
 func draw(t *rapid.T, version int64) (cfg *magno.Config, sound bool) {
 	cfg = sample(version, 0)
-	cfg.Businesses[0].Weight = float64(rapid.IntRange(1, 3).Draw(t, "weight"))
+	cfg.Customers[0].Weight = float64(rapid.IntRange(1, 3).Draw(t, "weight"))
 	for i := range 6 {
 		if !rapid.Bool().Draw(t, "there") {
 			continue
@@ -104,7 +104,7 @@
 		name := fmt.Sprintf("a%d", i)
 		at := rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")
 		cfg.Adapters = append(cfg.Adapters, magno.Adapter{Name: name, Base: "llama", Versions: []string{at}})
-		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Business: "delta", Pool: "read",
+		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Customer: "delta", Pool: "read",
 			Adapter: name, Version: at})
 	}
 	// Rosters only gain, so that any later version may follow any earlier one.
--- a/magno/gossip/world_test.go
+++ b/magno/gossip/world_test.go
@@ -261,14 +261,14 @@
 // sample is a sound version whose content depends on its number.
 func sample(version int64) *magno.Config {
 	cfg := &magno.Config{
-		Version:    version,
-		Businesses: []magno.Business{{Name: "delta", Weight: 1}},
-		Pools:      []magno.Pool{{Name: "read", Kind: magno.PoolEngine, Base: "llama"}},
+		Version:   version,
+		Customers: []magno.Customer{{Name: "delta", Weight: 1}},
+		Pools:     []magno.Pool{{Name: "read", Kind: magno.PoolEngine, Base: "llama"}},
 	}
 	for i := range 4 {
 		name := fmt.Sprintf("a%d", i)
 		cfg.Adapters = append(cfg.Adapters, magno.Adapter{Name: name, Base: "llama", Versions: []string{fmt.Sprintf("v%d", version)}})
-		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Business: "delta", Pool: "read",
+		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Customer: "delta", Pool: "read",
 			Adapter: name, Version: fmt.Sprintf("v%d", version)})
 	}
 	return cfg
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -21,8 +21,8 @@
 type Job struct {
 	// ID is unique for each attempt.
 	ID       string `json:"id"`
-	Business string `json:"business"`
-	// Caller is a stable name of who asks; fairness within a business.
+	Customer string `json:"customer"`
+	// Caller is a stable name of who asks; fairness within a customer.
 	Caller  string `json:"caller,omitempty"`
 	Profile string `json:"profile"`
 	Ref     Ref    `json:"ref"`
@@ -94,9 +94,9 @@
 	// Pinned and Held count adapters.
 	Pinned int `json:"pinned,omitempty"`
 	Held   int `json:"held,omitempty"`
-	// Business maps a business to its queued tokens.
-	Business map[string]int `json:"business,omitempty"`
-	// Waits maps each business with queued jobs to the Wait of one more of its
+	// Customer maps a customer to its queued tokens.
+	Customer map[string]int `json:"customer,omitempty"`
+	// Waits maps each customer with queued jobs to the Wait of one more of its
 	// jobs: in fair order it is shorter for one with little queued.
 	Waits map[string]Millis `json:"waits,omitempty"`
 	// Loads counts adapters that queued jobs wait for, LoadWait is the
@@ -172,8 +172,8 @@
 type Query struct {
 	Ref    Ref
 	Prefix uint64
-	// Business is whose work it is; empty when it doesn't matter.
-	Business string
+	// Customer is whose work it is; empty when it doesn't matter.
+	Customer string
 	// DataCentre is the asker's own.
 	DataCentre string
 	// Work is the request's tokens.
@@ -224,7 +224,7 @@
 // Homer is implemented by routers that know the home of an idempotency key.
 type Homer interface {
 	// Homes returns the first n homes in order, the same on every entry that
-	// has the same targets and reports. Of q it takes Ref and Business.
+	// has the same targets and reports. Of q it takes Ref and Customer.
 	Homes(q Query, key string, n int) []string
 }
 
@@ -299,7 +299,7 @@
 	SetClock(clock *Clock)
 	// SetLimits tells what the upstream states of itself.
 	SetLimits(limits Limits)
-	// SetWeights maps a business to its share; a missing one counts as 1.
+	// SetWeights maps a customer to its share; a missing one counts as 1.
 	SetWeights(weights map[string]float64)
 	// SetTurns tells whether loads wait for turns; see Turner.
 	SetTurns(on bool)
--- /dev/null
+++ b/magno/keys/keys_test.go
@@ -0,0 +1,45 @@
+package keys
+
+import (
+	"testing"
+
+	"magnoliastall.example/magno"
+)
+
+func table() *Keys {
+	return New([]magno.Customer{
+		{Name: "a", Keys: []magno.Digest{magno.Digested("one"), magno.Digested("two")}},
+		{Name: "b", Keys: []magno.Digest{magno.Digested("three")}},
+		{Name: "none"},
+	})
+}
+
+func TestFind(t *testing.T) {
+	for _, c := range []struct{ header, want string }{
+		{"Bearer one", "a"},
+		{"bearer  two ", "a"},
+		{"Bearer three", "b"},
+		{"Bearer four", ""},
+		{"Basic one", ""},
+		{"Bearer", ""},
+		{"Bearer ", ""},
+		{"one", ""},
+		{"", ""},
+		{"Bearer " + magno.Digested("one").String(), ""},
+	} {
+		name := ""
+		if found := table().Find(c.header); found != nil {
+			name = found.Name
+		}
+		if name != c.want {
+			t.Errorf("Find(%q) = %q, want %q", c.header, name, c.want)
+		}
+	}
+}
+
+func BenchmarkFind(b *testing.B) {
+	k := table()
+	for b.Loop() {
+		k.Find("Bearer one")
+	}
+}
--- a/magno/kind.go
+++ b/magno/kind.go
@@ -19,8 +19,11 @@
 	KindStaleKey    Kind = "stale"       // the key's time is outside the retention window
 	KindMismatch    Kind = "mismatch"    // the key was used before for another body
 	KindPast        Kind = "past"        // the deadline had passed on arrival
+	KindCredential  Kind = "credential"  // the caller's key belongs to no customer
+	KindOutdated    Kind = "outdated"    // keys may have been withdrawn since the configuration was last confirmed
+	KindQuota       Kind = "quota"       // the customer is over its rate limit
 	KindBusy        Kind = "busy"        // the queue can't finish it before its deadline
-	KindShare       Kind = "share"       // the business or caller is over its share
+	KindShare       Kind = "share"       // the customer or caller is over its share
 	KindLoading     Kind = "loading"     // its adapter can't be loaded in time
 	KindNoUpstream  Kind = "upstream"    // no upstream of the pool can be reached
 	KindLeaving     Kind = "leaving"     // the instance is leaving and takes no new work
@@ -68,6 +71,9 @@
 	KindStaleKey:    {http.StatusConflict, RunUnknown, false},
 	KindMismatch:    {http.StatusUnprocessableEntity, RunNo, false},
 	KindPast:        {http.StatusRequestTimeout, RunNo, false},
+	KindCredential:  {http.StatusUnauthorized, RunNo, false},
+	KindOutdated:    {http.StatusServiceUnavailable, RunNo, true},
+	KindQuota:       {http.StatusTooManyRequests, RunNo, true},
 	KindBusy:        {http.StatusTooManyRequests, RunNo, true},
 	KindShare:       {http.StatusTooManyRequests, RunNo, true},
 	KindLoading:     {http.StatusServiceUnavailable, RunNo, true},
--- a/magno/once/ledger.go
+++ b/magno/once/ledger.go
@@ -40,7 +40,7 @@
 type Call struct {
 	// Key is the caller's idempotency key: a UUID of version 7, or a ticket.
 	Key string
-	// Scope is whom the key belongs to, such as the business; the same key of
+	// Scope is whom the key belongs to, such as the customer; the same key of
 	// another scope is another key.
 	Scope string
 	// Body is a hash of all that the request asks for.
--- a/magno/pack/pack.go
+++ b/magno/pack/pack.go
@@ -46,7 +46,7 @@
 // published. The same configuration always gives the same values.
 func Pack(cfg magno.Config) ([]Value, error) {
 	parts := map[string]*magno.Config{"core": {
-		Businesses: cfg.Businesses, Pools: cfg.Pools, Drained: cfg.Drained, Rosters: cfg.Rosters,
+		Customers: cfg.Customers, Pools: cfg.Pools, Drained: cfg.Drained, Rosters: cfg.Rosters,
 	}}
 	part := func(sort string, n int, name string) *magno.Config {
 		shards := uint64(n/recordsPerShard + 1)
--- a/magno/plan.go
+++ b/magno/plan.go
@@ -44,6 +44,8 @@
 	Rank int `json:"rank"`
 	// Resume allows a stream to go on at another upstream.
 	Resume bool `json:"resume"`
+	// Public requests need no key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Repeatable is true when a request that may have run can be sent again.
@@ -92,11 +94,16 @@
 	Version  int64     `json:"version"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
+	// Customers are empty where callers need no keys.
+	Customers []Customer `json:"customers,omitempty"`
 	// Body and Header bound a request, in bytes.
 	Body   int64 `json:"body"`
 	Header int   `json:"header"`
 }
 
+// Keyed tells whether requests of a route need a key.
+func (p *Plan) Keyed(r *Route) bool { return len(p.Customers) > 0 && !r.Public }
+
 // Service returns the service of that name, nil when there is none.
 func (p *Plan) Service(name string) *Service {
 	for i := range p.Services {
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -186,7 +186,7 @@
 
 // waitAt is the wait that p reported, aged, for a place and for the adapter.
 func (r *Route) waitAt(q *query, p *peer) float64 {
-	wait := float64(p.placeWait(q.Business)) * half(q.now-p.at, reportHalf)
+	wait := float64(p.placeWait(q.Customer)) * half(q.now-p.at, reportHalf)
 	if q.hash == 0 {
 		return wait
 	}
--- a/magno/route/peer.go
+++ b/magno/route/peer.go
@@ -119,13 +119,13 @@
 	return math.Exp(max(p.slow*half(now-p.slowAt, slowHalf), 0))
 }
 
-// placeWait is the reported wait for a place of one business's work. A queue
-// full of one business's jobs is short for the others; by its whole length,
+// placeWait is the reported wait for a place of one customer's work. A queue
+// full of one customer's jobs is short for the others; by its whole length,
 // they would keep to the targets where they wait themselves, and get nothing
 // of the rest.
-func (p *peer) placeWait(business string) magno.Millis {
-	if business == "" || p.report.Waits == nil {
+func (p *peer) placeWait(customer string) magno.Millis {
+	if customer == "" || p.report.Waits == nil {
 		return p.report.Wait
 	}
-	return p.report.Waits[business]
+	return p.report.Waits[customer]
 }
--- a/magno/route/route_test.go
+++ b/magno/route/route_test.go
@@ -169,23 +169,23 @@
 	}
 }
 
-// A target is full of one business's work, the holder of another's adapter has
-// a shorter queue, all of it that business's own. Its work must go to the
+// A target is full of one customer's work, the holder of another's adapter has
+// a shorter queue, all of it that customer's own. Its work must go to the
 // first, where it is next; by the length of the whole queues it would pile up
 // at the holder and be refused there.
-func TestWaitIsThatOfTheBusiness(t *testing.T) {
+func TestWaitIsThatOfTheCustomer(t *testing.T) {
 	r, _ := newRoute(2)
 	warm := []uint32{ref(1).Hash()}
 	r.Report("u0", magno.Backlog{Warm: warm, Wait: 20_000, Waits: map[string]magno.Millis{"mine": 20_000}})
 	r.Report("u1", magno.Backlog{Wait: 60_000, Waits: map[string]magno.Millis{"other": 60_000}})
-	tests := []struct{ business, want string }{{"mine", "u1"}, {"other", "u0"}, {"", "u0"}}
+	tests := []struct{ customer, want string }{{"mine", "u1"}, {"other", "u0"}, {"", "u0"}}
 	for _, tt := range tests {
-		q := magno.Query{Ref: ref(1), Business: tt.business}
+		q := magno.Query{Ref: ref(1), Customer: tt.customer}
 		if got := r.Route(q)[0]; got != tt.want {
-			t.Errorf("work of %q goes to %s", tt.business, got)
+			t.Errorf("work of %q goes to %s", tt.customer, got)
 		}
 		if got := r.Homes(q, "key", 1)[0]; got != tt.want {
-			t.Errorf("keyed work of %q goes to %s", tt.business, got)
+			t.Errorf("keyed work of %q goes to %s", tt.customer, got)
 		}
 	}
 }
--- a/magno/sched/bench_test.go
+++ b/magno/sched/bench_test.go
@@ -37,7 +37,7 @@
 		d.n++
 		d.clock.Advance(1)
 		now := d.clock.Now()
-		_ = d.s.Offer(magno.Job{ID: d.ids[d.n%len(d.ids)], Business: "a", Caller: d.ids[d.n%50], Output: 200,
+		_ = d.s.Offer(magno.Job{ID: d.ids[d.n%len(d.ids)], Customer: "a", Caller: d.ids[d.n%50], Output: 200,
 			Ref: d.refs[d.n%len(d.refs)], Arrived: now, Deadline: now + magno.Hour})
 		d.s.Next()
 	}
@@ -102,7 +102,7 @@
 		ref = d.refs[(d.n*7919)%len(d.refs)]
 	}
 	now := d.clock.Now()
-	_ = d.s.Offer(magno.Job{ID: d.ids[d.n%len(d.ids)], Business: "abc"[d.n%3 : d.n%3+1], Caller: d.ids[d.n%50],
+	_ = d.s.Offer(magno.Job{ID: d.ids[d.n%len(d.ids)], Customer: "abc"[d.n%3 : d.n%3+1], Caller: d.ids[d.n%50],
 		Urgency: d.n % 10, Stall: 0.5, Prompt: 1000, Output: 200, Ref: ref, Arrived: now, Deadline: now + magno.Minute})
 	for _, o := range d.s.Next() {
 		switch o.Kind {
--- a/magno/sched/load_test.go
+++ b/magno/sched/load_test.go
@@ -53,7 +53,7 @@
 
 // job is a second of work of one caller.
 func job(caller string, adapter int) magno.Job {
-	return magno.Job{Business: "b", Caller: caller, Output: 99, Stall: 0.5,
+	return magno.Job{Customer: "b", Caller: caller, Output: 99, Stall: 0.5,
 		Ref: magno.Ref{Adapter: fmt.Sprintf("ad%d", adapter), Version: "1"}}
 }
 
@@ -245,7 +245,7 @@
 
 // As many adapters as there are slots have twice as many jobs as the engine
 // can do, and now and then a job for another adapter comes. Most of these must
-// be served and the rest refused at once, or a popular business would shut out
+// be served and the rest refused at once, or a popular customer would shut out
 // all others.
 func TestColdAdapterAmongHotOnes(t *testing.T) {
 	e := newEngine(2)
--- a/magno/sched/machine_test.go
+++ b/magno/sched/machine_test.go
@@ -41,7 +41,7 @@
 	m.n++
 	job := magno.Job{
 		ID:       fmt.Sprintf("j%d", m.n),
-		Business: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "business"),
+		Customer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
 		Caller:   rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller"),
 		Urgency:  rapid.IntRange(0, 9).Draw(t, "urgency"),
 		Stall:    rapid.Float64Range(0, 1).Draw(t, "stall"),
--- a/magno/sched/next.go
+++ b/magno/sched/next.go
@@ -32,7 +32,7 @@
 	for it := s.queue.Expired(now); it != nil; it = s.queue.Expired(now) {
 		s.queue.Remove(it.Job.ID)
 		if s.slots.Ready(it.Job.Ref) {
-			s.gate.Ended(it.Job.Business, false)
+			s.gate.Ended(it.Job.Customer, false)
 		} else {
 			s.gate.LoadLate()
 		}
--- a/magno/sched/report.go
+++ b/magno/sched/report.go
@@ -40,7 +40,7 @@
 		Wait:   s.gate.Wait(s.queue.Ready(), s.former.Free(len(s.runs)), magno.Millis(s.mean)),
 		Queued: s.queue.Len(), Running: len(s.runs), Work: work,
 		Pinned: s.slots.Pinned(), Held: s.slots.Held(),
-		Business: s.queue.Businesses(), Waits: s.waits(),
+		Customer: s.queue.Customers(), Waits: s.waits(),
 	}
 	if s.Limits.Slots > 0 {
 		b.Loads = s.queue.Unready()
@@ -50,7 +50,7 @@
 	return b
 }
 
-// waits estimates for each business with queued jobs when one more would start.
+// waits estimates for each customer with queued jobs when one more would start.
 func (s *Sched) waits() map[string]magno.Millis {
 	run := magno.Millis(s.mean)
 	ahead := s.queue.Fair()
--- a/magno/sched/sched.go
+++ b/magno/sched/sched.go
@@ -64,7 +64,7 @@
 	// Clock may be nil: the machine's clock.
 	Clock  *magno.Clock
 	Limits magno.Limits
-	// Weights maps a business to its share; a missing one counts as 1. After
+	// Weights maps a customer to its share; a missing one counts as 1. After
 	// the first use SetWeights changes them.
 	Weights map[string]float64
 	// Seed makes the jitter of retries differ between instances.
@@ -139,8 +139,8 @@
 	}
 }
 
-// SetWeights replaces the businesses' weights; queued jobs keep their order
-// inside their business.
+// SetWeights replaces the customers' weights; queued jobs keep their order
+// inside their customer.
 func (s *Sched) SetWeights(weights map[string]float64) {
 	s.setup()
 	s.Weights, s.queue.Weights = weights, weights
@@ -219,7 +219,7 @@
 	now := s.Clock.Now()
 	s.slots.Unpin(r.job.Ref, now)
 	s.forget(id, r)
-	s.queue.Settle(r.job.Business, r.made-r.job.Output)
+	s.queue.Settle(r.job.Customer, r.made-r.job.Output)
 	if !ok {
 		return
 	}
@@ -227,7 +227,7 @@
 		r.job.Output = r.made
 	}
 	s.gate.Ran(&r.job, now-r.started)
-	s.gate.Ended(r.job.Business, now <= r.job.Deadline)
+	s.gate.Ended(r.job.Customer, now <= r.job.Deadline)
 	s.Suspects.Ended(r.job.Print)
 }
 
--- a/magno/sched/share_test.go
+++ b/magno/sched/share_test.go
@@ -7,7 +7,7 @@
 	"magnoliastall.example/magno"
 )
 
-// One business, of weight 3, gives its jobs 15 seconds, another, of weight 1,
+// One customer, of weight 3, gives its jobs 15 seconds, another, of weight 1,
 // gives them a minute and sends twice what the engine can do. If the longer
 // deadlines bought a larger part of the queue, the first would be refused
 // beside an engine that works for the second; if the second were admitted by
@@ -29,20 +29,20 @@
 			const seconds, callers = 300, 20
 			e := newEngine(8)
 			e.s.Weights = map[string]float64{"quick": 3, "patient": 1}
-			offer := func(business string, patience magno.Millis) func() {
+			offer := func(customer string, patience magno.Millis) func() {
 				return func() {
-					j := job(business, e.rand.IntN(6))
-					j.Business, j.Caller = business, fmt.Sprint(business, e.rand.IntN(callers))
+					j := job(customer, e.rand.IntN(6))
+					j.Customer, j.Caller = customer, fmt.Sprint(customer, e.rand.IntN(callers))
 					e.offer(j, patience)
 				}
 			}
 			quick := e.poisson(tt.rate*capacity, offer("quick", 15*magno.Second))
 			patient := e.poisson(2*capacity, offer("patient", magno.Minute))
 			e.play(seconds*magno.Second, func() { quick(); patient() })
-			part := func(business string) float64 {
+			part := func(customer string) float64 {
 				n := 0
 				for i := range callers {
-					n += len(e.took[fmt.Sprint(business, i)])
+					n += len(e.took[fmt.Sprint(customer, i)])
 				}
 				return float64(n) / capacity / seconds
 			}
--- a/magno/share/group.go
+++ b/magno/share/group.go
@@ -7,7 +7,7 @@
 	"magnoliastall.example/magno"
 )
 
-// excess is how many times its share a business or caller has queued when a
+// excess is how many times its share a customer or caller has queued when a
 // refusal is put down to it; under twice, the split between the parts of a
 // busy queue is chance.
 const excess = 2
@@ -179,7 +179,7 @@
 // those with a part in the engine bring further work while the job waits.
 const overtake = 4
 
-// recentGain weighs a start in the recent place time of businesses: the last
+// recentGain weighs a start in the recent place time of customers: the last
 // hundred or so count, about what starts while a job waits that may wait long.
 const recentGain = 0.01
 
@@ -188,13 +188,13 @@
 
 // started counts a start. The weight of new ones grows in place of all old ones
 // shrinking.
-func (q *Queue) started(b *business, run magno.Millis) {
+func (q *Queue) started(b *customer, run magno.Millis) {
 	q.gain = max(q.gain, 1) / (1 - recentGain)
 	b.recent += q.gain * float64(run)
 	if q.gain < mostGain {
 		return
 	}
-	for _, b := range q.businesses {
+	for _, b := range q.customers {
 		b.recent /= q.gain
 	}
 	q.gain = 1
@@ -204,12 +204,12 @@
 type Ahead struct {
 	// Run is the place time before it.
 	Run magno.Millis
-	// Over is true when the job's own business or caller has more than twice
+	// Over is true when the job's own customer or caller has more than twice
 	// its share of the queue, while others wait.
 	Over bool
 }
 
-// Fair maps each business with queued jobs to the place time that runs before
+// Fair maps each customer with queued jobs to the place time that runs before
 // one more of its jobs: its own, and of each other's queue at most the part
 // that is served beside it.
 func (q *Queue) Fair() map[string]magno.Millis {
@@ -218,7 +218,7 @@
 	for _, b := range order {
 		weights += q.weight(b.name)
 	}
-	slices.SortStableFunc(order, func(a, b *business) int {
+	slices.SortStableFunc(order, func(a, b *customer) int {
 		return cmp.Compare(float64(a.total)/q.weight(a.name), float64(b.total)/q.weight(b.name))
 	})
 	ahead := make(map[string]magno.Millis, len(order))
@@ -233,9 +233,9 @@
 
 // Ahead estimates what a job that needs run of place time would wait for.
 func (q *Queue) Ahead(job *magno.Job, run magno.Millis) Ahead {
-	b := q.businesses[job.Business]
+	b := q.customers[job.Customer]
 	if b == nil {
-		b = &business{name: job.Business}
+		b = &customer{name: job.Customer}
 	}
 	c := b.callers[job.Caller]
 	if c == nil {
@@ -251,7 +251,7 @@
 	}
 	ahead := c.run + min(overtake*max(same-c.run, 0), magno.Millis(others)*(c.run+run))
 	over := others > 0 && magno.Millis(others+1)*c.run > excess*b.total
-	weight := q.weight(job.Business)
+	weight := q.weight(job.Customer)
 	var rest magno.Millis
 	for _, other := range q.active {
 		if other == b {
@@ -260,10 +260,10 @@
 		ratio := q.weight(other.name) / weight
 		over = over || float64(b.total)*ratio > excess*float64(other.total)
 	}
-	// What is queued now says little of a business that is served as fast as
+	// What is queued now says little of a customer that is served as fast as
 	// its work comes: its part of the recent starts is what it will take again.
 	own := float64(ahead + run)
-	for _, other := range q.businesses {
+	for _, other := range q.customers {
 		if other == b {
 			continue
 		}
--- a/magno/share/heap.go
+++ b/magno/share/heap.go
@@ -2,7 +2,7 @@
 
 // The heaps that an item can stand in.
 const (
-	heapReady = iota // by key, one for each business and class
+	heapReady = iota // by key, one for each customer and class
 	heapLimit        // by the latest point at which a start still makes sense
 	heaps
 )
--- a/magno/share/queue.go
+++ b/magno/share/queue.go
@@ -1,14 +1,14 @@
-// Package share queues jobs and tells which is next: businesses share the
-// engine by weight, callers share their business's part equally, and urgency
-// orders work inside a business.
+// Package share queues jobs and tells which is next: customers share the
+// engine by weight, callers share their customer's part equally, and urgency
+// orders work inside a customer.
 //
-// Load pattern: one business or caller sends many times its share while the
+// Load pattern: one customer or caller sends many times its share while the
 // others go on as before, and long jobs come among short ones. Without it the
 // queue is one line: whoever sends most gets most, and an advisor question
 // waits behind every timetable draft that came before it.
 //
 // It is start-time fair queueing (Goyal, Vin and Cheng, 1996) in tokens, on
-// two levels. A job's tag is the later of its business's virtual time and its
+// two levels. A job's tag is the later of its customer's virtual time and its
 // caller's last finish; urgency moves the tag back by a bounded number of
 // tokens, so a job of low urgency is overtaken only by that much work and
 // nothing starves. Each level lets a part run ahead by one job at most.
@@ -21,12 +21,12 @@
 // Urgencies is the number of values of Job.Urgency.
 const Urgencies = 10
 
-// DefaultBoost is how many tokens of its business's work one step of urgency
+// DefaultBoost is how many tokens of its customer's work one step of urgency
 // overtakes: about two answers of the workloads in docs/LOAD.md, so that the
 // most urgent pass some twenty queued answers.
 const DefaultBoost = 400
 
-// sweepAt is how many idle businesses or callers are kept before those whose
+// sweepAt is how many idle customers or callers are kept before those whose
 // memory no longer matters are dropped.
 const sweepAt = 256
 
@@ -50,7 +50,7 @@
 	at     [heaps]int
 	spot   int
 	group  *group
-	biz    *business
+	biz    *customer
 	caller *caller
 }
 
@@ -75,7 +75,7 @@
 	run    magno.Millis
 }
 
-type business struct {
+type customer struct {
 	name string
 	// virtual is the service received over the weight.
 	virtual float64
@@ -94,24 +94,24 @@
 
 // Queue holds queued jobs. Its exported fields are set before use.
 type Queue struct {
-	// Weights maps a business to its share; a missing one counts as 1.
+	// Weights maps a customer to its share; a missing one counts as 1.
 	Weights map[string]float64
 	// Boost is how many tokens one step of urgency overtakes.
 	Boost float64
 
-	seq        uint64
-	virtual    float64
-	items      map[string]*Item
-	limits     heap
-	groups     map[magno.Ref]*group
-	businesses map[string]*business
-	// active lists businesses with queued jobs in order of activation.
-	active []*business
+	seq       uint64
+	virtual   float64
+	items     map[string]*Item
+	limits    heap
+	groups    map[magno.Ref]*group
+	customers map[string]*customer
+	// active lists customers with queued jobs in order of activation.
+	active []*customer
 	// ready is the place time of jobs whose adapter is loaded, readyJobs
 	// their number.
 	ready     magno.Millis
 	readyJobs int
-	// gain weighs the next start in the businesses' recent place time.
+	// gain weighs the next start in the customers' recent place time.
 	gain float64
 
 	count  int
@@ -123,7 +123,7 @@
 // New returns an empty queue.
 func New(weights map[string]float64, boost float64) *Queue {
 	return &Queue{Weights: weights, Boost: boost, limits: heap{which: heapLimit},
-		items: map[string]*Item{}, groups: map[magno.Ref]*group{}, businesses: map[string]*business{}}
+		items: map[string]*Item{}, groups: map[magno.Ref]*group{}, customers: map[string]*customer{}}
 }
 
 func (q *Queue) weight(name string) float64 {
@@ -147,7 +147,7 @@
 func (q *Queue) Add(it *Item, ready bool, limit magno.Millis) {
 	q.seq++
 	it.seq, it.limit = q.seq, limit
-	b := q.business(it.Job.Business)
+	b := q.customer(it.Job.Customer)
 	c := b.caller(it.Job.Caller)
 	it.biz, it.caller = b, c
 	it.tag = max(b.clock, c.finish)
@@ -170,7 +170,7 @@
 
 func urgency(job *magno.Job) int { return min(max(job.Urgency, 0), Urgencies-1) }
 
-func (b *business) count(it *Item, sign int) {
+func (b *customer) count(it *Item, sign int) {
 	b.queued += sign
 	b.tokens += sign * (it.Job.Prompt + it.Job.Output)
 	it.caller.queued += sign
@@ -178,33 +178,33 @@
 
 // wait counts the place time of a job whose adapter is loaded; others take no
 // place before theirs is.
-func (b *business) wait(it *Item, sign magno.Millis) {
+func (b *customer) wait(it *Item, sign magno.Millis) {
 	run := sign * it.Run
 	b.run[urgency(&it.Job)] += run
 	b.total += run
 	it.caller.run += run
 }
 
-func (q *Queue) business(name string) *business {
-	if b := q.businesses[name]; b != nil {
+func (q *Queue) customer(name string) *customer {
+	if b := q.customers[name]; b != nil {
 		return b
 	}
-	if len(q.businesses) >= sweepAt {
-		for n, b := range q.businesses {
+	if len(q.customers) >= sweepAt {
+		for n, b := range q.customers {
 			if b.queued == 0 && b.virtual <= q.virtual {
-				delete(q.businesses, n)
+				delete(q.customers, n)
 			}
 		}
 	}
-	b := &business{name: name, callers: map[string]*caller{}}
+	b := &customer{name: name, callers: map[string]*caller{}}
 	b.ready[0].which, b.ready[1].which = heapReady, heapReady
-	q.businesses[name] = b
+	q.customers[name] = b
 	return b
 }
 
 // caller returns the state of one caller; those that are idle and not ahead of
 // the virtual time are as good as new and are dropped now and then.
-func (b *business) caller(name string) *caller {
+func (b *customer) caller(name string) *caller {
 	if c := b.callers[name]; c != nil {
 		return c
 	}
@@ -221,7 +221,7 @@
 }
 
 // Take removes and returns the job that is next among those whose adapter is
-// loaded, and charges it to its business. Long jobs are passed over unless
+// loaded, and charges it to its customer. Long jobs are passed over unless
 // long is true. It returns nil when there is none.
 func (q *Queue) Take(long bool) *Item {
 	it := q.Peek(long)
@@ -249,7 +249,7 @@
 	return best
 }
 
-func (b *business) top(long bool) *Item {
+func (b *customer) top(long bool) *Item {
 	short := b.ready[0].top()
 	if !long {
 		return short
@@ -261,10 +261,10 @@
 	return short
 }
 
-// Settle corrects a business's account by the tokens that a job took more, or
+// Settle corrects a customer's account by the tokens that a job took more, or
 // with a negative n less, than was charged.
 func (q *Queue) Settle(name string, n int) {
-	if b := q.businesses[name]; b != nil {
+	if b := q.customers[name]; b != nil {
 		b.virtual += float64(n) / q.weight(name)
 	}
 }
@@ -291,7 +291,7 @@
 	return it
 }
 
-func (q *Queue) deactivate(b *business) {
+func (q *Queue) deactivate(b *customer) {
 	for i, a := range q.active {
 		if a == b {
 			q.active = append(q.active[:i], q.active[i+1:]...)
@@ -320,8 +320,8 @@
 // ReadyJobs counts them.
 func (q *Queue) ReadyJobs() int { return q.readyJobs }
 
-// Businesses maps each business to its queued tokens.
-func (q *Queue) Businesses() map[string]int {
+// Customers maps each customer to its queued tokens.
+func (q *Queue) Customers() map[string]int {
 	tokens := make(map[string]int, len(q.active))
 	for _, b := range q.active {
 		tokens[b.name] = b.tokens
--- a/magno/share/share_test.go
+++ b/magno/share/share_test.go
@@ -9,20 +9,20 @@
 	"magnoliastall.example/magno"
 )
 
-func item(id, business, caller string, urgency, tokens int) *Item {
-	return &Item{Run: magno.Millis(tokens), Job: magno.Job{ID: id, Business: business,
+func item(id, customer, caller string, urgency, tokens int) *Item {
+	return &Item{Run: magno.Millis(tokens), Job: magno.Job{ID: id, Customer: customer,
 		Caller: caller, Urgency: urgency, Output: tokens}}
 }
 
 // fill queues n jobs of one caller.
-func fill(q *Queue, business, caller string, urgency, n, tokens int) {
+func fill(q *Queue, customer, caller string, urgency, n, tokens int) {
 	for i := range n {
-		id := fmt.Sprintf("%s/%s/%d/%d", business, caller, urgency, i)
-		q.Add(item(id, business, caller, urgency, tokens), true, 1<<40)
+		id := fmt.Sprintf("%s/%s/%d/%d", customer, caller, urgency, i)
+		q.Add(item(id, customer, caller, urgency, tokens), true, 1<<40)
 	}
 }
 
-// Two businesses always have work queued, of whatever sizes. If one got more
+// Two customers always have work queued, of whatever sizes. If one got more
 // than its weight by more than a job, the other's callers would wait for
 // nothing of their own.
 func TestSharesFollowWeights(t *testing.T) {
@@ -31,11 +31,11 @@
 		q := New(weights, DefaultBoost)
 		const largest = 500
 		n := 0
-		add := func(business string) {
+		add := func(customer string) {
 			n++
 			tokens := rapid.IntRange(1, largest).Draw(t, "tokens")
 			caller := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "caller")
-			q.Add(item(fmt.Sprint(n), business, caller, rapid.IntRange(0, 9).Draw(t, "u"), tokens), true, 1<<40)
+			q.Add(item(fmt.Sprint(n), customer, caller, rapid.IntRange(0, 9).Draw(t, "u"), tokens), true, 1<<40)
 		}
 		for range 5 {
 			add("a")
@@ -44,7 +44,7 @@
 		got := map[string]float64{}
 		for range 200 {
 			it := q.Take(true)
-			name := it.Job.Business
+			name := it.Job.Customer
 			got[name] += float64(it.Job.Output) / weights[name]
 			add(name)
 			bound := largest/weights["a"] + largest/weights["b"]
--- a/magno/site.go
+++ b/magno/site.go
@@ -54,6 +54,9 @@
 	// over all processes, in each RetryWindow.
 	RetryRatio, RetrySlack float64
 	RetryWindow            Millis
+	// Revoke is how long after a key is withdrawn it may still be accepted, by processes
+	// that are cut off as well; zero where that isn't bounded.
+	Revoke Millis
 	// Memory is the limit of this process in bytes, zero when there is none.
 	Memory int64
 	// Link is the bandwidth of this machine's link in megabits a second, zero
@@ -92,6 +95,8 @@
 	Shared int
 	// From is the event to go on after, empty for a whole stream.
 	From string
+	// Key is the Authorization header, which names the caller's customer.
+	Key string
 }
 
 // Onward is what an entry adds to a request that it sends on.
@@ -104,6 +109,10 @@
 	Urgency int
 	// Version of the adapter that must run it, zero for any.
 	Version int64
+	// Customer is whom the caller's key belongs to, empty where none is needed.
+	Customer string
+	// Keyed is true where callers have keys, which upstreams must not see.
+	Keyed bool
 	// From is the last event that the caller has, empty for a whole stream.
 	From string
 }
--- a/magno/spread/node_test.go
+++ b/magno/spread/node_test.go
@@ -90,14 +90,14 @@
 
 func sample(version int64, n int) *magno.Config {
 	cfg := &magno.Config{
-		Version:    version,
-		Businesses: []magno.Business{{Name: "delta", Weight: 1}},
-		Pools:      []magno.Pool{{Name: "read", Kind: magno.PoolEngine, Base: "llama"}},
+		Version:   version,
+		Customers: []magno.Customer{{Name: "delta", Weight: 1}},
+		Pools:     []magno.Pool{{Name: "read", Kind: magno.PoolEngine, Base: "llama"}},
 	}
 	for i := range n {
 		name := fmt.Sprintf("a%d", i)
 		cfg.Adapters = append(cfg.Adapters, magno.Adapter{Name: name, Base: "llama", Versions: []string{"v1"}})
-		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Business: "delta", Pool: "read",
+		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Customer: "delta", Pool: "read",
 			Adapter: name, Version: "v1"})
 	}
 	return cfg
--- a/magno/ticket/ticket.go
+++ b/magno/ticket/ticket.go
@@ -62,7 +62,7 @@
 }
 
 // Time returns when a plain key was issued, by the clock of its issuer. Text
-// before the key, such as the business that it belongs to, is passed over.
+// before the key, such as the customer that it belongs to, is passed over.
 // False means that the key carries no time.
 func Time(key string) (magno.Millis, bool) {
 	if len(key) < textLen {
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -77,6 +77,10 @@
 	plan *magno.Plan
 	// confirmed is when Revision was known to be the list's newest.
 	confirmed magno.Millis
+	// vouched is the latest time at which the list is known to have held nothing newer
+	// than revision sure.
+	vouched magno.Millis
+	sure    int64
 	// blind is where deletions may be unknown here: those of items that were made
 	// after its start.
 	blind Span
@@ -123,6 +127,33 @@
 	return b.Clock.Now() - b.confirmed
 }
 
+// Vouch notes that at a time the list's newest revision was no higher than the given
+// one. It says nothing to a process that doesn't know all changes up to that.
+func (b *Book) Vouch(revision int64, at magno.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setup()
+	if revision <= b.now.Revision && at <= b.Clock.Now() && at > b.vouched {
+		b.vouched, b.sure = at, revision
+	}
+}
+
+// Vouched is the latest time at which the list is known to have held nothing newer
+// than a revision, which this process knows; zero when there is none. Unlike Age it
+// rests on no message whose way may have taken long.
+func (b *Book) Vouched() (at magno.Millis, revision int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.vouched, b.sure
+}
+
+// Unvouched is how long ago that was.
+func (b *Book) Unvouched() magno.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Clock.Now() - b.vouched
+}
+
 func (b *Book) setup() {
 	if b.items == nil {
 		b.items, b.newest = map[string]*record{}, map[string]int64{}
--- a/magno/watch/load.go
+++ b/magno/watch/load.go
@@ -38,7 +38,7 @@
 
 // names is a set for each list.
 type names struct {
-	businesses, pools, adapters, profiles, drained map[string]bool
+	customers, pools, adapters, profiles, drained map[string]bool
 }
 
 func newNames() names {
@@ -46,7 +46,7 @@
 }
 
 func (n names) add(g check.Gone) {
-	mark(n.businesses, g.Businesses)
+	mark(n.customers, g.Customers)
 	mark(n.pools, g.Pools)
 	mark(n.adapters, g.Adapters)
 	mark(n.profiles, g.Profiles)
@@ -62,7 +62,7 @@
 // without lists what n has and other has not.
 func (n names) without(other names) check.Gone {
 	return check.Gone{
-		Businesses: minus(n.businesses, other.businesses), Pools: minus(n.pools, other.pools),
+		Customers: minus(n.customers, other.customers), Pools: minus(n.pools, other.pools),
 		Adapters: minus(n.adapters, other.adapters), Profiles: minus(n.profiles, other.profiles),
 		Drained: minus(n.drained, other.drained),
 	}
@@ -162,8 +162,8 @@
 
 func namesOf(cfg *magno.Config) check.Gone {
 	var g check.Gone
-	for i := range cfg.Businesses {
-		g.Businesses = append(g.Businesses, cfg.Businesses[i].Name)
+	for i := range cfg.Customers {
+		g.Customers = append(g.Customers, cfg.Customers[i].Name)
 	}
 	for i := range cfg.Pools {
 		g.Pools = append(g.Pools, cfg.Pools[i].Name)
@@ -182,8 +182,8 @@
 // name would give whichever was read last, other ones in other processes.
 func (l *load) doubles(file string, had check.Gone) {
 	base := l.reader.base
-	l.double(file, "businesses", had.Businesses, l.old.businesses, l.seen.businesses, func(n string) bool {
-		_, ok := base.Business(n)
+	l.double(file, "customers", had.Customers, l.old.customers, l.seen.customers, func(n string) bool {
+		_, ok := base.Customer(n)
 		return ok
 	})
 	l.double(file, "pools", had.Pools, l.old.pools, l.seen.pools, func(n string) bool {
@@ -215,7 +215,7 @@
 // news puts the records that differ from the version before into pending.
 func (l *load) news(cfg *magno.Config) {
 	base := l.reader.base
-	l.pending.Businesses = append(l.pending.Businesses, cfg.Businesses...)
+	l.pending.Customers = append(l.pending.Customers, cfg.Customers...)
 	l.pending.Pools = append(l.pending.Pools, cfg.Pools...)
 	l.pending.Drained = append(l.pending.Drained, cfg.Drained...)
 	for i := range cfg.Adapters {
--- a/magno/watch/reader_test.go
+++ b/magno/watch/reader_test.go
@@ -102,14 +102,14 @@
 
 func sample(version int64, n int) *magno.Config {
 	cfg := &magno.Config{
-		Version:    version,
-		Businesses: []magno.Business{{Name: "delta", Weight: 1}},
-		Pools:      []magno.Pool{{Name: "read", Kind: magno.PoolEngine, Base: "llama"}},
+		Version:   version,
+		Customers: []magno.Customer{{Name: "delta", Weight: 1}},
+		Pools:     []magno.Pool{{Name: "read", Kind: magno.PoolEngine, Base: "llama"}},
 	}
 	for i := range n {
 		name := fmt.Sprintf("a%d", i)
 		cfg.Adapters = append(cfg.Adapters, magno.Adapter{Name: name, Base: "llama", Versions: []string{"v1", "v2"}})
-		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Business: "delta", Pool: "read",
+		cfg.Profiles = append(cfg.Profiles, magno.Profile{Name: "p" + name, Customer: "delta", Pool: "read",
 			Adapter: name, Version: "v1"})
 	}
 	return cfg
@@ -155,7 +155,7 @@
 	s.mu.Unlock()
 	cfg := sample(2, 1000)
 	cfg.Profiles[7].Version = "v2"
-	cfg.Businesses[0].Weight = 3
+	cfg.Customers[0].Weight = 3
 	rosters := []magno.Roster{{Since: 1, Until: 2, Members: []string{"m"}}}
 	cfg.Rosters = rosters
 	s.publish(t, cfg)
@@ -242,7 +242,7 @@
 	if err != nil || json.Unmarshal(plain, &index) != nil {
 		t.Fatal("the index can't be read")
 	}
-	double := []byte(`{"businesses": [{"name": "delta", "weight": 9}]}`)
+	double := []byte(`{"customers": [{"name": "delta", "weight": 9}]}`)
 	index.Shards = append(index.Shards, pack.Shard{Name: "more", Sum: pack.Sum(double)})
 	text, _ := json.Marshal(index)
 	s.set(func() {
