--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -28,11 +28,18 @@
 
 func (plainDialect) Read(h http.Header) magno.Call {
 	h.Del("Only")
-	return magno.Call{ID: h.Get("Id"), Left: 2000, Model: "m", Adapter: "a", Prompt: 100, Output: 50}
+	h.Del("Customer")
+	return magno.Call{ID: h.Get("Id"), Left: 2000, Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization")}
 }
 
 func (plainDialect) Write(h http.Header, o magno.Onward) {
 	h.Set("Only", o.Replica)
+	if o.Keyed {
+		h.Del("Authorization")
+	}
+	if o.Customer != "" {
+		h.Set("Customer", o.Customer)
+	}
 	if o.From != "" {
 		h.Set("From", o.From)
 	}
@@ -254,6 +261,12 @@
 // get sends a request and returns status, header and body; the error tells that
 // the answer broke off.
 func (s *site) get(t testing.TB, method, id string) (*got, string, error) {
+	t.Helper()
+	return s.ask(t, method, "/p/1", id, "")
+}
+
+// ask is get with a path and an Authorization header.
+func (s *site) ask(t testing.TB, method, path, id, key string) (*got, string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -261,13 +274,17 @@
 	if method == http.MethodPost {
 		body = strings.NewReader("body")
 	}
-	req, err := http.NewRequestWithContext(ctx, method, s.server.URL+"/p/1", body)
+	req, err := http.NewRequestWithContext(ctx, method, s.server.URL+path, body)
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
 	req.Header.Set("Id", id)
 	req.Header.Set("Only", "forged")
+	req.Header.Set("Customer", "forged")
+	if key != "" {
+		req.Header.Set("Authorization", key)
+	}
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return nil, "", err
--- /dev/null
+++ b/entry/relay/keyed_test.go
@@ -0,0 +1,221 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/view"
+)
+
+const (
+	goodKey = "Bearer k7b2ex5wa5xwyhks8nbk"
+	badKey  = "Bearer asnmgkcuyj8pjbvk9m68"
+)
+
+// keyedSite is a site whose callers need keys, with a public route beside, and the
+// clock by which its configuration ages.
+func keyedSite(t *testing.T) (*site, *upstream, *magno.Clock) {
+	t.Helper()
+	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		whole(c, r.Header.Get("Id"), 200, "hello")
+		return true
+	})
+	s := newSite(t, magno.KindOnce, false, u)
+	clock := magno.NewClock(magno.Hour)
+	plan := *s.changes[0].Plan
+	public := plan.Routes[0]
+	public.Name, public.Prefix, public.Public = "open", "/open/", true
+	plan.Routes = append(plan.Routes, public)
+	rank := 3
+	plan.Customers = []magno.Customer{{
+		Name: "alpha", Rank: &rank, Keys: []magno.Digest{magno.Digested(strings.TrimPrefix(goodKey, "Bearer "))},
+		Limit: &magno.Limit{Rate: 100, Burst: 100, Tokens: true},
+	}}
+	s.changes[0].Plan = &plan
+	s.Book = &view.Book{Clock: clock}
+	s.Book.Read(s.changes, 1, true)
+	s.Book.Vouch(1, clock.Now())
+	s.Revoke = 5 * magno.Second
+	return s, u, clock
+}
+
+func TestKeysDecideWhoIsServed(t *testing.T) {
+	for _, c := range []struct {
+		name, path, key string
+		age             magno.Millis
+		status          int
+		customer        string
+	}{
+		{"a known key", "/p/1", goodKey, 0, 200, "alpha"},
+		{"a known key, confirmed some seconds ago", "/p/1", goodKey, 4800, 200, "alpha"},
+		{"a known key, confirmed too long ago", "/p/1", goodKey, 5000, 503, ""},
+		{"an unknown key", "/p/1", badKey, 0, 401, ""},
+		{"no key", "/p/1", "", 0, 401, ""},
+		{"an unknown key that may be new", "/p/1", badKey, 2000, 503, ""},
+		{"no key, public", "/open/1", "", 0, 200, ""},
+		{"a known key, public", "/open/1", goodKey, 0, 200, ""},
+		{"public, confirmed too long ago", "/open/1", "", 5000, 200, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, u, clock := keyedSite(t)
+			clock.Advance(c.age)
+			res, _, err := s.ask(t, http.MethodPost, c.path, "1", c.key)
+			if err != nil || res.StatusCode != c.status {
+				t.Fatalf("got %v %v, want %d", res, err, c.status)
+			}
+			if c.status != http.StatusOK {
+				if u.count() != 0 {
+					t.Error("it reached an upstream")
+				}
+				if after := res.Header.Get("Retry-After"); (after != "") != (c.status == http.StatusServiceUnavailable) {
+					t.Errorf("status %d with Retry-After %q", c.status, after)
+				}
+				if asks := res.Header.Get("WWW-Authenticate"); (asks == "Bearer") != (c.status == http.StatusUnauthorized) {
+					t.Errorf("status %d with WWW-Authenticate %q", c.status, asks)
+				}
+				return
+			}
+			if h := u.got[0].Header; h.Get("Authorization") != "" || h.Get("Customer") != c.customer {
+				t.Errorf("the upstream was told key %q, customer %q", h.Get("Authorization"), h.Get("Customer"))
+			}
+		})
+	}
+}
+
+// Guards against a key that is withdrawn while its caller still sends the body.
+func TestKeyIsCheckedOnceTheBodyIsThere(t *testing.T) {
+	s, u, _ := keyedSite(t)
+	body := &slowBody{text: "body", during: func() {
+		plan := *s.Book.Now().Plan
+		plan.Version++
+		plan.Customers = []magno.Customer{{Name: "alpha"}}
+		s.Book.Read([]magno.Change{{Key: "plan", Revision: 2, Plan: &plan}}, 2, false)
+	}}
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Id", "1")
+	req.Header.Set("Authorization", goodKey)
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusUnauthorized || u.count() != 0 {
+		t.Errorf("status %d, %d requests sent on", res.StatusCode, u.count())
+	}
+}
+
+// slowBody calls during before its text is read.
+type slowBody struct {
+	text   string
+	during func()
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.during != nil {
+		b.during()
+		b.during = nil
+	}
+	n := copy(p, b.text)
+	b.text = b.text[n:]
+	if n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func TestNoKeyIsLogged(t *testing.T) {
+	s, _, clock := keyedSite(t)
+	var log bytes.Buffer
+	s.Log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	for _, age := range []magno.Millis{0, 2000, 5000} {
+		clock.Advance(age)
+		for _, key := range []string{goodKey, badKey} {
+			if _, _, err := s.ask(t, http.MethodPost, "/p/1", "1", key); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for _, key := range []string{goodKey, badKey} {
+		if strings.Contains(log.String(), strings.TrimPrefix(key, "Bearer ")) {
+			t.Errorf("a key is in the log:\n%s", log.String())
+		}
+	}
+}
+
+// quotas refuses everything while empty, and notes what is taken and given back.
+type quotas struct {
+	mu          sync.Mutex
+	empty       bool
+	taken, back float64
+}
+
+func (q *quotas) Take(_ context.Context, _ *magno.Customer, cost float64) *magno.Refusal {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.empty {
+		return magno.Refuse(magno.KindQuota, "over its limit").Later(700)
+	}
+	q.taken += cost
+	return nil
+}
+
+func (q *quotas) Give(_ *magno.Customer, cost float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.back += cost
+}
+
+// stands waits until so much is taken and given back: a request gives back after its
+// answer.
+func (q *quotas) stands(t *testing.T, taken, back float64) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		q.mu.Lock()
+		done := q.taken == taken && q.back == back
+		q.mu.Unlock()
+		if done {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("took %v and gave back %v, want %v and %v", q.taken, q.back, taken, back)
+		}
+	}
+}
+
+func TestWhatDidNotRunGivesItsTokensBack(t *testing.T) {
+	s, u, _ := keyedSite(t)
+	q := &quotas{}
+	s.Quotas = q
+	if _, _, err := s.ask(t, http.MethodPost, "/p/1", "1", goodKey); err != nil {
+		t.Fatal(err)
+	}
+	q.stands(t, 150, 0)
+	s.pools.names = nil
+	if _, _, err := s.ask(t, http.MethodPost, "/p/1", "2", goodKey); err != nil {
+		t.Fatal(err)
+	}
+	q.stands(t, 300, 150)
+	q.mu.Lock()
+	q.empty = true
+	q.mu.Unlock()
+	res, _, err := s.ask(t, http.MethodPost, "/p/1", "3", goodKey)
+	if err != nil || res.StatusCode != http.StatusTooManyRequests || res.Header.Get("Retry-After") != "0.700" {
+		t.Errorf("over the limit: %v %v", res, err)
+	}
+	if u.count() != 1 {
+		t.Errorf("%d requests reached the upstream, want 1", u.count())
+	}
+}
