--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -47,6 +47,8 @@
 	// Readers is how many entries read the list: with one, its loss would hold
 	// up a change for the second that it takes the others to notice.
 	Readers = 2
+	// mostHomes is how many entries count the allowances of all customers.
+	mostHomes = 4
 	// staleAge is the age from which a process reads by itself, whoever should.
 	staleAge = 2500 * magno.Millis(1)
 	// stepIn is how much later each next one does, in the order of readers: about the
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -126,3 +128,44 @@
 	}
 	return list
 }
+
+// Homes lists the entries that count a customer's allowance, this one perhaps among
+// them: the first does, the next where that one can't be reached. They are among those
+// with the widest links, which change least.
+func (p *Peers) Homes(customer string) []string {
+	p.mu.Lock()
+	list := []Hello{{Name: p.Self, Addr: p.Addr, Link: p.Link, Leaving: p.leaving()}}
+	for _, k := range p.known {
+		if k.alive {
+			list = append(list, k.hello)
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(list, func(a, b Hello) int {
+		if over(&a, &b) {
+			return -1
+		}
+		return 1
+	})
+	list = list[:min(len(list), mostHomes)]
+	addrs := make([]string, 0, len(list))
+	for i := range list {
+		addrs = append(addrs, list[i].Addr)
+	}
+	slices.SortFunc(addrs, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(customer+a), xxhash.Sum64String(customer+b))
+	})
+	return addrs
+}
+
+// Count tells how many entries are alive, this one included, and how many were of late.
+func (p *Peers) Count() (alive, known int) {
+	p.mu.Lock()
+	for _, k := range p.known {
+		if k.alive {
+			alive++
+		}
+	}
+	p.mu.Unlock()
+	return alive + 1, p.Processes()
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -15,6 +15,7 @@
 
 	"magnoliastall.example/entry/desk"
 	"magnoliastall.example/entry/hop"
+	"magnoliastall.example/entry/lease"
 	"magnoliastall.example/entry/peers"
 	"magnoliastall.example/entry/reads"
 	"magnoliastall.example/entry/relay"
@@ -60,6 +61,7 @@
 	pools *pools
 	reads *reads.Reads
 	desk  *desk.Desk
+	lease *lease.Lease
 	front *front
 	log   *slog.Logger
 }
@@ -84,9 +86,14 @@
 		Addr: set.Peers, Mates: e.peers.Mates,
 	}
 	e.desk.Open()
+	e.lease = &lease.Lease{
+		Self: set.Peers, Mesh: e.mesh, Homes: e.peers.Homes, Count: e.peers.Count, Clock: clock, Log: log,
+		Limit: func(customer string) *magno.Limit { return limit(e.book.Now().Plan, customer) },
+	}
+	e.lease.Open()
 	handler := &relay.Relay{
 		Name: set.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Hops: e.hops, Permits: e.desk, Pools: e.pools,
-		Suspects: suspects, Log: log, Since: clock.Now(), Revoke: set.Revoke,
+		Suspects: suspects, Log: log, Since: clock.Now(), Revoke: set.Revoke, Quotas: e.lease,
 	}
 	e.peers.Leaving = handler.Leaving
 	e.front = &front{set: set, path: site.ReadyPath(), relay: handler, book: e.book, clock: clock, log: log}
@@ -95,7 +102,7 @@
 
 func (e *entry) duties() []magno.Duty {
 	return []magno.Duty{
-		e.mesh, e.reads, e.peers, e.desk, &follow{e}, e.front, &ready{e.front}, &watch{e.front},
+		e.mesh, e.reads, e.peers, e.desk, e.lease, &follow{e}, e.front, &ready{e.front}, &watch{e.front},
 		&admin.Server{
 			Listen: net.JoinHostPort(e.set.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.Anyone},
 			Ready: e.front.ready, Status: func() any { return e.book.Now() }, Events: &event.Ring{Process: e.set.Name, Size: 1},
@@ -103,6 +110,19 @@
 	}
 }
 
+// limit is a customer's, nil where it has none.
+func limit(plan *magno.Plan, customer string) *magno.Limit {
+	if plan == nil {
+		return nil
+	}
+	for i := range plan.Customers {
+		if plan.Customers[i].Name == customer {
+			return plan.Customers[i].Limit
+		}
+	}
+	return nil
+}
+
 // noted logs each change of the list once.
 func noted(log *slog.Logger) func(magno.Change) {
 	return func(c magno.Change) {
--- /dev/null
+++ b/magno/bucket/bucket_test.go
@@ -0,0 +1,53 @@
+package bucket
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"magnoliastall.example/magno"
+)
+
+func TestLargerThanTheBucketGoesThroughWhenItIsFull(t *testing.T) {
+	b := Bucket{Rate: 100, Burst: 100}
+	b.Fill(100, 0)
+	if !b.Has(250, 0) {
+		t.Fatal("a full bucket holds up a large request for good")
+	}
+	b.Take(250)
+	if b.Has(1, 1000) || b.When(1, 1000) != 511 {
+		t.Errorf("after a debt of 150: %v in it, %d ms to wait", b.Level(1000), b.When(1, 1000))
+	}
+}
+
+// Whatever comes, what goes through in any span is within rate, burst and the last
+// request.
+func TestBoundOfAnySpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bucket{Rate: 100, Burst: 50}
+		b.Fill(50, 0)
+		type run struct {
+			at   magno.Millis
+			cost float64
+		}
+		var runs []run
+		var now magno.Millis
+		for range rapid.IntRange(1, 60).Draw(t, "requests") {
+			now += magno.Millis(rapid.IntRange(0, 400).Draw(t, "pause"))
+			cost := rapid.Float64Range(1, 120).Draw(t, "cost")
+			if !b.Has(cost, now) {
+				continue
+			}
+			b.Take(cost)
+			runs = append(runs, run{now, cost})
+			var sum float64
+			for i := len(runs) - 1; i >= 0; i-- {
+				sum += runs[i].cost
+				span := float64(now-runs[i].at) / 1000
+				if most := 100*span + 50 + 120; sum > most+1e-6 {
+					t.Fatalf("%v within %v s, most is %v", sum, span, most)
+				}
+			}
+		}
+	})
+}
