--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -72,10 +72,10 @@
 func (g *Grants) Grant(a Ask, limit magno.Limit, alive, known int) Reply {
 	now := g.Clock.Now()
 	h := g.home(a.Customer, limit, now)
-	h.bucket.Level(now)
+	h.bucket.Level(now) // by the rate until now
 	h.bucket.Rate = limit.Rate * part(alive, known)
 	h.bucket.Give(max(a.Back, 0))
-	if h.bucket.Has(a.Need, now) {
+	if h.bucket.Level(now) >= a.Need {
 		spare := max(h.bucket.Level(now)-a.Need, 0)
 		granted := a.Need + min(max(a.Want-a.Need, 0), spare/shareOut)
 		h.bucket.Take(granted)
