--- /dev/null
+++ b/drive/limit/limit.go
@@ -0,0 +1,317 @@
+// Package limit plays customers' requests on the ways in which entries can share an
+// allowance, with a driven clock and without I/O.
+//
+//	Ask --> way (each entry) --verdict--> Result
+//	           ^      |
+//	           '------'  messages, late or lost
+//
+// Load pattern: a customer at many times its usual, small customers whose allowance is a
+// few requests, entries that are killed or cut off, limits far below what is sent.
+package limit
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/bucket"
+)
+
+const (
+	// hop is how long a message takes.
+	hop = 2 * magno.Millis(1)
+	// callTime is when a call without an answer has failed.
+	callTime = 150 * magno.Millis(1)
+	// noticed is how long entries take to notice that another one is gone.
+	noticed = 2 * magno.Second
+	// sureFor is how long an entry that is cut off takes requests with keys.
+	sureFor   = 5 * magno.Second // overshoot and slack are what may run beyond an allowance in a window.
+	overshoot = 0.25
+	slack     = 17_000
+	// window is the span in which what a customer has run is bounded.
+	window = 8 * magno.Second
+	step   = 10 * magno.Millis(1)
+)
+
+// Way shares allowances among entries.
+type Way interface {
+	// Ask decides on a request that came to an entry, now or later.
+	Ask(entry int, customer string, cost float64, decided func(runs bool))
+	// Tick is called for each running entry every step.
+	Tick(entry int)
+	// Started tells that an entry runs, and has forgotten everything.
+	Started(entry int)
+}
+
+// Customer sends requests.
+type Customer struct {
+	Name  string
+	Limit magno.Limit
+	// Rate is the requests a second, Cost their mean cost.
+	Rate, Cost float64
+	// Spread is by how many entries its requests come, zero for all.
+	Spread int
+}
+
+// World is the entries and what happens to them. Exported fields are set before Play.
+type World struct {
+	Entries   int
+	Customers []Customer
+	// For is how long it is played, Seed draws requests.
+	For  magno.Millis
+	Seed uint64
+	// At maps times to what happens then.
+	At map[magno.Millis]func(w *World)
+	// Make makes the way.
+	Make func(w *World) Way
+
+	Clock *magno.Clock
+	// Down and Cut tell of each entry whether it runs, and whether messages reach it.
+	Down, Cut []bool
+	// Bytes and Messages count what entries tell each other.
+	Bytes, Messages int
+
+	rng   *rand.Rand
+	queue events
+	way   Way
+	was   []state // each entry's before its last change
+	// changed is when that was.
+	changed []magno.Millis
+	limits  map[string]*magno.Limit
+	tally   map[string]*tally
+	waited  magno.Millis
+	asked   int
+}
+
+// Result is how a way fared.
+type Result struct {
+	// Below is how much less runs than one bucket for all would let run, as a share of
+	// that; Small the same of the worst customer.
+	Below, Small float64 // Over is the most in any window, as a share of the limit there; Bound is that as a
+	// share of what may run at most.
+	Over, Bound float64
+	// Wait is the mean wait for a verdict in milliseconds.
+	Wait float64
+	// Bytes and Messages are a second, of each entry.
+	Bytes, Messages float64
+}
+
+// state is what befell an entry.
+type state struct{ down, cut bool }
+
+type tally struct {
+	ideal bucket.Bucket
+	// owed is what one bucket for all lets run, ran what did.
+	owed, ran   float64
+	runs        []run
+	over, bound float64
+}
+
+type run struct {
+	at   magno.Millis
+	cost float64
+}
+
+type event struct {
+	at  magno.Millis
+	n   int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].n < e[j].n)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) } //nolint:forcetypeassert // events alone
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// Play plays the world to its end.
+func (w *World) Play() Result {
+	w.setup()
+	for at, happens := range w.At {
+		w.after(at, func() { happens(w) })
+	}
+	for i := range w.Customers {
+		w.arrive(&w.Customers[i])
+	}
+	w.after(step, w.tick)
+	end := w.Clock.Now() + w.For
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e, _ := heap.Pop(&w.queue).(event)
+		w.Clock.Advance(e.at - w.Clock.Now())
+		e.run()
+	}
+	return w.result()
+}
+
+func (w *World) setup() {
+	w.Clock = magno.NewClock(magno.Hour)
+	w.rng = rand.New(rand.NewPCG(w.Seed, 1)) //nolint:gosec // a drawn load
+	w.Down, w.Cut = make([]bool, w.Entries), make([]bool, w.Entries)
+	w.was, w.changed = make([]state, w.Entries), make([]magno.Millis, w.Entries)
+	w.limits, w.tally = map[string]*magno.Limit{}, map[string]*tally{}
+	for i := range w.Customers {
+		c := &w.Customers[i]
+		l := c.Limit
+		w.limits[c.Name] = &l
+		t := &tally{ideal: bucket.Bucket{Rate: l.Rate, Burst: l.Burst}}
+		t.ideal.Fill(l.Burst, w.Clock.Now())
+		w.tally[c.Name] = t
+	}
+	w.way = w.Make(w)
+	for i := range w.Entries {
+		w.way.Started(i)
+	}
+}
+
+// after has something happen later.
+func (w *World) after(d magno.Millis, f func()) {
+	w.asked++
+	heap.Push(&w.queue, event{at: w.Clock.Now() + d, n: w.asked, run: f})
+}
+
+func (w *World) tick() {
+	for i := range w.Entries {
+		if !w.Down[i] {
+			w.way.Tick(i)
+		}
+	}
+	w.after(step, w.tick)
+}
+
+// arrive draws a customer's next request.
+func (w *World) arrive(c *Customer) {
+	pause := magno.Millis(w.rng.ExpFloat64() / c.Rate * float64(magno.Second))
+	w.after(pause, func() {
+		w.request(c)
+		w.arrive(c)
+	})
+}
+
+func (w *World) request(c *Customer) {
+	entry := w.rng.IntN(w.Entries)
+	if c.Spread > 0 {
+		entry = entry % c.Spread
+	}
+	for w.Down[entry] { // callers connect elsewhere
+		entry = (entry + 1) % w.Entries
+	}
+	if w.unsure(entry) {
+		return
+	}
+	cost := math.Min(c.Cost*math.Exp(w.rng.NormFloat64()*0.5), 7000)
+	now := w.Clock.Now()
+	t := w.tally[c.Name]
+	if t.ideal.Has(cost, now) {
+		t.ideal.Take(cost)
+		t.owed += cost
+	}
+	w.way.Ask(entry, c.Name, cost, func(runs bool) {
+		w.waited += w.Clock.Now() - now
+		if runs {
+			t.add(cost, w.Clock.Now(), *w.limits[c.Name])
+		}
+	})
+}
+
+func (t *tally) add(cost float64, now magno.Millis, l magno.Limit) {
+	t.ran += cost
+	t.runs = append(t.runs, run{now, cost})
+	var sum float64
+	for i := len(t.runs) - 1; i >= 0 && now-t.runs[i].at < window; i-- {
+		sum += t.runs[i].cost
+	}
+	limit := l.Rate*float64(window)/1000 + l.Burst
+	t.over = max(t.over, sum/limit)
+	t.bound = max(t.bound, sum/(limit*(1+overshoot)+slack))
+}
+
+// Send brings a message to another entry, if that runs and the way is open.
+func (w *World) Send(from, to, bytes int, f func()) {
+	w.Messages++
+	w.Bytes += bytes
+	if w.Cut[from] != w.Cut[to] || (w.Cut[from] && from != to) {
+		return
+	}
+	w.after(hop, func() {
+		if !w.Down[to] {
+			f()
+		}
+	})
+}
+
+// Alive tells whether one entry believes another to be alive.
+func (w *World) Alive(self, other int) bool {
+	a, b := w.believed(self), w.believed(other)
+	return self == other || (!b.down && !a.cut && !b.cut)
+}
+
+// believed is an entry's state as others noticed it.
+func (w *World) believed(i int) state {
+	if w.Clock.Now()-w.changed[i] < noticed {
+		return w.was[i]
+	}
+	return state{w.Down[i], w.Cut[i]}
+}
+
+// Change does something to entries, which others notice later.
+func (w *World) Change(entries []int, f func(i int)) {
+	for _, i := range entries {
+		w.was[i], w.changed[i] = state{w.Down[i], w.Cut[i]}, w.Clock.Now()
+		f(i)
+	}
+}
+
+// unsure tells whether an entry refuses all that needs a key, since it was cut off for
+// too long.
+func (w *World) unsure(i int) bool {
+	return w.Cut[i] && w.Clock.Now()-w.changed[i] > sureFor
+}
+
+// SetLimit changes a customer's limit.
+func (w *World) SetLimit(customer string, l magno.Limit) {
+	*w.limits[customer] = l
+	t := w.tally[customer]
+	t.ideal.Level(w.Clock.Now())
+	t.ideal.Rate, t.ideal.Burst = l.Rate, l.Burst
+	t.runs, t.over, t.bound = nil, 0, 0
+}
+
+func (w *World) result() Result {
+	var r Result
+	var owed, lost float64
+	asked := 0
+	for _, c := range w.Customers {
+		t := w.tally[c.Name]
+		less := max(t.owed-t.ran, 0)
+		owed += t.owed
+		lost += less
+		if t.owed > 0 {
+			r.Small = max(r.Small, less/t.owed)
+			if less/t.owed > 0.04 {
+				println(c.Name, int(less), int(t.owed))
+			}
+		}
+		r.Over = max(r.Over, t.over)
+		r.Bound = max(r.Bound, t.bound)
+		asked += len(t.runs)
+	}
+	r.Below = lost / max(owed, 1)
+	r.Wait = float64(w.waited) / float64(max(asked, 1))
+	seconds := float64(w.For) / 1000 * float64(w.Entries)
+	r.Bytes, r.Messages = float64(w.Bytes)/seconds, float64(w.Messages)/seconds
+	return r
+}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -158,6 +159,8 @@
 	hello  Hello
 	misses int
 	alive  bool
+	// ended is true when its machine refuses connections: nothing runs there.
+	ended  bool
 	seen   magno.Millis
 	asking bool
 	// asked is when it was asked last.
@@ -268,6 +271,7 @@
 	k.asking = false
 	if err != nil {
 		k.misses++
+		k.ended = errors.Is(err, syscall.ECONNREFUSED)
 		if k.alive && k.misses >= goneAfter {
 			k.alive = false
 			p.Log.Info("entry lost", "peer", k.hello.Name, "addr", addr, "error", err)
@@ -316,7 +320,7 @@
 	if !k.alive {
 		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
 	}
-	k.hello, k.misses, k.alive, k.seen = *h, 0, true, p.Clock.Now()
+	k.hello, k.misses, k.alive, k.ended, k.seen = *h, 0, true, false, p.Clock.Now()
 	k.stamped = stamped{stamp: h.Stamp, came: p.Book.Clock.Now()}
 	p.mu.Unlock()
 	if mine := p.Book.Now().Revision; h.Revision == mine && h.Revision > 0 {
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -158,14 +158,20 @@
 	return addrs
 }
 
-// Count tells how many entries are alive, this one included, and how many were of late.
+// Count tells how many entries are alive, this one included, and how many may be: those
+// that were of late, and don't refuse connections since.
 func (p *Peers) Count() (alive, known int) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	alive, known = 1, 1
+	now := p.Clock.Now()
 	for _, k := range p.known {
 		if k.alive {
 			alive++
 		}
+		if k.seen > 0 && now-k.seen < seenFor && !k.ended {
+			known++
+		}
 	}
-	p.mu.Unlock()
-	return alive + 1, p.Processes()
+	return alive, known
 }
--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -71,9 +71,10 @@
 // that this one sees and has seen of late, itself included.
 func (g *Grants) Grant(a Ask, limit magno.Limit, alive, known int) Reply {
 	now := g.Clock.Now()
-	h := g.home(a.Customer, limit, now)
+	share := part(alive, known)
+	h := g.home(a.Customer, limit, share, now)
 	h.bucket.Level(now) // by the rate until now
-	h.bucket.Rate = limit.Rate * part(alive, known)
+	h.bucket.Rate, h.bucket.Burst = limit.Rate*share, limit.Burst*share
 	h.bucket.Give(max(a.Back, 0))
 	if h.bucket.Level(now) >= a.Need {
 		spare := max(h.bucket.Level(now)-a.Need, 0)
@@ -91,7 +92,7 @@
 }
 
 // home returns a customer's allowance, made or changed as the limit says.
-func (g *Grants) home(customer string, limit magno.Limit, now magno.Millis) *home {
+func (g *Grants) home(customer string, limit magno.Limit, share float64, now magno.Millis) *home {
 	h := g.homes[customer]
 	if h == nil {
 		if g.homes == nil {
@@ -99,14 +100,12 @@
 		}
 		h = &home{}
 		g.homes[customer] = h
-		h.bucket.Burst = limit.Burst
-		h.bucket.Fill(limit.Burst*startPart, now)
+		h.limit = limit
+		h.bucket.Burst = limit.Burst * share
+		h.bucket.Fill(h.bucket.Burst*startPart, now)
 	}
 	if h.limit != limit {
-		h.limit = limit
-		h.bucket.Level(now)
-		h.bucket.Burst = limit.Burst
-		h.promised = 0
+		h.limit, h.promised = limit, 0
 	}
 	return h
 }
--- a/magno/quota/quota.go
+++ b/magno/quota/quota.go
@@ -21,14 +21,19 @@
 const (
 	// ahead is how long the tokens at hand should last by the demand of late.
 	ahead = magno.Second
+	// leastAhead is how many requests' tokens are worth holding. Less is a part of a
+	// request in each of many processes, which nobody can use.
+	leastAhead = 3
+	// costGain weighs a new request in their mean cost.
+	costGain = 0.1
 	// gainSpan is the time over which demand is averaged.
 	gainSpan = 2 * magno.Second
 	// askAgain is how long after a home had none it isn't asked again. Callers are told
 	// when there will be some, which may be much later.
 	askAgain = 300 * magno.Millis(1)
-	// aloneBurst is how long a part of the allowance gathers that is used while no home
-	// answers.
-	aloneBurst = 4
+	// aloneBurst is how many seconds' part of the allowance is there at once while no
+	// home answers. All processes may be alone at the same time.
+	aloneBurst = 1
 	// aloneAfter is when a caller should come back that is refused meanwhile.
 	aloneAfter = 500 * magno.Millis(1)
 )
@@ -58,6 +63,8 @@
 	// demand is tokens asked for a second, at the time of at.
 	demand float64
 	at     magno.Millis
+	// cost is the mean of a request's.
+	cost float64
 	// until is when the home will have more, as it said, next when it may be asked.
 	until, next magno.Millis
 	// alone is what may be used while no home answers.
@@ -164,7 +171,7 @@
 		if q.customers == nil {
 			q.customers = map[string]*purse{}
 		}
-		p = &purse{limit: limit, at: q.Clock.Now()}
+		p = &purse{limit: limit, at: q.Clock.Now(), cost: limit.Cost(0)}
 		q.customers[customer] = p
 	}
 	if p.limit != limit {
@@ -182,8 +189,17 @@
 		p.demand *= math.Exp(-float64(now-p.at) / float64(gainSpan))
 		p.at = now
 	}
+	if cost > 0 {
+		p.cost += costGain * (cost - p.cost)
+	}
 	p.demand += cost * float64(magno.Second) / float64(gainSpan)
 }
 
 // reserve is how many tokens should be at hand.
-func (p *purse) reserve() float64 { return p.demand * float64(ahead) / float64(magno.Second) }
+func (p *purse) reserve() float64 {
+	tokens := p.demand * float64(ahead) / float64(magno.Second)
+	if tokens < leastAhead*p.cost {
+		return 0
+	}
+	return tokens
+}
