--- a/drive/limit/home.go
+++ b/drive/limit/fleet.go
@@ -17,18 +17,25 @@
 	replyBytes = 90
 )
 
-// Home has one entry count each customer's allowance and lease parts of it to the others.
-func Home(w *World) Way {
-	return &home{World: w, quotas: make([]*quota.Quota, w.Entries), grants: make([]*grant.Grants, w.Entries), lines: make([]map[string]*line, w.Entries)}
-}
-
-type home struct {
+// fleet is what the entries know.
+type fleet struct {
 	*World
 	quotas []*quota.Quota
 	grants []*grant.Grants
 	lines  []map[string]*line
 }
 
+func newFleet(w *World) *fleet {
+	h := &fleet{
+		World: w, quotas: make([]*quota.Quota, w.Entries), grants: make([]*grant.Grants, w.Entries),
+		lines: make([]map[string]*line, w.Entries),
+	}
+	for i := range w.Entries {
+		h.start(i)
+	}
+	return h
+}
+
 // line is the call of one entry for one customer, and the requests that wait.
 type line struct {
 	calling bool
@@ -40,11 +47,12 @@
 	decided func(bool)
 }
 
-func (h *home) Started(i int) {
-	h.quotas[i], h.grants[i], h.lines[i] = &quota.Quota{Clock: h.Clock}, &grant.Grants{Clock: h.Clock}, map[string]*line{}
+// start has an entry begin, or begin anew with nothing known.
+func (h *fleet) start(i int) {
+	h.quotas[i], h.grants[i], h.lines[i] = &quota.Quota{Clock: h.Clock}, &grant.Grants{Clock: h.Clock, Window: window}, map[string]*line{}
 }
 
-func (h *home) Ask(i int, customer string, cost float64, decided func(bool)) {
+func (h *fleet) ask(i int, customer string, cost float64, decided func(bool)) {
 	q, limit := h.quotas[i], *h.limits[customer]
 	v, _ := q.Take(customer, limit, cost)
 	if v != quota.Waits {
@@ -57,7 +65,7 @@
 	h.call(i, customer, &request{cost, decided})
 }
 
-func (h *home) Tick(i int) {
+func (h *fleet) tick(i int) {
 	if h.Clock.Now()/step%50 != 0 {
 		return
 	}
@@ -66,7 +74,7 @@
 	}
 }
 
-func (h *home) call(i int, customer string, r *request) {
+func (h *fleet) call(i int, customer string, r *request) {
 	l := h.lines[i][customer]
 	if l == nil {
 		l = &line{}
@@ -126,7 +134,7 @@
 }
 
 // at is a customer's home as an entry sees it.
-func (h *home) at(self int, customer string) int {
+func (h *fleet) at(self int, customer string) int {
 	best, found := -1, 0
 	var lowest uint64
 	for i := 0; i < h.Entries && found < homes; i++ {
@@ -141,7 +149,7 @@
 	return best
 }
 
-func (h *home) alive(self int) (n int) {
+func (h *fleet) alive(self int) (n int) {
 	for i := range h.Entries {
 		if h.Alive(self, i) {
 			n++
@@ -151,7 +159,7 @@
 }
 
 // known counts the entries that may grant something: those that were killed don't.
-func (h *home) known(self int) (n int) {
+func (h *fleet) known(self int) (n int) {
 	for i := range h.Entries {
 		if !h.believed(i).down || i == self {
 			n++
--- a/drive/limit/limit.go
+++ b/drive/limit/limit.go
@@ -1,9 +1,7 @@
-// Package limit plays customers' requests on the ways in which entries can share an
-// allowance, with a driven clock and without I/O.
+// Package limit plays customers' requests on the allowances that entries share, with a
+// driven clock and without I/O.
 //
-//	Ask --> way (each entry) --verdict--> Result
-//	           ^      |
-//	           '------'  messages, late or lost
+//	request --> quota (its entry) <--lease--> grant (the customer's home) --> Result
 //
 // Load pattern: a customer at many times its usual, small customers whose allowance is a
 // few requests, entries that are killed or cut off, limits far below what is sent.
@@ -15,7 +13,7 @@
 	"math/rand/v2"
 
 	"magnoliastall.example/magno"
-	"magnoliastall.example/magno/bucket"
+	"magnoliastall.example/magno/slide"
 )
 
 const (
@@ -34,16 +32,6 @@
 	step   = 10 * magno.Millis(1)
 )
 
-// Way shares allowances among entries.
-type Way interface {
-	// Ask decides on a request that came to an entry, now or later.
-	Ask(entry int, customer string, cost float64, decided func(runs bool))
-	// Tick is called for each running entry every step.
-	Tick(entry int)
-	// Started tells that an entry runs, and has forgotten everything.
-	Started(entry int)
-}
-
 // Customer sends requests.
 type Customer struct {
 	Name  string
@@ -63,8 +51,6 @@
 	Seed uint64
 	// At maps times to what happens then.
 	At map[magno.Millis]func(w *World)
-	// Make makes the way.
-	Make func(w *World) Way
 
 	Clock *magno.Clock
 	// Down and Cut tell of each entry whether it runs, and whether messages reach it.
@@ -74,7 +60,7 @@
 
 	rng   *rand.Rand
 	queue events
-	way   Way
+	fleet *fleet
 	was   []state // each entry's before its last change
 	// changed is when that was.
 	changed []magno.Millis
@@ -84,7 +70,7 @@
 	asked   int
 }
 
-// Result is how a way fared.
+// Result is how the customers fared.
 type Result struct {
 	// Below is how much less runs than one bucket for all would let run, as a share of
 	// that; Small the same of the worst customer.
@@ -97,11 +83,24 @@
 	Bytes, Messages float64
 }
 
+// ideal lets run what an allowance has in any window, counted in one place.
+type ideal struct {
+	granted slide.Sum
+}
+
+func (i *ideal) take(cost float64, l magno.Limit, now magno.Millis) bool {
+	if most := l.Rate*float64(window)/1000 + l.Burst; i.granted.Now(now)+cost > most {
+		return false
+	}
+	i.granted.Add(cost, now)
+	return true
+}
+
 // state is what befell an entry.
 type state struct{ down, cut bool }
 
 type tally struct {
-	ideal bucket.Bucket
+	ideal ideal
 	// owed is what one bucket for all lets run, ran what did.
 	owed, ran   float64
 	runs        []run
@@ -167,14 +166,9 @@
 		c := &w.Customers[i]
 		l := c.Limit
 		w.limits[c.Name] = &l
-		t := &tally{ideal: bucket.Bucket{Rate: l.Rate, Burst: l.Burst}}
-		t.ideal.Fill(l.Burst, w.Clock.Now())
-		w.tally[c.Name] = t
-	}
-	w.way = w.Make(w)
-	for i := range w.Entries {
-		w.way.Started(i)
+		w.tally[c.Name] = &tally{ideal: ideal{granted: slide.Sum{Window: window}}}
 	}
+	w.fleet = newFleet(w)
 }
 
 // after has something happen later.
@@ -186,7 +180,7 @@
 func (w *World) tick() {
 	for i := range w.Entries {
 		if !w.Down[i] {
-			w.way.Tick(i)
+			w.fleet.tick(i)
 		}
 	}
 	w.after(step, w.tick)
@@ -215,11 +209,10 @@
 	cost := math.Min(c.Cost*math.Exp(w.rng.NormFloat64()*0.5), 7000)
 	now := w.Clock.Now()
 	t := w.tally[c.Name]
-	if t.ideal.Has(cost, now) {
-		t.ideal.Take(cost)
+	if t.ideal.take(cost, *w.limits[c.Name], now) {
 		t.owed += cost
 	}
-	w.way.Ask(entry, c.Name, cost, func(runs bool) {
+	w.fleet.ask(entry, c.Name, cost, func(runs bool) {
 		w.waited += w.Clock.Now() - now
 		if runs {
 			t.add(cost, w.Clock.Now(), *w.limits[c.Name])
@@ -285,8 +278,6 @@
 func (w *World) SetLimit(customer string, l magno.Limit) {
 	*w.limits[customer] = l
 	t := w.tally[customer]
-	t.ideal.Level(w.Clock.Now())
-	t.ideal.Rate, t.ideal.Burst = l.Rate, l.Burst
 	t.runs, t.over, t.bound = nil, 0, 0
 }
 
@@ -301,9 +292,6 @@
 		lost += less
 		if t.owed > 0 {
 			r.Small = max(r.Small, less/t.owed)
-			if less/t.owed > 0.04 {
-				println(c.Name, int(less), int(t.owed))
-			}
 		}
 		r.Over = max(r.Over, t.over)
 		r.Bound = max(r.Bound, t.bound)
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -32,6 +32,8 @@
 	// asked again.
 	callTime = 150 * magno.Millis(1)
 	silent   = magno.Second
+	// defaultWindow holds where the platform states none.
+	defaultWindow = 8 * magno.Second
 	// mostHomes is how many homes are tried: the second only where the first can't be
 	// reached at all.
 	mostHomes = 2
@@ -56,8 +58,10 @@
 	Count func() (alive, known int)
 	// Limit is a customer's in the configuration, nil where it has none.
 	Limit func(customer string) *magno.Limit
-	Clock *magno.Clock
-	Log   *slog.Logger
+	// Window is the span in which allowances are bounded, zero for defaultWindow.
+	Window magno.Millis
+	Clock  *magno.Clock
+	Log    *slog.Logger
 
 	mu     sync.Mutex
 	quota  quota.Quota
@@ -89,6 +93,10 @@
 // Open takes the method on the mesh, before it runs.
 func (l *Lease) Open() {
 	l.quota.Clock, l.grants.Clock = l.Clock, l.Clock
+	l.grants.Window = l.Window
+	if l.Window <= 0 {
+		l.grants.Window = defaultWindow
+	}
 	l.lines, l.quiet = map[string]*line{}, map[string]magno.Millis{}
 	l.calls = metrics.GetOrCreateCounter("lease_calls_total")
 	l.fails = metrics.GetOrCreateCounter("lease_failures_total")
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -59,6 +59,9 @@
 	// seenFor is how long a peer that was alive still counts among those that
 	// share the retry allowance: it may only be cut off from here.
 	seenFor = 30 * magno.Second
+	// meetTime is how long an entry that met nobody counts unmet entries.
+	meetTime = 2 * magno.Second
+	unmet    = 32
 	// suspectsFor is how long word of a suspect is repeated in hellos: more than the
 	// pause between two in a large fleet. mostSuspects bounds them in one: a crash
 	// makes suspects of all that ran there, and with the whole list in each hello a
@@ -138,6 +141,8 @@
 	Clock   *magno.Clock
 	Log     *slog.Logger
 
+	// since is when this process started.
+	since magno.Millis
 	// life tells this process's stamps from those of an earlier one.
 	life uint64
 
@@ -163,8 +168,8 @@
 	ended  bool
 	seen   magno.Millis
 	asking bool
-	// asked is when it was asked last.
-	asked magno.Millis
+	// asked is when it was asked last, learned when its address was heard of.
+	asked, learned magno.Millis
 	// stamped is the last stamp that came from it.
 	stamped stamped
 }
@@ -172,6 +177,7 @@
 // Open takes the methods on the mesh, before either runs.
 func (p *Peers) Open() {
 	p.known = map[string]*peer{}
+	p.since = p.Clock.Now()
 	p.life = rand.Uint64() | 1
 	p.able = true
 	p.news = make(chan view.News, newsRoom)
@@ -218,7 +224,7 @@
 	defer p.mu.Unlock()
 	for _, addr := range addrs {
 		if addr != "" && addr != p.Addr && p.known[addr] == nil {
-			p.known[addr] = &peer{hello: Hello{Addr: addr}}
+			p.known[addr] = &peer{hello: Hello{Addr: addr}, learned: p.Clock.Now()}
 		}
 	}
 }
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -398,3 +398,33 @@
 		t.Error(err)
 	}
 }
+
+// Guards against entries that start at the same time, after all lost power, and each take
+// itself for the only one: together they granted thirty times an allowance.
+func TestOneThatMetNobodyCountsOthers(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	fresh := func(seeds ...string) *Peers {
+		p := &Peers{
+			Self: "self", Addr: "10.0.0.1:7", Seeds: seeds, Mesh: &wire.Mesh{}, Book: &view.Book{Clock: clock},
+			Suspects: &crash.Suspects{Clock: clock}, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		}
+		p.Open()
+		return p
+	}
+	check := func(what string, p *Peers, alive, known int) {
+		t.Helper()
+		if a, k := p.Count(); a != alive || k != known {
+			t.Errorf("%s: %d of %d, want %d of %d", what, a, k, alive, known)
+		}
+	}
+	check("alone by its settings", fresh("10.0.0.1:7"), 1, 1)
+	p := fresh("10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7")
+	check("just started", p, 1, unmet)
+	p.heard(&Hello{Name: "b", Addr: "10.0.0.2:7", Peers: []string{"10.0.0.4:7", "10.0.0.5:7"}})
+	check("one met, that knows two more", p, 2, 5)
+	p.known["10.0.0.4:7"].ended = true
+	check("one of them refuses connections", p, 2, 4)
+	p = fresh("10.0.0.1:7", "10.0.0.2:7")
+	clock.Advance(meetTime)
+	check("nobody came", p, 1, 2)
+}
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -159,19 +159,25 @@
 }
 
 // Count tells how many entries are alive, this one included, and how many may be: those
-// that were of late, and don't refuse connections since.
+// that it heard of of late, and that don't refuse connections. One that has just started
+// and met nobody takes it that there are many: all may have started, and none knows yet
+// what the others grant.
 func (p *Peers) Count() (alive, known int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	alive, known = 1, 1
-	now := p.Clock.Now()
+	now, met := p.Clock.Now(), len(p.Seeds) == 0
 	for _, k := range p.known {
+		met = met || k.seen > 0
 		if k.alive {
 			alive++
 		}
-		if k.seen > 0 && now-k.seen < seenFor && !k.ended {
+		if now-max(k.seen, k.learned) < seenFor && !k.ended {
 			known++
 		}
 	}
+	if !met && now-p.since < meetTime && !slices.Equal(p.Seeds, []string{p.Addr}) {
+		known = max(known, unmet)
+	}
 	return alive, known
 }
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -87,7 +87,7 @@
 	}
 	e.desk.Open()
 	e.lease = &lease.Lease{
-		Self: set.Peers, Mesh: e.mesh, Homes: e.peers.Homes, Count: e.peers.Count, Clock: clock, Log: log,
+		Self: set.Peers, Mesh: e.mesh, Homes: e.peers.Homes, Count: e.peers.Count, Window: set.QuotaWindow, Clock: clock, Log: log,
 		Limit: func(customer string) *magno.Limit { return limit(e.book.Now().Plan, customer) },
 	}
 	e.lease.Open()
@@ -125,7 +125,11 @@
 
 // noted logs each change of the list once.
 func noted(log *slog.Logger) func(magno.Change) {
+	limits := map[string]magno.Limit{}
 	return func(c magno.Change) {
+		if c.Plan != nil {
+			changed(log, c.Plan, limits)
+		}
 		switch {
 		case c.Fault != "":
 			log.Warn("item left out", "key", c.Key, "rev", c.Revision, "why", c.Fault)
@@ -141,6 +145,22 @@
 	}
 }
 
+// changed logs each customer whose limit isn't what it was, and notes it in limits.
+func changed(log *slog.Logger, plan *magno.Plan, limits map[string]magno.Limit) {
+	for i := range plan.Customers {
+		c := &plan.Customers[i]
+		var now magno.Limit
+		if c.Limit != nil {
+			now = *c.Limit
+		}
+		was, known := limits[c.Name]
+		if known && was != now {
+			log.Info("limit", "customer", c.Name, "version", plan.Version, "rate", now.Rate, "burst", now.Burst, "was", was.Rate)
+		}
+		limits[c.Name] = now
+	}
+}
+
 // follow brings changes of the list to the parts that keep a copy.
 type follow struct {
 	*entry
--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -17,15 +17,17 @@
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/bucket"
+	"magnoliastall.example/magno/slide"
 )
 
 const (
 	// wholeFrom is the part of the known processes from which on a home grants
 	// everything: some are always down or new.
 	wholeFrom = 0.75
-	// startPart is what a home that is new grants at once, of the burst: the one before
-	// may have granted as much.
-	startPart = 0.5
+	// startPart is what a home that is new grants at once, of the burst, and startWindow
+	// of all that may run in a window: the one before may have granted as much.
+	startPart   = 0.5
+	startWindow = 0.1
 	// shareOut divides what is there beyond a need: others ask as well.
 	shareOut = 4
 	// mostAfter bounds the time to come back.
@@ -52,9 +54,14 @@
 	After magno.Millis `json:"after,omitempty"`
 }
 
-// Grants is what one process grants. One goroutine uses it; Clock is set before.
+// Grants is what one process grants. One goroutine uses it; exported fields are set
+// before.
+//
+// In any Window a customer has its rate and its burst once. What comes at a steady pace
+// so has both together, evenly; what comes at once has the burst.
 type Grants struct {
-	Clock *magno.Clock
+	Clock  *magno.Clock
+	Window magno.Millis
 
 	homes map[string]*home
 }
@@ -62,6 +69,9 @@
 type home struct {
 	limit  magno.Limit
 	bucket bucket.Bucket
+	// granted is what was granted within Window, most what may be.
+	granted slide.Sum
+	most    float64
 	// promised is the time up to which those that were turned away were told to come
 	// back: the next is told a later one.
 	promised magno.Millis
@@ -71,21 +81,17 @@
 // that this one sees and has seen of late, itself included.
 func (g *Grants) Grant(a Ask, limit magno.Limit, alive, known int) Reply {
 	now := g.Clock.Now()
-	share := part(alive, known)
-	h := g.home(a.Customer, limit, share, now)
-	h.bucket.Level(now) // by the rate until now
-	h.bucket.Rate, h.bucket.Burst = limit.Rate*share, limit.Burst*share
-	h.bucket.Give(max(a.Back, 0))
-	if h.bucket.Level(now) >= a.Need {
-		spare := max(h.bucket.Level(now)-a.Need, 0)
-		granted := a.Need + min(max(a.Want-a.Need, 0), spare/shareOut)
-		h.bucket.Take(granted)
+	h := g.home(a.Customer, limit, part(alive, known), now)
+	h.grant(-max(a.Back, 0), now)
+	if free := h.free(now); free >= a.Need {
+		granted := a.Need + min(max(a.Want-a.Need, 0), (free-a.Need)/shareOut)
+		h.grant(granted, now)
 		return Reply{Granted: granted}
 	}
 	var r Reply
-	if h.bucket.Has(a.Least, now) {
-		r.Granted = max(a.Least, h.bucket.Level(now))
-		h.bucket.Take(r.Granted)
+	if h.has(a.Least, now) {
+		r.Granted = max(a.Least, h.free(now))
+		h.grant(r.Granted, now)
 	}
 	r.After = h.later(a.Need-r.Granted, now)
 	return r
@@ -93,27 +99,55 @@
 
 // home returns a customer's allowance, made or changed as the limit says.
 func (g *Grants) home(customer string, limit magno.Limit, share float64, now magno.Millis) *home {
+	if g.homes == nil {
+		g.homes = map[string]*home{}
+	}
 	h := g.homes[customer]
-	if h == nil {
-		if g.homes == nil {
-			g.homes = map[string]*home{}
-		}
-		h = &home{}
+	fresh := h == nil
+	if fresh {
+		h = &home{granted: slide.Sum{Window: g.Window}}
 		g.homes[customer] = h
-		h.limit = limit
-		h.bucket.Burst = limit.Burst * share
-		h.bucket.Fill(h.bucket.Burst*startPart, now)
 	}
 	if h.limit != limit {
 		h.limit, h.promised = limit, 0
 	}
+	seconds := float64(g.Window) / float64(magno.Second)
+	h.bucket.Level(now) // by the rate until now
+	h.bucket.Burst = limit.Burst * share
+	h.bucket.Rate = (limit.Rate + limit.Burst/seconds) * share
+	h.most = h.bucket.Rate * seconds
+	if fresh {
+		h.bucket.Fill(min(h.bucket.Burst*startPart, h.most*startWindow), now)
+	}
 	return h
 }
 
+// free is what may be granted now.
+func (h *home) free(now magno.Millis) float64 {
+	return min(h.bucket.Level(now), h.most-h.granted.Now(now))
+}
+
+// has tells whether one request of that cost may be granted, which may be larger than
+// all that there ever is.
+func (h *home) has(cost float64, now magno.Millis) bool {
+	return h.bucket.Has(cost, now) && h.granted.Now(now)+min(cost, h.most) <= h.most
+}
+
+// grant counts a grant, or with a negative cost what was given back.
+func (h *home) grant(cost float64, now magno.Millis) {
+	if cost < 0 {
+		h.bucket.Give(-cost)
+	} else {
+		h.bucket.Take(cost)
+	}
+	h.granted.Add(cost, now)
+}
+
 // later is when a process that is turned away should ask again. Each is told a time of
 // its own, as the tokens come.
 func (h *home) later(need float64, now magno.Millis) magno.Millis {
-	at := max(now+h.bucket.When(need, now), h.promised)
+	at := now + max(h.bucket.When(need, now), h.granted.When(max(h.most-need, 0), now))
+	at = max(at, h.promised)
 	if at-now > mostAfter {
 		return mostAfter
 	}
--- a/magno/quota/quota.go
+++ b/magno/quota/quota.go
@@ -33,7 +33,7 @@
 	askAgain = 300 * magno.Millis(1)
 	// aloneBurst is how many seconds' part of the allowance is there at once while no
 	// home answers. All processes may be alone at the same time.
-	aloneBurst = 1
+	aloneBurst = 0.5
 	// aloneAfter is when a caller should come back that is refused meanwhile.
 	aloneAfter = 500 * magno.Millis(1)
 )
--- a/magno/site.go
+++ b/magno/site.go
@@ -57,6 +57,9 @@
 	// Revoke is how long after a key is withdrawn it may still be accepted, by processes
 	// that are cut off as well; zero where that isn't bounded.
 	Revoke Millis
+	// QuotaWindow is the span in which customers' allowances are bounded, zero where the
+	// platform states none.
+	QuotaWindow Millis
 	// Memory is the limit of this process in bytes, zero when there is none.
 	Memory int64
 	// Link is the bandwidth of this machine's link in megabits a second, zero
