--- a/magno/quota/quota.go
+++ b/magno/quota/quota.go
@@ -171,7 +171,7 @@
 		if q.customers == nil {
 			q.customers = map[string]*purse{}
 		}
-		p = &purse{limit: limit, at: q.Clock.Now(), cost: limit.Cost(0)}
+		p = &purse{limit: limit, at: q.Clock.Now()}
 		q.customers[customer] = p
 	}
 	if p.limit != limit {
@@ -189,7 +189,10 @@
 		p.demand *= math.Exp(-float64(now-p.at) / float64(gainSpan))
 		p.at = now
 	}
-	if cost > 0 {
+	switch {
+	case p.cost == 0:
+		p.cost = cost
+	case cost > 0:
 		p.cost += costGain * (cost - p.cost)
 	}
 	p.demand += cost * float64(magno.Second) / float64(gainSpan)
