Keys and allowances on the own interface; magctl key; a stream that lost parts is never whole

Callers of the own interface need keys where a customer has any: 401 for an unknown one, and another customer's profiles aren't there for them. Allowances are leased as on the users' platform; what didn't run gives its tokens back.

Cause: when a stream's answer and the word that its parts ran over are both there, the caller took either.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"os"
 
 	"magnoliastall.example/entry/front"
+	"magnoliastall.example/entry/lease"
 	"magnoliastall.example/entry/option"
 	"magnoliastall.example/entry/send"
 	"magnoliastall.example/magno"
@@ -29,6 +30,7 @@
 	opts    *option.Option
 	routers *routers
 	front   *front.Front
+	lease   *lease.Lease
 }
 
 // Main runs an entry and returns its exit code.
@@ -67,8 +69,13 @@
 		Clock: e.Clock, Mesh: e.Mesh, Fleet: e.Fleet, Router: e.routers.pool, Budget: e.routers.budget, Suspects: e.Suspects,
 		Events: e.Events, Attempts: opts.Attempts, DataCentre: opts.DataCentre,
 	}
+	h := &homes{self: e.Self, fleet: e.Fleet, store: e.Store}
+	e.lease = &lease.Lease{
+		Self: opts.Peer, Mesh: e.Mesh, Homes: h.of, Count: h.count, Limit: h.limit, Clock: e.Clock, Log: log,
+	}
+	e.lease.Open()
 	e.front = &front.Front{
-		Listen: opts.Listen, Clock: e.Clock, Catalogue: &catalogue{e.Store}, Settled: e.Node.Settled, Sender: sender,
+		Listen: opts.Listen, Clock: e.Clock, Catalogue: &catalogue{store: e.Store}, Settled: e.Node.Settled, Sender: sender, Quotas: e.lease,
 		Events: e.Events, Log: log, Body: opts.Body, Deadline: magno.Millis(opts.Deadline),
 		Grace: magno.Millis(opts.Grace), Drain: magno.Millis(opts.Drain),
 		Bound: func(addr string) { log.Info("listening", "addr", addr, "dc", opts.DataCentre) },
@@ -77,7 +84,7 @@
 }
 
 func (e *entry) duties() []magno.Duty {
-	return append(e.Duties(), e.front, &admin.Server{
+	return append(e.Duties(), e.front, e.lease, &admin.Server{
 		Listen: e.opts.Admin, Allow: e.opts.Allow, Events: e.Events, Status: e.status, Explain: e.explain,
 		Ready: e.front.Ready,
 		Bound: func(addr string) { e.Log.Info("listening", "admin", addr) },
--- a/entry/daemon/status.go
+++ b/entry/daemon/status.go
@@ -1,10 +1,13 @@
 package daemon
 
 import (
+	"slices"
 	"sort"
+	"sync/atomic"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/config"
+	"magnoliastall.example/magno/keys"
 )
 
 // Status is an entry's state, as its administration API gives it.
@@ -39,7 +42,7 @@
 }
 
 func (e *entry) explain(name string) (any, error) {
-	p, ok := (&catalogue{e.Store}).Profile(name)
+	p, ok := (&catalogue{store: e.Store}).Profile(name)
 	if !ok {
 		return nil, magno.Refuse(magno.KindNoProfile, "there is no profile %q", name).At("profile")
 	}
@@ -59,6 +62,43 @@
 // catalogue gives the front the version in force.
 type catalogue struct {
 	store *config.Store
+	// keyed is the table of the version in force, made when it is first asked.
+	keyed atomic.Pointer[keyed]
+}
+
+// keyed are the keys of one version; keys is nil where callers need none.
+type keyed struct {
+	version int64
+	keys    *keys.Keys
+}
+
+// Customer implements front.Catalogue.
+func (c *catalogue) Customer(name string) (magno.Customer, bool) {
+	if now := c.store.Now(); now != nil {
+		return now.Customer(name)
+	}
+	return magno.Customer{}, false
+}
+
+// Owner implements front.Catalogue.
+func (c *catalogue) Owner(authorization string) (owner *magno.Customer, need bool) {
+	now := c.store.Now()
+	if now == nil {
+		return nil, false
+	}
+	k := c.keyed.Load()
+	if k == nil || k.version != now.Version {
+		k = &keyed{version: now.Version}
+		customers := now.Customers()
+		if slices.ContainsFunc(customers, func(c magno.Customer) bool { return len(c.Keys) > 0 }) {
+			k.keys = keys.New(customers)
+		}
+		c.keyed.Store(k)
+	}
+	if k.keys == nil {
+		return nil, false
+	}
+	return k.keys.Find(authorization), true
 }
 
 // Version implements front.Catalogue.
@@ -84,11 +124,13 @@
 func (c *catalogue) Retired(ref magno.Ref) bool { return c.store.Retired(ref) }
 
 // Names implements front.Catalogue.
-func (c *catalogue) Names() []string {
+func (c *catalogue) Names(customer string) []string {
 	names := []string{}
 	if now := c.store.Now(); now != nil {
 		now.EachProfile(func(p magno.Profile) bool {
-			names = append(names, p.Name)
+			if customer == "" || p.Customer == customer {
+				names = append(names, p.Name)
+			}
 			return true
 		})
 	}
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -100,7 +100,7 @@
 
 // whole answers with the result in one piece.
 func (f *Front) whole(c echo.Context, r send.Request, form form) error {
-	result, replay, refusal := f.Sender.Do(c.Request().Context(), r, func(magno.Piece) {})
+	result, replay, refusal := f.do(c.Request().Context(), r, func(magno.Piece) {})
 	if refusal != nil {
 		return f.refuse(c, refusal)
 	}
@@ -138,7 +138,7 @@
 		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
 		w.Flush()
 	}
-	result, replay, refusal := f.Sender.Do(c.Request().Context(), r, func(p magno.Piece) {
+	result, replay, refusal := f.do(c.Request().Context(), r, func(p magno.Piece) {
 		event(form.piece(r, p.Text))
 	})
 	if refusal != nil && !begun {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -45,8 +45,13 @@
 	Pool(name string) (magno.Pool, bool)
 	// Retired tells whether a version of an adapter is retired.
 	Retired(ref magno.Ref) bool
-	// Names lists the profiles in order.
-	Names() []string
+	// Customer looks up by name.
+	Customer(name string) (magno.Customer, bool)
+	// Owner finds the customer that an Authorization header's key belongs to, nil when
+	// there is none. Keyed is false where callers need no keys.
+	Owner(authorization string) (owner *magno.Customer, keyed bool)
+	// Names lists the profiles in order, of one customer unless that is empty.
+	Names(customer string) []string
 }
 
 // Front serves callers. Its fields are set before Run; it implements
@@ -56,8 +61,10 @@
 	Clock     *magno.Clock
 	Catalogue Catalogue
 	Sender    *send.Sender
-	Events    *event.Ring
-	Log       *slog.Logger
+	// Quotas is nil where nothing is bounded.
+	Quotas magno.Quotas
+	Events *event.Ring
+	Log    *slog.Logger
 	// Body is the most bytes of a request.
 	Body int64
 	// Deadline holds where caller and profile state none.
--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -164,13 +164,16 @@
 }
 
 // profile looks up what the caller named.
-func (f *Front) profile(name string) (magno.Profile, *magno.Refusal) {
+func (f *Front) profile(c echo.Context, name string) (magno.Profile, *magno.Refusal) {
 	if !f.Settled() {
 		return magno.Profile{}, magno.Refuse(magno.KindStarting, "no configuration is known to be in force yet")
 	}
 	p, ok := f.Catalogue.Profile(name)
 	if !ok {
-		return p, magno.Refuse(magno.KindNoProfile, "there is no profile %q", name).At("model")
+		return p, noProfile(name)
+	}
+	if refusal := f.authorize(c, p); refusal != nil {
+		return p, refusal
 	}
 	ref := magno.Ref{Adapter: p.Adapter, Version: p.Version}
 	if p.Retired || f.Catalogue.Retired(ref) {
--- a/entry/front/route.go
+++ b/entry/front/route.go
@@ -6,6 +6,7 @@
 	"github.com/labstack/echo/v4"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/keys"
 )
 
 // completion serves POST /v1/completions.
@@ -38,7 +39,7 @@
 	if refusal != nil {
 		return f.before(c, refusal)
 	}
-	p, refusal := f.on(b.Model, magno.PoolEngine)
+	p, refusal := f.on(c, b.Model, magno.PoolEngine)
 	if refusal != nil {
 		return f.before(c, refusal)
 	}
@@ -68,7 +69,7 @@
 	if refusal != nil {
 		return f.before(c, refusal)
 	}
-	p, refusal := f.on(c.Param("profile"), magno.PoolPlain)
+	p, refusal := f.on(c, c.Param("profile"), magno.PoolPlain)
 	if refusal != nil {
 		return f.before(c, refusal)
 	}
@@ -89,7 +90,7 @@
 // run, for callers who can fetch it before they send the request. Whatever is
 // cut off or replaced, no other process runs it.
 func (f *Front) ticket(c echo.Context) error {
-	p, refusal := f.profile(c.Param("profile"))
+	p, refusal := f.profile(c, c.Param("profile"))
 	if refusal != nil {
 		return f.before(c, refusal)
 	}
@@ -102,8 +103,8 @@
 }
 
 // on looks a profile up and checks that its pool is of the kind.
-func (f *Front) on(name string, kind magno.PoolKind) (magno.Profile, *magno.Refusal) {
-	p, refusal := f.profile(name)
+func (f *Front) on(c echo.Context, name string, kind magno.PoolKind) (magno.Profile, *magno.Refusal) {
+	p, refusal := f.profile(c, name)
 	if refusal != nil {
 		return p, refusal
 	}
@@ -120,7 +121,16 @@
 		ID     string `json:"id"`
 		Object string `json:"object"`
 	}
-	names := f.Catalogue.Names()
+	owner, keyed := f.Catalogue.Owner(c.Request().Header.Get(echo.HeaderAuthorization))
+	if keyed && owner == nil {
+		c.Response().Header().Set(echo.HeaderWWWAuthenticate, keys.Scheme)
+		return f.refuse(c, magno.Refuse(magno.KindCredential, "the key belongs to no customer"))
+	}
+	customer := ""
+	if keyed {
+		customer = owner.Name
+	}
+	names := f.Catalogue.Names(customer)
 	rows := make([]row, 0, len(names))
 	for _, name := range names {
 		rows = append(rows, row{ID: name, Object: "model"})
--- a/entry/relay/keyed.go
+++ b/entry/relay/keyed.go
@@ -19,14 +19,6 @@
 	outdatedAfter = 200 * magno.Millis(1)
 )
 
-// Quotas bound what customers may have run, over all processes.
-type Quotas interface {
-	// Take takes a request's cost from its customer's allowance, or refuses it.
-	Take(ctx context.Context, c *magno.Customer, cost float64) *magno.Refusal
-	// Give returns the cost of a request that has not run.
-	Give(c *magno.Customer, cost float64)
-}
-
 // Sure tells whether the configuration was confirmed so lately that no key in it was
 // withdrawn for longer than is allowed.
 func (h *Relay) Sure() bool {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -87,7 +87,7 @@
 	Suspects *crash.Suspects
 	Log      *slog.Logger
 	// Quotas is nil where nothing is bounded.
-	Quotas Quotas
+	Quotas magno.Quotas
 	// Revoke is how long after its withdrawal a key may still be accepted, zero where
 	// that isn't bounded.
 	Revoke magno.Millis
--- a/entry/send/send_test.go
+++ b/entry/send/send_test.go
@@ -253,6 +253,11 @@
 	_, _, refusal := w.sender.Do(context.Background(), r, func(magno.Piece) {
 		close(stalled)
 		<-sent
+		// Its answer comes on the same connection, after all parts were read there.
+		a, _ := w.sender.Fleet.Find("a")
+		if err := w.sender.Mesh.Call(context.Background(), a.Address, "none", nil, nil); wire.NotSent(err) {
+			t.Error(err)
+		}
 	})
 	if refusal == nil || refusal.Kind != magno.KindCancelled || w.path() != "a" {
 		t.Errorf("%v after %q", refusal, w.path())
--- a/magctl/diff.go
+++ b/magctl/diff.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
+	"strings"
 
 	"magnoliastall.example/magno"
 )
@@ -137,12 +139,36 @@
 
 func customerEffect(before, after *magno.Customer) change {
 	c := change{What: verb("customer", before, after), Effect: "shares of engine time change at once"}
-	if before != nil && after != nil {
-		c.Effect = fmt.Sprintf("weight %v becomes %v", before.Weight, after.Weight)
+	if before == nil || after == nil {
+		return c
 	}
+	var effects []string
+	if before.Weight != after.Weight {
+		effects = append(effects, fmt.Sprintf("weight %v becomes %v", before.Weight, after.Weight))
+	}
+	if n := fewer(after.Keys, before.Keys); n > 0 {
+		effects = append(effects, fmt.Sprintf("%d new keys are accepted", n))
+	}
+	if n := fewer(before.Keys, after.Keys); n > 0 {
+		effects = append(effects, fmt.Sprintf("%d keys are refused with kind credential", n))
+	}
+	if encoded(before.Limit) != encoded(after.Limit) {
+		effects = append(effects, fmt.Sprintf("limit %s becomes %s", encoded(before.Limit), encoded(after.Limit)))
+	}
+	c.Effect = strings.Join(effects, "; ")
 	return c
 }
 
+// fewer counts the keys of one list that the other lacks.
+func fewer(of, than []magno.Digest) (n int) {
+	for _, d := range of {
+		if !slices.Contains(than, d) {
+			n++
+		}
+	}
+	return n
+}
+
 func poolEffect(before, after *magno.Pool) change {
 	return change{What: verb("pool", before, after), Effect: "load turns follow the new allowance"}
 }
--- a/magctl/main.go
+++ b/magctl/main.go
@@ -29,6 +29,7 @@
 	return []command{
 		{"check", "check FILE", "check a configuration as the daemons would, before it is published", runCheck},
 		{"diff", "diff OLD NEW", "say what publishing NEW over OLD will do", runDiff},
+		{"key", "key [-new FILE]", "print the digest of a caller's key, made anew or read from standard input", runKey},
 		{"pack", "pack -out DIR FILE", "write the values to publish, in the order of the file 'order'", runPack},
 		{"status", "status [-json]", "show the state of every process", runStatus},
 		{"explain", "explain PROFILE", "say where a request of a profile would go now, and why", runExplain},
--- a/magno/check/check.go
+++ b/magno/check/check.go
@@ -29,6 +29,8 @@
 	// maxRecords bounds each list, ten times the size planned for.
 	maxRecords = 1_300_000
 	maxWeight  = 1e6
+	maxRank    = 9
+	maxRate    = 1e12
 	maxUrgency = 9
 	// maxDeadline is the longest default deadline.
 	maxDeadline = 24 * magno.Hour
@@ -123,6 +125,7 @@
 	}
 	found = append(found, sizes(cfg)...)
 	found = append(found, doubles(cfg)...)
+	found = append(found, sharedKeys(cfg)...)
 	found = append(found, records(cfg, newTable(cfg))...)
 	found = append(found, c.follows(old, cfg.Rosters)...)
 	return place(shards, found)
--- a/magno/check/rules.go
+++ b/magno/check/rules.go
@@ -135,6 +135,39 @@
 	if !(b.Weight > 0 && b.Weight <= maxWeight) {
 		f.at(listCustomers, b.Name, "weight").add("%v is not over zero and at most %v", b.Weight, maxWeight)
 	}
+	if b.Rank != nil {
+		f.at(listCustomers, b.Name, "rank").within(float64(*b.Rank), maxRank)
+	}
+	if b.Limit != nil {
+		f.limit(b.Name, b.Limit)
+	}
+}
+
+func (f *findings) limit(customer string, l *magno.Limit) {
+	f.rate(customer, "limit.rate", l.Rate)
+	f.rate(customer, "limit.burst", l.Burst)
+	f.at(listCustomers, customer, "limit.plain").within(l.Plain, maxRate)
+}
+
+func (f *findings) rate(customer, field string, value float64) {
+	if !(value > 0 && value <= maxRate) {
+		f.at(listCustomers, customer, field).add("%v is not over zero and at most %v", value, maxRate)
+	}
+}
+
+// sharedKeys finds keys that two customers have: nobody could tell whose request it is.
+func sharedKeys(cfg *magno.Config) []fault {
+	var found []fault
+	owners := map[magno.Digest]string{}
+	for _, c := range cfg.Customers {
+		for _, d := range c.Keys {
+			if other, known := owners[d]; known && len(found) < MaxFaults {
+				found = append(found, fault{list: listCustomers, name: c.Name, field: "keys", what: fmt.Sprintf("%.8s is a key of %s too", d, other)})
+			}
+			owners[d] = c.Name
+		}
+	}
+	return found
 }
 
 func (f *findings) pool(p magno.Pool) {
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -312,3 +312,11 @@
 	// SetAddress sets IP and port, and the fence that goes with requests.
 	SetAddress(address string, fence int64)
 }
+
+// Quotas bound what customers may have run, over all processes.
+type Quotas interface {
+	// Take takes a request's cost from its customer's allowance, or refuses it.
+	Take(ctx context.Context, c *Customer, cost float64) *Refusal
+	// Give returns the cost of a request that has not run.
+	Give(c *Customer, cost float64)
+}
--- a/magno/wire/call.go
+++ b/magno/wire/call.go
@@ -143,7 +143,13 @@
 				p := <-s.parts
 				onPart(p.method, p.params)
 			}
-			return err
+			// Parts that were lost came before the answer.
+			select {
+			case <-s.lost:
+				return errSlow
+			default:
+				return err
+			}
 		}
 	}
 }
--- a/magno/wire/mesh_test.go
+++ b/magno/wire/mesh_test.go
@@ -217,3 +217,36 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a stream that lost parts, as its caller took them too slowly, and is
+// taken for whole since its answer is there as well.
+func TestLostPartsAreToldBesideTheAnswer(t *testing.T) {
+	server := &Mesh{}
+	server.Handle("flood", func(ctx context.Context, peer *Peer, _ json.RawMessage) (any, error) {
+		for i := range maxParts + 10 {
+			if err := peer.Notify(ctx, "part", i); err != nil {
+				return nil, err
+			}
+		}
+		return "whole", nil
+	})
+	start(t, server)
+	client := start(t, &Mesh{})
+	ctx := wait(t)
+	for round := range 50 {
+		first := true
+		err := client.CallStream(ctx, server.Addr(), "flood", nil, nil, func(string, json.RawMessage) {
+			if !first {
+				return
+			}
+			first = false
+			// Its answer comes behind the flood, or close before the flood's own.
+			if err := client.CallStream(ctx, server.Addr(), "flood", nil, nil, func(string, json.RawMessage) {}); err != nil && !Slow(err) {
+				t.Error(err)
+			}
+		})
+		if !Slow(err) {
+			t.Fatalf("round %d: %v", round, err)
+		}
+	}
+}
