--- a/magno/wire/mesh_test.go
+++ b/magno/wire/mesh_test.go
@@ -221,13 +221,14 @@
 // Guards against a stream that lost parts, as its caller took them too slowly, and is
 // taken for whole since its answer is there as well.
 func TestLostPartsAreToldBesideTheAnswer(t *testing.T) {
-	server := &Mesh{}
+	server, sent := &Mesh{}, make(chan struct{})
 	server.Handle("flood", func(ctx context.Context, peer *Peer, _ json.RawMessage) (any, error) {
 		for i := range maxParts + 10 {
 			if err := peer.Notify(ctx, "part", i); err != nil {
 				return nil, err
 			}
 		}
+		sent <- struct{}{}
 		return "whole", nil
 	})
 	start(t, server)
@@ -240,8 +241,9 @@
 				return
 			}
 			first = false
-			// Its answer comes behind the flood, or close before the flood's own.
-			if err := client.CallStream(ctx, server.Addr(), "flood", nil, nil, func(string, json.RawMessage) {}); err != nil && !Slow(err) {
+			<-sent
+			// Its answer comes behind all parts, and close to that of the flood.
+			if err := client.Call(ctx, server.Addr(), "none", nil, nil); NotSent(err) {
 				t.Error(err)
 			}
 		})
