--- a/drive/limit/fleet.go
+++ b/drive/limit/fleet.go
@@ -108,7 +108,7 @@
 			q.Granted(ask, *reply, limit)
 		}
 		for _, r := range joined {
-			v := quota.Refused
+			var v quota.Verdict
 			if reply == nil {
 				v, _ = q.Alone(customer, limit, r.cost, h.Entries)
 			} else {
--- a/drive/limit/limit.go
+++ b/drive/limit/limit.go
@@ -198,7 +198,7 @@
 func (w *World) request(c *Customer) {
 	entry := w.rng.IntN(w.Entries)
 	if c.Spread > 0 {
-		entry = entry % c.Spread
+		entry %= c.Spread
 	}
 	for w.Down[entry] { // callers connect elsewhere
 		entry = (entry + 1) % w.Entries
--- a/drive/limit/limit_test.go
+++ b/drive/limit/limit_test.go
@@ -18,9 +18,10 @@
 	return list
 }
 
-func some(from, n int) (list []int) {
+// first are the first n entries.
+func first(n int) (list []int) {
 	for i := range n {
-		list = append(list, from+i)
+		list = append(list, i)
 	}
 	return list
 }
@@ -67,9 +68,9 @@
 			w := world(n)
 			w.Customers[1].Rate *= 8
 			w.At = map[magno.Millis]func(*World){
-				6 * magno.Second: func(w *World) { w.Change(some(0, 4), func(i int) { w.Down[i] = true }) },
+				6 * magno.Second: func(w *World) { w.Change(first(4), func(i int) { w.Down[i] = true }) },
 				7 * magno.Second: func(w *World) {
-					w.Change(some(0, 4), func(i int) { w.Down[i] = false; w.fleet.start(i) })
+					w.Change(first(4), func(i int) { w.Down[i] = false; w.fleet.start(i) })
 				},
 			}
 			return w
@@ -77,9 +78,9 @@
 		{"six in ten are killed", func(n int) *World {
 			w := world(n)
 			w.At = map[magno.Millis]func(*World){
-				6 * magno.Second: func(w *World) { w.Change(some(0, n*6/10), func(i int) { w.Down[i] = true }) },
+				6 * magno.Second: func(w *World) { w.Change(first(n*6/10), func(i int) { w.Down[i] = true }) },
 				7 * magno.Second: func(w *World) {
-					w.Change(some(0, n*6/10), func(i int) { w.Down[i] = false; w.fleet.start(i) })
+					w.Change(first(n*6/10), func(i int) { w.Down[i] = false; w.fleet.start(i) })
 				},
 			}
 			return w
@@ -88,8 +89,8 @@
 			w := world(n)
 			w.Customers[1].Rate *= 8
 			w.At = map[magno.Millis]func(*World){
-				6 * magno.Second:  func(w *World) { w.Change(some(0, n/3), func(i int) { w.Cut[i] = true }) },
-				15 * magno.Second: func(w *World) { w.Change(some(0, n/3), func(i int) { w.Cut[i] = false }) },
+				6 * magno.Second:  func(w *World) { w.Change(first(n/3), func(i int) { w.Cut[i] = true }) },
+				15 * magno.Second: func(w *World) { w.Change(first(n/3), func(i int) { w.Cut[i] = false }) },
 			}
 			return w
 		}},
