desk: agents asked in turn are counted apart

Cause: one counter for two kinds of agents whose turns have different lengths, passed in a map's order, and a length rounded down (250 agents by 64 gave each third, 84).

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -88,7 +88,11 @@
 	// seats follow snap.
 	seats map[string]*seat
 	snap  *view.Snapshot
-	next  int
+	// next counts the agents that were passed over or asked in turn: those that this
+	// entry asks for its data centre, and the others.
+	next struct {
+		mine, other int
+	}
 	polls *metrics.Counter
 	fails *metrics.Counter
 }
@@ -197,7 +201,11 @@
 		if mine {
 			of /= len(share.mates) + 1
 		}
-		if s.polling || s.fresh(now, usual, mine) || !d.turn(s, now, of) {
+		next := &d.next.other
+		if mine {
+			next = &d.next.mine
+		}
+		if s.polling || s.fresh(now, usual, mine) || !turn(s, now, of, next) {
 			continue
 		}
 		s.polling, s.asked, s.told = true, now, s.revision
@@ -209,13 +217,14 @@
 // turn tells whether an agent may be asked now, one of so many that may be due. Of very
 // many, those that aren't in use are asked seldom, and those that are lost as well: a
 // thousand of them would otherwise take up all of a small machine.
-func (d *Desk) turn(s *seat, now magno.Millis, of int) bool {
+func turn(s *seat, now magno.Millis, of int, next *int) bool {
 	missed := s.misses > 0 && !s.dead
 	if of <= mostPolled || now-s.used <= usedFor || missed {
 		return true
 	}
-	d.next++
-	return d.next%(of/mostPolled) == 0
+	*next++
+	turns := (of + mostPolled - 1) / mostPolled
+	return *next%turns == 0
 }
 
 // poll asks one agent, and tells it what it doesn't know yet.
