--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -219,11 +219,11 @@
 // thousand of them would otherwise take up all of a small machine.
 func turn(s *seat, now magno.Millis, of int, next *int) bool {
 	missed := s.misses > 0 && !s.dead
-	if of <= mostPolled || now-s.used <= usedFor || missed {
+	if of < 2*mostPolled || now-s.used <= usedFor || missed {
 		return true
 	}
 	*next++
-	turns := (of + mostPolled - 1) / mostPolled
+	turns := (of + mostPolled - 1) / mostPolled // rounded up, or two kinds exceed the bound
 	return *next%turns == 0
 }
 
