--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -109,7 +109,8 @@
 	ctx, cancel := context.WithTimeout(j.r.Context(), (j.end - j.Clock.Now()).Span())
 	defer cancel()
 	if refusal := j.take(ctx); refusal != nil {
-		j.refuse(refusal)
+		j.refusal = refusal
+		j.finish(resultRefused)
 		return
 	}
 	defer j.give()
