--- a/drive/limit/fleet.go
+++ b/drive/limit/fleet.go
@@ -26,14 +26,14 @@
 }
 
 func newFleet(w *World) *fleet {
-	h := &fleet{
+	f := &fleet{
 		World: w, quotas: make([]*quota.Quota, w.Entries), grants: make([]*grant.Grants, w.Entries),
 		lines: make([]map[string]*line, w.Entries),
 	}
 	for i := range w.Entries {
-		h.start(i)
+		f.start(i)
 	}
-	return h
+	return f
 }
 
 // line is the call of one entry for one customer, and the requests that wait.
@@ -48,37 +48,37 @@
 }
 
 // start has an entry begin, or begin anew with nothing known.
-func (h *fleet) start(i int) {
-	h.quotas[i], h.grants[i], h.lines[i] = &quota.Quota{Clock: h.Clock}, &grant.Grants{Clock: h.Clock, Window: window}, map[string]*line{}
+func (f *fleet) start(i int) {
+	f.quotas[i], f.grants[i], f.lines[i] = &quota.Quota{Clock: f.Clock}, &grant.Grants{Clock: f.Clock, Window: window}, map[string]*line{}
 }
 
-func (h *fleet) ask(i int, customer string, cost float64, decided func(bool)) {
-	q, limit := h.quotas[i], *h.limits[customer]
+func (f *fleet) ask(i int, customer string, cost float64, decided func(bool)) {
+	q, limit := f.quotas[i], *f.limits[customer]
 	v, _ := q.Take(customer, limit, cost)
 	if v != quota.Waits {
 		decided(v == quota.Runs)
 		if v == quota.Runs && q.Low(customer, limit) {
-			h.call(i, customer, nil)
+			f.call(i, customer, nil)
 		}
 		return
 	}
-	h.call(i, customer, &request{cost, decided})
+	f.call(i, customer, &request{cost, decided})
 }
 
-func (h *fleet) tick(i int) {
-	if h.Clock.Now()/step%50 != 0 {
+func (f *fleet) tick(i int) {
+	if f.Clock.Now()/step%50 != 0 {
 		return
 	}
-	for customer := range h.quotas[i].Idle() {
-		h.call(i, customer, nil)
+	for customer := range f.quotas[i].Idle() {
+		f.call(i, customer, nil)
 	}
 }
 
-func (h *fleet) call(i int, customer string, r *request) {
-	l := h.lines[i][customer]
+func (f *fleet) call(i int, customer string, r *request) {
+	l := f.lines[i][customer]
 	if l == nil {
 		l = &line{}
-		h.lines[i][customer] = l
+		f.lines[i][customer] = l
 	}
 	if r != nil {
 		l.waiting = append(l.waiting, *r)
@@ -96,11 +96,11 @@
 			least = r.cost
 		}
 	}
-	q, limit := h.quotas[i], *h.limits[customer]
+	q, limit := f.quotas[i], *f.limits[customer]
 	ask := q.Ask(customer, limit, need, least)
 	over := false
 	end := func(reply *grant.Reply) {
-		if over || h.lines[i][customer] != l {
+		if over || f.lines[i][customer] != l {
 			return
 		}
 		over, l.calling = true, false
@@ -110,35 +110,35 @@
 		for _, r := range joined {
 			var v quota.Verdict
 			if reply == nil {
-				v, _ = q.Alone(customer, limit, r.cost, h.Entries)
+				v, _ = q.Alone(customer, limit, r.cost, f.Entries)
 			} else {
 				v, _ = q.Again(customer, limit, r.cost)
 			}
 			r.decided(v == quota.Runs)
 		}
 		if len(l.waiting) > 0 {
-			h.call(i, customer, nil)
+			f.call(i, customer, nil)
 		}
 	}
-	at := h.at(i, customer)
+	at := f.at(i, customer)
 	if at == i {
-		reply := h.grants[i].Grant(ask, limit, h.alive(i), h.known(i))
+		reply := f.grants[i].Grant(ask, limit, f.alive(i), f.known(i))
 		end(&reply)
 		return
 	}
-	h.after(callTime, func() { end(nil) })
-	h.Send(i, at, askBytes, func() {
-		reply := h.grants[at].Grant(ask, limit, h.alive(at), h.known(at))
-		h.Send(at, i, replyBytes, func() { end(&reply) })
+	f.after(callTime, func() { end(nil) })
+	f.Send(i, at, askBytes, func() {
+		reply := f.grants[at].Grant(ask, limit, f.alive(at), f.known(at))
+		f.Send(at, i, replyBytes, func() { end(&reply) })
 	})
 }
 
 // at is a customer's home as an entry sees it.
-func (h *fleet) at(self int, customer string) int {
+func (f *fleet) at(self int, customer string) int {
 	best, found := -1, 0
 	var lowest uint64
-	for i := 0; i < h.Entries && found < homes; i++ {
-		if !h.Alive(self, i) {
+	for i := 0; i < f.Entries && found < homes; i++ {
+		if !f.Alive(self, i) {
 			continue
 		}
 		found++
@@ -149,9 +149,9 @@
 	return best
 }
 
-func (h *fleet) alive(self int) (n int) {
-	for i := range h.Entries {
-		if h.Alive(self, i) {
+func (f *fleet) alive(self int) (n int) {
+	for i := range f.Entries {
+		if f.Alive(self, i) {
 			n++
 		}
 	}
@@ -159,9 +159,9 @@
 }
 
 // known counts the entries that may grant something: those that were killed don't.
-func (h *fleet) known(self int) (n int) {
-	for i := range h.Entries {
-		if !h.believed(i).down || i == self {
+func (f *fleet) known(self int) (n int) {
+	for i := range f.Entries {
+		if !f.believed(i).down || i == self {
 			n++
 		}
 	}
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -56,6 +56,10 @@
 	// all are the workers of all incarnations.
 	all     []*fake.Worker
 	version int64
+	// keys are all further keys so far, the last one in force; withdrawn is when the
+	// store had taken each of the others out.
+	keys      []string
+	withdrawn map[string]time.Time
 }
 
 // upstream is a worker at an address, and what stands in the list of it.
@@ -100,7 +104,9 @@
 
 func at(net, host, port int) string { return fmt.Sprintf("127.0.%d.%d:%d", net, host, portBase+port) }
 
-func newFleet(dir, bin string) *fleet { return &fleet{dir: dir, bin: bin, store: fake.NewStore()} }
+func newFleet(dir, bin string) *fleet {
+	return &fleet{dir: dir, bin: bin, store: fake.NewStore(), withdrawn: map[string]time.Time{}}
+}
 
 // start starts everything; it ends with ctx.
 func (f *fleet) start(ctx context.Context) error {
@@ -192,12 +198,33 @@
 	f.store.Put("servers/"+u.worker.ID, u.worker.Entry(u.service, u.listed, "z", "ready"))
 }
 
-// publish writes the next version of the configuration.
+// publish writes the next version of the configuration, with another further key.
 func (f *fleet) publish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	f.store.Put("op/config", fake.Plan(f.version, slots))
+	key := fmt.Sprintf("further-%d", f.version)
+	f.store.Put("op/config", fake.Plan(f.version, slots, key))
+	if n := len(f.keys); n > 0 {
+		f.withdrawn[f.keys[n-1]] = time.Now()
+	}
+	f.keys = append(f.keys, key)
+}
+
+// key is one of all further keys, more often one of late.
+func (f *fleet) key(rnd *rand.Rand) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(f.keys)
+	return f.keys[n-1-rnd.IntN(rnd.IntN(n)+1)]
+}
+
+// expired tells whether a key must no longer have been accepted at a time.
+func (f *fleet) expired(key string, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	when, gone := f.withdrawn[key]
+	return gone && at.Sub(when) > fake.RevokeTime
 }
 
 // runs is how often a request began to run, over all incarnations.
@@ -308,7 +335,7 @@
 
 // ready waits until the fleet serves.
 func (f *fleet) ready(ctx context.Context) error {
-	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{}}}
+	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{}}, Key: fake.Key}
 	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		id := fmt.Sprintf("ready-%d", rand.Uint64()) //nolint:gosec // no secret
 		if o := caller.Send(ctx, f.entries[0], fake.PathResume, id, "a1"); o.Status == http.StatusOK && o.Whole {
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -17,6 +17,8 @@
 
 const (
 	callers = 12
+	// turning is how many of them use keys that are withdrawn from time to time.
+	turning = 4
 	// adapters is how many are asked for: more than one engine holds.
 	adapters = 9
 	// pauseMost bounds the pause between two faults, faultMost how long one
@@ -60,6 +62,9 @@
 type request struct {
 	path    string
 	outcome fake.Outcome
+	// key is what its caller sent at a time.
+	key string
+	at  time.Time
 }
 
 // Run plays and returns the promises that were broken.
@@ -107,8 +112,11 @@
 // call sends requests one after the other until playing ends.
 func (s *Soak) call(ctx, playing context.Context, n int) {
 	rnd := rand.New(rand.NewPCG(s.Seed, uint64(n)+1)) //nolint:gosec // no secret
-	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}, Key: fake.Key}
 	for i := 0; playing.Err() == nil; i++ {
+		if n < turning {
+			caller.Key = s.fleet.key(rnd)
+		}
 		address := s.fleet.entries[rnd.IntN(entries)]
 		s.once(ctx, caller, address, fmt.Sprintf("s%d-%d-%d", s.Seed, n, i), rnd)
 		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
@@ -128,10 +136,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	at := time.Now()
 	o := caller.Send(ctx, address, path, id, adapter)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sent[id] = &request{path: path, outcome: o}
+	s.sent[id] = &request{path: path, outcome: o, key: caller.Key, at: at}
 	s.one(id, s.sent[id])
 	s.kinds[fmt.Sprintf("%s %s", strings.Trim(path, "/"), outcomeName(o))]++
 	return o
@@ -249,7 +258,7 @@
 
 // after sends requests once the faults are over; all must be served.
 func (s *Soak) after(ctx context.Context, what string, within time.Duration) {
-	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{}}}
+	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{}}, Key: fake.Key}
 	rnd := rand.New(rand.NewPCG(s.Seed, 1<<32)) //nolint:gosec // no secret
 	row, last := 0, fake.Outcome{}
 	for i, end := 0, time.Now().Add(within); row < afterwards && time.Now().Before(end); i++ {
@@ -329,6 +338,9 @@
 	if (r.path == fake.PathOnce || r.path == fake.PathStream) && runs > 1 {
 		s.fail("%s %s ran %d times", r.path, id, runs)
 	}
+	if runs > 0 && s.fleet.expired(r.key, r.at) {
+		s.fail("%s %s ran with a key that had been withdrawn for over %s", r.path, id, fake.RevokeTime)
+	}
 	if o.Promised && runs > 0 && r.path != fake.PathRepeat {
 		s.fail("%s %s was told %d and ran %d times", r.path, id, o.Status, runs)
 	}
