--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -389,9 +389,14 @@
 		return nil, ctx.Err()
 	})
 	go func() { ended <- mesh.Run(ctx) }()
-	p.pull(mesh.Addr(), 1)
-	if p.pulls != 1 {
-		t.Errorf("%d doublings after a fetch that took too long, want 1", p.pulls)
+	for n := 1; n <= 2; n++ {
+		if p.pull(mesh.Addr(), 1); p.pulls != n {
+			t.Errorf("%d doublings after %d fetches that took too long", p.pulls, n)
+		}
+	}
+	p.pulls = 3
+	if limit := min(pullTime<<p.pulls, pullMost); limit != pullMost {
+		t.Errorf("a fetch gets %d ms at last, want %d", limit, pullMost)
 	}
 	cancel()
 	if err := <-ended; err != nil {
