--- a/drive/limit/fleet.go
+++ b/drive/limit/fleet.go
@@ -110,7 +110,7 @@
 		for _, r := range joined {
 			var v quota.Verdict
 			if reply == nil {
-				v, _ = q.Alone(customer, limit, r.cost, f.Entries)
+				v, _ = q.Fallback(customer, limit, r.cost, f.Entries)
 			} else {
 				v, _ = q.Again(customer, limit, r.cost)
 			}
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -28,10 +28,10 @@
 const MethodLease = "lease"
 
 const (
-	// callTime bounds a home's answer, and silent is how long one that gave none isn't
-	// asked again.
-	callTime = 150 * magno.Millis(1)
-	silent   = magno.Second
+	// callTime is the timeout of a call to a home, retryAfter how long a home that timed
+	// out isn't called again.
+	callTime   = 150 * magno.Millis(1)
+	retryAfter = magno.Second
 	// defaultWindow holds where the platform states none.
 	defaultWindow = 8 * magno.Second
 	// mostHomes is how many homes are tried: the second only where the first can't be
@@ -66,14 +66,15 @@
 	mu     sync.Mutex
 	quota  quota.Quota
 	grants grant.Grants
-	lines  map[string]*line
-	// quiet maps homes that didn't answer to when they are asked again.
-	quiet        map[string]magno.Millis
+	queues map[string]*queue
+	// retry maps homes that didn't answer to when they may be asked again.
+	retry        map[string]magno.Millis
 	calls, fails *metrics.Counter
+	working      sync.WaitGroup
 }
 
-// line is one customer's calls, one at a time.
-type line struct {
+// queue is one customer's calls to its home, made one at a time.
+type queue struct {
 	running bool
 	// next is the call that waiting requests join, nil when none waits.
 	next *call
@@ -97,7 +98,7 @@
 	if l.Window <= 0 {
 		l.grants.Window = defaultWindow
 	}
-	l.lines, l.quiet = map[string]*line{}, map[string]magno.Millis{}
+	l.queues, l.retry = map[string]*queue{}, map[string]magno.Millis{}
 	l.calls = metrics.GetOrCreateCounter("lease_calls_total")
 	l.fails = metrics.GetOrCreateCounter("lease_failures_total")
 	l.Mesh.Handle(MethodLease, l.onLease)
@@ -106,8 +107,9 @@
 // Name implements magno.Duty.
 func (l *Lease) Name() string { return "lease" }
 
-// Run gives back what nobody needs until ctx ends.
+// Run gives back what nobody needs until ctx ends, then waits for calls under way.
 func (l *Lease) Run(ctx context.Context) error {
+	defer l.working.Wait()
 	for magno.Pause(ctx, giveEvery) {
 		l.mu.Lock()
 		for customer, limit := range l.quota.Idle() {
@@ -139,7 +141,7 @@
 		l.mu.Lock()
 		if asked.failed {
 			_, known := l.Count()
-			v, after = l.quota.Alone(c.Name, *c.Limit, cost, known)
+			v, after = l.quota.Fallback(c.Name, *c.Limit, cost, known)
 		} else {
 			v, after = l.quota.Again(c.Name, *c.Limit, cost)
 		}
@@ -164,10 +166,10 @@
 // join has a request's cost asked for, with what else waits; zero for none. The caller
 // holds mu.
 func (l *Lease) join(customer string, limit magno.Limit, cost float64) *call {
-	q := l.lines[customer]
+	q := l.queues[customer]
 	if q == nil {
-		q = &line{}
-		l.lines[customer] = q
+		q = &queue{}
+		l.queues[customer] = q
 	}
 	if q.next == nil {
 		q.next = &call{customer: customer, limit: limit, done: make(chan struct{})}
@@ -180,13 +182,17 @@
 	c.need += cost
 	if !q.running {
 		q.running = true
-		go l.work(q)
+		l.working.Add(1)
+		go func() {
+			defer l.working.Done()
+			l.work(q)
+		}()
 	}
 	return c
 }
 
 // work makes a customer's calls until none waits.
-func (l *Lease) work(q *line) {
+func (l *Lease) work(q *queue) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for q.next != nil {
@@ -214,7 +220,7 @@
 		if addr == l.Self {
 			return l.grant(ask)
 		}
-		if l.isQuiet(addr) {
+		if l.backsOff(addr) {
 			return grant.Reply{}, errNoHome
 		}
 		l.calls.Inc()
@@ -228,23 +234,23 @@
 		l.fails.Inc()
 		l.Log.Info("lease", "home", addr, "customer", ask.Customer, "need", ask.Need, "error", err)
 		if !wire.NotSent(err) || errors.Is(err, context.DeadlineExceeded) {
-			l.silence(addr)
+			l.backOff(addr)
 			return grant.Reply{}, err
 		}
 	}
 	return grant.Reply{}, errNoHome
 }
 
-func (l *Lease) isQuiet(addr string) bool {
+func (l *Lease) backsOff(addr string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Clock.Now() < l.quiet[addr]
+	return l.Clock.Now() < l.retry[addr]
 }
 
-func (l *Lease) silence(addr string) {
+func (l *Lease) backOff(addr string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.quiet[addr] = l.Clock.Now() + silent
+	l.retry[addr] = l.Clock.Now() + retryAfter
 }
 
 // grant answers as the customer's home.
--- a/magno/quota/quota_test.go
+++ b/magno/quota/quota_test.go
@@ -76,11 +76,11 @@
 
 // Guards against a customer that is refused altogether while its home is lost, and
 // against thirty processes that each use all of its allowance.
-func TestAloneUsesItsPart(t *testing.T) {
+func TestFallbackUsesItsPart(t *testing.T) {
 	q, clock := newQuota()
 	var sum float64
 	for range 100 {
-		if v, _ := q.Alone("a", limit, 50, 30); v == Runs {
+		if v, _ := q.Fallback("a", limit, 50, 30); v == Runs {
 			sum += 50
 		}
 		clock.Advance(100)
