--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -71,6 +71,8 @@
 	retry        map[string]magno.Millis
 	calls, fails *metrics.Counter
 	working      sync.WaitGroup
+	// ended is true once no call may begin.
+	ended bool
 }
 
 // queue is one customer's calls to its home, made one at a time.
@@ -109,7 +111,7 @@
 
 // Run gives back what nobody needs until ctx ends, then waits for calls under way.
 func (l *Lease) Run(ctx context.Context) error {
-	defer l.working.Wait()
+	defer l.end()
 	for magno.Pause(ctx, giveEvery) {
 		l.mu.Lock()
 		for customer, limit := range l.quota.Idle() {
@@ -120,6 +122,14 @@
 	return nil
 }
 
+// end lets calls under way finish, and none begin.
+func (l *Lease) end() {
+	l.mu.Lock()
+	l.ended = true
+	l.mu.Unlock()
+	l.working.Wait()
+}
+
 // Take takes a request's cost from its customer's allowance, or refuses it.
 func (l *Lease) Take(ctx context.Context, c *magno.Customer, cost float64) *magno.Refusal {
 	l.mu.Lock()
@@ -180,6 +190,11 @@
 		c.least = cost
 	}
 	c.need += cost
+	if l.ended {
+		q.next, c.failed = nil, true
+		close(c.done)
+		return c
+	}
 	if !q.running {
 		q.running = true
 		l.working.Add(1)
