--- a/drive/proof/caller_test.go
+++ b/drive/proof/caller_test.go
@@ -40,6 +40,9 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	if f.bearer != "" {
+		req.Header.Set("Authorization", "Bearer "+f.bearer)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return reply{err: err, header: http.Header{}}
--- a/drive/proof/fleet_test.go
+++ b/drive/proof/fleet_test.go
@@ -61,6 +61,8 @@
 
 // fleet is a deployment of real processes.
 type fleet struct {
+	// bearer is the key that callers send, empty for none.
+	bearer    string
 	t         *testing.T
 	layout    layout.Layout
 	config    magno.Config
