--- a/drive/limit/limit.go
+++ b/drive/limit/limit.go
@@ -102,8 +102,11 @@
 type tally struct {
 	ideal ideal
 	// owed is what one bucket for all lets run, ran what did.
-	owed, ran   float64
+	owed, ran float64
+	// runs are those of the last window, sum their cost.
 	runs        []run
+	sum         float64
+	asked       int
 	over, bound float64
 }
 
@@ -222,14 +225,16 @@
 
 func (t *tally) add(cost float64, now magno.Millis, l magno.Limit) {
 	t.ran += cost
+	t.asked++
+	t.sum += cost
 	t.runs = append(t.runs, run{now, cost})
-	var sum float64
-	for i := len(t.runs) - 1; i >= 0 && now-t.runs[i].at < window; i-- {
-		sum += t.runs[i].cost
+	for now-t.runs[0].at >= window {
+		t.sum -= t.runs[0].cost
+		t.runs = t.runs[1:]
 	}
 	limit := l.Rate*float64(window)/1000 + l.Burst
-	t.over = max(t.over, sum/limit)
-	t.bound = max(t.bound, sum/(limit*(1+overshoot)+slack))
+	t.over = max(t.over, t.sum/limit)
+	t.bound = max(t.bound, t.sum/(limit*(1+overshoot)+slack))
 }
 
 // Send brings a message to another entry, if that runs and the way is open.
@@ -278,7 +283,7 @@
 func (w *World) SetLimit(customer string, l magno.Limit) {
 	*w.limits[customer] = l
 	t := w.tally[customer]
-	t.runs, t.over, t.bound = nil, 0, 0
+	t.runs, t.sum, t.over, t.bound = nil, 0, 0, 0
 }
 
 func (w *World) result() Result {
@@ -295,7 +300,7 @@
 		}
 		r.Over = max(r.Over, t.over)
 		r.Bound = max(r.Bound, t.bound)
-		asked += len(t.runs)
+		asked += t.asked
 	}
 	r.Below = lost / max(owed, 1)
 	r.Wait = float64(w.waited) / float64(max(asked, 1))
