peers, grant: after a loss of all power entries meet sooner, and grant a part at once

Now it asks them each 100 ms and whom it hears of at once, counts 16 until then, and a part of a limit is there from the start.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -52,9 +52,11 @@
 	// seenFor is how long a peer that was alive still counts among those that
 	// share the retry allowance: it may only be cut off from here.
 	seenFor = 30 * magno.Second
-	// meetTime is how long an entry that met nobody counts unmet entries.
-	meetTime = 2 * magno.Second
-	unmet    = 32
+	// meetTime is how long an entry that met nobody counts unmet entries. It asks for
+	// others each meetEvery.
+	meetTime  = 2 * magno.Second
+	meetEvery = 100 * magno.Millis(1)
+	unmet     = 16
 	// suspectsFor is how long word of a suspect is repeated in hellos: more than the
 	// pause between two in a large fleet. mostSuspects bounds them in one: a crash
 	// makes suspects of all that ran there, and with the whole list in each hello a
@@ -103,6 +105,8 @@
 	// while it doesn't.
 	able  bool
 	tried magno.Millis
+	// learned has one while new addresses wait to be asked.
+	learned chan struct{}
 	// told is the newest revision that others told.
 	told int64
 	news chan view.News
@@ -132,6 +136,7 @@
 	p.life = rand.Uint64() | 1
 	p.able = true
 	p.news = make(chan view.News, newsRoom)
+	p.learned = make(chan struct{}, 1)
 	p.learn(p.Seeds)
 	p.Mesh.Handle(MethodHello, p.onHello)
 	p.Mesh.Handle(MethodNews, p.onNews)
@@ -143,8 +148,8 @@
 
 // Run asks peers until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
-	ticks := time.NewTicker(helloEvery.Span())
-	defer ticks.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var working sync.WaitGroup
 	defer working.Wait()
 	for {
@@ -155,10 +160,12 @@
 				p.ask(ctx, addr, known)
 			}()
 		}
+		timer.Reset(p.pause().Span())
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticks.C:
+		case <-timer.C:
+		case <-p.learned:
 		case n := <-p.news:
 			working.Add(1)
 			go func() {
@@ -169,13 +176,46 @@
 	}
 }
 
-// learn notes addresses that are new.
+// pause is how long until peers are looked at again.
+func (p *Peers) pause() magno.Millis {
+	if p.met() || p.Clock.Now()-p.since > meetTime {
+		return helloEvery
+	}
+	return meetEvery
+}
+
+// met tells whether another entry was ever heard, or none is expected.
+func (p *Peers) met() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.metOne()
+}
+
+// metOne is met for one that holds mu.
+func (p *Peers) metOne() bool {
+	if !slices.ContainsFunc(p.Seeds, func(addr string) bool { return addr != p.Addr }) {
+		return true
+	}
+	for _, k := range p.known {
+		if k.seen > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// learn notes addresses that are new, and has them asked at once.
 func (p *Peers) learn(addrs []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, addr := range addrs {
-		if addr != "" && addr != p.Addr && p.known[addr] == nil {
-			p.known[addr] = &peer{hello: Hello{Addr: addr}, learned: p.Clock.Now()}
+		if addr == "" || addr == p.Addr || p.known[addr] != nil {
+			continue
+		}
+		p.known[addr] = &peer{hello: Hello{Addr: addr}, learned: p.Clock.Now()}
+		select {
+		case p.learned <- struct{}{}:
+		default: // they are about to be
 		}
 	}
 }
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -433,3 +433,27 @@
 	clock.Advance(meetTime)
 	check("nobody came", p, 1, 2)
 }
+
+// Guards against entries that start at the same time and take a second and more to meet:
+// until then each has a small part of every customer's limit.
+func TestOneThatMetNobodyAsksSooner(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	p := &Peers{
+		Self: "self", Addr: "10.0.0.1:7", Seeds: []string{"10.0.0.1:7", "10.0.0.2:7"}, Mesh: &wire.Mesh{},
+		Book: &view.Book{Clock: clock}, Suspects: &crash.Suspects{Clock: clock}, Clock: clock, Log: slog.New(slog.DiscardHandler),
+	}
+	p.Open()
+	<-p.learned // its seeds
+	if got := p.pause(); got != meetEvery {
+		t.Errorf("looks again after %d ms, want %d", got, meetEvery)
+	}
+	p.heard(&Hello{Name: "b", Addr: "10.0.0.2:7", Peers: []string{"10.0.0.3:7"}})
+	if got := p.pause(); got != helloEvery {
+		t.Errorf("looks again after %d ms once it met another, want %d", got, helloEvery)
+	}
+	select {
+	case <-p.learned:
+	default:
+		t.Error("an address that it just heard of isn't asked at once")
+	}
+}
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -166,9 +166,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	alive, known = 1, 1
-	now, met := p.Clock.Now(), len(p.Seeds) == 0
+	now := p.Clock.Now()
 	for _, k := range p.known {
-		met = met || k.seen > 0
 		if k.alive {
 			alive++
 		}
@@ -176,7 +175,7 @@
 			known++
 		}
 	}
-	if !met && now-p.since < meetTime && !slices.Equal(p.Seeds, []string{p.Addr}) {
+	if !p.metOne() && now-p.since < meetTime {
 		known = max(known, unmet)
 	}
 	return alive, known
--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -116,7 +116,10 @@
 	h.bucket.Burst = limit.Burst * share
 	h.bucket.Rate = (limit.Rate + limit.Burst/seconds) * share
 	h.most = h.bucket.Rate * seconds
-	if fresh {
+	switch {
+	case fresh && share < 1:
+		h.bucket.Fill(h.bucket.Burst, now) // it is a part of the burst already
+	case fresh:
 		h.bucket.Fill(min(h.bucket.Burst*startPart, h.most*startWindow), now)
 	}
 	return h
