--- a/entry/peers/proof.go
+++ b/entry/peers/proof.go
@@ -11,18 +11,17 @@
 	At   magno.Millis `json:"at"`
 }
 
-// Proof tells up to when what a message brings was the list's newest, in the time of
-// whoever receives it: Lead after its own Stamp was received.
+// Proof states a time at which the list held nothing newer than Revision, on the clock of
+// the process that receives it: Lead after its own Stamp arrived at the sender.
 //
-// Load pattern: a message may be held up for seconds on its way, by a link that is cut
-// and heals, or by a process that stood still. Its receiver can't tell how old it is,
-// and would go on using keys that were withdrawn meanwhile. It can tell that nothing
-// sent after its own stamp came is older than that stamp.
+// Load pattern: a message is delayed for seconds, by a partition that heals or a process
+// that was paused. Its receiver can't tell how old it is, and would go on accepting keys
+// that were withdrawn meanwhile. But whatever answers its own stamp is younger than that.
 type Proof struct {
 	Stamp Stamp `json:"stamp"`
 	// Lead may be negative.
 	Lead magno.Millis `json:"lead"`
-	// Revision was the list's newest then, or newer than that.
+	// Revision is at least the list's newest at that time.
 	Revision int64 `json:"rev"`
 }
 
--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -1,14 +1,13 @@
-// Package grant keeps the allowances of the customers that this process is home to, and
-// grants parts of them to all processes.
+// Package grant leases tokens of the customers' limits to all processes, for the
+// customers that this process is the home of.
 //
-// Load pattern: a customer's requests come to all processes, by a few connections and
-// so unevenly; a small customer's whole allowance is two or three requests a second.
-// Divided among the processes, each part is less than a request. So one process, its
-// home, counts for all; each asks it for what its callers need, and large customers'
-// parts are asked for some time ahead.
+// Load pattern: a customer's requests reach all processes over a few connections, so
+// unevenly, and a small customer's whole limit is two or three requests a second.
+// Divided among the processes, each part is less than a request. So one process counts
+// for all. The others lease what their callers need, for large customers a second ahead.
 //
-// Processes that are cut off from each other have homes of their own. Each then grants
-// in proportion to the processes that it sees, of those that it knows, so that all
+// When processes are partitioned, each side has homes of its own. A home then grants the
+// share of the limit that the processes it sees are of all it knows, so that the sides
 // together stay near the limit.
 package grant
 
@@ -21,14 +20,14 @@
 )
 
 const (
-	// wholeFrom is the part of the known processes from which on a home grants
-	// everything: some are always down or new.
+	// wholeFrom is the share of the known processes from which on a home grants the
+	// whole limit: a few processes are always down or starting.
 	wholeFrom = 0.75
-	// startPart is what a home that is new grants at once, of the burst, and startWindow
-	// of all that may run in a window: the one before may have granted as much.
+	// startPart and startWindow bound what a new home grants at once, as shares of the
+	// burst and of a window's total: the previous home may have granted the rest.
 	startPart   = 0.5
 	startWindow = 0.1
-	// shareOut divides what is there beyond a need: others ask as well.
+	// shareOut divides what is free beyond a need, since other processes ask as well.
 	shareOut = 4
 	// mostAfter bounds the time to come back.
 	mostAfter = 10 * magno.Second
--- a/magno/view/tell.go
+++ b/magno/view/tell.go
@@ -42,8 +42,7 @@
 }
 
 // pack encodes the configurations among changes that others are to be told, each as
-// its difference from the one before. One that can't be encoded is left out, and the
-// others ask for it.
+// its difference from the one before.
 func (b *Book) pack(told []magno.Change) {
 	bases := map[string]*magno.Change{}
 	for i := range told {
