view: configurations are encoded and decoded outside the book's lock

Each request asks the book what is known. A change that says nothing, since its configuration couldn't be encoded, is refused; it counted as known before.

--- a/magno/plan.go
+++ b/magno/plan.go
@@ -154,6 +154,11 @@
 	Pin *Pin `json:"pin,omitempty"`
 }
 
+// Empty tells whether a change says nothing of its item.
+func (c *Change) Empty() bool {
+	return !c.Deleted && c.Fault == "" && c.Plan == nil && c.Replica == nil && c.Pin == nil
+}
+
 // Pin is the newest version of an adapter.
 type Pin struct {
 	Model   string `json:"model"`
--- a/magno/view/bench_test.go
+++ b/magno/view/bench_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"magnoliastall.example/magno"
 )
@@ -55,3 +56,27 @@
 		})
 	}
 }
+
+// BenchmarkNowBesideNews asks for what is known, as each request does, while configurations
+// of 1,700 new routes come, and reports the longest wait.
+func BenchmarkNowBesideNews(b *testing.B) {
+	from := &Book{Clock: magno.NewClock(magno.Hour)}
+	from.Read([]magno.Change{{Key: "plan", Revision: 1, Plan: routes(1, 1700)}}, 1, true)
+	told := from.Since(0)
+	told.Changes[0].Plan = nil
+	var longest time.Duration
+	for b.Loop() {
+		to := &Book{Clock: from.Clock}
+		heard := make(chan error)
+		go func() { heard <- to.Heard(told) }()
+		for to.Now().Plan == nil {
+			began := time.Now()
+			to.Now()
+			longest = max(longest, time.Since(began))
+		}
+		if err := <-heard; err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(longest.Microseconds())/1000, "longest-ms")
+}
--- a/magno/view/tell.go
+++ b/magno/view/tell.go
@@ -37,71 +37,87 @@
 		}
 		told = append(told, *c)
 	}
-	b.pack(told)
 	return told
 }
 
-// pack encodes the configurations among changes that others are to be told, each as
-// its difference from the one before.
-func (b *Book) pack(told []magno.Change) {
-	bases := map[string]*magno.Change{}
-	for i := range told {
-		c := &told[i]
-		if c.Plan == nil {
-			continue
-		}
-		base := bases[c.Key]
-		if rec := b.items[c.Key]; base == nil && rec != nil {
-			base = &rec.change
+// bases returns for each change the item that it replaces, as it is known here or as an
+// earlier one of the changes leaves it; its zero value where there is none. The caller
+// holds mu.
+func (b *Book) bases(changes []magno.Change) []magno.Change {
+	bases := make([]magno.Change, len(changes))
+	latest := map[string]*magno.Change{}
+	for i := range changes {
+		c := &changes[i]
+		switch rec := b.items[c.Key]; {
+		case latest[c.Key] != nil:
+			bases[i] = *latest[c.Key]
+		case rec != nil:
+			bases[i] = rec.change
 		}
-		d := delta.Whole(c.Plan)
-		if base != nil {
-			d = delta.Diff(base.Plan, base.Revision, c.Plan)
+		latest[c.Key] = c
+	}
+	return bases
+}
+
+// pack encodes the configurations among changes that others are to be told, each as its
+// difference from its base. It needs no lock: it takes a small machine tens of
+// milliseconds, for which requests would wait.
+func (b *Book) pack(told, bases []magno.Change) {
+	for i := range told {
+		if c := &told[i]; c.Plan != nil {
+			c.Packed = b.encode(delta.Diff(bases[i].Plan, bases[i].Revision, c.Plan))
 		}
-		c.Packed = b.encode(d)
-		bases[c.Key] = c
 	}
 }
 
 func (b *Book) encode(d *delta.Delta) []byte {
 	packed, err := d.Encode()
-	if err != nil {
-		b.failed("configuration not encoded", d.Rest.Version, err)
+	if err != nil && b.Log != nil {
+		b.Log.Error("configuration not encoded", "version", d.Rest.Version, "error", err)
 	}
 	return packed
 }
 
-func (b *Book) failed(what string, version int64, err error) {
-	if b.Log != nil {
-		b.Log.Error(what, "version", version, "rev", b.now.Revision, "error", err)
+// decode returns the configurations that news bring, nil for a change that brings none
+// or is known here. Like pack it needs no lock.
+func (b *Book) decode(changes []magno.Change) ([]*delta.Delta, error) {
+	known := b.Now().Revision
+	list := make([]*delta.Delta, len(changes))
+	for i := range changes {
+		c := &changes[i]
+		if c.Packed == nil || c.Revision <= known {
+			continue
+		}
+		d, err := delta.Decode(c.Packed)
+		if err != nil {
+			return nil, err
+		}
+		list[i] = d
 	}
+	return list, nil
 }
 
-// unpack decodes the configurations that news bring, from those known here. It fails
-// when one starts from another than this process has.
-func (b *Book) unpack(changes []magno.Change) ([]magno.Change, error) {
-	bases := map[string]*magno.Change{}
+// unpack returns changes with the decoded configurations, applied to those known here. It
+// fails when one starts from another than this process has, or a change says nothing: its
+// configuration couldn't be encoded. The caller holds mu.
+func (b *Book) unpack(changes []magno.Change, decoded []*delta.Delta) ([]magno.Change, error) {
 	changes = slices.Clone(changes)
 	for i := range changes {
 		c := &changes[i]
-		if c.Packed == nil || c.Revision <= b.now.Revision {
+		if c.Revision <= b.now.Revision {
 			continue
 		}
-		base := bases[c.Key]
-		if rec := b.items[c.Key]; base == nil && rec != nil {
-			base = &rec.change
+		if d := decoded[i]; d != nil {
+			base := b.bases(changes[:i+1])[i]
+			plan, err := d.Apply(base.Plan, base.Revision)
+			if err != nil {
+				return nil, err
+			}
+			c.Plan, c.Packed = plan, nil
 		}
-		if base == nil {
-			base = &magno.Change{}
+		if c.Empty() {
+			return nil, errors.Newf("%s says nothing at revision %d", c.Key, c.Revision)
 		}
-		d, err := delta.Decode(c.Packed)
-		if err != nil {
-			return nil, err
-		}
-		if c.Plan, err = d.Apply(base.Plan, base.Revision); err != nil {
-			return nil, err
-		}
-		c.Packed, bases[c.Key] = nil, c
 	}
 	return changes, nil
 }
@@ -130,13 +146,17 @@
 // can't be decoded with it, are left and are an error; it then asks for all that it
 // lacks, and so never knows a later change without the ones before.
 func (b *Book) Heard(n News) error {
+	decoded, err := b.decode(n.Changes)
+	if err != nil {
+		return err
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setup()
 	if !n.All && n.Since > b.now.Revision {
 		return errors.Wrapf(ErrGap, "after %d, known up to %d", n.Since, b.now.Revision)
 	}
-	changes, err := b.unpack(n.Changes)
+	changes, err := b.unpack(n.Changes, decoded)
 	if err != nil {
 		return err
 	}
@@ -148,6 +168,18 @@
 // Since returns the news after a revision: the newest change of each key, or
 // all that there is where this process doesn't know each deletion since then.
 func (b *Book) Since(revision int64) News {
+	n := b.since(revision)
+	for i := range n.Changes {
+		if c := &n.Changes[i]; c.Plan != nil && c.Packed == nil {
+			c.Packed = b.encode(delta.Whole(c.Plan))
+			b.keep(c)
+		}
+	}
+	return n
+}
+
+// since is Since but for the encoding of a configuration that nobody asked for before.
+func (b *Book) since(revision int64) News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setup()
@@ -163,21 +195,19 @@
 			continue // what a whole list lacks is gone
 		}
 		if rec.change.Revision > revision {
-			n.Changes = append(n.Changes, b.whole(rec))
+			c := rec.change
+			c.Packed = rec.packed
+			n.Changes = append(n.Changes, c)
 		}
 	}
 	return n
 }
 
-// whole is an item as a process is told of it that may know nothing of it yet.
-func (b *Book) whole(rec *record) magno.Change {
-	c := rec.change
-	if c.Plan == nil {
-		return c
-	}
-	if rec.packed == nil {
-		rec.packed = b.encode(delta.Whole(c.Plan))
+// keep notes an encoded configuration for the next process that asks.
+func (b *Book) keep(c *magno.Change) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if rec := b.items[c.Key]; rec != nil && rec.change.Revision == c.Revision {
+		rec.packed = c.Packed
 	}
-	c.Packed = rec.packed
-	return c
 }
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -175,6 +175,13 @@
 // others are to be told; of a whole list that is only the revision, as each
 // process reads one when it starts.
 func (b *Book) Read(changes []magno.Change, revision int64, all bool) News {
+	news, bases := b.read(changes, revision, all)
+	b.pack(news.Changes, bases)
+	return news
+}
+
+// read is Read but for the encoding of configurations, whose bases it returns.
+func (b *Book) read(changes []magno.Change, revision int64, all bool) (News, []magno.Change) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setup()
@@ -191,11 +198,13 @@
 			confirmed = now
 		}
 		b.takeNews(News{Changes: changes, Revision: revision, All: true}, confirmed)
-		return News{Since: revision, Revision: revision, Age: now - b.confirmed}
+		return News{Since: revision, Revision: revision, Age: now - b.confirmed}, nil
 	}
-	news := News{Changes: b.telling(changes), Since: b.now.Revision, Revision: revision}
+	told := b.telling(changes)
+	bases := b.bases(told)
+	news := News{Changes: told, Since: b.now.Revision, Revision: revision}
 	b.takeNews(news, now)
-	return news
+	return news, bases
 }
 
 // takeNews applies news. A whole list tells nothing of what came and went before
--- a/magno/view/view_test.go
+++ b/magno/view/view_test.go
@@ -292,3 +292,16 @@
 		t.Errorf("%d bytes told and %d asked for, want at most %.0f", len(told), len(asked), float64(most))
 	}
 }
+
+// Guards against a configuration that couldn't be encoded and is taken for none: its
+// process would go on with the old one, and say that it knows the new one's revision.
+func TestChangeThatSaysNothingIsRefused(t *testing.T) {
+	b := &Book{Clock: magno.NewClock(magno.Hour)}
+	b.Read([]magno.Change{plan(1, 1)}, 1, true)
+	if err := b.Heard(News{Changes: []magno.Change{{Key: "plan", Revision: 2}}, Since: 1, Revision: 2}); err == nil {
+		t.Error("taken")
+	}
+	if now := b.Now(); now.Revision != 1 || now.Plan.Version != 1 {
+		t.Errorf("at revision %d with configuration %d", now.Revision, now.Plan.Version)
+	}
+}
