peers: news are encoded once for all again; files by what they do

Proofs differ by receiver, and with them each message was encoded anew: 28 times a configuration of tens of kilobytes. The news themselves are one encoded part now. One message to many has one way (wire.NotifyAll) for news and for word of agents.

--- a/entry/desk/share.go
+++ b/entry/desk/share.go
@@ -93,17 +93,12 @@
 		d.Log.Error("word", "answers", len(answers), "error", err)
 		return
 	}
-	for _, addr := range d.Mates() {
-		working.Add(1)
-		go func() {
-			defer working.Done()
-			ctx, cancel := context.WithTimeout(ctx, pollTime.Span())
-			defer cancel()
-			if err := d.Mesh.Notify(ctx, addr, MethodWord, json.RawMessage(encoded)); err != nil {
-				d.Log.Debug("word", "addr", addr, "error", err)
-			}
-		}()
-	}
+	working.Add(1)
+	go func() {
+		defer working.Done()
+		d.Mesh.NotifyAll(ctx, d.Mates(), MethodWord, pollTime, func(string) any { return json.RawMessage(encoded) },
+			func(addr string, err error) { d.Log.Debug("word", "addr", addr, "error", err) })
+	}()
 }
 
 func (d *Desk) onWord(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/cockroachdb/errors"
+
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/wire"
 )
@@ -26,11 +28,11 @@
 		p.Log.Warn("news", "error", err)
 		return nil, err
 	}
+	revision := p.take(&n, n.From)
 	p.mu.Lock()
-	p.told = max(p.told, n.Revision)
+	p.told = max(p.told, revision)
 	p.mu.Unlock()
-	p.take(&n, n.From)
-	p.follow(n.From, n.Revision) // where news before these were lost
+	p.follow(n.From, revision) // where news before these were lost
 	return nil, nil
 }
 
@@ -41,5 +43,9 @@
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
 	proof := p.prove(stamped{stamp: s.Stamp, came: came})
-	return News{News: p.Book.Since(s.Revision), Proof: proof}, nil
+	told, err := json.Marshal(p.Book.Since(s.Revision))
+	if err != nil {
+		return nil, errors.Wrap(err, "items")
+	}
+	return News{Told: told, Proof: proof}, nil
 }
--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -1,9 +1,10 @@
 package peers
 
 import (
+	"encoding/json"
+
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
-	"magnoliastall.example/magno/view"
 )
 
 // Methods between entries.
@@ -43,8 +44,9 @@
 
 // News are what a process tells of the list, and its address.
 type News struct {
-	view.News
-	From string `json:"from,omitempty"`
+	// Told is a view.News, encoded: the same for all who are told, where Proof isn't.
+	Told json.RawMessage `json:"told"`
+	From string          `json:"from,omitempty"`
 	// Proof is for whom this is sent to, and may be nil.
 	Proof *Proof `json:"proof,omitempty"`
 }
--- a/entry/peers/model_test.go
+++ b/entry/peers/model_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -149,14 +150,23 @@
 	})
 }
 
+func encoded(t *rapid.T, n view.News) json.RawMessage {
+	data, err := json.Marshal(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
 // push has a process tell another what it knows, or only that it is still so.
 func (f *fleet) push(t *rapid.T) {
 	from, to := f.pair(t)
 	p := f.peers[from]
-	n := News{News: p.Book.Since(0), From: p.Addr}
+	news := p.Book.Since(0)
 	if rapid.Bool().Draw(t, "nothing new") {
-		n.Since, n.Changes = n.Revision, nil
+		news.Since, news.Changes = news.Revision, nil
 	}
+	n := News{Told: encoded(t, news), From: p.Addr}
 	if k := p.known[addr(to)]; k != nil {
 		n.Proof = p.prove(k.stamped)
 	}
@@ -171,7 +181,7 @@
 	f.fly(func() {
 		q := f.peers[to]
 		proof := q.prove(stamped{stamp: since.Stamp, came: q.Book.Clock.Now()})
-		n := News{News: q.Book.Since(since.Revision), Proof: proof}
+		n := News{Told: encoded(t, q.Book.Since(since.Revision)), Proof: proof}
 		f.fly(func() {
 			if f.peers[from] == p {
 				p.take(&n, q.Addr)
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -178,21 +178,17 @@
 
 // pause is how long until peers are looked at again.
 func (p *Peers) pause() magno.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.met() || p.Clock.Now()-p.since > meetTime {
 		return helloEvery
 	}
 	return meetEvery
 }
 
-// met tells whether another entry was ever heard, or none is expected.
+// met tells whether another entry was ever heard, or none is expected. The caller holds
+// mu.
 func (p *Peers) met() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.metOne()
-}
-
-// metOne is met for one that holds mu.
-func (p *Peers) metOne() bool {
 	if !slices.ContainsFunc(p.Seeds, func(addr string) bool { return addr != p.Addr }) {
 		return true
 	}
@@ -321,100 +317,8 @@
 	k.stamped = stamped{stamp: h.Stamp, came: p.Book.Clock.Now()}
 	p.mu.Unlock()
 	if mine := p.Book.Now().Revision; h.Revision == mine && h.Revision > 0 {
-		p.take(&News{News: view.News{Since: mine, Revision: h.Revision, Age: h.Age}}, h.Addr)
+		p.heed(view.News{Since: mine, Revision: h.Revision, Age: h.Age}, h.Addr)
 	}
 	p.vouch(h.Proof)
 	p.follow(h.Addr, h.Revision)
 }
-
-// follow fetches what a peer knows and this process doesn't, one fetch at a
-// time.
-func (p *Peers) follow(addr string, revision int64) {
-	p.mu.Lock()
-	mine := p.Book.Now().Revision
-	pull := revision > mine && !p.pulling
-	p.pulling = p.pulling || pull
-	p.mu.Unlock()
-	if pull {
-		go p.pull(addr, mine)
-	}
-}
-
-// pull fetches the changes that a peer has and this process hasn't.
-func (p *Peers) pull(addr string, since int64) {
-	p.mu.Lock()
-	limit := min(pullTime<<p.pulls, pullMost)
-	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), limit.Span())
-	defer cancel()
-	var n News
-	err := p.Mesh.Call(ctx, addr, MethodItems, Since{Revision: since, Stamp: p.stamp()}, &n)
-	p.mu.Lock()
-	p.pulling = false
-	switch {
-	case !errors.Is(err, context.DeadlineExceeded):
-		p.pulls = 0
-	case limit < pullMost:
-		p.pulls++
-	}
-	p.mu.Unlock()
-	if err != nil {
-		p.Log.Info("pull", "addr", addr, "since", since, "error", err)
-		return
-	}
-	p.take(&n, addr)
-}
-
-// take brings what a peer told into the book. What can't be used is fetched later.
-func (p *Peers) take(n *News, from string) {
-	if err := p.Book.Heard(n.News); err != nil {
-		p.Log.Info("news left", "from", from, "rev", n.Revision, "error", err)
-		return
-	}
-	p.vouch(n.Proof)
-}
-
-// Push tells all peers what was read.
-func (p *Peers) Push(n view.News) {
-	select {
-	case p.news <- n:
-	default: // they see the higher revision in the next hello, and ask
-		p.Log.Warn("news dropped", "changes", len(n.Changes), "rev", n.Revision)
-	}
-}
-
-// spread tells all peers what was read, unless another process did meanwhile.
-func (p *Peers) spread(ctx context.Context, n view.News) {
-	if hold := p.holdBack(); hold > 0 {
-		if !magno.Pause(ctx, hold) || p.toldBy(n.Revision) {
-			return
-		}
-	}
-	var telling sync.WaitGroup
-	defer telling.Wait()
-	for addr, last := range p.alive() {
-		telling.Add(1)
-		go func() {
-			defer telling.Done()
-			ctx, cancel := context.WithTimeout(ctx, newsTime.Span())
-			defer cancel()
-			news := News{News: n, From: p.Addr, Proof: p.prove(last)}
-			if err := p.Mesh.Notify(ctx, addr, MethodNews, news); err != nil {
-				p.Log.Info("news", "addr", addr, "rev", n.Revision, "error", err)
-			}
-		}()
-	}
-}
-
-// alive maps the addresses of the other entries that answer to their last stamps.
-func (p *Peers) alive() map[string]stamped {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := make(map[string]stamped, len(p.known))
-	for addr, k := range p.known {
-		if k.alive {
-			list[addr] = k.stamped
-		}
-	}
-	return list
-}
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -175,7 +175,7 @@
 			known++
 		}
 	}
-	if !p.metOne() && now-p.since < meetTime {
+	if !p.met() && now-p.since < meetTime {
 		known = max(known, unmet)
 	}
 	return alive, known
--- a/magno/wire/call.go
+++ b/magno/wire/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -170,6 +171,27 @@
 	return nil
 }
 
+// NotifyAll notifies several addresses at once, each within limit, and returns when all
+// are done. Params makes what each is sent; failed is told of those that weren't reached,
+// from several goroutines.
+func (m *Mesh) NotifyAll(ctx context.Context, addrs []string, method string, limit magno.Millis,
+	params func(addr string) any, failed func(addr string, err error),
+) {
+	var working sync.WaitGroup
+	for _, addr := range addrs {
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			ctx, cancel := context.WithTimeout(ctx, limit.Span())
+			defer cancel()
+			if err := m.Notify(ctx, addr, method, params(addr)); err != nil {
+				failed(addr, err)
+			}
+		}()
+	}
+	working.Wait()
+}
+
 // link returns the connection to addr, made if need be, and counts a use of
 // it, which the caller ends.
 func (m *Mesh) link(ctx context.Context, addr string) (*link, error) {
