--- a/entry/daemon/homes.go
+++ b/entry/daemon/homes.go
@@ -1,14 +1,10 @@
 package daemon
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/config"
 	"magnoliastall.example/magno/fleet"
+	"magnoliastall.example/magno/grant"
 )
 
 // homes names the entries that count customers' allowances.
@@ -32,11 +28,7 @@
 
 // of lists a customer's homes, the first one first: the same wherever the list is.
 func (h *homes) of(customer string) []string {
-	addrs := h.entries()
-	slices.SortFunc(addrs, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(customer+a), xxhash.Sum64String(customer+b))
-	})
-	return addrs
+	return grant.Homes(customer, h.entries())
 }
 
 // count tells how many entries there are. The list doesn't say which of them are cut off.
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -1,13 +1,13 @@
 package peers
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/grant"
 )
 
 // Able notes whether the list answers this process.
@@ -152,10 +152,7 @@
 	for i := range list {
 		addrs = append(addrs, list[i].Addr)
 	}
-	slices.SortFunc(addrs, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(customer+a), xxhash.Sum64String(customer+b))
-	})
-	return addrs
+	return grant.Homes(customer, addrs)
 }
 
 // Count tells how many entries are alive, this one included, and how many may be: those
--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -12,7 +12,11 @@
 package grant
 
 import (
+	"cmp"
 	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/bucket"
@@ -53,6 +57,15 @@
 	After magno.Millis `json:"after,omitempty"`
 }
 
+// Homes puts addresses into the order in which they are a customer's homes, the same
+// wherever the addresses are the same. Where one goes, only its own customers move.
+func Homes(customer string, addrs []string) []string {
+	slices.SortFunc(addrs, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(customer+a), xxhash.Sum64String(customer+b))
+	})
+	return addrs
+}
+
 // Grants is what one process grants. One goroutine uses it; exported fields are set
 // before.
 //
--- a/magno/grant/grant_test.go
+++ b/magno/grant/grant_test.go
@@ -1,6 +1,8 @@
 package grant
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"magnoliastall.example/magno"
@@ -127,3 +129,22 @@
 		}
 	}
 }
+
+func TestOnlyTheCustomersOfALostHomeMove(t *testing.T) {
+	addrs := []string{"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7", "10.0.0.4:7"}
+	moved := 0
+	for i := range 100 {
+		customer := fmt.Sprint("c", i)
+		before := Homes(customer, slices.Clone(addrs))
+		after := Homes(customer, slices.Clone(addrs[1:]))
+		switch {
+		case before[0] == addrs[0] && after[0] == before[1]:
+			moved++
+		case before[0] != after[0]:
+			t.Errorf("%s moves from %s to %s", customer, before[0], after[0])
+		}
+	}
+	if moved < 10 || moved > 45 {
+		t.Errorf("%d of 100 customers move with one of four homes", moved)
+	}
+}
