relay: how sure an entry is is asked once a request, and logged

Each answer asked it once more, for the word to close the connection: a lock and a system call. Only the refusal for it needs that word. The request's line has what the decision on its key rested on. TestNoKeyIsLogged passed with an empty log; it wants the lines now.

--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -50,6 +50,9 @@
 	// what the request took from its allowance.
 	customer *magno.Customer
 	cost     float64
+	// sure is how long before the key was checked its configuration was confirmed, zero
+	// where none is needed.
+	sure magno.Millis
 	// print is the request's fingerprint as a suspect, zero without a body.
 	print uint64
 	// came is when it was read, end when it must have its answer.
--- a/entry/relay/keyed.go
+++ b/entry/relay/keyed.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"magnoliastall.example/magno"
-	"magnoliastall.example/magno/keys"
 )
 
 const (
@@ -21,8 +19,11 @@
 
 // Sure tells whether the configuration was confirmed so lately that no key in it was
 // withdrawn for longer than is allowed.
-func (h *Relay) Sure() bool {
-	return h.Revoke == 0 || h.Book.Unvouched() <= h.Revoke-revokeSlack
+func (h *Relay) Sure() bool { return h.sureAfter(h.Book.Unvouched()) }
+
+// sureAfter is Sure for a configuration confirmed so long ago.
+func (h *Relay) sureAfter(unvouched magno.Millis) bool {
+	return h.Revoke == 0 || unvouched <= h.Revoke-revokeSlack
 }
 
 // authorize finds the caller's customer. It is called once the request has been read
@@ -35,8 +36,9 @@
 	if !j.snap.Plan.Keyed(j.route) {
 		return nil
 	}
-	if !j.Sure() {
-		return magno.Refuse(magno.KindOutdated, "keys can't be checked, the configuration was confirmed %d ms ago", j.Book.Unvouched()).
+	j.sure = j.Book.Unvouched()
+	if !j.sureAfter(j.sure) {
+		return magno.Refuse(magno.KindOutdated, "keys can't be checked, the configuration was confirmed %d ms ago", j.sure).
 			Later(outdatedAfter)
 	}
 	now := j.Book.Now()
@@ -101,6 +103,3 @@
 func (j *job) count(what string) {
 	metrics.GetOrCreateCounter(`customer_requests_total{customer="` + j.customer.Name + `",what="` + what + `"}`).Inc()
 }
-
-// challenge asks for a key where one is missing or unknown.
-func challenge(h http.Header) { h.Set("WWW-Authenticate", keys.Scheme) }
--- a/entry/relay/keyed_test.go
+++ b/entry/relay/keyed_test.go
@@ -76,6 +76,9 @@
 				if u.count() != 0 {
 					t.Error("it reached an upstream")
 				}
+				if away := c.status == http.StatusServiceUnavailable; res.Close != away {
+					t.Errorf("status %d, connection closed %v", c.status, res.Close)
+				}
 				if after := res.Header.Get("Retry-After"); (after != "") != (c.status == http.StatusServiceUnavailable) {
 					t.Errorf("status %d with Retry-After %q", c.status, after)
 				}
@@ -148,6 +151,11 @@
 			}
 		}
 	}
+	for _, outcome := range []string{"served", "credential", "outdated"} {
+		if !strings.Contains(log.String(), "outcome="+outcome) {
+			t.Errorf("no request that was %s is logged", outcome)
+		}
+	}
 	for _, key := range []string{goodKey, badKey} {
 		if strings.Contains(log.String(), strings.TrimPrefix(key, "Bearer ")) {
 			t.Errorf("a key is in the log:\n%s", log.String())
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -255,10 +255,13 @@
 	if again := refusal.Kind.Answer().Again; again && !j.ran {
 		h.Set("Retry-After", strconv.FormatFloat(float64(refusal.After)/1000, 'f', 3, 64))
 	}
-	if refusal.Kind == magno.KindCredential {
-		challenge(h)
-	}
 	j.closing(h)
+	switch refusal.Kind {
+	case magno.KindCredential:
+		h.Set("WWW-Authenticate", keys.Scheme)
+	case magno.KindOutdated:
+		h.Set("Connection", "close") // the next one finds another instance
+	}
 	h.Set("Content-Length", "0")
 	j.w.WriteHeader(status)
 	j.note(status, string(refusal.Kind), refusal.Detail)
@@ -278,7 +281,7 @@
 // closing asks the caller for a new connection while this process stops or has
 // too much to do.
 func (j *job) closing(h http.Header) {
-	if j.Leaving() || j.Behind() != strain.Calm || !j.Sure() {
+	if j.Leaving() || j.Behind() != strain.Calm {
 		h.Set("Connection", "close")
 	}
 }
@@ -295,7 +298,7 @@
 	line := []any{
 		"request", j.id, "route", route, "customer", j.owner(), "adapter", gate.Name(j.call.Model, j.call.Adapter), "status", status, "outcome", outcome, "why", why,
 		"replica", j.at, "tries", j.tries, "waited", j.waited, "took", took, "events", j.events, "first", j.first, "pause", j.pause,
-		"config", j.version(), "age", j.Book.Age(),
+		"config", j.version(), "age", j.Book.Age(), "sure", j.sure,
 	}
 	j.Log.Info("request", append(line, j.waits.Line()...)...)
 }
