allow: its window is the sliding sum that limits use

The retry allowance had a window of its own in tenths, which forgot up to a tenth too early, of sends as of requests. TestAllStayWithinTheBound holds, with 20,000 draws too.

--- a/magno/allow/allow.go
+++ b/magno/allow/allow.go
@@ -15,15 +15,12 @@
 	"sync"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/slide"
 )
 
-const (
-	// buckets divide a window; what is counted leaves it in steps of a tenth.
-	buckets = 10
-	// Keep is the part of the bound that is used: processes that just started
-	// aren't counted by the others for up to two seconds.
-	Keep = 0.8
-)
+// Keep is the part of the bound that is used: processes that just started aren't counted
+// by the others for up to two seconds.
+const Keep = 0.8
 
 // Window is the allowance for sends to one service. It is safe for concurrent
 // use; exported fields are set before.
@@ -35,18 +32,16 @@
 	Span magno.Millis
 
 	mu sync.Mutex
-	// at is the bucket in use, as a number since the epoch.
-	at    magno.Millis
-	taken [buckets]int
-	again [buckets]int
+	// taken are requests that came in, again further sends, of the last Span.
+	taken, again slide.Sum
 }
 
 // Taken counts a request that came in.
 func (w *Window) Taken() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.turn()
-	w.taken[w.at%buckets]++
+	w.setup()
+	w.taken.Add(1, w.Clock.Now())
 }
 
 // Again takes one further send from the allowance; false when it is used up.
@@ -54,26 +49,14 @@
 func (w *Window) Again(processes int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.turn()
-	taken, again := 0, 0
-	for i := range buckets {
-		taken += w.taken[i]
-		again += w.again[i]
-	}
-	limit := Keep * (w.Ratio*float64(taken) + w.Slack/float64(max(processes, 1)))
-	if float64(again+1) > limit {
+	w.setup()
+	now := w.Clock.Now()
+	limit := Keep * (w.Ratio*w.taken.Now(now) + w.Slack/float64(max(processes, 1)))
+	if w.again.Now(now)+1 > limit {
 		return false
 	}
-	w.again[w.at%buckets]++
+	w.again.Add(1, now)
 	return true
 }
 
-// turn clears the buckets that left the window. The caller holds mu.
-func (w *Window) turn() {
-	at := w.Clock.Now() / max(w.Span/buckets, 1)
-	for n := magno.Millis(0); w.at < at && n < buckets; n++ {
-		w.at++
-		w.taken[w.at%buckets], w.again[w.at%buckets] = 0, 0
-	}
-	w.at = max(w.at, at)
-}
+func (w *Window) setup() { w.taken.Window, w.again.Window = w.Span, w.Span }
--- a/magno/slide/slide.go
+++ b/magno/slide/slide.go
@@ -1,17 +1,17 @@
-// Package slide sums up what was granted within a sliding window.
+// Package slide sums up what was counted within a sliding window.
 package slide
 
 import "magnoliastall.example/magno"
 
-// slots divide a window; what was granted leaves it a slot at a time, never too early.
+// slots divide a window; what was counted leaves it a slot at a time, never too early.
 const slots = 64
 
-// Sum is what was granted within Window. One goroutine uses it.
+// Sum is what was counted within Window. One goroutine uses it.
 type Sum struct {
 	// Window is over zero and isn't changed after the first use.
 	Window magno.Millis
 
-	granted [slots + 1]float64
+	counted [slots + 1]float64
 	// at is the slot in use, as a number since the epoch.
 	at  magno.Millis
 	sum float64
@@ -24,18 +24,18 @@
 	at := now / s.length()
 	for n := 0; s.at < at && n <= slots; n++ {
 		s.at++
-		s.sum -= s.granted[s.at%(slots+1)]
-		s.granted[s.at%(slots+1)] = 0
+		s.sum -= s.counted[s.at%(slots+1)]
+		s.counted[s.at%(slots+1)] = 0
 	}
 	if s.at < at {
 		s.at, s.sum = at, 0
 	}
 }
 
-// Add counts a grant, or with a negative cost what is given back.
+// Add counts something, or with a negative value takes back what was counted.
 func (s *Sum) Add(cost float64, now magno.Millis) {
 	s.turn(now)
-	s.granted[s.at%(slots+1)] += cost
+	s.counted[s.at%(slots+1)] += cost
 	s.sum += cost
 }
 
@@ -56,7 +56,7 @@
 			}
 			return (s.at+n-1)*s.length() - now
 		}
-		left -= s.granted[(s.at+n)%(slots+1)]
+		left -= s.counted[(s.at+n)%(slots+1)]
 	}
 	return (s.at+slots+1)*s.length() - now
 }
