drive: one queue of events for both simulations; a scene of all that lose power

limit had written sim's heap anew. Its mean wait was divided by what ran, and is now by all that was decided.

--- a/drive/limit/fleet.go
+++ b/drive/limit/fleet.go
@@ -158,12 +158,16 @@
 	return n
 }
 
-// known counts the entries that may grant something: those that were killed don't.
+// known counts the entries that may grant something: those that were killed don't, and
+// one that has just started takes it that there are some.
 func (f *fleet) known(self int) (n int) {
 	for i := range f.Entries {
 		if !f.believed(i).down || i == self {
 			n++
 		}
 	}
+	if f.was[self].down && f.Clock.Now()-f.changed[self] < met {
+		return max(n, unmet)
+	}
 	return n
 }
--- a/drive/limit/limit.go
+++ b/drive/limit/limit.go
@@ -8,10 +8,10 @@
 package limit
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 
+	"magnoliastall.example/drive/later"
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/slide"
 )
@@ -21,10 +21,14 @@
 	hop = 2 * magno.Millis(1)
 	// callTime is when a call without an answer has failed.
 	callTime = 150 * magno.Millis(1)
-	// noticed is how long entries take to notice that another one is gone.
+	// noticed is how long entries take to notice that another one is gone, met how long
+	// one that starts takes to meet the others. Until then it counts unmet entries.
 	noticed = 2 * magno.Second
+	met     = 300 * magno.Millis(1)
+	unmet   = 16
 	// sureFor is how long an entry that is cut off takes requests with keys.
-	sureFor   = 5 * magno.Second // overshoot and slack are what may run beyond an allowance in a window.
+	sureFor = 5 * magno.Second
+	// overshoot and slack are what may run beyond an allowance in a window.
 	overshoot = 0.25
 	slack     = 17_000
 	// window is the span in which what a customer has run is bounded.
@@ -59,7 +63,7 @@
 	Bytes, Messages int
 
 	rng   *rand.Rand
-	queue events
+	queue later.Queue
 	fleet *fleet
 	was   []state // each entry's before its last change
 	// changed is when that was.
@@ -67,7 +71,7 @@
 	limits  map[string]*magno.Limit
 	tally   map[string]*tally
 	waited  magno.Millis
-	asked   int
+	decided int
 }
 
 // Result is how the customers fared.
@@ -106,7 +110,6 @@
 	// runs are those of the last window, sum their cost.
 	runs        []run
 	sum         float64
-	asked       int
 	over, bound float64
 }
 
@@ -115,31 +118,6 @@
 	cost float64
 }
 
-type event struct {
-	at  magno.Millis
-	n   int
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].n < e[j].n)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) } //nolint:forcetypeassert // events alone
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // Play plays the world to its end.
 func (w *World) Play() Result {
 	w.setup()
@@ -151,10 +129,13 @@
 	}
 	w.after(step, w.tick)
 	end := w.Clock.Now() + w.For
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		e, _ := heap.Pop(&w.queue).(event)
-		w.Clock.Advance(e.at - w.Clock.Now())
-		e.run()
+	for {
+		at, do := w.queue.Pop()
+		if at > end {
+			break
+		}
+		w.Clock.Advance(at - w.Clock.Now())
+		do()
 	}
 	return w.result()
 }
@@ -175,10 +156,7 @@
 }
 
 // after has something happen later.
-func (w *World) after(d magno.Millis, f func()) {
-	w.asked++
-	heap.Push(&w.queue, event{at: w.Clock.Now() + d, n: w.asked, run: f})
-}
+func (w *World) after(d magno.Millis, f func()) { w.queue.At(w.Clock.Now()+d, f) }
 
 func (w *World) tick() {
 	for i := range w.Entries {
@@ -203,10 +181,10 @@
 	if c.Spread > 0 {
 		entry %= c.Spread
 	}
-	for w.Down[entry] { // callers connect elsewhere
+	for tries := 0; w.Down[entry] && tries < w.Entries; tries++ { // callers connect elsewhere
 		entry = (entry + 1) % w.Entries
 	}
-	if w.unsure(entry) {
+	if w.Down[entry] || w.unsure(entry) {
 		return
 	}
 	cost := math.Min(c.Cost*math.Exp(w.rng.NormFloat64()*0.5), 7000)
@@ -217,6 +195,7 @@
 	}
 	w.fleet.ask(entry, c.Name, cost, func(runs bool) {
 		w.waited += w.Clock.Now() - now
+		w.decided++
 		if runs {
 			t.add(cost, w.Clock.Now(), *w.limits[c.Name])
 		}
@@ -225,7 +204,6 @@
 
 func (t *tally) add(cost float64, now magno.Millis, l magno.Limit) {
 	t.ran += cost
-	t.asked++
 	t.sum += cost
 	t.runs = append(t.runs, run{now, cost})
 	for now-t.runs[0].at >= window {
@@ -241,7 +219,7 @@
 func (w *World) Send(from, to, bytes int, f func()) {
 	w.Messages++
 	w.Bytes += bytes
-	if w.Cut[from] != w.Cut[to] || (w.Cut[from] && from != to) {
+	if w.Cut[from] || w.Cut[to] {
 		return
 	}
 	w.after(hop, func() {
@@ -259,10 +237,15 @@
 
 // believed is an entry's state as others noticed it.
 func (w *World) believed(i int) state {
-	if w.Clock.Now()-w.changed[i] < noticed {
+	now := state{w.Down[i], w.Cut[i]}
+	since, after := w.Clock.Now()-w.changed[i], noticed
+	if w.was[i].down && !now.down {
+		after = met
+	}
+	if since < after {
 		return w.was[i]
 	}
-	return state{w.Down[i], w.Cut[i]}
+	return now
 }
 
 // Change does something to entries, which others notice later.
@@ -289,7 +272,6 @@
 func (w *World) result() Result {
 	var r Result
 	var owed, lost float64
-	asked := 0
 	for _, c := range w.Customers {
 		t := w.tally[c.Name]
 		less := max(t.owed-t.ran, 0)
@@ -300,10 +282,9 @@
 		}
 		r.Over = max(r.Over, t.over)
 		r.Bound = max(r.Bound, t.bound)
-		asked += t.asked
 	}
 	r.Below = lost / max(owed, 1)
-	r.Wait = float64(w.waited) / float64(max(asked, 1))
+	r.Wait = float64(w.waited) / float64(max(w.decided, 1))
 	seconds := float64(w.For) / 1000 * float64(w.Entries)
 	r.Bytes, r.Messages = float64(w.Bytes)/seconds, float64(w.Messages)/seconds
 	return r
--- a/drive/limit/limit_test.go
+++ b/drive/limit/limit_test.go
@@ -85,6 +85,17 @@
 			}
 			return w
 		}},
+		{"all lose power, one at eight times its usual", func(n int) *World {
+			w := world(n)
+			w.Customers[1].Rate *= 8
+			w.At = map[magno.Millis]func(*World){
+				6 * magno.Second: func(w *World) { w.Change(first(n), func(i int) { w.Down[i] = true }) },
+				8 * magno.Second: func(w *World) {
+					w.Change(first(n), func(i int) { w.Down[i] = false; w.fleet.start(i) })
+				},
+			}
+			return w
+		}},
 		{"a third is cut off, one at eight times", func(n int) *World {
 			w := world(n)
 			w.Customers[1].Rate *= 8
--- a/drive/sim/sim.go
+++ b/drive/sim/sim.go
@@ -11,11 +11,11 @@
 package sim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 
 	"magnoliastall.example/drive/fake"
+	"magnoliastall.example/drive/later"
 	"magnoliastall.example/drive/load"
 	"magnoliastall.example/drive/store"
 	"magnoliastall.example/drive/tally"
@@ -47,8 +47,7 @@
 	Arrivals []load.Arrival
 
 	clock   *magno.Clock
-	events  queue
-	seq     int64
+	events  later.Queue
 	entries map[string][]entry
 	ups     map[string]*upstream
 	order   []*upstream
@@ -96,16 +95,17 @@
 		if next < len(s.Arrivals) {
 			arrive = start + s.Arrivals[next].Job.Arrived
 		}
-		if len(s.events) == 0 && next >= len(s.Arrivals) {
+		planned, ok := s.events.Next()
+		if !ok && next >= len(s.Arrivals) {
 			break
 		}
-		if len(s.events) > 0 && s.events[0].at <= arrive {
-			e := heap.Pop(&s.events).(event)
-			if e.at > end {
+		if ok && planned <= arrive {
+			at, do := s.events.Pop()
+			if at > end {
 				break
 			}
-			s.clock.Advance(e.at - s.clock.Now())
-			e.do()
+			s.clock.Advance(at - s.clock.Now())
+			do()
 			continue
 		}
 		s.clock.Advance(arrive - s.clock.Now())
@@ -116,10 +116,7 @@
 	return s.tally, nil
 }
 
-func (s *Sim) at(when magno.Millis, do func()) {
-	s.seq++
-	heap.Push(&s.events, event{at: when, seq: s.seq, do: do})
-}
+func (s *Sim) at(when magno.Millis, do func()) { s.events.At(when, do) }
 
 func (s *Sim) after(d magno.Millis, do func()) { s.at(s.clock.Now()+d, do) }
 
