--- a/magno/config.go
+++ b/magno/config.go
@@ -27,8 +27,9 @@
 	Weight float64 `json:"weight"`
 	// Keys are the digests of its callers' keys; no two customers share one.
 	Keys []Digest `json:"keys,omitempty"`
-	// Rank is its urgency, 0 first. It goes before that of a route; nil for none.
-	Rank *int `json:"rank,omitempty"`
+	// Rank is its urgency on the users' platform, 0 first. It goes before that of a
+	// route; nil for none.
+	Rank *int `json:"-"`
 	// Limit is nil where its requests aren't limited.
 	Limit *Limit `json:"limit,omitempty"`
 }
