--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -17,6 +17,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -94,8 +95,11 @@
 	// Since is when this process started.
 	Since magno.Millis
 
-	table  atomic.Pointer[tabled]
-	active atomic.Int64
+	table atomic.Pointer[tabled]
+	// tabling is held while table is made: for thousands of routes that takes a small
+	// machine some milliseconds, and only one of the requests that come should do it.
+	tabling sync.Mutex
+	active  atomic.Int64
 	// streams and plain are until when such requests are still taken once a
 	// planned stop has begun, zero before.
 	streams, plain atomic.Int64
@@ -146,11 +150,16 @@
 
 // find returns the configuration's tables, made when it is new.
 func (h *Relay) find(plan *magno.Plan) *tabled {
-	t := h.table.Load()
-	if t == nil || t.plan != plan {
-		t = &tabled{plan: plan, paths: paths.New(plan), keys: keys.New(plan.Customers)}
-		h.table.Store(t)
+	if t := h.table.Load(); t != nil && t.plan == plan {
+		return t
 	}
+	h.tabling.Lock()
+	defer h.tabling.Unlock()
+	if t := h.table.Load(); t != nil && t.plan == plan {
+		return t // another request made them meanwhile
+	}
+	t := &tabled{plan: plan, paths: paths.New(plan), keys: keys.New(plan.Customers)}
+	h.table.Store(t)
 	return t
 }
 
