desk: few entries of a data centre ask agents; calm agents are asked less often

Cause: each entry asked its part of all agents twice a second and passed the answers on to each other entry of its data centre. With n entries there, each was told by n-1 others four times a second, and of m agents 2m states a second, though it sends two requests a second itself. Change: at most eight entries ask, those with the widest links; an agent whose state is what it was is asked less often, the more agents there are. What an engine holds counts until its agent fails to answer for a while, not until a while after it was heard.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -39,6 +39,10 @@
 	pollEvery = 250 * magno.Millis(1)
 	pollScale = 13
 	pollMost  = 4
+	// pollCalm bounds the pause of an agent that had nothing to tell.
+	pollCalm = 30 * magno.Second
+	// calmWait is the wait at an engine up to which it counts as calm.
+	calmWait = 20 * magno.Millis(1)
 	// pollDown is the most for an engine that is down: it may be back any moment.
 	pollDown = 500 * magno.Millis(1)
 	// pollTime bounds the answer: several round trips between data centres. A permit
@@ -74,8 +78,9 @@
 	Log   *slog.Logger
 	// Port is where agents listen, the same on all machines.
 	Port int
-	// Addr is this entry's own address, Mates lists those of the other entries of its
-	// data centre; nil for none.
+	// Addr is this entry's own address. Mates lists those of all entries of its data
+	// centre, its own among them, in the order in which they are to ask agents; nil
+	// where it is the only one.
 	Addr  string
 	Mates func() []string
 	// Reported is told each backlog by the incarnation's key.
@@ -191,21 +196,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
-	usual := pollEvery * magno.Millis(min(max(len(d.seats), pollScale), pollMost*pollScale)) / pollScale
-	if len(share.mates) > 0 {
-		usual = max(usual/matesHalve, pollEvery)
-	}
+	pauses := pausesOf(len(d.seats), len(share.others) > 0)
 	list := make([]*seat, 0, min(len(d.seats), mostPolled))
 	for _, s := range d.seats {
 		mine, of := share.mine(s), len(d.seats)
 		if mine {
-			of /= len(share.mates) + 1
+			of /= share.askers()
 		}
 		next := &d.next.other
 		if mine {
 			next = &d.next.mine
 		}
-		if s.polling || s.fresh(now, usual, mine) || !turn(s, now, of, next) {
+		if s.polling || s.fresh(now, pauses, mine) || !turn(s, now, of, next) {
 			continue
 		}
 		s.polling, s.asked, s.told = true, now, s.revision
@@ -214,6 +216,26 @@
 	return list
 }
 
+// pauses is how long agents aren't asked again.
+type pauses struct {
+	// busy is the pause of those that had news, calm that of the others.
+	busy, calm magno.Millis
+}
+
+// pausesOf returns the pauses for so many agents, which the entries of a data centre may
+// share. Those of calm ones grow with the number of agents, so that what an entry learns
+// of them in a second doesn't.
+func pausesOf(agents int, shared bool) pauses {
+	scaled := pollEvery * magno.Millis(max(agents, pollScale)) / pollScale
+	p := pauses{busy: min(scaled, pollMost*pollEvery), calm: scaled}
+	if shared {
+		p.busy, p.calm = p.busy/matesHalve, p.calm/matesHalve
+	}
+	p.busy = max(p.busy, pollEvery)
+	p.calm = min(max(p.calm, p.busy), pollCalm)
+	return p
+}
+
 // turn tells whether an agent may be asked now, one of so many that may be due. Of very
 // many, those that aren't in use are asked seldom, and those that are lost as well: a
 // thousand of them would otherwise take up all of a small machine.
@@ -258,6 +280,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s.misses++
+	if s.misses == 1 {
+		s.silent = d.Clock.Now()
+	}
 	if s.misses == deadAfter {
 		s.dead = true
 		close(s.lost)
@@ -273,6 +298,7 @@
 		s.dead, s.lost = false, make(chan struct{})
 		d.Log.Info("agent back", "replica", s.replica.Key(), "addr", s.addr)
 	}
+	s.calm = calm(&s.status, reply)
 	if reply.Down != s.status.Down {
 		d.Log.Info("engine", "replica", s.replica.Key(), "down", reply.Down)
 	}
@@ -315,12 +341,12 @@
 }
 
 // Holds tells whether an engine held a model or adapter when its agent was
-// last heard, and that this is not long ago.
+// last heard, and that the agent hasn't been silent for long.
 func (d *Desk) Holds(key, name string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.seats[key]
-	if s == nil || s.unreached || s.status.Replica != key || d.Clock.Now()-s.heard > heldFor {
+	if s == nil || s.unreached || s.status.Replica != key || (s.misses > 0 && d.Clock.Now()-s.silent > heldFor) {
 		return false
 	}
 	hash := magno.Ref{Adapter: name}.Hash()
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -358,3 +358,57 @@
 		t.Errorf("its agent is back, and the engine isn't, told %+v", told)
 	}
 }
+
+// Guards against a worker that starts again under its name and is taken for one that
+// holds what the one before held.
+func TestWorkerThatStartsAgainHoldsNothing(t *testing.T) {
+	d, clock := fleet(0)
+	d.Book = &view.Book{Clock: clock}
+	list := func(revision int64, born magno.Millis) string {
+		r := &magno.Replica{ID: "r", Born: born, Service: "s", Address: "127.0.0.1:1", DataCentre: "x", Slots: 1}
+		d.Book.Read([]magno.Change{
+			{Key: "plan", Revision: revision, Plan: &magno.Plan{Version: 1, Services: []magno.Service{{Name: "s", Engine: &magno.Engine{Batch: 1}}}}},
+			{Key: "servers/r", Revision: revision, Replica: r},
+		}, revision, true)
+		d.seat(d.Book.Now())
+		return r.Key()
+	}
+	before := list(1, 100)
+	status := gate.StatusReply{Replica: before, Born: 100, Backlog: magno.Backlog{Warm: []uint32{magno.Ref{Adapter: "m/a"}.Hash()}}}
+	d.heard(d.seats[before], &status, 0)
+	if !d.Holds(before, "m/a") {
+		t.Fatal("what the engine holds isn't known")
+	}
+	now := list(2, 200)
+	if d.Holds(before, "m/a") || d.Holds(now, "m/a") || !d.Down(before) || d.Down(now) {
+		t.Errorf("the one before holds %v, is down %v; this one holds %v, is down %v",
+			d.Holds(before, "m/a"), d.Down(before), d.Holds(now, "m/a"), d.Down(now))
+	}
+	if _, err := d.Permit(t.Context(), before, gate.Ask{ID: "1"}); !errors.Is(err, ErrDead) {
+		t.Errorf("a permit for the one before ends with %v", err)
+	}
+}
+
+// Guards against an engine of a large fleet whose agent is asked seldom, and that counts
+// as empty between two questions or as soon as the agent fails to answer one.
+func TestAgentAskedSeldomIsNotForgotten(t *testing.T) {
+	d, clock := fleet(3000)
+	const key = "1@0"
+	s := d.seats[key]
+	status := gate.StatusReply{Replica: key, Backlog: magno.Backlog{Warm: []uint32{magno.Ref{Adapter: "m/a"}.Hash()}}}
+	d.heard(s, &status, 0)
+	clock.Advance(pollCalm)
+	if !d.Holds(key, "m/a") {
+		t.Fatal("forgotten between two questions")
+	}
+	for range deadAfter {
+		d.missed(s, errors.New("no answer"))
+	}
+	if !d.Holds(key, "m/a") {
+		t.Error("forgotten as soon as the agent is silent")
+	}
+	clock.Advance(heldFor + 1)
+	if d.Holds(key, "m/a") {
+		t.Error("an agent that was silent for long still counts")
+	}
+}
--- a/entry/desk/permit.go
+++ b/entry/desk/permit.go
@@ -28,14 +28,17 @@
 		call.Spec, call.Revision = s.spec, s.revision
 	}
 	d.mu.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
+	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := make(chan struct{})
 	defer close(stop)
 	go d.wait(s, lost, stop, cancel)
 	var reply gate.PermitReply
-	err := d.Mesh.Call(ctx, addr, gate.MethodPermit, call, &reply)
+	err := d.Mesh.Call(waiting, addr, gate.MethodPermit, call, &reply)
 	if err != nil {
+		if ctx.Err() == nil {
+			d.hurry(s, d.Clock.Now())
+		}
 		if !wire.NotSent(err) {
 			d.End(key, gate.EndCall{ID: ask.ID}) // it may have been let through since
 		}
--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -16,8 +16,12 @@
 	revision int64
 	status   gate.StatusReply
 	heard    magno.Millis
-	used     magno.Millis
-	misses   int
+	// calm is true when status told nothing that choices hang on.
+	calm   bool
+	used   magno.Millis
+	misses int
+	// silent is when the first of the misses was.
+	silent magno.Millis
 	// polling is true while a poll is under way; asked is when the last began or
 	// a permit told as much, told the revision that it was to bring.
 	polling bool
@@ -37,26 +41,35 @@
 	return !s.dead && (s.status.Down || (s.status.Born != 0 && s.status.Born != s.replica.Born))
 }
 
-// pause is how long the agent isn't asked again, given the usual one. One that
-// didn't answer is asked at once: with the usual pause of a large fleet it takes
-// seconds to notice a machine that is gone, and its callers wait for that long.
-func (s *seat) pause(usual magno.Millis) magno.Millis {
+// calm tells whether an agent's state is, for those who choose among engines, the one
+// before: nobody waits there, and the engine holds what it held.
+func calm(was, is *gate.StatusReply) bool {
+	return was.Replica == is.Replica && was.Held == is.Held && was.Down == is.Down && was.Leaving == is.Leaving &&
+		is.Backlog.Wait <= calmWait && is.Backlog.BaseWait == 0 && len(is.Backlog.Coming) == 0
+}
+
+// pause is how long the agent isn't asked again. One that didn't answer is asked at once:
+// with the usual pause of a large fleet it takes seconds to notice a machine that is gone,
+// and its callers wait for that long.
+func (s *seat) pause(p pauses) magno.Millis {
 	switch {
 	case s.misses > 0 && !s.dead:
-		return min(usual, pollEvery)
+		return min(p.busy, pollEvery)
 	case s.down():
-		return min(usual, pollDown)
+		return min(p.busy, pollDown)
+	case s.calm && !s.dead:
+		return p.calm
 	}
-	return usual
+	return p.busy
 }
 
-// fresh tells whether the agent needn't be asked now, given the usual pause. Mine is
-// true when this entry is the one of its data centre that asks it: the others are told
-// what it answers, and ask only when no word came for longer.
-func (s *seat) fresh(now, usual magno.Millis, mine bool) bool {
-	pause := s.pause(usual) - pollSlack
+// fresh tells whether the agent needn't be asked now. Mine is true when this entry is the
+// one of its data centre that asks it: the others are told what it answers, and ask only
+// when no word came for longer.
+func (s *seat) fresh(now magno.Millis, p pauses, mine bool) bool {
+	pause := s.pause(p) - pollSlack
 	if !mine {
-		return now-s.asked < pause+wordSlack
+		return now-s.asked < pause+max(wordSlack, pause/2)
 	}
 	return now-s.asked < pause && s.told == s.revision
 }
--- a/entry/desk/share.go
+++ b/entry/desk/share.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +20,8 @@
 	// matesHalve is by how much the pause between two polls of an agent is shorter
 	// where the entries of a data centre share them.
 	matesHalve = 2
+	// mostAskers bounds the entries of a data centre that ask agents for all of it.
+	mostAskers = 8
 	// wordDelay is how long answers are gathered to be passed on in one message.
 	wordDelay = 40 * magno.Millis(1)
 	// wordSlack is how much longer than the usual pause no word of an agent may come
@@ -37,35 +40,56 @@
 //
 // Load pattern: each entry needs fresh word of each engine. If each asked each agent,
 // a fleet of n entries and m agents would exchange n times m answers a second, most of
-// them between data centres. So one entry of a data centre asks, chosen by the highest
-// hash of both, and passes the answers on to the others there.
+// them between data centres. So one entry of a data centre asks, and passes the answers
+// on to the others there. Were every entry to ask its part, each of n would be told by
+// n-1 others many times a second; so only a few ask, those with the widest links.
 type share struct {
-	own   uint64
-	mates []uint64
+	// asks is false when this entry leaves the asking to others.
+	asks bool
+	own  uint64
+	// others are the hashes of the other entries that ask.
+	others []uint64
 }
 
 func (d *Desk) share() share {
-	sh := share{own: xxhash.Sum64String(d.Addr)}
+	sh := share{asks: true, own: xxhash.Sum64String(d.Addr)}
 	if d.Mates == nil {
 		return sh
 	}
-	for _, addr := range d.Mates() {
-		sh.mates = append(sh.mates, xxhash.Sum64String(addr))
+	mates := d.Mates()
+	askers := mates[:min(len(mates), mostAskers)]
+	sh.asks = slices.Contains(askers, d.Addr)
+	for _, addr := range askers {
+		if addr != d.Addr {
+			sh.others = append(sh.others, xxhash.Sum64String(addr))
+		}
 	}
 	return sh
 }
 
-// mine tells whether this entry is the one that asks an agent.
+// mine tells whether this entry is the one that asks an agent: of those that ask, the
+// one with the highest hash of both.
 func (sh *share) mine(s *seat) bool {
+	if !sh.asks {
+		return false
+	}
 	own := weight(sh.own, s.hash)
-	for _, mate := range sh.mates {
-		if weight(mate, s.hash) > own {
+	for _, other := range sh.others {
+		if weight(other, s.hash) > own {
 			return false
 		}
 	}
 	return true
 }
 
+// askers counts the entries that share the asking.
+func (sh *share) askers() int {
+	if sh.asks {
+		return len(sh.others) + 1
+	}
+	return max(len(sh.others), 1)
+}
+
 // weight mixes the hashes of an entry and an agent.
 func weight(entry, agent uint64) uint64 {
 	const odd = 0x9e3779b97f4a7c15
@@ -88,19 +112,22 @@
 	if len(answers) == 0 || d.Mates == nil {
 		return
 	}
-	encoded, err := json.Marshal(Word{Answers: answers}) // once for all
-	if err != nil {
-		d.Log.Error("word", "answers", len(answers), "error", err)
-		return
-	}
 	working.Add(1)
 	go func() {
 		defer working.Done()
-		d.Mesh.NotifyAll(ctx, d.Mates(), MethodWord, pollTime, func(string) any { return json.RawMessage(encoded) },
+		err := d.Mesh.Broadcast(ctx, d.others(), MethodWord, pollTime, Word{Answers: answers},
 			func(addr string, err error) { d.Log.Debug("word", "addr", addr, "error", err) })
+		if err != nil {
+			d.Log.Error("word", "answers", len(answers), "error", err)
+		}
 	}()
 }
 
+// others lists the other entries of this data centre.
+func (d *Desk) others() []string {
+	return slices.DeleteFunc(d.Mates(), func(addr string) bool { return addr == d.Addr })
+}
+
 func (d *Desk) onWord(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
 	var w Word
 	if err := json.Unmarshal(params, &w); err != nil {
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -116,27 +116,19 @@
 	return max(n, len(p.Seeds))
 }
 
-// Mates lists the addresses of the other entries of this data centre that are alive.
+// Mates lists the addresses of the entries of this data centre that are alive, this one's
+// among them, in the order of readers.
 func (p *Peers) Mates() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var list []string
-	for addr, k := range p.known {
-		if k.alive && k.hello.DataCentre == p.DataCentre {
-			list = append(list, addr)
-		}
-	}
-	return list
+	return p.ordered(func(h *Hello) bool { return h.DataCentre == p.DataCentre })
 }
 
-// Homes lists the entries that count a customer's allowance, this one perhaps among
-// them: the first does, the next where that one can't be reached. They are among those
-// with the widest links, which change least.
-func (p *Peers) Homes(customer string) []string {
+// ordered lists the addresses of the entries that are alive and count, this one's among
+// them, in the order of readers.
+func (p *Peers) ordered(counts func(*Hello) bool) []string {
 	p.mu.Lock()
 	list := []Hello{{Name: p.Self, Addr: p.Addr, Link: p.Link, Leaving: p.leaving()}}
 	for _, k := range p.known {
-		if k.alive {
+		if k.alive && counts(&k.hello) {
 			list = append(list, k.hello)
 		}
 	}
@@ -147,12 +139,19 @@
 		}
 		return 1
 	})
-	list = list[:min(len(list), mostHomes)]
 	addrs := make([]string, 0, len(list))
 	for i := range list {
 		addrs = append(addrs, list[i].Addr)
 	}
-	return grant.Homes(customer, addrs)
+	return addrs
+}
+
+// Homes lists the entries that count a customer's allowance, this one perhaps among
+// them: the first does, the next where that one can't be reached. They are among those
+// with the widest links, which change least.
+func (p *Peers) Homes(customer string) []string {
+	addrs := p.ordered(anyone)
+	return grant.Homes(customer, addrs[:min(len(addrs), mostHomes)])
 }
 
 // Count tells how many entries are alive, this one included, and how many may be: those
