peers: first hellos are paced, and name few entries to those that know most

Cause: an entry that starts in a fleet of 356 said hello to all others at once, each of a pair to the other, and each hello and its answer named all entries alive, some 7 KB. While entries come and go their lists differ all the time, so the whole list went with every hello.

--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -17,7 +17,7 @@
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
 	p.heard(&h)
-	reply := p.self(h.Crowd)
+	reply := p.self(h.Crowd, h.Known)
 	reply.Proof = p.prove(stamped{stamp: h.Stamp, came: came})
 	return reply, nil
 }
--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -30,9 +30,11 @@
 	DataCentre string `json:"dc,omitempty"`
 	// Link is its machine's bandwidth in megabits a second.
 	Link float64 `json:"link,omitempty"`
+	// Known counts the addresses of other entries that it knows.
+	Known int `json:"known,omitempty"`
 	// Crowd stands for the addresses of all entries that are alive to it, its
-	// own included. Peers are those, unless the other's Crowd is the same: with
-	// a hundred entries the addresses would be most of what they tell.
+	// own included. Peers are those, or some of them, unless the other's Crowd is
+	// the same: with a hundred entries the addresses would be most of what they tell.
 	Crowd uint64   `json:"crowd"`
 	Peers []string `json:"peers,omitempty"`
 	// Suspects are requests that crashed upstreams, as far as they are news.
--- a/entry/peers/model_test.go
+++ b/entry/peers/model_test.go
@@ -132,7 +132,7 @@
 func (f *fleet) hello(t *rapid.T) {
 	from, to := f.pair(t)
 	p := f.peers[from]
-	h := p.self(0)
+	h := p.self(0, 0)
 	if k := p.known[addr(to)]; k != nil {
 		h.Proof = p.prove(k.stamped)
 	}
@@ -140,7 +140,7 @@
 		q := f.peers[to]
 		came := q.Book.Clock.Now()
 		q.heard(&h)
-		reply := q.self(0)
+		reply := q.self(0, 0)
 		reply.Proof = q.prove(stamped{stamp: h.Stamp, came: came})
 		f.fly(func() {
 			if f.peers[from] == p {
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -49,6 +49,12 @@
 	// time to read and to tell all others. stepMost bounds it.
 	stepIn   = 40 * magno.Millis(1)
 	stepMost = magno.Second
+	// mostMeeting bounds the hellos under way to entries that aren't alive. An entry
+	// that starts in a large fleet hears of all others at once, and its machine has no
+	// room for as many hellos.
+	mostMeeting = 32
+	// mostNamed bounds the entries that a hello names to one that knows most of them.
+	mostNamed = 16
 	// seenFor is how long a peer that was alive still counts among those that
 	// share the retry allowance: it may only be cut off from here.
 	seenFor = 30 * magno.Second
@@ -119,6 +125,8 @@
 	hello  Hello
 	misses int
 	alive  bool
+	// mine is true when this entry is the one of the pair that says hello.
+	mine bool
 	// ended is true when its machine refuses connections: nothing runs there.
 	ended  bool
 	seen   magno.Millis
@@ -208,15 +216,20 @@
 		if addr == "" || addr == p.Addr || p.known[addr] != nil {
 			continue
 		}
-		p.known[addr] = &peer{hello: Hello{Addr: addr}, learned: p.Clock.Now()}
-		select {
-		case p.learned <- struct{}{}:
-		default: // they are about to be
-		}
+		p.known[addr] = &peer{hello: Hello{Addr: addr}, mine: p.asks(addr), learned: p.Clock.Now()}
+		p.wake()
+	}
+}
+
+// wake has peers looked at now.
+func (p *Peers) wake() {
+	select {
+	case p.learned <- struct{}{}:
+	default: // they are about to be
 	}
 }
 
-// due lists whom to ask now. Those that are gone are asked less often, and
+// due lists whom to ask now. Those that are gone are asked a few at a time, and
 // given up after a minute, unless they are seeds.
 func (p *Peers) due() map[string]*peer {
 	p.mu.Lock()
@@ -224,24 +237,50 @@
 	list := map[string]*peer{}
 	now := p.Clock.Now()
 	pause := helloEvery * magno.Millis(max(len(p.known), helloScale)) / helloScale
+	meeting := 0
+	for _, k := range p.known {
+		if k.asking && !k.alive {
+			meeting++
+		}
+	}
+	met := p.met()
 	for addr, k := range p.known {
 		if k.misses > forgetAfter && !slices.Contains(p.Seeds, addr) {
 			delete(p.known, addr)
 			continue
 		}
-		wait := pause
-		if !p.asks(addr) {
-			wait += helloEvery
+		if !k.due(now, pause, met) {
+			continue
 		}
-		quiet := now-max(k.asked, k.seen) >= wait-helloEvery/2
-		if !k.asking && (quiet || k.misses > 0 || k.seen == 0) {
-			k.asking, k.asked = true, now
-			list[addr] = k
+		if !k.alive {
+			if meeting >= mostMeeting {
+				continue
+			}
+			meeting++
 		}
+		k.asking, k.asked = true, now
+		list[addr] = k
 	}
 	return list
 }
 
+// due tells whether an entry is to be asked, given the usual pause between two hellos.
+// met is false for an entry that met nobody yet.
+func (k *peer) due(now, pause magno.Millis, met bool) bool {
+	switch {
+	case k.asking:
+		return false
+	case k.misses > 0:
+		return true
+	case k.seen == 0:
+		// Where both of a pair start at the same time, the other one says hello.
+		return k.mine || !met || k.asked > 0 || now-k.learned >= helloEvery
+	case !k.mine:
+		pause += helloEvery
+	}
+	return now-max(k.asked, k.seen) >= pause-helloEvery/2
+}
+
 // asks tells whether this entry is the one of a pair that says hello; the other is
 // told as much by it, and says hello itself only when none came for longer. Else a
 // fleet of entries would keep two connections for each pair.
@@ -254,10 +293,13 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTime.Span())
 	defer cancel()
 	p.mu.Lock()
-	theirs, last := k.hello.Crowd, k.stamped
+	crowd, known, last := k.hello.Crowd, k.hello.Known, k.stamped
+	if k.seen == 0 {
+		known = len(p.known) // whoever knows fewer is told all by those that it asks
+	}
 	p.mu.Unlock()
 	var reply Hello
-	h := p.self(theirs)
+	h := p.self(crowd, known)
 	h.Proof = p.prove(last)
 	err := p.Mesh.Call(ctx, addr, MethodHello, h, &reply)
 	p.mu.Lock()
@@ -276,8 +318,8 @@
 	}
 }
 
-// self is what this entry tells one whose crowd is theirs.
-func (p *Peers) self(theirs uint64) Hello {
+// self is what this entry tells one with such a crowd that knows so many addresses.
+func (p *Peers) self(crowd uint64, known int) Hello {
 	snap := p.Book.Now()
 	h := Hello{
 		Name: p.Self, Addr: p.Addr, Link: p.Link, DataCentre: p.DataCentre, Revision: snap.Revision, Age: p.Book.Age(),
@@ -287,19 +329,45 @@
 	defer p.mu.Unlock()
 	h.Able, h.Leaving = p.able, p.leaving()
 	h.Stamp = p.stamp()
+	h.Known = len(p.known)
 	h.Crowd = xxhash.Sum64String(p.Addr)
+	alive := 0
 	for addr, k := range p.known {
 		if k.alive {
 			h.Crowd ^= xxhash.Sum64String(addr)
-			h.Peers = append(h.Peers, addr)
+			alive++
 		}
 	}
-	if h.Crowd == theirs {
-		h.Peers = nil
+	if h.Crowd != crowd {
+		h.Peers = p.names(alive, known)
 	}
 	return h
 }
 
+// names lists entries that are alive, to one that knows so many addresses: all of them,
+// or a few of many where it knows most.
+//
+// Load pattern: entries start and stop all the time in a large fleet, so crowds differ
+// most of the time. An entry that starts says hello to all by itself; naming everybody in
+// each hello, weak machines would do nothing else. A few at random are enough for two
+// parts of a fleet that were cut off from each other to meet again. The caller holds mu.
+func (p *Peers) names(alive, known int) []string {
+	most := alive
+	if 2*known >= alive {
+		most = min(alive, mostNamed)
+	}
+	list := make([]string, 0, most)
+	for addr, k := range p.known { // in random order
+		if len(list) == most {
+			break
+		}
+		if k.alive {
+			list = append(list, addr)
+		}
+	}
+	return list
+}
+
 // heard takes what a peer told of itself.
 func (p *Peers) heard(h *Hello) {
 	p.learn(append(h.Peers, h.Addr))
@@ -312,6 +380,7 @@
 	}
 	if !k.alive {
 		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
+		p.wake()
 	}
 	k.hello, k.misses, k.alive, k.ended, k.seen = *h, 0, true, false, p.Clock.Now()
 	k.stamped = stamped{stamp: h.Stamp, came: p.Book.Clock.Now()}
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -117,7 +117,7 @@
 	for i := range 3000 {
 		a.Suspects.Failed(uint64(i + 1))
 	}
-	if n := len(a.self(0).Suspects); n != mostSuspects {
+	if n := len(a.self(0, 0).Suspects); n != mostSuspects {
 		t.Errorf("a hello has %d suspects, want %d", n, mostSuspects)
 	}
 }
@@ -131,13 +131,13 @@
 	for _, n := range nodes {
 		until(t, "all peers", func() bool { return n.Processes() == len(nodes) })
 	}
-	crowd := seed.self(0).Crowd
+	crowd := seed.self(0, 0).Crowd
 	for _, n := range nodes {
-		until(t, "the same crowd", func() bool { return n.self(0).Crowd == crowd })
-		if got := n.self(crowd).Peers; len(got) != 0 {
+		until(t, "the same crowd", func() bool { return n.self(0, 0).Crowd == crowd })
+		if got := n.self(crowd, 0).Peers; len(got) != 0 {
 			t.Errorf("%s names %v to one that knows them", n.Self, got)
 		}
-		if got := n.self(crowd + 1).Peers; len(got) != 2 {
+		if got := n.self(crowd+1, 0).Peers; len(got) != 2 {
 			t.Errorf("%s names %v to one that knows others, want both", n.Self, got)
 		}
 	}
@@ -165,7 +165,7 @@
 		a, b = b, a
 	}
 	meet := func() {
-		hello, reply := a.self(0), b.self(0)
+		hello, reply := a.self(0, 0), b.self(0, 0)
 		b.heard(&hello)
 		a.heard(&reply)
 	}
@@ -235,3 +235,68 @@
 		t.Error("an address that it just heard of isn't asked at once")
 	}
 }
+
+// Guards against an entry that starts in a large fleet and says hello to all others at
+// once, and against hellos that name everybody while entries come and go.
+func TestHellosStaySmallInALargeFleet(t *testing.T) {
+	for _, n := range []int{30, 100, 300, 1000} {
+		clock := magno.NewClock(magno.Hour)
+		p := ranked(clock, 0, Hello{})
+		var addrs []string
+		for i := range n {
+			addrs = append(addrs, addr(i+2))
+		}
+		p.learn(addrs)
+		if got := len(p.due()); got > mostMeeting {
+			t.Errorf("of %d entries, %d are asked at once", n, got)
+		}
+		for i, a := range addrs {
+			p.heard(&Hello{Name: fmt.Sprint(i), Addr: a, Known: n})
+		}
+		if got := len(p.self(1, n).Peers); got > mostNamed {
+			t.Errorf("of %d entries, a hello names %d to one that knows them", n, got)
+		}
+		if got := len(p.self(1, 0).Peers); got != n {
+			t.Errorf("of %d entries, %d are named to one that just started", n, got)
+		}
+		clock.Advance(helloEvery * magno.Millis(n))
+		for _, k := range p.known {
+			k.asking, k.alive, k.misses = false, false, goneAfter
+		}
+		if got := len(p.due()); got > mostMeeting {
+			t.Errorf("of %d entries that are lost, %d are asked at once", n, got)
+		}
+	}
+}
+
+// Guards against entries that start together and of which both of each pair say hello:
+// twice the connections and hellos at the moment at which a small machine has most to do.
+func TestOneOfAPairThatMeetsSaysHello(t *testing.T) {
+	const n = 200
+	clock := magno.NewClock(magno.Hour)
+	p := ranked(clock, 1, Hello{})
+	var addrs []string
+	for i := range n {
+		addrs = append(addrs, addr(i+2))
+	}
+	p.learn(addrs)
+	asked := 0
+	meet := func() {
+		for list := p.due(); len(list) > 0; list = p.due() {
+			for addr, k := range list {
+				asked++
+				k.asking = false
+				p.heard(&Hello{Name: addr, Addr: addr})
+			}
+		}
+	}
+	meet()
+	if asked < n/4 || asked > n*3/4 {
+		t.Errorf("%d of %d are asked at once, want about half", asked, n)
+	}
+	clock.Advance(helloEvery)
+	meet()
+	if asked < n {
+		t.Errorf("%d of %d are asked after a while, want all", asked, n)
+	}
+}
