relay: a caller that stops reading is cut; bodies and answers have bounded room

Cause: nothing bounded a write to a caller. One that stopped reading kept its request, its permit and its connection to the upstream for as long as its connection stood, and a stop of the process waited for it. Bodies of 4 MB and answers of 16 MB each were bounded, but not all of them together: 46 bodies fill a machine of 184 MB. An answer over the limit was cut there and passed on.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -301,3 +301,12 @@
 	fmt.Fprint(c, "0\r\n\r\n")
 	return true
 }
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -46,6 +46,8 @@
 	id    string
 	route *magno.Route
 	body  []byte
+	// bodyRoom and answerRoom are what the body and an upstream's answer hold.
+	bodyRoom, answerRoom share
 	// customer is whom the caller's key belongs to, nil where none is needed. cost is
 	// what the request took from its allowance.
 	customer *magno.Customer
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -22,6 +21,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 
 	"magnoliastall.example/entry/hop"
 	"magnoliastall.example/magno"
@@ -94,6 +95,12 @@
 	Revoke magno.Millis
 	// Since is when this process started.
 	Since magno.Millis
+	// Bodies and Answers are the bytes of requests' bodies and of upstreams' answers that
+	// are held at once; nil where they aren't bounded.
+	Bodies, Answers *semaphore.Weighted
+	// CallerTime is how long a caller may leave what was sent to it unread; zero for the
+	// default.
+	CallerTime magno.Millis
 
 	table atomic.Pointer[tabled]
 	// tabling is held while table is made: for thousands of routes that takes a small
@@ -168,6 +175,9 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	j := &job{Relay: h, w: w, r: r, came: h.Clock.Now(), snap: h.Book.Now()}
+	j.bodyRoom.room, j.answerRoom.room = h.Bodies, h.Answers
+	defer j.bodyRoom.free()
+	defer j.answerRoom.free()
 	j.call = h.Dialect.Read(r.Header)
 	j.id = j.call.ID
 	if refusal := j.prepare(); refusal != nil {
@@ -233,7 +243,10 @@
 	if j.r.ContentLength > limit {
 		return magno.Refuse(magno.KindTooLarge, "a body of %d bytes", j.r.ContentLength)
 	}
-	body, err := io.ReadAll(io.LimitReader(j.r.Body, limit+1))
+	body, err := j.bodyRoom.read(j.r.Body, limit)
+	if errors.Is(err, errFull) {
+		return magno.Refuse(magno.KindBusy, "this instance holds as many bodies as it can").Later(busyAfter)
+	}
 	if err != nil {
 		return magno.Refuse(magno.KindMalformed, "the body ended early: %v", err)
 	}
@@ -272,6 +285,7 @@
 		h.Set("Connection", "close") // the next one finds another instance
 	}
 	h.Set("Content-Length", "0")
+	j.writing()
 	j.w.WriteHeader(status)
 	j.note(status, string(refusal.Kind), refusal.Detail)
 }
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -142,7 +141,7 @@
 	if j.route.Kind == magno.KindStream && res.StatusCode == http.StatusOK && j.proper(res, &reply) {
 		return j.stream(ctx, r, conn, res)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, answerLimit))
+	body, err := j.readAnswer(ctx, res)
 	if err != nil {
 		_ = conn.Close()
 		return j.broken(ctx, r, err)
@@ -166,6 +165,23 @@
 	return resultDone
 }
 
+// readAnswer reads an answer that isn't passed on as it comes. It waits until there is
+// room for one that states its length; what others hold is passed on meanwhile.
+func (j *job) readAnswer(ctx context.Context, res *http.Response) ([]byte, error) {
+	j.answerRoom.free() // that of an earlier attempt
+	if res.ContentLength > answerLimit {
+		return nil, errors.Newf("an answer of %d bytes", res.ContentLength)
+	}
+	if err := j.answerRoom.wait(ctx, max(res.ContentLength, 0)); err != nil {
+		return nil, err
+	}
+	body, err := j.answerRoom.read(res.Body, answerLimit)
+	if err == nil && len(body) > answerLimit {
+		err = errors.Newf("an answer of over %d bytes", answerLimit)
+	}
+	return body, err
+}
+
 // proper tells whether a successful answer is the upstream's own for this
 // request.
 func (j *job) proper(res *http.Response, reply *magno.Reply) bool {
@@ -184,6 +200,7 @@
 	plainType(h)
 	j.closing(h)
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	j.writing()
 	j.w.WriteHeader(a.status)
 	outcome := "served"
 	if a.status >= http.StatusInternalServerError {
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -13,6 +13,8 @@
 	"net"
 	"strconv"
 
+	"golang.org/x/sync/semaphore"
+
 	"magnoliastall.example/entry/desk"
 	"magnoliastall.example/entry/hop"
 	"magnoliastall.example/entry/lease"
@@ -94,12 +96,29 @@
 	handler := &relay.Relay{
 		Name: set.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Hops: e.hops, Permits: e.desk, Pools: e.pools,
 		Suspects: suspects, Log: log, Since: clock.Now(), Revoke: set.Revoke, Quotas: e.lease,
+		Bodies: room(set.Memory), Answers: room(set.Memory),
 	}
 	e.peers.Leaving = handler.Leaving
 	e.front = &front{set: set, path: site.ReadyPath(), relay: handler, book: e.book, clock: clock, log: log}
 	return e
 }
 
+const (
+	// roomShare is the part of the memory limit that bodies may take, and answers as
+	// much: an eighth.
+	roomShare = 8
+	// leastRoom is the least, in bytes: the longest answer fits.
+	leastRoom = 16 << 20
+)
+
+// room bounds the bytes that requests hold at once, nil where memory isn't limited.
+func room(memory int64) *semaphore.Weighted {
+	if memory <= 0 {
+		return nil
+	}
+	return semaphore.NewWeighted(max(memory/roomShare, leastRoom))
+}
+
 func (e *entry) duties() []magno.Duty {
 	return []magno.Duty{
 		e.mesh, e.reads, e.peers, e.desk, e.lease, &follow{e}, e.front, &ready{e.front}, &watch{e.front},
