route: engines whose streams pause for too long cost more

Cause: engines of one pool differ in speed. The router knew waits and loads, and the slow ones look idle. Ruled out: entries (each front machine has 7 to 14 in 100), repeated runs (all had one), reading ahead (28 ms on average). Change: agents tell the longest pause of a stream on average; those pauses are spread about exponentially (measured 0.30 at a mean of 240 ms, 0.08 at 120, bound 300), so the router counts the part that exceeds the route's bound as a wait as long as its aim.

--- a/drive/scene/engine.go
+++ b/drive/scene/engine.go
@@ -52,7 +52,14 @@
 	now := s.clock.Now()
 	e.free = max(e.free, now) + magno.Millis(float64(f.Prompt)/readRate)
 	fails := s.rand.Float64() < s.Grey[i]
-	e.runs[f.id] = run{first: e.free, end: e.free + magno.Millis(float64(f.Output)*token), fails: fails}
+	made := token * max(s.Slow[i], 1)
+	r := run{
+		first: e.free, end: e.free + magno.Millis(float64(f.Output)*made), fails: fails,
+	}
+	if len(s.Slow) > 0 {
+		r.pause = magno.Millis(s.rand.ExpFloat64() * pauseEvents * stride * made)
+	}
+	e.runs[f.id] = r
 	s.routers[f.Entry].Report(e.name, e.gate.Backlog())
 }
 
@@ -64,12 +71,13 @@
 			continue
 		}
 		delete(e.runs, id)
+		e.gate.Paused(id, r.pause)
 		e.gate.Done(id, !r.fails)
 		s.routers[f.Entry].Ended(e.name, f.Prompt, now-f.began, !r.fails)
 		switch {
 		case r.fails:
 			s.count(&s.done.Failed, f)
-		case r.first-f.began <= f.Aim:
+		case r.first-f.began <= f.Aim && r.pause <= gap:
 			s.count(&s.done.InAim, f)
 		default:
 			s.count(&s.done.Late, f)
--- a/drive/scene/scene.go
+++ b/drive/scene/scene.go
@@ -35,6 +35,8 @@
 	freely = 8
 	// base is the time of the base model's load.
 	base = 1900 * magno.Millis(1)
+	// pauseEvents is the longest pause of a stream on average, in events.
+	pauseEvents = 2.5
 	// slots, batch, memory and tokens bound an engine.
 	slots  = 22
 	batch  = 32
@@ -102,6 +104,9 @@
 	// Lose engines at a time, Grey ones fail so large a share of what they run.
 	Lose map[int]magno.Millis
 	Grey map[int]float64
+	// Slow are engines that take so many times as long for a token. Where there are any,
+	// streams pause, and those that pause for too long count as late.
+	Slow map[int]float64
 	// Join are engines that come at a time, empty and without their base model.
 	Join map[int]magno.Millis
 	// Cold engines begin without their base model.
@@ -159,6 +164,8 @@
 type run struct {
 	first, end magno.Millis
 	fails      bool
+	// pause is the longest between two of its events, where Scene.Slow is set.
+	pause magno.Millis
 }
 
 // Play returns what became of the asks.
@@ -263,7 +270,7 @@
 // is better by now.
 func (s *Scene) offer(f *flight) {
 	router := s.routers[f.Entry]
-	q := magno.Query{Ref: magno.Ref{Adapter: gate.Name(model, f.Adapter)}, Avoid: f.avoid}
+	q := magno.Query{Ref: magno.Ref{Adapter: gate.Name(model, f.Adapter)}, Aim: f.Aim, Gap: gap, Avoid: f.avoid}
 	choice := router.Choose(q)
 	for range declines {
 		if !s.declined(f, choice) {
--- a/drive/scene/wide_test.go
+++ b/drive/scene/wide_test.go
@@ -56,3 +56,22 @@
 		}
 	}
 }
+
+// Guards against engines that take three times as long for an event as the others, look
+// idle, and get their full share of streams, whose pauses are then too long.
+func TestSlowEnginesGetFewStreams(t *testing.T) {
+	const slow, inTime = 10, 0.9
+	r := over(wideSeeds, func(seed uint64) *Scene {
+		engines := map[int]float64{}
+		for i := range slow {
+			engines[i*wideEngines/slow] = 3
+		}
+		return &Scene{
+			Entries: wideEntries, Engines: wideEngines, Shape: wideShape, Slow: engines,
+			Asks: Wide(seed, 3*wideSpan, wideRate/2, wideEntries), Count: func(a Ask) bool { return a.At > wideSpan },
+		}
+	})
+	if r.InAim < inTime {
+		t.Errorf("%+v, want %.2f in time", r, inTime)
+	}
+}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -190,7 +190,7 @@
 }
 
 func (j *job) query() magno.Query {
-	return magno.Query{Ref: j.ref(), Prefix: j.call.Prefix, Avoid: j.avoid}
+	return magno.Query{Ref: j.ref(), Prefix: j.call.Prefix, Aim: j.route.Aim, Gap: j.route.Gap, Avoid: j.avoid}
 }
 
 // ref names what an engine must hold.
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -187,7 +187,7 @@
 func (g *Gate) Paused(id string, longest magno.Millis) {
 	g.setup()
 	if r := g.runs[id]; r != nil && r.ask.Gap > 0 && longest > 0 {
-		g.pace.paused(longest, r.ask.Gap)
+		g.pace.paused(longest, r.ask.Gap, g.Clock.Now())
 	}
 }
 
--- a/magno/gate/pace.go
+++ b/magno/gate/pace.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"slices"
 
 	"magnoliastall.example/magno"
@@ -32,6 +33,8 @@
 	tightStep  = 0.02
 	looseStep  = 0.001
 	leastTight = 0.3
+	// pauseHalf is the time without streams in which their longest pause counts half.
+	pauseHalf = 10 * magno.Second
 )
 
 // pace decides when a prompt may be read.
@@ -59,6 +62,8 @@
 	// tight is by how much streams paused for longer than the engine's figures
 	// tell, as a part of what is allowed, zero while they don't.
 	tight float64
+	// pausedAt is when a stream last told its longest pause.
+	pausedAt magno.Millis
 }
 
 // reading is a prompt that was let through.
@@ -75,7 +80,9 @@
 
 // paused takes the longest pause of a stream that ended, and what was allowed.
 // An engine that reads in larger pieces than is usual shows it here only.
-func (p *pace) paused(longest, gap magno.Millis) {
+func (p *pace) paused(longest, gap, now magno.Millis) {
+	p.engine.Paused(longest)
+	p.pausedAt = now
 	if longest > gap {
 		p.tight = min(p.tight+tightStep, 1-leastTight)
 		return
@@ -83,6 +90,12 @@
 	p.tight = max(p.tight-looseStep, 0)
 }
 
+// longest is the longest pause of a stream here, on average. Of an engine that gets no
+// streams it counts less and less, so that one that was slow is tried again.
+func (p *pace) longest(now magno.Millis) magno.Millis {
+	return magno.Millis(float64(p.engine.Longest()) * math.Exp2(-float64(now-p.pausedAt)/float64(pauseHalf)))
+}
+
 // window is the span in which reading is spaced, and how much of it may be spent
 // on prompts.
 func (p *pace) window() (span, read magno.Millis) {
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -75,6 +75,7 @@
 		KeptWait: next - g.held.cold() + g.held.warmLoad(),
 		Coming:   g.coming(missing),
 		Rate:     math.Round(g.pace.engine.Rate()),
+		Pause:    g.pace.longest(now),
 	}
 }
 
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -115,6 +115,9 @@
 	// Coming holds, likewise, those that are being loaded or that jobs wait
 	// for.
 	Coming []uint32 `json:"coming,omitempty"`
+	// Pause is the longest pause between two events of a stream there, on average;
+	// zero where none is known.
+	Pause Millis `json:"pause,omitempty"`
 	// Down is true while the upstream is known not to answer. Whoever asks for the
 	// rest finds that out, so it isn't told with it.
 	Down bool `json:"-"`
@@ -178,6 +181,9 @@
 	DataCentre string
 	// Work is the request's tokens.
 	Work int
+	// Aim is when its first event is due, Gap the longest pause between two that it
+	// allows; zero where it states none.
+	Aim, Gap Millis
 	// Avoid holds names that were tried already.
 	Avoid []string
 }
--- a/magno/learn/fit.go
+++ b/magno/learn/fit.go
@@ -33,6 +33,28 @@
 	return (priorSpan + r.span) / (priorSpan/prior + r.done)
 }
 
+// keepPause is what each further stream leaves of the weight of those before: about ten
+// count.
+const keepPause = 0.9
+
+// mean is the average of decaying samples.
+type mean struct {
+	n, sum float64
+}
+
+func (m *mean) add(x float64) {
+	m.n = m.n*keepPause + 1
+	m.sum = m.sum*keepPause + x
+}
+
+// value is zero before the first sample.
+func (m *mean) value() float64 {
+	if m.n == 0 {
+		return 0
+	}
+	return m.sum / m.n
+}
+
 // line is a least-squares line through decaying samples.
 type line struct {
 	n, x, y, xx, xy float64
--- a/magno/learn/learn.go
+++ b/magno/learn/learn.go
@@ -79,6 +79,8 @@
 	calm ratio
 	// usual is milliseconds over events of one stream, whatever else goes on.
 	usual ratio
+	// pauses are the longest ones of streams.
+	pauses mean
 }
 
 // Rate is how many prompt tokens it reads in a millisecond, the steps between
@@ -103,6 +105,12 @@
 	return magno.Millis(e.usual.value(usualTimes * priorStep * float64(max(e.Stride, 1))))
 }
 
+// Paused takes the longest pause between two events of a stream that ended.
+func (e *Engine) Paused(longest magno.Millis) { e.pauses.add(float64(longest)) }
+
+// Longest is the longest pause of a stream on average, zero before the first ended.
+func (e *Engine) Longest() magno.Millis { return magno.Millis(e.pauses.value()) }
+
 // Forget drops the last look: what ran is gone. The estimates are kept, for an
 // engine that starts anew is still of its kind.
 func (e *Engine) Forget() { e.seen, e.from, e.tokens = false, 0, 0 }
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -110,9 +110,10 @@
 }
 
 // addHashed adds the adapter's hash candidates among the targets that don't hold
-// it. When the query avoids some, as many more are looked at, and those without
-// their base model don't count: they take seconds to load it, and a request that
-// knew only of such would wait at a full holder beside idle targets.
+// it. When the query avoids some, as many more are looked at. Those without their base
+// model don't count: they take seconds to load it, and a request that knew only of such
+// would wait at a full holder beside idle targets. Nor do those whose streams pause for
+// too long.
 //
 // Load pattern: one adapter becomes hot within a second, and needs a dozen replicas.
 // If all entries took the same next one, replicas would come one after the other, and
@@ -139,7 +140,7 @@
 			continue
 		}
 		extra += r.Tuning.Order
-		if ready {
+		if ready && lateAt(q, p) < float64(r.Tuning.Order) {
 			found++
 		}
 	}
@@ -171,7 +172,22 @@
 	if p.dc != q.DataCentre {
 		wait += float64(r.Tuning.Far)
 	}
-	return wait
+	return wait + lateAt(q, p)
+}
+
+// lateAt is what the pauses of streams at p cost: as much as a wait as long as the aim,
+// where they make the answer late for certain.
+//
+// Load pattern: some engines of a pool take two or three times as long as others for an
+// event. They look idle, for nothing waits there, and their answers begin in time; but
+// whenever a prompt is read between two events, the pause is longer than the route allows.
+// The longest pauses of an engine's streams are spread about exponentially, so their
+// average tells how many of them exceed that.
+func lateAt(q *query, p *peer) float64 {
+	if q.Gap <= 0 || p.report.Pause <= 0 {
+		return 0
+	}
+	return float64(q.Aim) * math.Exp(-float64(q.Gap)/float64(p.report.Pause))
 }
 
 // busyAt is the cost of work sent since the last report, and of all that p has
