--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -29,7 +29,9 @@
 // others, a fleet of n entries would send n times n times the configuration, and fill
 // the links of small machines while callers' requests wait behind it. So they step in
 // one after the other, and the first tells the rest. While the list is away for all,
-// the later ones ask it less often, so that few find out at once that it is back.
+// the later ones ask it less often, so that few find out at once that it is back. And when
+// a fleet starts, each entry knows nobody who is to read rather than it: but for the seeds,
+// none follows the list until it had time to meet the others.
 func (p *Peers) Mine() bool {
 	if p.Book.Now().Plan == nil {
 		return true
@@ -40,7 +42,8 @@
 	before := p.before(func(h *Hello) bool { return h.Able })
 	stale := age > staleAge+min(stepIn*magno.Millis(max(before-Readers, 0)), stepMost)
 	if p.able {
-		return stale || before < Readers
+		young := now-p.since < meetTime && len(p.Seeds) > 0 && !slices.Contains(p.Seeds, p.Addr)
+		return stale || (before < Readers && !young)
 	}
 	pause := tryEvery // somebody else reads
 	if stale {
--- a/entry/peers/role_test.go
+++ b/entry/peers/role_test.go
@@ -229,3 +229,35 @@
 	clock.Advance(meetTime)
 	check("nobody came", p, 1, 2)
 }
+
+// Guards against a fleet that starts and of which each entry follows the list, as it knows
+// nobody else yet: all together ask the list hundreds of times.
+func TestEntriesThatStartLeaveTheListToTheSeeds(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		seeds        []string
+		first, later bool
+	}{
+		{"a seed", []string{"10.0.0.1:7", "10.0.0.2:7"}, true, true},
+		{"another", []string{"10.0.0.2:7", "10.0.0.3:7"}, false, true},
+		{"one without seeds", nil, true, true},
+	} {
+		clock := magno.NewClock(magno.Hour)
+		p := &Peers{
+			Self: "self", Addr: "10.0.0.1:7", Seeds: c.seeds, Mesh: &wire.Mesh{}, Book: &view.Book{Clock: clock},
+			Suspects: &crash.Suspects{Clock: clock}, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		}
+		p.Open()
+		if !p.Mine() {
+			t.Errorf("%s doesn't read what it knows nothing of", c.name)
+		}
+		p.Book.Read([]magno.Change{plan(1, 1)}, 1, false)
+		if got := p.Mine(); got != c.first {
+			t.Errorf("%s follows the list at once: %v", c.name, got)
+		}
+		clock.Advance(meetTime)
+		if got := p.Mine(); got != c.later {
+			t.Errorf("%s follows the list later: %v", c.name, got)
+		}
+	}
+}
