--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -57,8 +57,6 @@
 	mu    sync.Mutex
 	names []string
 	allow int
-	// behind is when to come back to a service that is behind its work, zero while it isn't.
-	behind magno.Millis
 	// open is the work that each replica was told to have.
 	open map[string]int
 	// most is the wait that the first is worth, last has a replica chosen last.
@@ -68,10 +66,6 @@
 
 func (p *pools) Router(string) magno.Chooser { return p }
 func (p *pools) Taken(string)                {}
-func (p *pools) Admit(string, magno.Millis) (ok bool, after magno.Millis) {
-	return p.behind == 0, p.behind
-}
-func (p *pools) Answered(string, magno.Millis) {}
 func (p *pools) Again(string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -215,17 +215,10 @@
 
 // plain sends to a plain service, which needs no permit.
 func (j *job) plain(ctx context.Context, r *magno.Replica) result {
-	if ok, after := j.Pools.Admit(j.service.Name, j.route.Aim); !ok && j.tries == 0 {
-		j.refusal = magno.Refuse(magno.KindBusy, "%s is behind its work", j.service.Name).Later(after)
-		return resultRefused
-	}
 	router := j.Pools.Router(j.service.Name)
 	router.Sent(r.Key(), plainWork)
 	from := j.Clock.Now()
 	res := j.send(ctx, r, 0)
-	if res == resultDone || j.failure != nil {
-		j.Pools.Answered(j.service.Name, j.Clock.Now()-from)
-	}
 	router.Ended(r.Key(), plainWork, j.Clock.Now()-from, res != resultUnsent && res != resultFailed)
 	router.Report(r.Key(), magno.Backlog{})
 	return res
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -66,17 +66,13 @@
 	Unreached(key string)
 }
 
-// Pools choose among the replicas of a service, bound sends beyond the first, and
-// what is sent to a plain service that is behind its work.
+// Pools choose among the replicas of a service and bound sends beyond the
+// first.
 type Pools interface {
 	Router(service string) magno.Chooser
 	// Taken counts a request, Again takes one more send from the allowance.
 	Taken(service string)
 	Again(service string) bool
-	// Admit tells whether a plain service still answers within aim, and else when to come
-	// back; Answered how long one of its answers took.
-	Admit(service string, aim magno.Millis) (ok bool, after magno.Millis)
-	Answered(service string, took magno.Millis)
 }
 
 // Relay is the handler of callers' requests. Fields are set before use.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -379,25 +379,3 @@
 		}
 	}
 }
-
-// Guards against requests that wait at a plain service until they are late, though it is
-// known to be behind: they are refused at once, have not run, and come back.
-func TestServiceBehindItsWorkRefusesAtOnce(t *testing.T) {
-	u := serveUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
-		whole(c, r.Header.Get("Id"), http.StatusOK, "yes")
-		return true
-	})
-	s := newSite(t, magno.KindOnce, false, u)
-	s.pools.behind = 700
-	res, _, err := s.get(t, http.MethodPost, "1")
-	if err != nil || res.StatusCode != http.StatusTooManyRequests || res.Header.Get("Retry-After") != "0.700" {
-		t.Errorf("got %+v, %v", res, err)
-	}
-	if u.count() != 0 {
-		t.Error("it was sent")
-	}
-	s.pools.behind = 0
-	if res, _, err := s.get(t, http.MethodPost, "2"); err != nil || res.StatusCode != http.StatusOK {
-		t.Errorf("got %+v, %v", res, err)
-	}
-}
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -9,7 +9,6 @@
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/allow"
 	"magnoliastall.example/magno/route"
-	"magnoliastall.example/magno/shed"
 	"magnoliastall.example/magno/view"
 )
 
@@ -27,7 +26,6 @@
 type pool struct {
 	router *route.Route
 	allow  *allow.Window
-	shed   *shed.Shed
 }
 
 // get returns a service's pool, made on first use. The caller holds mu.
@@ -40,7 +38,6 @@
 			Clock: p.clock, Seed: xxhash.Sum64String(p.set.Name), DataCentre: p.set.DataCentre,
 		},
 		allow: &allow.Window{Clock: p.clock, Ratio: p.set.RetryRatio, Slack: p.set.RetrySlack, Span: p.set.RetryWindow},
-		shed:  &shed.Shed{Clock: p.clock, Seed: xxhash.Sum64String(p.set.Name + "/" + service)},
 	}
 	if s := p.book.Now().Plan.Service(service); s != nil && s.Engine != nil {
 		made.router.Tuning = route.Permitted()
@@ -107,19 +104,3 @@
 	p.mu.Unlock()
 	return one.allow.Again(p.peers.Processes())
 }
-
-// Admit implements relay.Pools.
-func (p *pools) Admit(service string, aim magno.Millis) (ok bool, after magno.Millis) {
-	p.mu.Lock()
-	one := p.get(service)
-	p.mu.Unlock()
-	return one.shed.Admit(aim)
-}
-
-// Answered implements relay.Pools.
-func (p *pools) Answered(service string, took magno.Millis) {
-	p.mu.Lock()
-	one := p.get(service)
-	p.mu.Unlock()
-	one.shed.Answered(took)
-}
