grant: a new home grants the rate only, until a window has passed

All processes are killed four seconds after a customer began to send 4.9 times its usual. The homes before had granted its burst and four seconds' pace; the new ones granted a tenth of a window at once, each entry that had met nobody a sixteenth of the burst besides, and the full pace, in which the burst is.

--- a/drive/limit/limit_test.go
+++ b/drive/limit/limit_test.go
@@ -96,6 +96,18 @@
 			}
 			return w
 		}},
+		{"all processes are killed just after one began at eight times its usual, with a large burst", func(n int) *World {
+			w := world(n)
+			w.Customers[1].Limit.Burst = 4 * w.Customers[1].Limit.Rate
+			w.At = map[magno.Millis]func(*World){
+				9 * magno.Second:  func(w *World) { w.Customers[1].Rate *= 8 },
+				13 * magno.Second: func(w *World) { w.Change(first(n), func(i int) { w.Down[i] = true }) },
+				13500: func(w *World) {
+					w.Change(first(n), func(i int) { w.Down[i] = false; w.fleet.start(i) })
+				},
+			}
+			return w
+		}},
 		{"a third is cut off, one at eight times", func(n int) *World {
 			w := world(n)
 			w.Customers[1].Rate *= 8
@@ -112,7 +124,7 @@
 // refusing what is within it.
 func TestAllowancesHold(t *testing.T) {
 	for _, l := range loads() {
-		for _, n := range []int{30, 100} {
+		for _, n := range []int{30, 100, 200} {
 			t.Run(fmt.Sprintf("%s, %d entries", l.name, n), func(t *testing.T) {
 				for seed := range uint64(3) {
 					w := l.make(n)
--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -30,7 +30,7 @@
 	// startPart and startWindow bound what a new home grants at once, as shares of the
 	// burst and of a window's total: the previous home may have granted the rest.
 	startPart   = 0.5
-	startWindow = 0.1
+	startWindow = 0.02
 	// shareOut divides what is free beyond a need, since other processes ask as well.
 	shareOut = 4
 	// mostAfter bounds the time to come back.
@@ -81,6 +81,8 @@
 type home struct {
 	limit  magno.Limit
 	bucket bucket.Bucket
+	// made is when this process became the customer's home.
+	made magno.Millis
 	// granted is what was granted within Window, most what may be.
 	granted slide.Sum
 	most    float64
@@ -117,7 +119,7 @@
 	h := g.homes[customer]
 	fresh := h == nil
 	if fresh {
-		h = &home{granted: slide.Sum{Window: g.Window}}
+		h = &home{made: now, granted: slide.Sum{Window: g.Window}}
 		g.homes[customer] = h
 	}
 	if h.limit != limit {
@@ -126,12 +128,13 @@
 	seconds := float64(g.Window) / float64(magno.Second)
 	h.bucket.Level(now) // by the rate until now
 	h.bucket.Burst = limit.Burst * share
-	h.bucket.Rate = (limit.Rate + limit.Burst/seconds) * share
-	h.most = h.bucket.Rate * seconds
-	switch {
-	case fresh && share < 1:
-		h.bucket.Fill(h.bucket.Burst, now) // it is a part of the burst already
-	case fresh:
+	pace := limit.Rate + limit.Burst/seconds
+	h.most = pace * seconds * share
+	if now-h.made < g.Window {
+		pace = limit.Rate // the previous home may have granted the burst
+	}
+	h.bucket.Rate = pace * share
+	if fresh {
 		h.bucket.Fill(min(h.bucket.Burst*startPart, h.most*startWindow), now)
 	}
 	return h
--- a/magno/grant/grant_test.go
+++ b/magno/grant/grant_test.go
@@ -13,17 +13,34 @@
 
 const window = 8 * magno.Second
 
-// drained is a home whose customer has used all of its allowance.
+// drained is a home past its first window whose customer has used all of its burst.
 func drained(t *testing.T) (*Grants, *magno.Clock) {
 	t.Helper()
 	clock := magno.NewClock(magno.Hour)
 	g := &Grants{Clock: clock, Window: window}
-	if r := g.Grant(Ask{Customer: "a", Need: 500, Least: 500, Want: 500}, limit, 4, 4); r.Granted != 500 {
-		t.Fatalf("a new home grants %v of half its burst", r.Granted)
+	g.Grant(Ask{Customer: "a", Need: 1, Least: 1, Want: 1}, limit, 4, 4)
+	clock.Advance(window)
+	if r := g.Grant(Ask{Customer: "a", Need: 1000, Least: 1000, Want: 1000}, limit, 4, 4); r.Granted != 1000 {
+		t.Fatalf("granted %v of the burst", r.Granted)
 	}
 	return g, clock
 }
 
+// Guards against a home that takes over and grants a burst, which the one before may just
+// have granted.
+func TestNewHomeGrantsTheRateOnly(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	g := &Grants{Clock: clock, Window: window}
+	sum, total := 0.0, limit.Rate*8+limit.Burst
+	for at := magno.Millis(0); at < window; at += 100 {
+		sum += g.Grant(Ask{Customer: "a", Need: 10000, Least: 1, Want: 10000}, limit, 4, 4).Granted
+		if most := startWindow*total + limit.Rate*float64(at)/1000; sum > most+1 || sum < most-1 {
+			t.Fatalf("%v granted after %d ms, want %v", sum, at, most)
+		}
+		clock.Advance(100)
+	}
+}
+
 func TestNeedsBeforeWants(t *testing.T) {
 	g, clock := drained(t)
 	clock.Advance(600)
