allow: the slack of a process that starts grows with its age

All lose power at 34 s; those before had used their slack, and each that starts took its part anew, as one of the three seeds while it had met nobody. Ruled out: idempotent requests sent too often by one entry (each try asks the allowance). Change: a process's part of the slack grows with its age up to the window's length; one that has just started counts sixteen, or all that it heard of.

--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -106,17 +106,14 @@
 }
 
 // Processes counts the entries that share the retry allowance, this one
-// included: those alive lately, and at least as many as there are seeds.
+// included: those that may be, and at least as many as there are seeds. One that has just
+// started takes it that there are many.
 func (p *Peers) Processes() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n, now := 1, p.Clock.Now()
-	for _, k := range p.known {
-		if k.seen > 0 && now-k.seen < seenFor {
-			n++
-		}
+	_, known := p.Count()
+	if p.Clock.Now()-p.since < meetTime && len(p.Seeds) > 1 {
+		known = max(known, unmet)
 	}
-	return max(n, len(p.Seeds))
+	return max(known, len(p.Seeds))
 }
 
 // Mates lists the addresses of the entries of this data centre that are alive, this one's
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -18,6 +18,8 @@
 	book  *view.Book
 	peers *peers.Peers
 	set   *magno.SiteSettings
+	// since is when this process started.
+	since magno.Millis
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -37,7 +39,7 @@
 		router: &route.Route{
 			Clock: p.clock, Seed: xxhash.Sum64String(p.set.Name), DataCentre: p.set.DataCentre,
 		},
-		allow: &allow.Window{Clock: p.clock, Ratio: p.set.RetryRatio, Slack: p.set.RetrySlack, Span: p.set.RetryWindow},
+		allow: &allow.Window{Clock: p.clock, Ratio: p.set.RetryRatio, Slack: p.set.RetrySlack, Span: p.set.RetryWindow, Since: p.since},
 	}
 	if s := p.book.Now().Plan.Service(service); s != nil && s.Engine != nil {
 		made.router.Tuning = route.Permitted()
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -79,7 +79,7 @@
 		Self: set.Name, Addr: set.Peers, Link: set.Link, DataCentre: set.DataCentre, Seeds: set.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
 	}
 	e.peers.Open()
-	e.pools = &pools{clock: clock, book: e.book, peers: e.peers, set: set}
+	e.pools = &pools{clock: clock, book: e.book, peers: e.peers, set: set, since: clock.Now()}
 	e.reads = &reads.Reads{
 		List: site.Lister(set.List), Book: e.book, Mine: e.peers.Mine, Push: e.peers.Push, Able: e.peers.Able, Fresh: set.Revoke > 0, Log: log,
 	}
--- a/magno/allow/allow.go
+++ b/magno/allow/allow.go
@@ -30,6 +30,9 @@
 	Slack float64
 	// Span is the window's length.
 	Span magno.Millis
+	// Since is when this process started. Its part of the slack grows with its age up to
+	// Span: all processes may have started anew, and those before have used theirs.
+	Since magno.Millis
 
 	mu sync.Mutex
 	// taken are requests that came in, again further sends, of the last Span.
@@ -51,7 +54,8 @@
 	defer w.mu.Unlock()
 	w.setup()
 	now := w.Clock.Now()
-	limit := Keep * (w.Ratio*w.taken.Now(now) + w.Slack/float64(max(processes, 1)))
+	age := min(float64(now-w.Since)/float64(max(w.Span, 1)), 1)
+	limit := Keep * (w.Ratio*w.taken.Now(now) + age*w.Slack/float64(max(processes, 1)))
 	if w.again.Now(now)+1 > limit {
 		return false
 	}
--- a/magno/allow/allow_test.go
+++ b/magno/allow/allow_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/slide"
 )
 
 // A pool fails everything and each process would send each request again. Four
@@ -67,3 +68,48 @@
 		t.Error("nothing is allowed though the window has passed")
 	}
 }
+
+// Guards against processes that are all killed, start anew and take their part of the
+// slack again, each a larger one while it knows few of the others.
+func TestAllProcessesThatStartAnewStayWithinTheBound(t *testing.T) {
+	const entries, met = 29, 16
+	const ratio, slack, span = 0.2, 98.0, 10 * magno.Second
+	clock := magno.NewClock(magno.Hour)
+	var all []*Window
+	fresh := func() {
+		all = nil
+		for range entries {
+			all = append(all, &Window{Clock: clock, Ratio: ratio, Slack: slack, Span: span, Since: clock.Now()})
+		}
+	}
+	fresh()
+	clock.Advance(span)
+	began, start := clock.Now(), magno.Millis(0)
+	var taken, again slide.Sum
+	taken.Window, again.Window = span, span
+	for clock.Now()-began < 3*span {
+		clock.Advance(10)
+		now := clock.Now()
+		if start == 0 && now-began >= 2*span-magno.Second {
+			start = now
+			fresh()
+		}
+		processes := entries
+		if now-start < magno.Second {
+			processes = met
+		}
+		for range 2 { // 200 requests a second
+			w := all[int(taken.Now(now))%entries]
+			w.Taken()
+			taken.Add(1, now)
+			for range 3 {
+				if w.Again(processes) {
+					again.Add(1, now)
+				}
+			}
+		}
+		if most := ratio*taken.Now(now) + slack; again.Now(now) > most {
+			t.Fatalf("%v of %v further sends, %d ms after the start", again.Now(now), most, now-start)
+		}
+	}
+}
