grant: a new home grants a request at once where the limit counts requests

Cause: a fiftieth of a window is less than one request of a customer with a limit of one a second; TestCallersNeedTheirCustomersKey (race, final code) saw 40 of 40 refused.

--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -135,7 +135,11 @@
 	}
 	h.bucket.Rate = pace * share
 	if fresh {
-		h.bucket.Fill(min(h.bucket.Burst*startPart, h.most*startWindow), now)
+		at := min(h.bucket.Burst*startPart, h.most*startWindow)
+		if !limit.Tokens {
+			at = max(at, min(h.bucket.Burst, 1)) // less than a request is of no use
+		}
+		h.bucket.Fill(at, now)
 	}
 	return h
 }
