relay: the writer with deadlines of magno/listen, not one of its own

The platform's front now wraps the relay in listen.Timed, as the own interface's server did; five seconds for a write. Without the wrapper TestCallerThatStopsReadingIsCut waits in vain.

--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -47,7 +47,7 @@
 	route *magno.Route
 	body  []byte
 	// bodyRoom and answerRoom are what the body and an upstream's answer hold.
-	bodyRoom, answerRoom share
+	bodyRoom, answerRoom holding
 	// customer is whom the caller's key belongs to, nil where none is needed. cost is
 	// what the request took from its allowance.
 	customer *magno.Customer
--- a/entry/relay/memory_test.go
+++ b/entry/relay/memory_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"golang.org/x/sync/semaphore"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/listen"
 )
 
 // Guards against a caller that stops reading and keeps its request, and a place at the
@@ -27,8 +29,9 @@
 		}
 	})
 	s := newSite(t, magno.KindStream, false, u)
-	s.CallerTime = 100
-	c, err := net.Dial("tcp", strings.TrimPrefix(s.server.URL, "http://"))
+	server := httptest.NewServer(listen.Timed(s.Relay, 100))
+	defer server.Close()
+	c, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +81,7 @@
 }
 
 // Guards against an answer over the limit that is cut there and passed on as whole.
-func TestShareCountsWhatItReads(t *testing.T) {
+func TestHoldingCountsWhatItReads(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		room, ready int64
@@ -92,7 +95,7 @@
 		{"no room", 4, 0, strings.NewReader("12345"), "", true},
 		{"one over the limit", 100, 0, strings.NewReader("1234567890"), "123456789", false},
 	} {
-		s := &share{room: semaphore.NewWeighted(c.room)}
+		s := &holding{room: semaphore.NewWeighted(c.room)}
 		if err := s.wait(t.Context(), c.ready); err != nil {
 			t.Fatal(err)
 		}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -98,9 +98,6 @@
 	// Bodies and Answers are the bytes of requests' bodies and of upstreams' answers that
 	// are held at once; nil where they aren't bounded.
 	Bodies, Answers *semaphore.Weighted
-	// CallerTime is how long a caller may leave what was sent to it unread; zero for the
-	// default.
-	CallerTime magno.Millis
 
 	table atomic.Pointer[tabled]
 	// tabling is held while table is made: for thousands of routes that takes a small
@@ -285,7 +282,6 @@
 		h.Set("Connection", "close") // the next one finds another instance
 	}
 	h.Set("Content-Length", "0")
-	j.writing()
 	j.w.WriteHeader(status)
 	j.note(status, string(refusal.Kind), refusal.Detail)
 }
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -200,7 +200,6 @@
 	plainType(h)
 	j.closing(h)
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	j.writing()
 	j.w.WriteHeader(a.status)
 	outcome := "served"
 	if a.status >= http.StatusInternalServerError {
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -68,7 +68,6 @@
 			continue
 		}
 		j.begin(res)
-		j.writing()
 		if _, err := j.w.Write(event); err != nil {
 			return errors.Mark(err, errCaller)
 		}
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -13,6 +13,7 @@
 
 	"magnoliastall.example/entry/relay"
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/listen"
 	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
 )
@@ -23,6 +24,9 @@
 	headerLimit = 16 << 10
 	// headerTime bounds the reading of a header.
 	headerTime = 5 * time.Second
+	// callerTime is how long a caller may leave what was sent to it unread before its
+	// connection is cut.
+	callerTime = 5 * magno.Second
 	// idleTime is how long an idle connection of a caller is kept: longer than
 	// any configuration lets callers stay idle, so that a request never crosses
 	// a close of ours.
@@ -62,7 +66,7 @@
 // Run serves callers until ctx ends.
 func (f *front) Run(ctx context.Context) error {
 	return serve(ctx, f.set.Callers, &http.Server{
-		Handler: f.relay, MaxHeaderBytes: headerLimit, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		Handler: listen.Timed(f.relay, callerTime), MaxHeaderBytes: headerLimit, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}, answerTime)
 }
--- a/magno/listen/listen.go
+++ b/magno/listen/listen.go
@@ -65,7 +65,7 @@
 		s.Bound(listener.Addr().String())
 	}
 	server := &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
+		Handler:           Timed(s.Handler, s.Stall),
 		MaxHeaderBytes:    headerLimit,
 		ReadHeaderTimeout: headerTime,
 		ReadTimeout:       s.Read.Span(),
@@ -87,12 +87,14 @@
 	return err
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	stall := s.Stall
+// Timed returns h with a time limit for each write to a client; zero means 10 seconds.
+func Timed(h http.Handler, stall magno.Millis) http.Handler {
 	if stall == 0 {
 		stall = stallTime
 	}
-	s.Handler.ServeHTTP(&timed{ResponseWriter: w, control: http.NewResponseController(w), stall: stall.Span()}, r)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(&timed{ResponseWriter: w, control: http.NewResponseController(w), stall: stall.Span()}, r)
+	})
 }
 
 // timed gives each write a deadline of its own. A server's WriteTimeout would
