peers: an entry's name is hashed once, not at each comparison

The order of readers is asked for at each tick of the desk and each question to a home. The count of entries that share the retry allowance leaves the guess of one that met nobody to Count, which makes it already.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -122,9 +122,11 @@
 }
 
 type peer struct {
-	hello  Hello
-	misses int
-	alive  bool
+	hello Hello
+	// standing is hello's.
+	standing standing
+	misses   int
+	alive    bool
 	// mine is true when this entry is the one of the pair that says hello.
 	mine bool
 	// ended is true when its machine refuses connections: nothing runs there.
@@ -382,7 +384,8 @@
 		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
 		p.wake()
 	}
-	k.hello, k.misses, k.alive, k.ended, k.seen = *h, 0, true, false, p.Clock.Now()
+	k.hello, k.standing = *h, h.standing()
+	k.misses, k.alive, k.ended, k.seen = 0, true, false, p.Clock.Now()
 	k.stamped = stamped{stamp: h.Stamp, came: p.Book.Clock.Now()}
 	p.mu.Unlock()
 	if mine := p.Book.Now().Revision; h.Revision == mine && h.Revision > 0 {
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -1,8 +1,8 @@
 package peers
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -74,11 +74,11 @@
 func anyone(*Hello) bool { return true }
 
 // before counts the entries that are to read the list rather than this one, of those
-// that count. One that stops comes after all that don't. The caller holds mu.
+// that count. The caller holds mu.
 func (p *Peers) before(counts func(*Hello) bool) int {
-	n, mine := 0, Hello{Name: p.Self, Link: p.Link, Leaving: p.leaving()}
+	n, mine := 0, p.standing()
 	for _, k := range p.known {
-		if k.alive && counts(&k.hello) && over(&k.hello, &mine) {
+		if k.alive && counts(&k.hello) && compare(k.standing, mine) < 0 {
 			n++
 		}
 	}
@@ -87,32 +87,43 @@
 
 func (p *Peers) leaving() bool { return p.Leaving != nil && p.Leaving() }
 
-// over orders entries: those that stop are the last, then by the bandwidth of their
-// machines, then by hash. A reader
-// tells each change to all others: with a narrow link, its callers' requests wait
-// behind that, and are sent on after their callers have left.
-func over(a, b *Hello) bool {
-	if a.Leaving != b.Leaving {
-		return b.Leaving
-	}
-	if a.Link != b.Link {
-		return a.Link > b.Link
-	}
-	ha, hb := xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)
-	if ha != hb {
-		return ha > hb
+// standing is what an entry's place among the others hangs on.
+type standing struct {
+	addr, name string
+	// hash is the name's.
+	hash    uint64
+	link    float64
+	leaving bool
+}
+
+func (h *Hello) standing() standing {
+	return standing{addr: h.Addr, name: h.Name, hash: xxhash.Sum64String(h.Name), link: h.Link, leaving: h.Leaving}
+}
+
+// standing is this entry's own.
+func (p *Peers) standing() standing {
+	h := Hello{Name: p.Self, Addr: p.Addr, Link: p.Link, Leaving: p.leaving()}
+	return h.standing()
+}
+
+// compare orders entries as readers: those that stop are the last, then by the bandwidth
+// of their machines, then by hash. A reader tells each change to all others: with a narrow
+// link, its callers' requests wait behind that, and are sent on after their callers have
+// left.
+func compare(a, b standing) int {
+	switch {
+	case a.leaving != b.leaving && b.leaving:
+		return -1
+	case a.leaving != b.leaving:
+		return 1
 	}
-	return strings.Compare(a.Name, b.Name) > 0
+	return cmp.Or(cmp.Compare(b.link, a.link), cmp.Compare(b.hash, a.hash), cmp.Compare(b.name, a.name))
 }
 
 // Processes counts the entries that share the retry allowance, this one
-// included: those that may be, and at least as many as there are seeds. One that has just
-// started takes it that there are many.
+// included: those that may be, and at least as many as there are seeds.
 func (p *Peers) Processes() int {
 	_, known := p.Count()
-	if p.Clock.Now()-p.since < meetTime && len(p.Seeds) > 1 {
-		known = max(known, unmet)
-	}
 	return max(known, len(p.Seeds))
 }
 
@@ -126,22 +137,17 @@
 // them, in the order of readers.
 func (p *Peers) ordered(counts func(*Hello) bool) []string {
 	p.mu.Lock()
-	list := []Hello{{Name: p.Self, Addr: p.Addr, Link: p.Link, Leaving: p.leaving()}}
+	list := []standing{p.standing()}
 	for _, k := range p.known {
 		if k.alive && counts(&k.hello) {
-			list = append(list, k.hello)
+			list = append(list, k.standing)
 		}
 	}
 	p.mu.Unlock()
-	slices.SortFunc(list, func(a, b Hello) int {
-		if over(&a, &b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, compare)
 	addrs := make([]string, 0, len(list))
-	for i := range list {
-		addrs = append(addrs, list[i].Addr)
+	for _, s := range list {
+		addrs = append(addrs, s.addr)
 	}
 	return addrs
 }
