notice, relay: read the limit that an upstream names, log and count it

The adapter now decodes it, entries record it by causal order, log when it begins or ends, and count the upstreams that name one. No decision uses it yet.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -20,6 +20,7 @@
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/view"
 )
 
@@ -244,7 +245,7 @@
 	book.ApplyRead(s.changes, 1, true)
 	s.Handler = &Handler{
 		Name: "e", Clock: clock, Book: book, Dialect: testDialect{}, Conns: &hop.Pool{Clock: clock}, Permits: s.permits,
-		Pools: s.pools, Suspects: &crash.Suspects{Clock: &magno.Clock{}}, Log: slog.New(slog.DiscardHandler),
+		Pools: s.pools, Suspects: &crash.Suspects{Clock: &magno.Clock{}}, Notices: &notice.Board{Clock: clock}, Log: slog.New(slog.DiscardHandler),
 	}
 	s.server = httptest.NewServer(s.Handler)
 	t.Cleanup(s.server.Close)
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -69,6 +69,8 @@
 	mayHaveRun bool
 	// runs counts the upstreams that may have run it.
 	runs int
+	// sentAt is when the last send began.
+	sentAt magno.Millis
 	// lastReplica is the replica of the last send. permitWait is the total wait for permits,
 	// and waitCauses its causes as reported by agents.
 	lastReplica string
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -28,6 +28,7 @@
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/gate"
 	"magnoliastall.example/magno/keys"
+	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/paths"
 	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
@@ -88,7 +89,9 @@
 	Pools   Pools
 	// Suspects records the requests that crashed upstreams.
 	Suspects *crash.Suspects
-	Log      *slog.Logger
+	// Notices holds what upstreams state about themselves.
+	Notices *notice.Board
+	Log     *slog.Logger
 	// Quotas is nil where no customer has a limit.
 	Quotas magno.Quotas
 	// MaxRevokeDelay is how long a key may still be accepted after its revocation, zero if that
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -50,6 +50,7 @@
 	defer stop()
 	j.tried = append(j.tried, key)
 	j.sends++
+	j.sentAt = j.Clock.Now()
 	if err := conn.Send(j.upstreamRequest(r, urgency)); err != nil {
 		_ = conn.Close()
 		if !errors.Is(err, hop.ErrSent) {
@@ -138,6 +139,7 @@
 // handleResponse handles a response whose header was read.
 func (j *job) handleResponse(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
 	reply := j.Dialect.Reply(res.StatusCode, res.Header)
+	j.recordNotice(r.Key(), &reply)
 	if j.route.Kind == magno.RouteStream && res.StatusCode == http.StatusOK && j.authentic(res, &reply) {
 		return j.forwardStream(ctx, r, conn, res)
 	}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -13,6 +13,7 @@
 	"net"
 	"strconv"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/semaphore"
 
 	"magnoliastall.example/entry/desk"
@@ -26,6 +27,7 @@
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/event"
 	"magnoliastall.example/magno/lines"
+	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/start"
 	"magnoliastall.example/magno/view"
 	"magnoliastall.example/magno/wire"
@@ -59,6 +61,7 @@
 	mesh     *wire.Mesh
 	book     *view.Store
 	conns    *hop.Pool
+	notices  *notice.Board
 	peers    *peers.Peers
 	pools    *pools
 	reader   *reads.Reader
@@ -74,6 +77,8 @@
 	e.mesh = &wire.Mesh{Listen: settings.PeerAddress, Allow: []string{start.AnyAddress}, Clock: clock, Log: log}
 	e.book = &view.Store{Clock: magno.NewBootTime(), OnChange: changeLogger(log), Log: log}
 	e.conns = &hop.Pool{Clock: clock}
+	e.notices = &notice.Board{Clock: clock}
+	metrics.GetOrCreateGauge("upstreams_limited", func() float64 { return float64(e.notices.Limited()) })
 	suspects := &crash.Suspects{Clock: &magno.Clock{}}
 	e.peers = &peers.Peers{
 		Self: settings.Name, Addr: settings.PeerAddress, LinkMbps: settings.LinkMbps, DataCentre: settings.DataCentre, Seeds: settings.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
@@ -95,7 +100,7 @@
 	e.lease.Open()
 	handler := &relay.Handler{
 		Name: settings.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Conns: e.conns, Permits: e.desk, Pools: e.pools,
-		Suspects: suspects, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
+		Suspects: suspects, Notices: e.notices, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
 		BodyMemory: memoryBudget(settings.MemoryLimit), ResponseMemory: memoryBudget(settings.MemoryLimit),
 	}
 	e.peers.Leaving = handler.Draining
@@ -200,6 +205,7 @@
 			keys[r.Key()] = true
 		}
 		f.conns.Prune(func(key string) bool { return keys[key] })
+		f.notices.Prune(func(key string) bool { return keys[key] })
 		select {
 		case <-ctx.Done():
 			return nil
--- /dev/null
+++ b/magno/notice/notice_test.go
@@ -0,0 +1,45 @@
+package notice
+
+import (
+	"testing"
+
+	"magnoliastall.example/magno"
+)
+
+// Guards against an answer that was made before the upstream named its limit, and arrives after
+// one that names it, ending the limit.
+func TestOlderAnswerDoesNotEndALimit(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Board{Clock: clock}
+	sent := clock.Now()
+	clock.Advance(10)
+	if !b.Record("u", magno.Notice{Limited: true, Rate: 2}, sent) {
+		t.Error("a new limit is no change")
+	}
+	clock.Advance(10)
+	if b.Record("u", magno.Notice{}, sent) {
+		t.Error("an older answer changed the state")
+	}
+	if rate, ok := b.Limit("u"); !ok || rate != 2 || b.Limited() != 1 {
+		t.Errorf("the limit is %v, %t", rate, ok)
+	}
+	if !b.Record("u", magno.Notice{}, clock.Now()) {
+		t.Error("a newer answer without a limit is no change")
+	}
+	if _, ok := b.Limit("u"); ok || b.Limited() != 0 {
+		t.Error("the limit has not ended")
+	}
+}
+
+func TestLimitsOfUpstreamsThatAreGoneAreForgotten(t *testing.T) {
+	b := &Board{Clock: magno.NewClock(magno.Hour)}
+	b.Record("u", magno.Notice{Limited: true, Rate: 2}, 0)
+	b.Record("v", magno.Notice{Limited: true}, 0)
+	b.Prune(func(key string) bool { return key == "v" })
+	if _, ok := b.Limit("u"); ok {
+		t.Error("the limit of an upstream that is gone is kept")
+	}
+	if rate, ok := b.Limit("v"); !ok || rate != 0 {
+		t.Errorf("the limit of the other one is %v, %t; want 0", rate, ok)
+	}
+}
--- a/magno/site.go
+++ b/magno/site.go
@@ -132,6 +132,16 @@
 	Misrouted bool
 	// Signed is true if the answer has the upstream's signature.
 	Signed bool
+	// Notice is what the upstream states about itself.
+	Notice Notice
+}
+
+// Notice is what an upstream states about itself in an answer or a report.
+type Notice struct {
+	// Limited is true if the upstream states how many requests it accepts. Rate is that limit
+	// in requests per second from all processes together, at least 0.
+	Limited bool
+	Rate    float64
 }
 
 // Dialect translates HTTP headers.
