--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -102,6 +102,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// disturbedAt are the times of signals and starts.
+	disturbedAt []time.Time
 }
 
 func address(net, host, port int) string {
@@ -139,7 +141,7 @@
 	}
 	for i := range entryCount {
 		m := &fake.Machine{
-			Name: fmt.Sprintf("entry-%d", i+1), Zone: "z", IP: fmt.Sprintf("127.0.1.%d", i+1), Callers: address(1, i+1, 1),
+			Name: entryName(i), Zone: "z", IP: fmt.Sprintf("127.0.1.%d", i+1), Callers: address(1, i+1, 1),
 			Ready: address(1, i+1, 2), Peers: address(1, i+1, 3), InternalPort: portBase + 10, Store: address(5, 2, 30), Seeds: seeds,
 		}
 		f.entries = append(f.entries, m.Callers)
@@ -242,6 +244,27 @@
 	return n
 }
 
+// process returns the process with the given name.
+func (f *fleet) process(name string) *process {
+	for _, p := range f.procs {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// disturbed reports whether an entry was started, stopped, killed or paused in a period.
+func (f *fleet) disturbed(entry int, from, to time.Time) bool {
+	p := f.process(entryName(entry))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disturbedAt, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
+// entryName names the entry with the given index in entries.
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 // workers returns the workers of all incarnations so far.
 func (f *fleet) workers() []*fake.Worker {
 	f.mu.Lock()
@@ -299,6 +322,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cmd = cmd
+	p.disturbedAt = append(p.disturbedAt, time.Now())
 	return nil
 }
 
@@ -332,6 +356,9 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s != syscall.SIGHUP {
+		p.disturbedAt = append(p.disturbedAt, time.Now())
+	}
 	if p.cmd != nil && p.cmd.Process != nil {
 		_ = p.cmd.Process.Signal(s) // it may have exited already
 	}
--- /dev/null
+++ b/drive/soak/limit_test.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"magnoliastall.example/platform/fake"
+)
+
+// programDir is the folder of the built programs.
+var programDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	programDir = dir
+	for _, name := range []string{"agent", "entry"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(dir, name), "magnoliastall.example/"+name)
+		if out, err := build.CombinedOutput(); err != nil {
+			fmt.Printf("%s\n", out)
+			os.Exit(1)
+		}
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// startSoak starts the programs of a soak without faults.
+func startSoak(ctx context.Context, t *testing.T) *Soak {
+	t.Helper()
+	s := &Soak{Seed: 1, Dir: t.TempDir(), Bin: programDir, Out: io.Discard}
+	if err := s.start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// sendFor has all callers send requests while act runs.
+func (s *Soak) sendFor(ctx context.Context, act func()) {
+	playing, stop := context.WithCancel(ctx)
+	var working sync.WaitGroup
+	for i := range callers {
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			s.sendRequests(ctx, playing, i)
+		}()
+	}
+	act()
+	stop()
+	working.Wait()
+}
+
+// Guards against each entry keeping an upstream's limit for itself, or none keeping it: an
+// engine and a plain service name a limit, and so does an engine whose agent stops answering.
+func TestLimitOfAnUpstreamHoldsOverAllEntries(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := startSoak(ctx, t)
+	const rate = 2
+	engine, orphan, plain := s.fleet.engines[0].worker, s.fleet.engines[1].worker, s.fleet.plains[0].worker
+	s.sendFor(ctx, func() {
+		time.Sleep(time.Second)
+		for _, w := range []*fake.Worker{engine, orphan, plain} {
+			w.SetNotice(fake.Notice{Limited: true, Limit: rate})
+		}
+		time.Sleep(2 * time.Second)
+		s.fleet.process("agent-2").signal(syscall.SIGSTOP)
+		time.Sleep(8 * time.Second)
+	})
+	s.fleet.process("agent-2").signal(syscall.SIGCONT)
+	for name, w := range map[string]*fake.Worker{"engine": engine, "engine without its agent": orphan, "plain service": plain} {
+		t.Run(name, func(t *testing.T) {
+			for _, what := range s.observer().checkLimit(w) {
+				t.Error(what)
+			}
+			if n := len(w.Arrivals()); n < rate*2 {
+				t.Errorf("got %d requests in all; it would have accepted more", n)
+			}
+		})
+	}
+}
+
+// Guards against a check that can't fail.
+func TestLimitCheckFindsTooManyRequests(t *testing.T) {
+	w := &fake.Worker{ID: "w"}
+	w.Start()
+	w.SetNotice(fake.Notice{Limited: true, Limit: 1})
+	at := w.Notices()[0]
+	var arrivals []fake.Arrival
+	for i := range 40 {
+		arrivals = append(arrivals, fake.Arrival{ID: fmt.Sprint(i % 3), At: at.At.Add(time.Duration(i) * 200 * time.Millisecond)})
+	}
+	o := &observer{
+		entry:     func(id string) int { return int(id[0] - '0') },
+		disturbed: func(int, time.Time, time.Time) bool { return false },
+	}
+	end := at.At.Add(time.Minute)
+	if broken := o.checkPeriod("w", at, end, arrivals); len(broken) != 1 || !strings.Contains(broken[0], "allowed 11") {
+		t.Errorf("five requests per second at a limit of one: %q", broken)
+	}
+	o.disturbed = func(int, time.Time, time.Time) bool { return true }
+	if broken := o.checkPeriod("w", at, end, arrivals); len(broken) > 0 {
+		t.Errorf("entries that were disturbed all the time: %q", broken)
+	}
+}
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -62,6 +62,8 @@
 type request struct {
 	path    string
 	outcome fake.Outcome
+	// entry is the address that the caller sent it to.
+	entry string
 	// key is the credential that the caller sent, at is when.
 	key string
 	at  time.Time
@@ -71,15 +73,9 @@
 func (s *Soak) Run(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.sent, s.kinds, s.faults, s.reported = map[string]*request{}, map[string]int{}, map[string]int{}, map[string]bool{}
-	s.fleet = newFleet(s.Dir, s.Bin)
-	if err := s.fleet.start(ctx); err != nil {
+	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
-	if err := s.fleet.ready(ctx); err != nil {
-		return nil, err
-	}
-	s.started = time.Now()
 	watched := make(chan struct{})
 	watching, unwatch := context.WithCancel(ctx)
 	go func() {
@@ -109,6 +105,20 @@
 	return s.violations, nil
 }
 
+// start starts the programs, which run until ctx ends.
+func (s *Soak) start(ctx context.Context) error {
+	s.sent, s.kinds, s.faults, s.reported = map[string]*request{}, map[string]int{}, map[string]int{}, map[string]bool{}
+	s.fleet = newFleet(s.Dir, s.Bin)
+	if err := s.fleet.start(ctx); err != nil {
+		return err
+	}
+	if err := s.fleet.ready(ctx); err != nil {
+		return err
+	}
+	s.started = time.Now()
+	return nil
+}
+
 // sendRequests sends one request after another until playing ends.
 func (s *Soak) sendRequests(ctx, playing context.Context, n int) {
 	rnd := rand.New(rand.NewPCG(s.Seed, uint64(n)+1)) //nolint:gosec // not used as a secret
@@ -136,11 +146,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	at := time.Now()
+	r := &request{path: path, entry: address, key: caller.Key, at: time.Now()}
+	s.mu.Lock()
+	s.sent[id] = r
+	s.mu.Unlock()
 	o := caller.Send(ctx, address, path, id, adapter)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sent[id] = &request{path: path, outcome: o, key: caller.Key, at: at}
+	r.outcome = o
 	s.checkRequest(id, s.sent[id])
 	s.kinds[fmt.Sprintf("%s %s", strings.Trim(path, "/"), outcomeName(o))]++
 	return o
