--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -68,6 +68,9 @@
 	k.waiting[call.ID] = ch
 	k.updateSpec(call.Spec, call.Revision, call.ID)
 	r := k.check(call)
+	if r == nil {
+		k.adoptLimit(call.Limit, call.ID)
+	}
 	if r == nil && k.gate.Declines(&call.Request) {
 		k.stats.declined.Inc()
 		k.reply(call.ID, gate.PermitReply{Declined: true})
@@ -118,6 +121,47 @@
 	return nil, nil
 }
 
+// notice handles MethodNotice.
+func (k *Controller) notice(ctx context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var call gate.NoticeCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		k.Log.Warn("malformed notice of an engine", "error", err)
+		return nil, err
+	}
+	k.post(ctx, func() { k.applyNotice(&call) })
+	return nil, nil
+}
+
+// applyNotice runs on the gate's goroutine.
+func (k *Controller) applyNotice(call *gate.NoticeCall) {
+	if call.Replica != k.gate.Spec().Replica {
+		return
+	}
+	changed := false
+	if call.Limited {
+		changed = k.gate.NameLimit(call.Rate, k.Clock.Now())
+	} else {
+		changed = k.gate.EndLimit(call.ID)
+	}
+	if changed {
+		k.logLimit(call.ID)
+	}
+}
+
+// adoptLimit takes a limit that an entry knows of. This process may have started after the engine
+// named it.
+func (k *Controller) adoptLimit(s *magno.LimitState, request string) {
+	if s != nil && s.Limited && k.gate.NameLimit(s.Rate, k.Clock.Now()-s.Age) {
+		k.logLimit(request)
+	}
+}
+
+// logLimit logs that the engine's limit changed, and by which request that became known.
+func (k *Controller) logLimit(request string) {
+	s := k.gate.Limit()
+	k.Log.Info("engine limit", "limited", s.Limited, "rate", s.Rate, "request", request)
+}
+
 // status handles MethodStatus: it takes the entry's spec of the engine and returns the state of
 // this agent.
 func (k *Controller) status(ctx context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
@@ -141,6 +185,9 @@
 // applyStatus runs on the gate's goroutine.
 func (k *Controller) applyStatus(call *gate.StatusCall) gate.StatusReply {
 	k.updateSpec(call.Spec, call.Revision, call.Entry)
+	if call.Replica == k.gate.Spec().Replica {
+		k.adoptLimit(call.Limit, "")
+	}
 	return k.currentStatus()
 }
 
--- a/agent/keep/engine.go
+++ b/agent/keep/engine.go
@@ -90,7 +90,11 @@
 		k.Log.Info("engine", "born", r.StartedAt, "before", k.engineStart, "models", len(r.Loaded))
 	}
 	k.engineStart, k.reportAskedAt, k.down = r.StartedAt, requestedAt, false
+	was := k.gate.Limit()
 	k.gate.ApplyReport(r, requestedAt)
+	if is := k.gate.Limit(); is != nil && (was == nil || was.Limited != is.Limited || was.Rate != is.Rate) {
+		k.logLimit("")
+	}
 }
 
 // order sends one command to the engine and passes the outcome to the gate.
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -75,6 +75,7 @@
 	k.Mesh.Handle(gate.MethodPermit, k.permit)
 	k.Mesh.Handle(gate.MethodEnd, k.end)
 	k.Mesh.Handle(gate.MethodStatus, k.status)
+	k.Mesh.Handle(gate.MethodNotice, k.notice)
 }
 
 // Name implements magno.Task.
@@ -180,6 +181,7 @@
 		Replica: k.gate.Spec().Replica, Revision: k.specRevision, EngineStart: k.engineStart,
 		Down: k.down, Leaving: k.leaving, Backlog: k.gate.Backlog(),
 	}
+	r.Limit = k.gate.Limit()
 	r.SetListsHash()
 	k.listHistory.Record(&r)
 	return r
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -104,6 +104,8 @@
 	cmd *exec.Cmd
 	// disturbedAt are the times of signals and starts.
 	disturbedAt []time.Time
+	// ended is closed once the process has ended and isn't restarted.
+	ended chan struct{}
 }
 
 func address(net, host, port int) string {
@@ -163,7 +165,7 @@
 		return err
 	}
 	return f.run(ctx, "agent", &fake.Machine{
-		Name: fmt.Sprintf("agent-%d", n), Zone: "z", IP: fmt.Sprintf("127.0.2.%d", n), Worker: u.listen,
+		Name: agentName(n - 1), Zone: "z", IP: fmt.Sprintf("127.0.2.%d", n), Worker: u.listen,
 		InternalPort: portBase + 10, Store: address(5, 2, 30),
 	})
 }
@@ -265,6 +267,9 @@
 // entryName names the entry with the given index in entries.
 func entryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
+// agentName names the agent of the engine with the given index in engines.
+func agentName(i int) string { return fmt.Sprintf("agent-%d", i+1) }
+
 // workers returns the workers of all incarnations so far.
 func (f *fleet) workers() []*fake.Worker {
 	f.mu.Lock()
@@ -295,7 +300,7 @@
 
 // run starts a program on a machine and restarts it whenever it exits.
 func (f *fleet) run(ctx context.Context, kind string, m *fake.Machine) error {
-	p := &process{name: m.Name, kind: kind, bin: filepath.Join(f.bin, kind), settings: filepath.Join(f.dir, m.Name+".conf")}
+	p := &process{name: m.Name, kind: kind, bin: filepath.Join(f.bin, kind), settings: filepath.Join(f.dir, m.Name+".conf"), ended: make(chan struct{})}
 	if err := os.WriteFile(p.settings, []byte(m.Settings()), 0o600); err != nil {
 		return err
 	}
@@ -329,8 +334,16 @@
 // restartDelay is the pause before an exited process is restarted.
 const restartDelay = 200 * time.Millisecond
 
+// wait waits until all processes have ended, after the context of start did.
+func (f *fleet) wait() {
+	for _, p := range f.procs {
+		<-p.ended
+	}
+}
+
 // supervise restarts the process whenever it exits, and kills it when ctx ends.
 func (p *process) supervise(ctx context.Context) {
+	defer close(p.ended)
 	go func() {
 		<-ctx.Done()
 		p.signal(syscall.SIGCONT)
--- a/drive/soak/limit_test.go
+++ b/drive/soak/limit_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,18 +38,25 @@
 	os.Exit(code)
 }
 
-// startSoak starts the programs of a soak without faults.
-func startSoak(ctx context.Context, t *testing.T) *Soak {
+// startSoak starts the programs of a soak without faults. They run until the test ends.
+func startSoak(t *testing.T) *Soak {
 	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
 	s := &Soak{Seed: 1, Dir: t.TempDir(), Bin: programDir, Out: io.Discard}
-	if err := s.start(ctx); err != nil {
+	err := s.start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		s.fleet.wait()
+	})
+	if err != nil {
 		t.Fatal(err)
 	}
 	return s
 }
 
 // sendFor has all callers send requests while act runs.
-func (s *Soak) sendFor(ctx context.Context, act func()) {
+func (s *Soak) sendFor(act func()) {
+	ctx := context.Background()
 	playing, stop := context.WithCancel(ctx)
 	var working sync.WaitGroup
 	for i := range callers {
@@ -63,24 +71,38 @@
 	working.Wait()
 }
 
+// enginesByLoad returns the indexes of the engines, those with most requests first.
+func (s *Soak) enginesByLoad() []int {
+	list := make([]int, engineCount)
+	for i := range list {
+		list[i] = i
+	}
+	slices.SortFunc(list, func(a, b int) int {
+		return len(s.fleet.engines[b].worker.Arrivals()) - len(s.fleet.engines[a].worker.Arrivals())
+	})
+	return list
+}
+
 // Guards against each entry keeping an upstream's limit for itself, or none keeping it: an
 // engine and a plain service name a limit, and so does an engine whose agent stops answering.
 func TestLimitOfAnUpstreamHoldsOverAllEntries(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	s := startSoak(ctx, t)
+	s := startSoak(t)
 	const rate = 2
-	engine, orphan, plain := s.fleet.engines[0].worker, s.fleet.engines[1].worker, s.fleet.plains[0].worker
-	s.sendFor(ctx, func() {
+	plain := s.fleet.plains[0].worker
+	var engine, orphan *fake.Worker
+	s.sendFor(func() {
 		time.Sleep(time.Second)
+		byLoad := s.enginesByLoad()
+		engine, orphan = s.fleet.engines[byLoad[0]].worker, s.fleet.engines[byLoad[1]].worker
 		for _, w := range []*fake.Worker{engine, orphan, plain} {
 			w.SetNotice(fake.Notice{Limited: true, Limit: rate})
 		}
 		time.Sleep(2 * time.Second)
-		s.fleet.process("agent-2").signal(syscall.SIGSTOP)
+		agent := s.fleet.process(agentName(byLoad[1]))
+		agent.signal(syscall.SIGSTOP)
 		time.Sleep(8 * time.Second)
+		agent.signal(syscall.SIGCONT)
 	})
-	s.fleet.process("agent-2").signal(syscall.SIGCONT)
 	for name, w := range map[string]*fake.Worker{"engine": engine, "engine without its agent": orphan, "plain service": plain} {
 		t.Run(name, func(t *testing.T) {
 			for _, what := range s.observer().checkLimit(w) {
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -26,6 +26,7 @@
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/view"
 	"magnoliastall.example/magno/wire"
 )
@@ -83,6 +84,8 @@
 	// is the only entry.
 	Addr    string
 	Entries func() []string
+	// Notices holds what upstreams state about themselves.
+	Notices *notice.Board
 	// OnBacklog is called with each reported backlog and the key of the incarnation.
 	OnBacklog func(service, key string, b magno.Backlog)
 
@@ -258,6 +261,9 @@
 	spec, revision, listsHash := s.spec, s.specRevision, s.status.ListsHash
 	c.mu.Unlock()
 	call := gate.StatusCall{Revision: revision, ListsHash: listsHash}
+	if call.Limit = c.untoldLimit(s); call.Limit != nil {
+		call.Replica = spec.Replica
+	}
 	var reply gate.StatusReply
 	err := c.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
 	if err == nil && (reply.Revision < revision || (reply.Replica != spec.Replica && reply.Revision <= revision)) {
@@ -309,11 +315,47 @@
 	current, b := reply.Replica == key, reply.Backlog
 	b.Down = s.down()
 	c.mu.Unlock()
-	if current && c.OnBacklog != nil {
+	if !current {
+		return
+	}
+	if reply.Limit != nil && c.Notices.Adopt(key, *reply.Limit) {
+		c.Log.Info("upstream notice", "replica", key, "limited", reply.Limit.Limited, "rate", reply.Limit.Rate, "from", s.addr)
+	}
+	if c.OnBacklog != nil {
 		c.OnBacklog(service, key, b)
 	}
 }
 
+// untoldLimit returns the limit that an engine is known to have if its agent didn't report it:
+// the agent may have started after the engine named it.
+func (c *Client) untoldLimit(s *agentState) *magno.LimitState {
+	c.mu.Lock()
+	reported := s.status.Limit != nil && s.status.Limit.Limited
+	key := s.replica.Key()
+	c.mu.Unlock()
+	if reported {
+		return nil
+	}
+	return c.Notices.State(key)
+}
+
+// ReportNotice passes on what an engine's answer stated. If the notification is lost, the agent
+// learns of it with the next permit.
+func (c *Client) ReportNotice(key string, call gate.NoticeCall) {
+	c.mu.Lock()
+	s := c.agents[key]
+	c.mu.Unlock()
+	if s == nil {
+		return
+	}
+	call.Replica = key
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Duration())
+	defer cancel()
+	if err := c.Mesh.Notify(ctx, s.addr, gate.MethodNotice, call); err != nil {
+		c.Log.Info("cannot pass on notice", "replica", key, "request", call.ID, "limited", call.Limited, "error", err)
+	}
+}
+
 // ReportUnreachable records that a connection to an engine failed. If its agent is lost as
 // well, the machine is gone: the engine holds nothing any more, and no requests are sent to it
 // until its agent answers again.
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -14,6 +14,7 @@
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/view"
 	"magnoliastall.example/magno/wire"
 )
@@ -90,7 +91,7 @@
 		{Key: "plan", Revision: 1, Plan: &magno.Plan{Version: 1, Services: []magno.Service{{Name: "s", Engine: &magno.Engine{Batch: 1}}}}},
 		{Key: "r", Revision: 1, Replica: &magno.Replica{ID: "r", Service: "s", Address: "127.0.0.1:1", DataCentre: "x", Slots: 1}},
 	}, 1, true)
-	client := &Client{Self: "e", Mesh: &wire.Mesh{Clock: clock}, Book: book, Clock: clock, Log: slog.New(slog.DiscardHandler), AgentPort: number}
+	client := &Client{Notices: &notice.Board{Clock: clock}, Self: "e", Mesh: &wire.Mesh{Clock: clock}, Book: book, Clock: clock, Log: slog.New(slog.DiscardHandler), AgentPort: number}
 	client.Open()
 	ctx, cancel := context.WithCancel(context.Background())
 	agentCtx, stopAgent := context.WithCancel(ctx)
--- a/entry/desk/lost_test.go
+++ b/entry/desk/lost_test.go
@@ -10,13 +10,14 @@
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/view"
 )
 
 // newFleet returns a client with n agents that all answered just now.
 func newFleet(n int) (*Client, *magno.Clock) {
 	clock := magno.NewClock(magno.Hour)
-	client := &Client{Clock: clock, Log: slog.New(slog.DiscardHandler), agents: map[string]*agentState{}}
+	client := &Client{Notices: &notice.Board{Clock: clock}, Clock: clock, Log: slog.New(slog.DiscardHandler), agents: map[string]*agentState{}}
 	for i := range n {
 		r := &magno.Replica{ID: strconv.Itoa(i), Service: "s"}
 		s := &agentState{replica: r, polledAt: clock.Now(), heardAt: clock.Now(), lostCh: make(chan struct{}), hash: xxhash.Sum64String(r.Key())}
--- a/entry/desk/permit.go
+++ b/entry/desk/permit.go
@@ -28,6 +28,7 @@
 		call.Spec, call.Revision = s.spec, s.specRevision
 	}
 	c.mu.Unlock()
+	call.Limit = c.untoldLimit(s)
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := make(chan struct{})
--- /dev/null
+++ b/entry/limit/limit.go
@@ -0,0 +1,305 @@
+// Package limit keeps requests within the limits that upstreams without an agent name.
+//
+//	relay --Take--> home of the upstream (this or another entry): pace --> granted or not
+//	relay --Report--> home --state, at each change--> all entries
+//
+// Load pattern: a plain service names a limit of a few requests per second, and hundreds of
+// entries send to it, each about once a minute. An entry that has only its own answers to go
+// by would learn of the limit after it has mattered, and none knows what the others send. So
+// one entry, the upstream's home, counts for all and tells all of them of the limit.
+//
+// Nothing lasts: a home that starts takes the limit from the first entry that asks it, and
+// begins without a burst. While no home can be reached no request is granted, since every
+// entry could be the only one that still is.
+package limit
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/grant"
+	"magnoliastall.example/magno/notice"
+	"magnoliastall.example/magno/pace"
+	"magnoliastall.example/magno/wire"
+)
+
+// Methods of the protocol between entries.
+const (
+	MethodTake   = "limit/take"   // takeCall, answered by takeReply
+	MethodReport = "limit/report" // reportCall, a notification to the home
+	MethodState  = "limit/state"  // stateCall, a notification to all entries
+)
+
+const (
+	// callTimeout bounds a call to a home.
+	callTimeout = 150 * magno.Millis(1)
+	// homeRetryAfter is when to ask again after no home answered.
+	homeRetryAfter = 300 * magno.Millis(1)
+	// maxHomes bounds the homes that are tried. The second is tried only if the first can't be
+	// reached at all.
+	maxHomes = 2
+	// maxQueued bounds the changes that wait to be sent to all entries.
+	maxQueued = 64
+	// homeTTL is how long a home remembers an upstream that nobody asked for.
+	homeTTL       = magno.Minute
+	pruneInterval = 10 * magno.Second
+)
+
+// takeCall asks for one request to an upstream. Rate is its limit as far as the caller knows.
+type takeCall struct {
+	Key  string  `json:"key"`
+	Rate float64 `json:"rate"`
+}
+
+type takeReply struct {
+	magno.LimitGrant
+	// State is what the home knows of the limit.
+	State magno.LimitState `json:"state"`
+}
+
+// reportCall tells the home what an answer stated. Grant is zero if the request was sent without
+// one.
+type reportCall struct {
+	Key     string           `json:"key"`
+	Limited bool             `json:"limited,omitempty"`
+	Rate    float64          `json:"rate,omitempty"`
+	Grant   magno.LimitGrant `json:"grant"`
+}
+
+type stateCall struct {
+	Key   string           `json:"key"`
+	State magno.LimitState `json:"state"`
+}
+
+// Manager asks the homes of upstreams, and is the home of some. Exported fields are set before
+// Open.
+type Manager struct {
+	// Self is this entry's address.
+	Self string
+	Mesh *wire.Mesh
+	// Homes lists the addresses of an upstream's homes in order of preference.
+	Homes func(key string) []string
+	// Entries returns a new list of the addresses of all live entries, including this one.
+	Entries func() []string
+	// Count returns the number of entries that are alive and the number known.
+	Count   func() (alive, known int)
+	Notices *notice.Board
+	Clock   *magno.Clock
+	Log     *slog.Logger
+
+	// process identifies this process in grants.
+	process uint64
+
+	mu sync.Mutex
+	// homes holds the upstreams that this entry is the home of.
+	homes        map[string]*home
+	changes      chan stateCall
+	calls, fails *metrics.Counter
+}
+
+// home is the accounting of one upstream.
+type home struct {
+	limiter pace.Limiter
+	usedAt  magno.Millis
+}
+
+// Open registers the methods on the mesh. It must be called before the mesh runs.
+func (m *Manager) Open() {
+	m.process = rand.Uint64() | 1
+	m.homes = map[string]*home{}
+	m.changes = make(chan stateCall, maxQueued)
+	m.calls = metrics.GetOrCreateCounter("limit_calls_total")
+	m.fails = metrics.GetOrCreateCounter("limit_failures_total")
+	m.Mesh.Handle(MethodTake, m.handleTake)
+	m.Mesh.Handle(MethodReport, m.handleReport)
+	m.Mesh.Handle(MethodState, m.handleState)
+}
+
+// Name implements magno.Task.
+func (m *Manager) Name() string { return "limit" }
+
+// Run sends changes to all entries until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticks := time.NewTicker(pruneInterval.Duration())
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-m.changes:
+			m.broadcast(ctx, c)
+		case <-ticks.C:
+			m.prune()
+		}
+	}
+}
+
+// Take asks the upstream's home for one request. A home that doesn't answer grants nothing.
+func (m *Manager) Take(ctx context.Context, key string, rate float64) magno.LimitGrant {
+	homes := m.Homes(key)
+	for _, addr := range homes[:min(len(homes), maxHomes)] {
+		reply, err := m.callTake(ctx, addr, takeCall{Key: key, Rate: rate})
+		if err == nil {
+			if !reply.State.Limited {
+				m.Notices.Adopt(key, reply.State)
+			}
+			return reply.LimitGrant
+		}
+		m.fails.Inc()
+		m.Log.Info("limit", "home", addr, "replica", key, "error", err)
+		if !wire.NotSent(err) {
+			break
+		}
+	}
+	return magno.LimitGrant{RetryAfter: homeRetryAfter}
+}
+
+func (m *Manager) callTake(ctx context.Context, addr string, call takeCall) (takeReply, error) {
+	if addr == m.Self {
+		return m.take(call), nil
+	}
+	m.calls.Inc()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	var reply takeReply
+	err := m.Mesh.Call(ctx, addr, MethodTake, call, &reply)
+	return reply, err
+}
+
+// Report tells the upstream's home what an answer stated. The answer belongs to a request with
+// the given grant, zero if it was sent without one. If the notification is lost, the next
+// answer repeats it.
+func (m *Manager) Report(key string, n magno.Notice, g magno.LimitGrant) {
+	homes := m.Homes(key)
+	if len(homes) == 0 {
+		return
+	}
+	call := reportCall{Key: key, Limited: n.Limited, Rate: n.Rate, Grant: g}
+	if homes[0] == m.Self {
+		m.report(call)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout.Duration())
+	defer cancel()
+	if err := m.Mesh.Notify(ctx, homes[0], MethodReport, call); err != nil {
+		m.Log.Info("limit", "home", homes[0], "replica", key, "limited", n.Limited, "rate", n.Rate, "error", err)
+	}
+}
+
+// take grants a request as the upstream's home.
+//
+// While entries are partitioned each part has a home of its own, and each grants only the share
+// of the entries that it sees.
+func (m *Manager) take(call takeCall) takeReply {
+	alive, known := m.Count()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	l := &m.home(call.Key, now).limiter
+	if l.State(now) == nil {
+		l.Name(call.Rate, now, now)
+	}
+	state := *l.State(now)
+	if !l.Allows(now) {
+		return takeReply{LimitGrant: magno.LimitGrant{RetryAfter: l.RetryAfter(now)}, State: state}
+	}
+	l.Take(1 / grant.Share(alive, known))
+	return takeReply{LimitGrant: magno.LimitGrant{Granted: true, Rate: state.Rate, At: now, Process: m.process}, State: state}
+}
+
+// report takes what an answer stated as the upstream's home, and has all entries told of a
+// change.
+func (m *Manager) report(call reportCall) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	l := &m.home(call.Key, now).limiter
+	changed := false
+	switch {
+	case call.Limited:
+		changed = l.Name(call.Rate, now, now)
+	case call.Grant.Process == m.process: // other processes have other clocks
+		changed = l.End(call.Grant.At, now)
+	}
+	if !changed {
+		return
+	}
+	state := *l.State(now)
+	m.Log.Info("upstream limit", "replica", call.Key, "limited", state.Limited, "rate", state.Rate)
+	select {
+	case m.changes <- stateCall{Key: call.Key, State: state}:
+	default: // entries learn of it from their own answers
+		m.Log.Warn("queue of limit changes is full", "replica", call.Key)
+	}
+}
+
+// home returns the accounting of an upstream. The caller holds mu.
+func (m *Manager) home(key string, now magno.Millis) *home {
+	h := m.homes[key]
+	if h == nil {
+		h = &home{}
+		m.homes[key] = h
+	}
+	h.usedAt = now
+	return h
+}
+
+func (m *Manager) prune() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, h := range m.homes {
+		if m.Clock.Now()-h.usedAt > homeTTL {
+			delete(m.homes, key)
+		}
+	}
+}
+
+// broadcast tells all entries what is known of a limit.
+func (m *Manager) broadcast(ctx context.Context, c stateCall) {
+	m.Notices.Adopt(c.Key, c.State)
+	others := slices.DeleteFunc(m.Entries(), func(addr string) bool { return addr == m.Self })
+	err := m.Mesh.Broadcast(ctx, others, MethodState, callTimeout, c, func(addr string, err error) {
+		m.Log.Info("cannot pass on limit", "addr", addr, "replica", c.Key, "error", err)
+	})
+	if err != nil {
+		m.Log.Error("cannot broadcast limit", "replica", c.Key, "error", err)
+	}
+}
+
+func (m *Manager) handleTake(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var call takeCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
+	}
+	return m.take(call), nil
+}
+
+func (m *Manager) handleReport(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var call reportCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		m.Log.Warn("malformed report of a limit", "error", err)
+		return nil, err
+	}
+	m.report(call)
+	return nil, nil
+}
+
+func (m *Manager) handleState(_ context.Context, p *wire.Peer, params json.RawMessage) (any, error) {
+	var call stateCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		m.Log.Warn("malformed state of a limit", "error", err)
+		return nil, err
+	}
+	if m.Notices.Adopt(call.Key, call.State) {
+		m.Log.Info("upstream notice", "replica", call.Key, "limited", call.State.Limited, "rate", call.State.Rate, "from", p.Addr)
+	}
+	return nil, nil
+}
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -127,6 +127,10 @@
 	return max(known, len(p.Seeds))
 }
 
+// Entries returns the addresses of all live entries, this one's included, in the order of
+// readers.
+func (p *Peers) Entries() []string { return p.rankedAddrs(anyEntry) }
+
 // DataCentreEntries returns the addresses of the live entries of this data centre, this
 // one's included, in the order of readers.
 func (p *Peers) DataCentreEntries() []string {
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -47,8 +48,10 @@
 }
 
 func (testDialect) Reply(status int, h http.Header) magno.Reply {
+	rate, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	return magno.Reply{
-		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "",
+		Notice: magno.Notice{Limited: err == nil, Rate: rate},
+		ID:     h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "",
 		Misrouted: status == http.StatusMisdirectedRequest,
 	}
 }
@@ -63,6 +66,8 @@
 	// maxWait is the Most of each choice. Replicas in rankedLast are chosen last.
 	maxWait    magno.Millis
 	rankedLast map[string]bool
+	// resting are the replicas that rest, which these pools never end.
+	resting map[string]magno.Millis
 }
 
 func (p *fakePools) Router(string) magno.Chooser { return p }
@@ -74,6 +79,14 @@
 	return p.retries >= 0
 }
 func (p *fakePools) Update([]magno.Target) {}
+func (p *fakePools) Rest(name string, until magno.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resting == nil {
+		p.resting = map[string]magno.Millis{}
+	}
+	p.resting[name] = until
+}
 func (p *fakePools) Route(q magno.Query) []string {
 	var list []string
 	for _, n := range p.replicas {
@@ -81,6 +94,7 @@
 		for _, a := range q.Avoid {
 			avoided = avoided || a == n
 		}
+		avoided = avoided || p.resting[n] > 0
 		if !avoided {
 			list = append(list, n)
 		}
@@ -100,7 +114,13 @@
 		}
 		return -1
 	})
-	return magno.Choice{Names: names, MaxWait: p.maxWait}
+	c := magno.Choice{Names: names, MaxWait: p.maxWait}
+	for _, until := range p.resting {
+		if len(names) == 0 {
+			c.RetryAfter = max(until-magno.NewMonotonic().Now(), 1)
+		}
+	}
+	return c
 }
 func (p *fakePools) Report(string, magno.Backlog) {}
 func (p *fakePools) Sent(name string, work int) {
@@ -126,6 +146,9 @@
 	// declines is called for each permit request that may be declined, and decides whether it
 	// is.
 	declines func(key string) bool
+
+	mu      sync.Mutex
+	notices []gate.NoticeCall
 }
 
 func (p *fakePermits) Acquire(_ context.Context, key string, req gate.Request) (*gate.PermitReply, error) {
@@ -144,9 +167,15 @@
 	return &gate.PermitReply{}, nil
 }
 func (p *fakePermits) Release(string, gate.EndCall) {}
-func (p *fakePermits) Holds(string, string) bool    { return true }
-func (p *fakePermits) Down(string) bool             { return false }
-func (p *fakePermits) ReportUnreachable(string)     {}
+func (p *fakePermits) ReportNotice(key string, call gate.NoticeCall) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	call.Replica = key
+	p.notices = append(p.notices, call)
+}
+func (p *fakePermits) Holds(string, string) bool { return true }
+func (p *fakePermits) Down(string) bool          { return false }
+func (p *fakePermits) ReportUnreachable(string)  {}
 
 // fakeUpstream answers each request on a connection by calling script, and records the
 // requests.
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -71,6 +71,12 @@
 	runs int
 	// sentAt is when the last send began.
 	sentAt magno.Millis
+	// permitID is the permit of the last send, empty if it had none. permitLimited is true if it
+	// was granted under a limit of the engine.
+	permitID      string
+	permitLimited bool
+	// grant is that of the last send to an upstream that names a limit and has no agent.
+	grant magno.LimitGrant
 	// lastReplica is the replica of the last send. permitWait is the total wait for permits,
 	// and waitCauses its causes as reported by agents.
 	lastReplica string
@@ -181,17 +187,26 @@
 
 // attempt chooses a replica, acquires a permit and sends the request once.
 func (j *job) attempt(ctx context.Context) result {
+	if j.service.Engine == nil {
+		return j.sendToPlain(ctx)
+	}
 	choice := j.choose()
 	if len(choice.replicas) == 0 {
-		j.refusal = magno.Refuse(magno.KindNoUpstream, "no upstream of %s is there", j.service.Name).WithRetryAfter(noReplicaRetryAfter)
-		return resultRefused
-	}
-	if j.service.Engine == nil {
-		return j.sendPlain(ctx, choice.replicas[0])
+		return j.refuseChoice(&choice)
 	}
 	return j.sendToBest(ctx, choice)
 }
 
+// refuseChoice refuses the request because the choice is empty.
+func (j *job) refuseChoice(c *choice) result {
+	if c.retryAfter > 0 {
+		j.refusal = magno.Refuse(magno.KindBusy, "no upstream of %s accepts requests now", j.service.Name).WithRetryAfter(c.retryAfter)
+		return resultRefused
+	}
+	j.refusal = magno.Refuse(magno.KindNoUpstream, "no upstream of %s is there", j.service.Name).WithRetryAfter(noReplicaRetryAfter)
+	return resultRefused
+}
+
 func (j *job) query() magno.Query {
 	return magno.Query{Ref: j.engineRef(), Prefix: j.call.Prefix, Aim: j.route.Aim, Gap: j.route.Gap, Avoid: j.tried}
 }
@@ -216,6 +231,26 @@
 	return list
 }
 
+// sendToPlain sends the request to the best replica of a plain service whose limit allows it.
+func (j *job) sendToPlain(ctx context.Context) result {
+	router := j.Pools.Router(j.service.Name)
+	for range maxReplicasTried {
+		choice := j.choose()
+		if len(choice.replicas) == 0 {
+			return j.refuseChoice(&choice)
+		}
+		r := choice.replicas[0]
+		if j.takeLimit(ctx, r.Key(), 1) {
+			return j.sendPlain(ctx, r)
+		}
+		if ctx.Err() != nil {
+			return resultAborted
+		}
+		router.Rest(r.Key(), j.Clock.Now()+max(j.grant.RetryAfter, 1))
+	}
+	return resultRefused
+}
+
 // sendPlain sends the request to a replica of a plain service, which needs no permit.
 func (j *job) sendPlain(ctx context.Context, r *magno.Replica) result {
 	router := j.Pools.Router(j.service.Name)
--- a/entry/relay/notice.go
+++ b/entry/relay/notice.go
@@ -1,14 +1,57 @@
 package relay
 
 import (
+	"context"
+
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
 )
 
-// recordNotice records what the upstream that answered states about itself. An answer without
-// the request's id may be another upstream's.
+// agentlessShare is the share of an engine's limit that entries without access to its agent use.
+// The agent may still grant the whole limit to the others.
+const agentlessShare = 0.25
+
+// recordNotice records what the upstream that answered states about itself, and passes it on to
+// the process that grants requests to it. An answer without the request's id may be another
+// upstream's.
 func (j *job) recordNotice(key string, reply *magno.Reply) {
-	if reply.ID != j.id || !j.Notices.Record(key, reply.Notice, j.sentAt) {
+	if reply.ID != j.id {
 		return
 	}
-	j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", reply.Notice.Limited, "rate", reply.Notice.Rate)
+	n := reply.Notice
+	changed := j.Notices.Record(key, n, j.sentAt)
+	if changed {
+		j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", n.Limited, "rate", n.Rate)
+	}
+	switch {
+	case j.service.Engine != nil:
+		if changed || j.permitLimited != n.Limited {
+			j.Permits.ReportNotice(key, gate.NoticeCall{ID: j.permitID, Limited: n.Limited, Rate: n.Rate})
+		}
+	case changed, j.grant.Granted && (!n.Limited || n.Rate != j.grant.Rate):
+		j.Limits.Report(key, n, j.grant)
+	}
+}
+
+// takeLimit reports whether a request may be sent to an upstream that has no agent to grant it. It
+// may if the upstream names no limit, or if the given share of its limit allows it.
+func (j *job) takeLimit(ctx context.Context, key string, share float64) bool {
+	j.grant = magno.LimitGrant{}
+	rate, limited := j.Notices.Limit(key)
+	if !limited {
+		return true
+	}
+	j.grant = j.Limits.Take(ctx, key, rate*share)
+	if !j.grant.Granted {
+		j.deferRefusal(magno.Refuse(magno.KindBusy, "the upstream's limit is reached").WithRetryAfter(j.grant.RetryAfter))
+	}
+	return j.grant.Granted
+}
+
+// deferRefusal keeps a refusal for the case that no other upstream accepts the request. Of
+// several, the one with the earliest time to return is kept.
+func (j *job) deferRefusal(r *magno.Refusal) {
+	if j.refusal == nil || r.After < j.refusal.After {
+		j.refusal = r
+	}
 }
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -14,12 +14,14 @@
 	// maxWait is the longest wait at the first replica for which it is the best one, zero for
 	// any.
 	maxWait magno.Millis
+	// retryAfter is the time until one accepts requests again, if there is none because all rest.
+	retryAfter magno.Millis
 }
 
 // choose asks the router for replicas.
 func (j *job) choose() choice {
 	c := j.Pools.Router(j.service.Name).Choose(j.query())
-	return choice{replicas: j.findReplicas(c.Names), maxWait: c.MaxWait}
+	return choice{replicas: j.findReplicas(c.Names), maxWait: c.MaxWait, retryAfter: c.RetryAfter}
 }
 
 // sendToBest requests a permit for the best replica. Its agent may decline because another one
@@ -72,6 +74,7 @@
 		return res, res == resultAborted
 	}
 	sent := j.Clock.Now()
+	j.permitID = id
 	res = j.send(ctx, r, j.rank())
 	router.Ended(key, work, j.Clock.Now()-sent, res != resultUnsent && res != resultFailed)
 	j.Permits.Release(key, gate.EndCall{ID: id, OK: res == resultDone, MaxPause: j.longestPause})
@@ -83,6 +86,7 @@
 // is better now, and resultAborted if the caller is gone or the deadline has passed.
 func (j *job) acquirePermit(ctx context.Context, key string, maxWait magno.Millis) (string, result) {
 	start := j.Clock.Now()
+	j.permitLimited, j.grant = false, magno.LimitGrant{}
 	req := j.permitRequest(start)
 	req.DeclineAbove = maxWait
 	reply, err := j.Permits.Acquire(ctx, key, req)
@@ -98,17 +102,18 @@
 		return "", resultAborted
 	case err != nil:
 		// The agent is lost. Requests for what the engine held are sent without a permit.
-		if !j.Permits.Holds(key, gate.QualifiedName(j.call.Model, j.call.Adapter)) {
+		if !j.Permits.Holds(key, gate.QualifiedName(j.call.Model, j.call.Adapter)) || !j.takeLimit(ctx, key, agentlessShare) {
 			return "", resultRefused
 		}
 	case reply.Declined:
 		return "", resultDeclined
 	case reply.Refusal != nil:
-		if j.refusal == nil || reply.Refusal.After < j.refusal.After {
-			j.refusal = magno.Refuse(reply.Refusal.Kind, "%s", reply.Refusal.Detail).WithRetryAfter(max(reply.Refusal.After, busyRetryAfter))
-		}
+		j.deferRefusal(magno.Refuse(reply.Refusal.Kind, "%s", reply.Refusal.Detail).WithRetryAfter(max(reply.Refusal.After, busyRetryAfter)))
 		return "", resultRefused
 	}
+	if err == nil {
+		j.permitLimited = reply.Status.Limit != nil && reply.Status.Limit.Limited
+	}
 	if len(j.findReplicas([]string{key})) == 0 {
 		// The replica began to leave while the request waited.
 		j.Permits.Release(key, gate.EndCall{ID: req.ID})
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -59,6 +59,8 @@
 	// ends a permit, or the wait for one.
 	Acquire(ctx context.Context, key string, req gate.Request) (*gate.PermitReply, error)
 	Release(key string, call gate.EndCall)
+	// ReportNotice passes on what the answer of an engine stated.
+	ReportNotice(key string, call gate.NoticeCall)
 	// Holds reports whether an engine was last known to hold a model or adapter.
 	Holds(key, name string) bool
 	// Down reports whether an engine is known to be down or to have restarted.
@@ -77,6 +79,16 @@
 	AllowRetry(service string) bool
 }
 
+// Limits grants the requests to upstreams that name a limit and have no agent to grant them.
+type Limits interface {
+	// Take asks for a request to an upstream that accepts rate requests per second from all
+	// entries together.
+	Take(ctx context.Context, key string, rate float64) magno.LimitGrant
+	// Report passes on what the answer to a request stated. The grant is zero if the request was
+	// sent without one.
+	Report(key string, n magno.Notice, g magno.LimitGrant)
+}
+
 // Handler handles callers' requests. Exported fields are set before use.
 type Handler struct {
 	// Name is the name of this instance. It makes the IDs of permits unique.
@@ -91,6 +103,7 @@
 	Suspects *crash.Suspects
 	// Notices holds what upstreams state about themselves.
 	Notices *notice.Board
+	Limits  Limits
 	Log     *slog.Logger
 	// Quotas is nil where no customer has a limit.
 	Quotas magno.Quotas
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -19,6 +19,7 @@
 	"magnoliastall.example/entry/desk"
 	"magnoliastall.example/entry/hop"
 	"magnoliastall.example/entry/lease"
+	"magnoliastall.example/entry/limit"
 	"magnoliastall.example/entry/peers"
 	"magnoliastall.example/entry/reads"
 	"magnoliastall.example/entry/relay"
@@ -67,6 +68,7 @@
 	reader   *reads.Reader
 	desk     *desk.Client
 	lease    *lease.Manager
+	limit    *limit.Manager
 	front    *front
 	log      *slog.Logger
 }
@@ -89,7 +91,7 @@
 		List: site.Lister(settings.ListAddress), Book: e.book, ShouldRead: e.peers.ShouldRead, Broadcast: e.peers.Broadcast, ReportReachable: e.peers.SetListReachable, FreshFirst: settings.MaxRevokeDelay > 0, Log: log,
 	}
 	e.desk = &desk.Client{
-		Self: settings.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, AgentPort: settings.InternalPort, OnBacklog: e.pools.report,
+		Self: settings.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, AgentPort: settings.InternalPort, OnBacklog: e.pools.report, Notices: e.notices,
 		Addr: settings.PeerAddress, Entries: e.peers.DataCentreEntries,
 	}
 	e.desk.Open()
@@ -98,9 +100,13 @@
 		Limit: func(customer string) *magno.Limit { return customerLimit(e.book.Current().Plan, customer) },
 	}
 	e.lease.Open()
+	e.limit = &limit.Manager{
+		Self: settings.PeerAddress, Mesh: e.mesh, Homes: e.peers.Homes, Entries: e.peers.Entries, Count: e.peers.Count, Notices: e.notices, Clock: clock, Log: log,
+	}
+	e.limit.Open()
 	handler := &relay.Handler{
 		Name: settings.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Conns: e.conns, Permits: e.desk, Pools: e.pools,
-		Suspects: suspects, Notices: e.notices, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
+		Suspects: suspects, Notices: e.notices, Limits: e.limit, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
 		BodyMemory: memoryBudget(settings.MemoryLimit), ResponseMemory: memoryBudget(settings.MemoryLimit),
 	}
 	e.peers.Leaving = handler.Draining
@@ -127,7 +133,7 @@
 
 func (e *entry) tasks() []magno.Task {
 	return []magno.Task{
-		e.mesh, e.reader, e.peers, e.desk, e.lease, &follower{e}, e.front, &readiness{e.front}, &lagMonitor{e.front},
+		e.mesh, e.reader, e.peers, e.desk, e.lease, e.limit, &follower{e}, e.front, &readiness{e.front}, &lagMonitor{e.front},
 		&admin.Server{
 			Listen: net.JoinHostPort(e.settings.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.AnyAddress},
 			Ready: e.front.ready, Status: func() any { return e.book.Current() }, Events: &event.Ring{Process: e.settings.Name, Size: 1},
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -7,6 +7,7 @@
 	MethodPermit = "permit" // PermitCall, answered by PermitReply once decided
 	MethodEnd    = "end"    // EndCall, a notification
 	MethodStatus = "status" // StatusCall, answered by StatusReply
+	MethodNotice = "notice" // NoticeCall, a notification
 )
 
 // PermitCall asks for the admission of a request by one incarnation of an engine.
@@ -19,6 +20,8 @@
 	// everything until it has one. Revision is that of the spec.
 	Spec     *Spec `json:"spec,omitempty"`
 	Revision int64 `json:"rev,omitempty"`
+	// Limit is a limit of the engine that the entry knows of, unless the agent reported it.
+	Limit *magno.LimitState `json:"limit,omitempty"`
 }
 
 // PermitReply is the decision on a PermitCall.
@@ -33,6 +36,16 @@
 	Status StatusReply `json:"status"`
 }
 
+// NoticeCall tells the agent what an answer of its engine stated.
+type NoticeCall struct {
+	Replica string `json:"replica"`
+	// ID is that of the request that was answered.
+	ID string `json:"id"`
+	// Limited is true if the answer named a limit, which is Rate requests per second.
+	Limited bool    `json:"limited,omitempty"`
+	Rate    float64 `json:"rate,omitempty"`
+}
+
 // EndCall reports that an admitted request has ended, or that its caller has disconnected.
 type EndCall struct {
 	ID string `json:"id"`
@@ -52,6 +65,9 @@
 	Revision int64 `json:"rev"`
 	// ListsHash is the newest StatusReply.ListsHash that the entry has.
 	ListsHash uint64 `json:"held,omitempty"`
+	// Replica is set along with Limit, which is as in PermitCall.
+	Replica string            `json:"replica,omitempty"`
+	Limit   *magno.LimitState `json:"limit,omitempty"`
 }
 
 // StatusReply is an agent's state.
@@ -61,10 +77,12 @@
 	Replica  string `json:"replica"`
 	Revision int64  `json:"rev"`
 	// EngineStart is the engine's start time by its report, zero while it is unreachable.
-	EngineStart magno.Millis  `json:"born,omitempty"`
-	Down        bool          `json:"down,omitempty"`
-	Leaving     bool          `json:"leaving,omitempty"`
-	Backlog     magno.Backlog `json:"backlog"`
+	EngineStart magno.Millis `json:"born,omitempty"`
+	Down        bool         `json:"down,omitempty"`
+	Leaving     bool         `json:"leaving,omitempty"`
+	// Limit is nil if it isn't known whether the engine names one.
+	Limit   *magno.LimitState `json:"limit,omitempty"`
+	Backlog magno.Backlog     `json:"backlog"`
 	// ListsHash identifies Backlog.Warm and Backlog.Cached, zero for empty lists. The lists
 	// change only with each load and are most of the reply, so they are left out for an entry
 	// that has them.
--- a/magno/gate/cause.go
+++ b/magno/gate/cause.go
@@ -12,17 +12,20 @@
 	CauseLoad                  // the adapter is being loaded, or its load is queued
 	CauseCapacity              // the batch or the token memory is full
 	CausePrefill               // earlier prompts are prefilled first
+	CauseLimit                 // the engine named a limit
 	numCauses
 )
 
 // causeNames are the names in logs and metrics.
-var causeNames = [numCauses]string{"model", "slot", "load", "place", "read"}
+var causeNames = [numCauses]string{"model", "slot", "load", "place", "read", "limit"}
 
 // String returns the name of the cause.
 func (c Cause) String() string { return causeNames[c] }
 
 // Causes returns all causes.
-func Causes() []Cause { return []Cause{CauseModel, CauseSlot, CauseLoad, CauseCapacity, CausePrefill} }
+func Causes() []Cause {
+	return []Cause{CauseModel, CauseSlot, CauseLoad, CauseCapacity, CausePrefill, CauseLimit}
+}
 
 // Waits is the time that a request waited, by cause.
 type Waits [numCauses]magno.Millis
@@ -67,6 +70,8 @@
 		return CauseModel
 	case g.inventory.ready(req) && !g.hasCapacity(req):
 		return CauseCapacity
+	case g.inventory.ready(req) && !g.limiter.Allows(g.inventory.now):
+		return CauseLimit
 	case g.inventory.ready(req):
 		return CausePrefill
 	case g.inventory.changing(req.qualifiedName()) || g.inventory.canFitAdapter() || g.hasIdleAdapter():
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -25,6 +25,7 @@
 	"slices"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/pace"
 )
 
 const (
@@ -62,6 +63,10 @@
 	inventory inventory
 	pacer     pacer
 	prefixes  *prefixCache
+	// limiter is the limit that the engine names. reportsLimit is true if its reports have named
+	// one, so that a report without one says that it has ended.
+	limiter      pace.Limiter
+	reportsLimit bool
 	// meanRunTime is the moving average of run times, in ms.
 	meanRunTime float64
 }
@@ -101,6 +106,7 @@
 	g.pacer.reset()
 	g.prefixes = newPrefixCache()
 	g.inventory.reset()
+	g.limiter, g.reportsLimit = pace.Limiter{}, false
 }
 
 // ApplyReport takes the engine's report, which was requested at the time asked.
@@ -111,6 +117,7 @@
 	}
 	g.inventory.applyReport(r, asked)
 	g.updateProgress(r, asked)
+	g.applyNotice(&r.Notice, asked)
 }
 
 // ApplyOutcome takes the outcome of a command and the time of its reply.
--- /dev/null
+++ b/magno/gate/limit.go
@@ -0,0 +1,42 @@
+package gate
+
+import "magnoliastall.example/magno"
+
+// NameLimit takes a limit that the engine stated at the given time, in requests per second from
+// all entries together, and reports whether it is new.
+//
+// Load pattern: an engine that is short of resources names a limit far below its share of the
+// traffic, and requests keep arriving for the adapters that only it has loaded. Its permits are
+// granted here for all entries, so the limit holds whatever their number.
+func (g *Gate) NameLimit(rate float64, statedAt magno.Millis) (changed bool) {
+	g.setup()
+	return g.limiter.Name(rate, statedAt, g.Clock.Now())
+}
+
+// EndLimit takes an answer without a limit to an admitted request, and reports whether that
+// ended the limit.
+func (g *Gate) EndLimit(id string) (changed bool) {
+	g.setup()
+	r := g.active[id]
+	return r != nil && g.limiter.End(r.grantedAt, g.Clock.Now())
+}
+
+// Limit returns what is known of the engine's limit, nil if nothing is.
+func (g *Gate) Limit() *magno.LimitState { return g.limiter.State(g.Clock.Now()) }
+
+// applyNotice takes what the engine stated in a report that was requested at the time asked.
+func (g *Gate) applyNotice(n *magno.Notice, asked magno.Millis) {
+	switch {
+	case n.Limited:
+		g.reportsLimit = true
+		g.limiter.Name(n.Rate, asked, g.Clock.Now())
+	case g.reportsLimit:
+		g.limiter.End(asked, g.Clock.Now())
+	}
+}
+
+// limitWait is the time until one more request than those in the queue may start, as far as the
+// engine's limit is concerned.
+func (g *Gate) limitWait(now magno.Millis) magno.Millis {
+	return g.limiter.Delay(len(g.queue)+1, now)
+}
--- a/magno/gate/queue.go
+++ b/magno/gate/queue.go
@@ -15,14 +15,19 @@
 // expire rejects requests that have waited too long, and those that would: if an adapter cannot
 // be ready in time, the request is refused now, while its caller may still be served elsewhere.
 func (g *Gate) expire(d *Decisions, now magno.Millis) {
-	eta := g.forecast(now).eta
+	eta, kept := g.forecast(now).eta, 0
 	g.queue = slices.DeleteFunc(g.queue, func(w *queuedRequest) bool {
 		r := g.queueRefusal(w, eta[w.qualifiedName()], now)
+		if r == nil {
+			r = g.limitRefusal(w, kept, now)
+		}
 		if r != nil {
 			w.accountWait(now)
 			d.Rejections = append(d.Rejections, Rejection{ID: w.ID, Refusal: r, Waits: w.waits})
+			return true
 		}
-		return r != nil
+		kept++
+		return false
 	})
 }
 
@@ -40,6 +45,17 @@
 	return nil
 }
 
+// limitRefusal refuses a queued request that cannot start in time because of the engine's limit,
+// behind the given number of others. The queue may be from before the limit was named.
+func (g *Gate) limitRefusal(w *queuedRequest, ahead int, now magno.Millis) *magno.Refusal {
+	wait := g.limiter.Delay(ahead+1, now)
+	if wait == 0 || now+wait <= w.giveUpAt {
+		return nil
+	}
+	return magno.Refuse(magno.KindBusy, "the engine's limit lets it start in %d ms, and it waited for %d", wait, now-w.queuedAt).
+		WithRetryAfter(min(max(now+wait-w.giveUpAt, minRetryAfter), maxRetryAfter))
+}
+
 // sortQueue orders the queue: first the requests that can still start in time, by rank and then
 // by the time at which they should start, then the late ones in the same order. A saturated
 // engine thereby spends its time on the answers that are worth most; a late one is worth about
@@ -69,10 +85,11 @@
 			return false
 		}
 		tokens := g.prefillTokens(&w.Request)
-		if !g.hasCapacity(&w.Request) || !g.pacer.allows(tokens, now) {
+		if !g.hasCapacity(&w.Request) || !g.pacer.allows(tokens, now) || !g.limiter.Allows(now) {
 			blocked = true
 			return false
 		}
+		g.limiter.Take(1)
 		prefillBy := g.pacer.start(tokens, now)
 		g.prefixes.add(w.qualifiedName(), w.PrefixHash)
 		g.active[w.ID] = &activeRequest{request: w.Request, grantedAt: now, expiresAt: w.deadline + grantExpirySlack, prefillTokens: tokens, prefillBy: prefillBy}
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -15,7 +15,7 @@
 			tokens += g.prefillTokens(&w.Request)
 		}
 	}
-	wait := max(g.pacer.expectedWait(tokens, now), g.capacityWait())
+	wait := max(g.pacer.expectedWait(tokens, now), g.capacityWait(), g.limitWait(now))
 	if g.inventory.ready(req) {
 		return wait
 	}
@@ -67,7 +67,7 @@
 	next := g.forecast(now).nextLoad
 	return magno.Backlog{
 		Queued: len(g.queue), Running: g.runningCount(), Held: len(g.inventory.adapters),
-		Wait:       max(g.pacer.expectedWait(queued, now), g.capacityWait()) + g.congestion(),
+		Wait:       max(g.pacer.expectedWait(queued, now), g.capacityWait(), g.limitWait(now)) + g.congestion(),
 		LoadWait:   next,
 		BaseWait:   g.inventory.baseModelWait(),
 		Warm:       g.inventory.warmHashes(),
--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -99,7 +99,7 @@
 // processes that this one currently sees and has recently seen, itself included.
 func (g *Granter) Grant(req Request, limit magno.Limit, alive, known int) Reply {
 	now := g.Clock.Now()
-	h := g.homeFor(req.Customer, limit, grantShare(alive, known), now)
+	h := g.homeFor(req.Customer, limit, Share(alive, known), now)
 	h.charge(-max(req.Returned, 0), now)
 	if free := h.available(now); free >= req.Need {
 		granted := req.Need + min(max(req.Want-req.Need, 0), (free-req.Need)/spareDivisor)
@@ -183,8 +183,8 @@
 	return max(at-now, 1)
 }
 
-// grantShare returns the share of a limit that a home grants.
-func grantShare(alive, known int) float64 {
+// Share returns the share of a limit that a home grants.
+func Share(alive, known int) float64 {
 	share := float64(alive) / float64(max(known, alive, 1))
 	if share >= fullLimitShare {
 		return 1
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -217,6 +217,9 @@
 	// MaxWait is the longest wait with which the first target is still better than the
 	// second, zero if there is no second.
 	MaxWait Millis
+	// RetryAfter is the time until the first target ends its rest if there is no target
+	// because all of them rest, else zero.
+	RetryAfter Millis
 }
 
 // Chooser is a router that also returns the wait up to which the first target is the best
@@ -225,6 +228,8 @@
 type Chooser interface {
 	Router
 	Choose(q Query) Choice
+	// Rest excludes the named target from choices until the given time.
+	Rest(name string, until Millis)
 }
 
 // HomeRouter is implemented by routers that map idempotency keys to home targets.
--- a/magno/notice/notice.go
+++ b/magno/notice/notice.go
@@ -1,6 +1,7 @@
 // Package notice tracks what upstreams state about themselves in their answers.
 //
 //	answer --> Record --> Board --> Limit
+//	another process --> Adopt --^
 //
 // Load pattern: an upstream that is short of resources names a limit in each of its answers,
 // and answers of many concurrent requests arrive in any order. Without this package every
@@ -27,8 +28,8 @@
 type statements struct {
 	limited bool
 	rate    float64
-	// limitedAt is when the last answer with a limit arrived.
-	limitedAt magno.Millis
+	// limitedAt is when the limit was last known to hold, endedAt when it ended.
+	limitedAt, endedAt magno.Millis
 }
 
 // Record takes the notice in an answer to a request that was sent at the given time, and
@@ -37,25 +38,58 @@
 func (b *Board) Record(key string, n magno.Notice, sentAt magno.Millis) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if n == (magno.Notice{}) && b.upstreams[key] == nil {
+		return false
+	}
+	s, now := b.of(key), b.Clock.Now()
+	switch {
+	case n.Limited:
+		return s.limit(n.Rate, now)
+	case sentAt > s.limitedAt:
+		return s.end(now)
+	}
+	return false
+}
+
+// Adopt takes what another process knows of an upstream's limit.
+func (b *Board) Adopt(key string, state magno.LimitState) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !state.Limited && b.upstreams[key] == nil {
+		return false
+	}
+	s, at := b.of(key), b.Clock.Now()-state.Age
+	switch {
+	case state.Limited && at > s.endedAt:
+		return s.limit(state.Rate, max(at, s.limitedAt))
+	case !state.Limited && at > s.limitedAt:
+		return s.end(at)
+	}
+	return false
+}
+
+// of returns the statements of an upstream. The caller holds mu.
+func (b *Board) of(key string) *statements {
 	s := b.upstreams[key]
 	if s == nil {
-		if n == (magno.Notice{}) {
-			return false
-		}
 		if b.upstreams == nil {
 			b.upstreams = map[string]*statements{}
 		}
 		s = &statements{}
 		b.upstreams[key] = s
 	}
-	switch {
-	case n.Limited:
-		changed = !s.limited || s.rate != n.Rate
-		s.limited, s.rate, s.limitedAt = true, n.Rate, b.Clock.Now()
-	case s.limited && sentAt > s.limitedAt:
-		s.limited = false
-		return true
-	}
+	return s
+}
+
+func (s *statements) limit(rate float64, at magno.Millis) (changed bool) {
+	changed = !s.limited || s.rate != rate
+	s.limited, s.rate, s.limitedAt = true, rate, at
+	return changed
+}
+
+func (s *statements) end(at magno.Millis) (changed bool) {
+	changed = s.limited
+	s.limited, s.endedAt = false, at
 	return changed
 }
 
@@ -71,6 +105,17 @@
 	return s.rate, true
 }
 
+// State returns what is known of an upstream's limit if it names one, else nil.
+func (b *Board) State(key string) *magno.LimitState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.upstreams[key]
+	if s == nil || !s.limited {
+		return nil
+	}
+	return &magno.LimitState{Limited: true, Rate: s.rate, Age: b.Clock.Now() - s.limitedAt}
+}
+
 // Limited returns the number of upstreams that name a limit.
 func (b *Board) Limited() int {
 	b.mu.Lock()
--- a/magno/notice/notice_test.go
+++ b/magno/notice/notice_test.go
@@ -43,3 +43,25 @@
 		t.Errorf("the limit of the other one is %v, %t; want 0", rate, ok)
 	}
 }
+
+// Guards against an entry that no answer of the upstream has reached ignoring its limit, and
+// against an old message of another process replacing newer knowledge.
+func TestLimitIsAdoptedFromAnotherProcess(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Board{Clock: clock}
+	if b.Adopt("u", magno.LimitState{Age: 10}) {
+		t.Error("the end of an unknown limit is a change")
+	}
+	if !b.Adopt("u", magno.LimitState{Limited: true, Rate: 3, Age: 500}) || b.State("u").Age != 500 {
+		t.Error("the limit was not adopted")
+	}
+	if b.Adopt("u", magno.LimitState{Age: 1000}) {
+		t.Error("the end of an earlier limit ended this one")
+	}
+	if !b.Adopt("u", magno.LimitState{Age: 100}) || b.State("u") != nil {
+		t.Error("its end was not adopted")
+	}
+	if b.Adopt("u", magno.LimitState{Limited: true, Rate: 3, Age: 400}) {
+		t.Error("the limit returned from before its end")
+	}
+}
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -48,12 +48,18 @@
 		r.addMemHolders(&full)
 		r.addHashed(&full)
 	}
+	if len(r.candidates) == 0 {
+		r.addAll(&full)
+	}
 	slices.SortStableFunc(r.candidates, compare)
 	names := make([]string, 0, maxNames)
 	for _, s := range r.candidates[:min(maxNames, len(r.candidates))] {
 		names = append(names, s.peer.name)
 	}
 	c := magno.Choice{Names: names}
+	if len(names) == 0 {
+		c.RetryAfter = r.restLeft(&full)
+	}
 	if len(names) > 1 {
 		first, second := r.candidates[0], r.candidates[1]
 		c.MaxWait = magno.Millis(r.expectedWait(&full, first.peer)+max(second.cost-first.cost, 0)) + waitSlack
@@ -61,6 +67,29 @@
 	return c
 }
 
+// addAll adds all targets. A few drawn at random may all be at rest, or the adapter's holders
+// and hash candidates, while others of the pool aren't.
+func (r *Router) addAll(q *query) {
+	for _, p := range r.peers {
+		r.add(q, p, 0)
+	}
+}
+
+// restLeft returns the time until the first target ends its rest, zero if none rests.
+func (r *Router) restLeft(q *query) magno.Millis {
+	least := magno.Millis(0)
+	for _, p := range r.peers {
+		left := p.restUntil - q.now
+		if left <= 0 || p.leaving || p.report.Down || slices.Contains(q.Avoid, p.name) {
+			continue
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 func compare(a, b candidate) int {
 	switch {
 	case a.demoted != b.demoted && b.demoted:
@@ -153,7 +182,7 @@
 // add appends a candidate and reports whether it did. Targets that are unusable,
 // avoided by the query or already listed are left out.
 func (r *Router) add(q *query, p *peer, extra magno.Millis) bool {
-	if p == nil || !p.usable() || slices.Contains(q.Avoid, p.name) {
+	if p == nil || !p.usable(q.now) || slices.Contains(q.Avoid, p.name) {
 		return false
 	}
 	for i := range r.candidates {
--- a/magno/route/home.go
+++ b/magno/route/home.go
@@ -79,7 +79,7 @@
 	holders := r.holders[q.hash]
 	homes := make([]home, 0, maxHomeHolders+hashCandidates)
 	add := func(p *peer) int {
-		if p == nil || !p.usable() || slices.ContainsFunc(homes, func(h home) bool { return h.peer == p }) {
+		if p == nil || !p.usable(q.now) || slices.ContainsFunc(homes, func(h home) bool { return h.peer == p }) {
 			return 0
 		}
 		steps := int((r.workCost(p) + r.expectedWait(q, p)) / float64(homeWaitStep))
--- a/magno/route/peer.go
+++ b/magno/route/peer.go
@@ -43,6 +43,8 @@
 	name    string
 	dc      string
 	leaving bool
+	// restUntil is when p accepts work again.
+	restUntil magno.Millis
 
 	report magno.Backlog
 	// reportedAt is when report arrived.
@@ -72,7 +74,9 @@
 
 // usable reports whether work may be sent to p. A choice that names only targets known
 // to be down would have the request refused although others can serve it.
-func (p *peer) usable() bool { return !p.leaving && !p.report.Down }
+func (p *peer) usable(now magno.Millis) bool {
+	return !p.leaving && !p.report.Down && now >= p.restUntil
+}
 
 // holds reports whether the adapter was loaded according to the last report.
 func (p *peer) holds(hash uint32) bool {
--- a/magno/route/route.go
+++ b/magno/route/route.go
@@ -179,6 +179,19 @@
 	p.report.Warm, p.report.Cached = loaded, inMemory
 }
 
+// Rest excludes the named target from choices until the given time.
+//
+// Load pattern: an upstream under stress turns requests away and says when it accepts them
+// again. If it were offered more meanwhile, each would cost it work, and its caller a round
+// trip and a retry.
+func (r *Router) Rest(name string, until magno.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.peers[name]; p != nil {
+		p.restUntil = max(p.restUntil, until)
+	}
+}
+
 // Sent records that work was sent; a negative amount takes back work that wasn't.
 func (r *Router) Sent(name string, work int) {
 	r.mu.Lock()
--- a/magno/site.go
+++ b/magno/site.go
@@ -144,6 +144,29 @@
 	Rate    float64
 }
 
+// LimitState is what a process knows of an upstream's limit.
+type LimitState struct {
+	// Limited is true if the upstream names a limit, which is Rate requests per second. It is
+	// false if a limit has ended.
+	Limited bool    `json:"limited"`
+	Rate    float64 `json:"rate,omitempty"`
+	// Age is the time since the limit was last known to hold, or since it ended.
+	Age Millis `json:"age"`
+}
+
+// LimitGrant is the decision on one request to an upstream that names a limit.
+type LimitGrant struct {
+	Granted bool `json:"granted"`
+	// RetryAfter is when to ask again if it isn't granted.
+	RetryAfter Millis `json:"after,omitempty"`
+	// Rate is the limit that was applied.
+	Rate float64 `json:"rate,omitempty"`
+	// At is the time of the decision on the clock of the process that made it, and Process
+	// identifies that process.
+	At      Millis `json:"at,omitempty"`
+	Process uint64 `json:"process,omitempty"`
+}
+
 // Dialect translates HTTP headers.
 type Dialect interface {
 	// Read parses the header of a caller's request, and removes from it the fields that
@@ -175,6 +198,8 @@
 	LocalModels []string
 	// Streams lists the streaming requests that have begun to answer.
 	Streams []Stream
+	// Notice is what the engine states about itself.
+	Notice Notice
 }
 
 // Stream is a running request with a streamed answer that has begun.
