gate, notice: an engine's limit ends with its restart

The agent ignores what was stated before the restart that its reports show, and tells entries when that was.

--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -181,7 +181,7 @@
 		Replica: k.gate.Spec().Replica, Revision: k.specRevision, EngineStart: k.engineStart,
 		Down: k.down, Leaving: k.leaving, Backlog: k.gate.Backlog(),
 	}
-	r.Limit = k.gate.Limit()
+	r.Limit, r.RestartAge = k.gate.Limit(), k.gate.RestartAge()
 	r.SetListsHash()
 	k.listHistory.Record(&r)
 	return r
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -318,6 +318,9 @@
 	if !current {
 		return
 	}
+	if reply.RestartAge > 0 {
+		c.Notices.Restarted(key, c.Clock.Now()-reply.RestartAge)
+	}
 	if reply.Limit != nil && c.Notices.Adopt(key, *reply.Limit) {
 		c.Log.Info("upstream notice", "replica", key, "limited", reply.Limit.Limited, "rate", reply.Limit.Rate, "from", s.addr)
 	}
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -80,6 +80,9 @@
 	EngineStart magno.Millis `json:"born,omitempty"`
 	Down        bool         `json:"down,omitempty"`
 	Leaving     bool         `json:"leaving,omitempty"`
+	// RestartAge is the time since the engine was seen to have restarted under the same name, zero
+	// if it wasn't. What it stated before no longer holds.
+	RestartAge magno.Millis `json:"restarted,omitempty"`
 	// Limit is nil if it isn't known whether the engine names one.
 	Limit   *magno.LimitState `json:"limit,omitempty"`
 	Backlog magno.Backlog     `json:"backlog"`
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -67,6 +67,8 @@
 	// one, so that a report without one says that it has ended.
 	limiter      pace.Limiter
 	reportsLimit bool
+	// restartedAt is when the engine was last seen to have restarted, zero if it wasn't.
+	restartedAt magno.Millis
 	// meanRunTime is the moving average of run times, in ms.
 	meanRunTime float64
 }
@@ -114,6 +116,7 @@
 	g.setup()
 	if g.inventory.restarted(r) {
 		g.reset()
+		g.restartedAt = asked
 	}
 	g.inventory.applyReport(r, asked)
 	g.updateProgress(r, asked)
--- a/magno/gate/limit.go
+++ b/magno/gate/limit.go
@@ -10,9 +10,21 @@
 // granted here for all entries, so the limit holds whatever their number.
 func (g *Gate) NameLimit(rate float64, statedAt magno.Millis) (changed bool) {
 	g.setup()
+	if g.restartedAt > 0 && statedAt <= g.restartedAt {
+		return false // an entry has not noticed the restart
+	}
 	return g.limiter.Name(rate, statedAt, g.Clock.Now())
 }
 
+// RestartAge returns the time since the engine was last seen to have restarted under the same
+// name, zero if it wasn't.
+func (g *Gate) RestartAge() magno.Millis {
+	if g.restartedAt == 0 {
+		return 0
+	}
+	return max(g.Clock.Now()-g.restartedAt, 1)
+}
+
 // EndLimit takes an answer without a limit to an admitted request, and reports whether that
 // ended the limit.
 func (g *Gate) EndLimit(id string) (changed bool) {
--- a/magno/gate/limit_test.go
+++ b/magno/gate/limit_test.go
@@ -143,3 +143,25 @@
 		t.Error("a report ended the limit")
 	}
 }
+
+// Guards against entries that have not noticed an engine's restart bringing back the limit of its
+// earlier life.
+func TestLimitFromBeforeARestartIsIgnored(t *testing.T) {
+	h := limitedHarness(t, 1)
+	statedAt := h.clock.Now()
+	if h.gate.RestartAge() != 0 {
+		t.Error("a start counts as a restart")
+	}
+	h.clock.Advance(100)
+	h.gate.ApplyReport(&magno.Report{StartedAt: 2}, h.clock.Now())
+	h.clock.Advance(100)
+	if age := h.gate.RestartAge(); age != 100 {
+		t.Errorf("the restart was %d ms ago, want 100", age)
+	}
+	if h.gate.NameLimit(1, statedAt) || h.gate.Limit() != nil {
+		t.Error("the limit is back")
+	}
+	if !h.gate.NameLimit(1, h.clock.Now()) {
+		t.Error("a new limit is ignored")
+	}
+}
--- a/magno/notice/notice.go
+++ b/magno/notice/notice.go
@@ -68,6 +68,15 @@
 	return false
 }
 
+// Restarted forgets what an upstream stated before it restarted at the given time.
+func (b *Board) Restarted(key string, at magno.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.upstreams[key]; s != nil && s.limitedAt < at {
+		s.limited, s.endedAt = false, max(s.endedAt, at)
+	}
+}
+
 // of returns the statements of an upstream. The caller holds mu.
 func (b *Board) of(key string) *statements {
 	s := b.upstreams[key]
--- a/magno/notice/notice_test.go
+++ b/magno/notice/notice_test.go
@@ -65,3 +65,18 @@
 		t.Error("the limit returned from before its end")
 	}
 }
+
+func TestRestartEndsWhatWasStatedBefore(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Board{Clock: clock}
+	b.Record("u", magno.Notice{Limited: true, Rate: 2}, clock.Now())
+	b.Restarted("u", clock.Now()-10)
+	if b.State("u") == nil {
+		t.Error("an earlier restart ended the limit")
+	}
+	clock.Advance(100)
+	b.Restarted("u", clock.Now()-10)
+	if b.State("u") != nil {
+		t.Error("the limit of before the restart still holds")
+	}
+}
