--- a/entry/relay/notice.go
+++ b/entry/relay/notice.go
@@ -21,7 +21,7 @@
 	n := reply.Notice
 	changed := j.Notices.Record(key, n, j.sentAt)
 	if changed {
-		j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", n.Limited, "rate", n.Rate)
+		j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", n.Limited, "rate", n.Rate, "leaving", n.Leaving)
 	}
 	switch {
 	case j.service.Engine != nil:
--- a/magno/notice/notice.go
+++ b/magno/notice/notice.go
@@ -30,6 +30,9 @@
 	rate    float64
 	// limitedAt is when the limit was last known to hold, endedAt when it ended.
 	limitedAt, endedAt magno.Millis
+	// leaving is true once the upstream stated that it leaves, at leavingAt.
+	leaving   bool
+	leavingAt magno.Millis
 }
 
 // Record takes the notice in an answer to a request that was sent at the given time, and
@@ -44,11 +47,17 @@
 	s, now := b.of(key), b.Clock.Now()
 	switch {
 	case n.Limited:
-		return s.limit(n.Rate, now)
+		changed = s.limit(n.Rate, now)
 	case sentAt > s.limitedAt:
-		return s.end(now)
+		changed = s.end(now)
 	}
-	return false
+	switch {
+	case n.Leaving:
+		changed = s.leave(now) || changed
+	case s.leaving && sentAt > s.leavingAt:
+		s.leaving, changed = false, true
+	}
+	return changed
 }
 
 // Adopt takes what another process knows of an upstream's limit.
@@ -72,9 +81,16 @@
 func (b *Board) Restarted(key string, at magno.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.upstreams[key]; s != nil && s.limitedAt < at {
+	s := b.upstreams[key]
+	if s == nil {
+		return
+	}
+	if s.limitedAt < at {
 		s.limited, s.endedAt = false, max(s.endedAt, at)
 	}
+	if s.leavingAt < at {
+		s.leaving = false
+	}
 }
 
 // of returns the statements of an upstream. The caller holds mu.
@@ -90,6 +106,12 @@
 	return s
 }
 
+func (s *statements) leave(at magno.Millis) (changed bool) {
+	changed = !s.leaving
+	s.leaving, s.leavingAt = true, at
+	return changed
+}
+
 func (s *statements) limit(rate float64, at magno.Millis) (changed bool) {
 	changed = !s.limited || s.rate != rate
 	s.limited, s.rate, s.limitedAt = true, rate, at
@@ -125,6 +147,14 @@
 	return &magno.LimitState{Limited: true, Rate: s.rate, Age: b.Clock.Now() - s.limitedAt}
 }
 
+// Leaving reports whether an upstream stated that it leaves.
+func (b *Board) Leaving(key string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.upstreams[key]
+	return s != nil && s.leaving
+}
+
 // Limited returns the number of upstreams that name a limit.
 func (b *Board) Limited() int {
 	b.mu.Lock()
--- a/magno/notice/notice_test.go
+++ b/magno/notice/notice_test.go
@@ -80,3 +80,22 @@
 		t.Error("the limit of before the restart still holds")
 	}
 }
+
+// Guards against an answer from before the upstream began to leave undoing that it leaves.
+func TestLeavingIsKept(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Board{Clock: clock}
+	sent := clock.Now()
+	clock.Advance(10)
+	if b.Leaving("u") || !b.Record("u", magno.Notice{Leaving: true}, sent) || !b.Leaving("u") {
+		t.Error("the upstream doesn't leave")
+	}
+	if b.Record("u", magno.Notice{}, sent) || !b.Leaving("u") {
+		t.Error("an older answer undid it")
+	}
+	clock.Advance(10)
+	b.Restarted("u", clock.Now())
+	if b.Leaving("u") {
+		t.Error("it still leaves after a restart")
+	}
+}
--- a/magno/site.go
+++ b/magno/site.go
@@ -142,6 +142,8 @@
 	// in requests per second from all processes together, at least 0.
 	Limited bool
 	Rate    float64
+	// Leaving is true if the upstream is about to stop. It is to be sent no new work.
+	Leaving bool
 }
 
 // LimitState is what a process knows of an upstream's limit.
