--- a/drive/soak/limit.go
+++ b/drive/soak/limit.go
@@ -25,6 +25,8 @@
 type observer struct {
 	// entry returns the entry that a request was sent to, -1 if it isn't known.
 	entry func(id string) int
+	// sentAt returns when the caller sent a request.
+	sentAt func(id string) time.Time
 	// disturbed reports whether an entry was stopped, killed or paused in a period.
 	disturbed func(entry int, from, to time.Time) bool
 }
@@ -91,6 +93,14 @@
 			}
 			return -1
 		},
+		sentAt: func(id string) time.Time {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if r := s.sent[id]; r != nil {
+				return r.at
+			}
+			return time.Time{}
+		},
 		disturbed: s.fleet.disturbed,
 	}
 }
