--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -146,6 +146,9 @@
 	if changed {
 		k.logLimit(call.ID)
 	}
+	if call.Leaving && k.gate.SetLeaving() {
+		k.Log.Info("engine leaves", "request", call.ID)
+	}
 }
 
 // adoptLimit takes a limit that an entry knows of. This process may have started after the engine
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -179,7 +179,7 @@
 func (k *Controller) currentStatus() gate.StatusReply {
 	r := gate.StatusReply{
 		Replica: k.gate.Spec().Replica, Revision: k.specRevision, EngineStart: k.engineStart,
-		Down: k.down, Leaving: k.leaving, Backlog: k.gate.Backlog(),
+		Down: k.down, Leaving: k.leaving, LeavingAge: k.gate.LeavingAge(), Backlog: k.gate.Backlog(),
 	}
 	r.Limit, r.RestartAge = k.gate.Limit(), k.gate.RestartAge()
 	r.SetListsHash()
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -321,6 +321,9 @@
 	if reply.RestartAge > 0 {
 		c.Notices.Restarted(key, c.Clock.Now()-reply.RestartAge)
 	}
+	if reply.LeavingAge > 0 && c.Notices.AdoptLeaving(key, reply.LeavingAge) {
+		c.Log.Info("upstream notice", "replica", key, "leaving", true, "from", s.addr)
+	}
 	if reply.Limit != nil && c.Notices.Adopt(key, *reply.Limit) {
 		c.Log.Info("upstream notice", "replica", key, "limited", reply.Limit.Limited, "rate", reply.Limit.Rate, "from", s.addr)
 	}
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -6,7 +6,8 @@
 // Load pattern: a plain service names a limit of a few requests per second, and hundreds of
 // entries send to it, each about once a minute. An entry that has only its own answers to go
 // by would learn of the limit after it has mattered, and none knows what the others send. So
-// one entry, the upstream's home, counts for all and tells all of them of the limit.
+// one entry, the upstream's home, counts for all and tells all of them of the limit. It also tells
+// them that the upstream leaves.
 //
 // Nothing lasts: a home that starts takes the limit from the first entry that asks it, and
 // begins without a burst. While no home can be reached no request is granted, since every
@@ -71,12 +72,16 @@
 	Key     string           `json:"key"`
 	Limited bool             `json:"limited,omitempty"`
 	Rate    float64          `json:"rate,omitempty"`
+	Leaving bool             `json:"leaving,omitempty"`
 	Grant   magno.LimitGrant `json:"grant"`
 }
 
+// stateCall tells what the home knows of an upstream.
 type stateCall struct {
-	Key   string           `json:"key"`
-	State magno.LimitState `json:"state"`
+	Key string `json:"key"`
+	// State is nil if no limit was named.
+	State   *magno.LimitState `json:"state,omitempty"`
+	Leaving bool              `json:"leaving,omitempty"`
 }
 
 // Manager asks the homes of upstreams, and is the home of some. Exported fields are set before
@@ -108,6 +113,8 @@
 // home is the accounting of one upstream.
 type home struct {
 	limiter pace.Limiter
+	// leaving is true once all entries were told that the upstream leaves.
+	leaving bool
 	usedAt  magno.Millis
 }
 
@@ -182,7 +189,7 @@
 	if len(homes) == 0 {
 		return
 	}
-	call := reportCall{Key: key, Limited: n.Limited, Rate: n.Rate, Grant: g}
+	call := reportCall{Key: key, Limited: n.Limited, Rate: n.Rate, Leaving: n.Leaving, Grant: g}
 	if homes[0] == m.Self {
 		m.report(call)
 		return
@@ -221,23 +228,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
-	l := &m.home(call.Key, now).limiter
-	changed := false
+	h := m.home(call.Key, now)
+	l := &h.limiter
+	changed := call.Leaving != h.leaving
+	h.leaving = call.Leaving
 	switch {
 	case call.Limited:
-		changed = l.Name(call.Rate, now, now)
+		changed = l.Name(call.Rate, now, now) || changed
 	case call.Grant.Process == m.process: // other processes have other clocks
-		changed = l.End(call.Grant.At, now)
+		changed = l.End(call.Grant.At, now) || changed
 	}
 	if !changed {
 		return
 	}
-	state := *l.State(now)
-	m.Log.Info("upstream limit", "replica", call.Key, "limited", state.Limited, "rate", state.Rate)
 	select {
-	case m.changes <- stateCall{Key: call.Key, State: state}:
+	case m.changes <- stateCall{Key: call.Key, State: l.State(now), Leaving: h.leaving}:
 	default: // entries learn of it from their own answers
-		m.Log.Warn("queue of limit changes is full", "replica", call.Key)
+		m.Log.Warn("queue of upstream states is full", "replica", call.Key)
 	}
 }
 
@@ -262,15 +269,25 @@
 	}
 }
 
-// broadcast tells all entries what is known of a limit.
+// adopt records what a home knows of an upstream.
+func (m *Manager) adopt(c stateCall, from string) {
+	if c.State != nil && m.Notices.Adopt(c.Key, *c.State) {
+		m.Log.Info("upstream notice", "replica", c.Key, "limited", c.State.Limited, "rate", c.State.Rate, "from", from)
+	}
+	if c.Leaving && m.Notices.AdoptLeaving(c.Key, 0) {
+		m.Log.Info("upstream notice", "replica", c.Key, "leaving", true, "from", from)
+	}
+}
+
+// broadcast tells all entries what is known of an upstream.
 func (m *Manager) broadcast(ctx context.Context, c stateCall) {
-	m.Notices.Adopt(c.Key, c.State)
+	m.adopt(c, m.Self)
 	others := slices.DeleteFunc(m.Entries(), func(addr string) bool { return addr == m.Self })
 	err := m.Mesh.Broadcast(ctx, others, MethodState, callTimeout, c, func(addr string, err error) {
-		m.Log.Info("cannot pass on limit", "addr", addr, "replica", c.Key, "error", err)
+		m.Log.Info("cannot pass on an upstream's state", "addr", addr, "replica", c.Key, "error", err)
 	})
 	if err != nil {
-		m.Log.Error("cannot broadcast limit", "replica", c.Key, "error", err)
+		m.Log.Error("cannot broadcast an upstream's state", "replica", c.Key, "error", err)
 	}
 }
 
@@ -298,8 +315,6 @@
 		m.Log.Warn("malformed state of a limit", "error", err)
 		return nil, err
 	}
-	if m.Notices.Adopt(call.Key, call.State) {
-		m.Log.Info("upstream notice", "replica", call.Key, "limited", call.State.Limited, "rate", call.State.Rate, "from", p.Addr)
-	}
+	m.adopt(call, p.Addr)
 	return nil, nil
 }
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -231,3 +231,17 @@
 		t.Error("the upstream is still remembered")
 	}
 }
+
+// Guards against entries that no answer of a leaving upstream reached going on to send to it.
+func TestLeavingReachesAllEntries(t *testing.T) {
+	f := newFleet(t, 30)
+	f.nodes[3].Notices.Record(key, magno.Notice{Leaving: true}, f.clock.Now())
+	f.nodes[3].Report(key, magno.Notice{Leaving: true}, magno.LimitGrant{})
+	for _, n := range f.nodes {
+		for end := time.Now().Add(time.Minute); !n.Notices.Leaving(key); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("timed out waiting for an entry to be told")
+			}
+		}
+	}
+}
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -50,7 +50,7 @@
 func (testDialect) Reply(status int, h http.Header) magno.Reply {
 	rate, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	return magno.Reply{
-		Notice: magno.Notice{Limited: err == nil, Rate: rate},
+		Notice: magno.Notice{Limited: err == nil, Rate: rate, Leaving: h.Get("Leaving") != ""},
 		ID:     h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "",
 		Misrouted: status == http.StatusMisdirectedRequest,
 	}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -219,12 +219,13 @@
 	return magno.Ref{Adapter: gate.QualifiedName(j.call.Model, j.call.Adapter)}
 }
 
-// findReplicas returns the replicas with the given keys that are listed and not leaving.
+// findReplicas returns the replicas with the given keys that are listed and not leaving, neither
+// by the list nor by their own answers.
 func (j *job) findReplicas(names []string) []*magno.Replica {
 	snap := j.Book.Current()
 	list := make([]*magno.Replica, 0, len(names))
 	for _, name := range names {
-		if r := snap.Find(name); r != nil && !r.Leaving {
+		if r := snap.Find(name); r != nil && !r.Leaving && !j.Notices.Leaving(name) {
 			list = append(list, r)
 		}
 	}
--- a/entry/relay/notice.go
+++ b/entry/relay/notice.go
@@ -26,7 +26,7 @@
 	switch {
 	case j.service.Engine != nil:
 		if changed || j.permitLimited != n.Limited {
-			j.Permits.ReportNotice(key, gate.NoticeCall{ID: j.permitID, Limited: n.Limited, Rate: n.Rate})
+			j.Permits.ReportNotice(key, gate.NoticeCall{ID: j.permitID, Limited: n.Limited, Rate: n.Rate, Leaving: n.Leaving})
 		}
 	case changed, j.grant.Granted && (!n.Limited || n.Rate != j.grant.Rate):
 		j.Limits.Report(key, n, j.grant)
--- a/entry/relay/notice_test.go
+++ b/entry/relay/notice_test.go
@@ -147,3 +147,29 @@
 		}
 	}
 }
+
+// Guards against sending to an upstream whose answer stated that it leaves, while the list shows
+// it as ready, and against its home not learning of it.
+func TestUpstreamThatStatesItLeavesGetsNothing(t *testing.T) {
+	u := startUpstream(t, answerWith("Leaving: 1\r\n"))
+	v := startUpstream(t, answerWith(""))
+	s, l := newLimitedProxy(t, magno.RouteIdempotent, u, v)
+	changed := s.Notices.Changed()
+	for i := range 3 {
+		s.pools.rankedLast = map[string]bool{s.pools.replicas[0]: s.Notices.Leaving(s.pools.replicas[0])}
+		if res, _, err := s.get(t, http.MethodGet, fmt.Sprint(i)); err != nil || res.StatusCode != 200 {
+			t.Fatalf("request %d: got %v %v", i, res, err)
+		}
+	}
+	if u.requestCount() != 1 || v.requestCount() != 2 {
+		t.Errorf("%d requests at the leaving upstream, %d at the other", u.requestCount(), v.requestCount())
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("the routers are not updated")
+	}
+	if len(l.reports) != 1 || !l.reports[0].Leaving {
+		t.Errorf("the home was told %+v", l.reports)
+	}
+}
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -8,6 +8,7 @@
 	"magnoliastall.example/entry/peers"
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/allow"
+	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/route"
 	"magnoliastall.example/magno/view"
 )
@@ -16,6 +17,7 @@
 type pools struct {
 	clock    *magno.Clock
 	book     *view.Store
+	notices  *notice.Board
 	peers    *peers.Peers
 	settings *magno.SiteSettings
 	// startedAt is the start time of this process.
@@ -59,7 +61,7 @@
 	var list []magno.Target
 	for _, r := range p.book.Current().Replicas {
 		if r.Service == service {
-			list = append(list, magno.Target{Name: r.Key(), DataCentre: r.DataCentre, Leaving: r.Leaving})
+			list = append(list, magno.Target{Name: r.Key(), DataCentre: r.DataCentre, Leaving: r.Leaving || p.notices.Leaving(r.Key())})
 		}
 	}
 	return list
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -86,7 +86,7 @@
 		Self: settings.Name, Addr: settings.PeerAddress, LinkMbps: settings.LinkMbps, DataCentre: settings.DataCentre, Seeds: settings.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
 	}
 	e.peers.Open()
-	e.pools = &pools{clock: clock, book: e.book, peers: e.peers, settings: settings, startedAt: clock.Now()}
+	e.pools = &pools{clock: clock, book: e.book, notices: e.notices, peers: e.peers, settings: settings, startedAt: clock.Now()}
 	e.reader = &reads.Reader{
 		List: site.Lister(settings.ListAddress), Book: e.book, ShouldRead: e.peers.ShouldRead, Broadcast: e.peers.Broadcast, ReportReachable: e.peers.SetListReachable, FreshFirst: settings.MaxRevokeDelay > 0, Log: log,
 	}
@@ -193,7 +193,15 @@
 	}
 }
 
-// follower passes changes of the list to the components that keep a copy.
+// sameLife reports whether an upstream's earlier entry in the list and its present one, nil for
+// none, are of the same life. One that is listed anew, or no longer as leaving, has restarted
+// under its name, and what it stated before no longer holds.
+func sameLife(before, now *magno.Replica) bool {
+	return before != nil && now != nil && before.Since == now.Since && (now.Leaving || !before.Leaving)
+}
+
+// follower passes changes of the list, and of the upstreams that state that they leave, to the
+// components that keep a copy.
 type follower struct {
 	*entry
 }
@@ -203,19 +211,22 @@
 
 // Run follows the list until ctx ends.
 func (f *follower) Run(ctx context.Context) error {
+	listed := map[string]*magno.Replica{}
 	for {
-		changed := f.book.Changed()
-		f.pools.update()
-		keys := map[string]bool{}
+		changed, noticed := f.book.Changed(), f.notices.Changed()
+		before := listed
+		listed = map[string]*magno.Replica{}
 		for _, r := range f.book.Current().Replicas {
-			keys[r.Key()] = true
+			listed[r.Key()] = r
 		}
-		f.conns.Prune(func(key string) bool { return keys[key] })
-		f.notices.Prune(func(key string) bool { return keys[key] })
+		f.conns.Prune(func(key string) bool { return listed[key] != nil })
+		f.notices.Prune(func(key string) bool { return sameLife(before[key], listed[key]) })
+		f.pools.update()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+		case <-noticed:
 		}
 	}
 }
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -44,6 +44,8 @@
 	// Limited is true if the answer named a limit, which is Rate requests per second.
 	Limited bool    `json:"limited,omitempty"`
 	Rate    float64 `json:"rate,omitempty"`
+	// Leaving is true if the answer stated that the engine leaves.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // EndCall reports that an admitted request has ended, or that its caller has disconnected.
@@ -83,6 +85,9 @@
 	// RestartAge is the time since the engine was seen to have restarted under the same name, zero
 	// if it wasn't. What it stated before no longer holds.
 	RestartAge magno.Millis `json:"restarted,omitempty"`
+	// LeavingAge is the time since the engine stated that it leaves, zero if it didn't. Leaving is
+	// about the agent.
+	LeavingAge magno.Millis `json:"parting,omitempty"`
 	// Limit is nil if it isn't known whether the engine names one.
 	Limit   *magno.LimitState `json:"limit,omitempty"`
 	Backlog magno.Backlog     `json:"backlog"`
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -67,6 +67,10 @@
 	// one, so that a report without one says that it has ended.
 	limiter      pace.Limiter
 	reportsLimit bool
+	// leavingAt is when the engine first stated that it leaves, in an answer or in a report, zero
+	// if it didn't. reportsLeaving is true if a report did.
+	leavingAt      magno.Millis
+	reportsLeaving bool
 	// restartedAt is when the engine was last seen to have restarted, zero if it wasn't.
 	restartedAt magno.Millis
 	// meanRunTime is the moving average of run times, in ms.
@@ -109,6 +113,7 @@
 	g.prefixes = newPrefixCache()
 	g.inventory.reset()
 	g.limiter, g.reportsLimit = pace.Limiter{}, false
+	g.leavingAt, g.reportsLeaving = 0, false
 }
 
 // ApplyReport takes the engine's report, which was requested at the time asked.
@@ -137,7 +142,7 @@
 // round trip, from current state.
 func (g *Gate) Declines(req *Request) bool {
 	g.setup()
-	return req.DeclineAbove > 0 && g.spec.Replica != "" && !g.spec.Leaving && g.expectedWait(req, g.now())+g.congestion() > req.DeclineAbove
+	return req.DeclineAbove > 0 && g.spec.Replica != "" && !g.isLeaving() && g.expectedWait(req, g.now())+g.congestion() > req.DeclineAbove
 }
 
 // Offer queues a request. It refuses one at once if the expected wait is over its MaxWait:
@@ -148,7 +153,7 @@
 	if g.spec.Replica == "" {
 		return magno.Refuse(magno.KindStarting, "what stands beside this agent isn't known yet").WithRetryAfter(minRetryAfter)
 	}
-	if g.spec.Leaving {
+	if g.isLeaving() {
 		return refuseLeaving()
 	}
 	if len(g.queue) >= maxQueued {
--- a/magno/gate/limit.go
+++ b/magno/gate/notice.go
@@ -45,8 +45,36 @@
 	case g.reportsLimit:
 		g.limiter.End(asked, g.Clock.Now())
 	}
+	switch {
+	case n.Leaving:
+		g.reportsLeaving = true
+		g.SetLeaving()
+	case g.reportsLeaving:
+		g.leavingAt, g.reportsLeaving = 0, false
+	}
+}
+
+// SetLeaving takes the engine's statement in an answer that it leaves, and reports whether that is
+// new. It holds until the engine restarts.
+func (g *Gate) SetLeaving() (changed bool) {
+	if g.leavingAt > 0 {
+		return false
+	}
+	g.leavingAt = g.Clock.Now()
+	return true
 }
 
+// LeavingAge returns the time since the engine first stated that it leaves, zero if it didn't.
+func (g *Gate) LeavingAge() magno.Millis {
+	if g.leavingAt == 0 {
+		return 0
+	}
+	return max(g.Clock.Now()-g.leavingAt, 1)
+}
+
+// isLeaving reports whether the engine leaves, by its own statement or by the list.
+func (g *Gate) isLeaving() bool { return g.leavingAt > 0 || g.spec.Leaving }
+
 // limitWait is the time until one more request than those in the queue may start, as far as the
 // engine's limit is concerned.
 func (g *Gate) limitWait(now magno.Millis) magno.Millis {
--- a/magno/gate/limit_test.go
+++ b/magno/gate/notice_test.go
@@ -165,3 +165,34 @@
 		t.Error("a new limit is ignored")
 	}
 }
+
+// Guards against an engine that stated that it leaves getting further requests while the list
+// shows it as ready.
+func TestEngineThatStatesItLeavesTakesNothing(t *testing.T) {
+	h := newHarness(t, 4)
+	h.held["a"] = 1
+	h.report()
+	h.running = 64
+	h.report()
+	if r := h.gate.Offer(limitedRequest("x", magno.Second)); r != nil {
+		t.Fatal(r)
+	}
+	if !h.gate.SetLeaving() || h.gate.SetLeaving() || h.gate.LeavingAge() == 0 {
+		t.Error("the statement is no change, or one twice")
+	}
+	if r := h.gate.Offer(limitedRequest("y", magno.Second)); r == nil || r.Kind != magno.KindLeaving {
+		t.Errorf("a further request got %v", r)
+	}
+	if d := h.gate.Decide(); len(d.Rejections) != 1 || d.Rejections[0].Refusal.Kind != magno.KindLeaving {
+		t.Errorf("a queued request: got %+v", d)
+	}
+	h.clock.Advance(10)
+	h.report()
+	if h.gate.LeavingAge() == 0 {
+		t.Error("a report without the statement undid it")
+	}
+	h.gate.ApplyReport(&magno.Report{StartedAt: 2}, h.clock.Now())
+	if h.gate.LeavingAge() > 0 {
+		t.Error("the engine still leaves after its restart")
+	}
+}
--- a/magno/gate/queue.go
+++ b/magno/gate/queue.go
@@ -34,7 +34,7 @@
 // queueRefusal returns why a queued request is given up, nil if it may still start.
 func (g *Gate) queueRefusal(w *queuedRequest, eta, now magno.Millis) *magno.Refusal {
 	switch {
-	case g.spec.Leaving:
+	case g.isLeaving():
 		return refuseLeaving()
 	case now+eta >= w.giveUpAt && eta > 0:
 		return magno.Refuse(magno.KindLoading, "its adapter is expected in %d ms, and it waited for %d", eta, now-w.queuedAt).
--- a/magno/notice/notice.go
+++ b/magno/notice/notice.go
@@ -1,12 +1,13 @@
 // Package notice tracks what upstreams state about themselves in their answers.
 //
-//	answer --> Record --> Board --> Limit
+//	answer --> Record --> Board --> Limit, Leaving
 //	another process --> Adopt --^
 //
-// Load pattern: an upstream that is short of resources names a limit in each of its answers,
-// and answers of many concurrent requests arrive in any order. Without this package every
-// answer would have to be interpreted where it is received, and one that was made before the
-// upstream changed its state could undo a newer one.
+// Load pattern: an upstream that is short of resources names a limit in each of its answers, and
+// one that stops says so there long before an instance list that is slow or away does. Answers
+// of many concurrent requests arrive in any order. Without this package every answer would have
+// to be interpreted where it is received, and one that was made before the upstream changed its
+// state could undo a newer one.
 package notice
 
 import (
@@ -15,6 +16,10 @@
 	"magnoliastall.example/magno"
 )
 
+// leavingTTL is how long the statement that an upstream leaves holds: one that restarted under its
+// name, with nothing to show it, is tried again after that. It is longer than any stop takes.
+const leavingTTL = 5 * magno.Minute
+
 // Board holds the latest statements of each upstream. It is safe for concurrent use; Clock is
 // set before use.
 type Board struct {
@@ -22,6 +27,7 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*statements
+	changed   chan struct{}
 }
 
 // statements are those of one incarnation of an upstream.
@@ -30,9 +36,10 @@
 	rate    float64
 	// limitedAt is when the limit was last known to hold, endedAt when it ended.
 	limitedAt, endedAt magno.Millis
-	// leaving is true once the upstream stated that it leaves, at leavingAt.
-	leaving   bool
-	leavingAt magno.Millis
+	// leaving is true once the upstream stated that it leaves, at leavingAt. stayingAt is when it
+	// was last known not to.
+	leaving              bool
+	leavingAt, stayingAt magno.Millis
 }
 
 // Record takes the notice in an answer to a request that was sent at the given time, and
@@ -53,13 +60,33 @@
 	}
 	switch {
 	case n.Leaving:
-		changed = s.leave(now) || changed
-	case s.leaving && sentAt > s.leavingAt:
-		s.leaving, changed = false, true
+		changed = b.setLeaving(s, true, now) || changed
+	case sentAt > s.leavingAt:
+		changed = b.setLeaving(s, false, now) || changed
 	}
 	return changed
 }
 
+// AdoptLeaving takes the statement that an upstream leaves from another process, which got it
+// some time ago.
+func (b *Board) AdoptLeaving(key string, ago magno.Millis) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, at := b.of(key), b.Clock.Now()-ago
+	return at > s.stayingAt && b.setLeaving(s, true, max(at, s.leavingAt))
+}
+
+// Changed returns a channel that is closed when another upstream begins to leave, or no longer
+// does.
+func (b *Board) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return b.changed
+}
+
 // Adopt takes what another process knows of an upstream's limit.
 func (b *Board) Adopt(key string, state magno.LimitState) (changed bool) {
 	b.mu.Lock()
@@ -89,7 +116,7 @@
 		s.limited, s.endedAt = false, max(s.endedAt, at)
 	}
 	if s.leavingAt < at {
-		s.leaving = false
+		b.setLeaving(s, false, at)
 	}
 }
 
@@ -106,9 +133,19 @@
 	return s
 }
 
-func (s *statements) leave(at magno.Millis) (changed bool) {
-	changed = !s.leaving
-	s.leaving, s.leavingAt = true, at
+// setLeaving sets whether an upstream leaves. The caller holds mu.
+func (b *Board) setLeaving(s *statements, leaving bool, at magno.Millis) (changed bool) {
+	changed = s.leaving != leaving
+	s.leaving = leaving
+	if leaving {
+		s.leavingAt = at
+	} else {
+		s.stayingAt = at
+	}
+	if changed && b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
 	return changed
 }
 
@@ -152,7 +189,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.upstreams[key]
-	return s != nil && s.leaving
+	return s != nil && s.leaving && b.Clock.Now()-s.leavingAt < leavingTTL
 }
 
 // Limited returns the number of upstreams that name a limit.
