--- a/entry/relay/notice.go
+++ b/entry/relay/notice.go
@@ -20,8 +20,8 @@
 	}
 	n := reply.Notice
 	changed := j.Notices.Record(key, n, j.sentAt)
-	if changed {
-		j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", n.Limited, "rate", n.Rate, "leaving", n.Leaving)
+	if changed || n.RetryAfter > 0 {
+		j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", n.Limited, "rate", n.Rate, "leaving", n.Leaving, "rest", n.RetryAfter)
 	}
 	switch {
 	case j.service.Engine != nil:
--- a/magno/site.go
+++ b/magno/site.go
@@ -144,6 +144,9 @@
 	Rate    float64
 	// Leaving is true if the upstream is about to stop. It is to be sent no new work.
 	Leaving bool
+	// RetryAfter is set if the upstream turned the request away and accepts nothing from this
+	// process for that time.
+	RetryAfter Millis
 }
 
 // LimitState is what a process knows of an upstream's limit.
