--- /dev/null
+++ b/drive/soak/rest.go
@@ -0,0 +1,42 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"magnoliastall.example/platform/fake"
+)
+
+// Terms of the platform for a worker that turns a request away and states when it accepts
+// requests from that entry again: after restDelay, and until then, the entry may send it restSlack.
+const (
+	restDelay = 500 * time.Millisecond
+	restSlack = 2
+)
+
+// checkRest returns the cases in which an entry sent an upstream more requests than it may after
+// the upstream had turned it away.
+func (o *observer) checkRest(w *fake.Worker) []string {
+	arrivals := w.Arrivals()
+	var broken []string
+	for i, turned := range arrivals {
+		entry := o.entry(turned.ID)
+		if turned.Notice.Rest <= restDelay || entry < 0 {
+			continue
+		}
+		n := 0
+		for _, a := range arrivals[i+1:] {
+			since := a.At.Sub(turned.At)
+			if since > turned.Notice.Rest {
+				break
+			}
+			if since > restDelay && o.entry(a.ID) == entry && !o.disturbed(entry, turned.At, a.At) {
+				n++
+			}
+		}
+		if n > restSlack {
+			broken = append(broken, fmt.Sprintf("upstream %s asked entry %d for %s without requests and got %d", w.ID, entry, turned.Notice.Rest, n))
+		}
+	}
+	return broken
+}
