--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -49,8 +49,9 @@
 
 func (testDialect) Reply(status int, h http.Header) magno.Reply {
 	rate, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	rest, _ := strconv.Atoi(h.Get("Rest"))
 	return magno.Reply{
-		Notice: magno.Notice{Limited: err == nil, Rate: rate, Leaving: h.Get("Leaving") != ""},
+		Notice: magno.Notice{Limited: err == nil, Rate: rate, Leaving: h.Get("Leaving") != "", RetryAfter: magno.Millis(rest)},
 		ID:     h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "",
 		Misrouted: status == http.StatusMisdirectedRequest,
 	}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -171,12 +171,20 @@
 	case j.refusal != nil && !j.mayHaveRun:
 		j.refuse(j.refusal)
 	case !j.mayHaveRun:
-		j.refuse(magno.Refuse(magno.KindBusy, "no upstream took it").WithRetryAfter(busyRetryAfter))
+		j.refuse(magno.Refuse(magno.KindBusy, "no upstream took it").WithRetryAfter(j.retryAfter()))
 	default:
 		j.refuse(magno.Refuse(magno.KindUnknown, "the upstream's answer was lost"))
 	}
 }
 
+// retryAfter returns when an upstream of the service will accept requests, including those that
+// were tried.
+func (j *job) retryAfter() magno.Millis {
+	q := j.query()
+	q.Avoid = nil
+	return max(j.Pools.Router(j.service.Name).Choose(q).RetryAfter, busyRetryAfter)
+}
+
 // deadlineRefusal returns the refusal for a request whose deadline has passed.
 func (j *job) deadlineRefusal() *magno.Refusal {
 	if j.mayHaveRun {
@@ -219,13 +227,13 @@
 	return magno.Ref{Adapter: gate.QualifiedName(j.call.Model, j.call.Adapter)}
 }
 
-// findReplicas returns the replicas with the given keys that are listed and not leaving, neither
-// by the list nor by their own answers.
+// findReplicas returns the replicas with the given keys that are listed and accept requests: they
+// leave neither by the list nor by their own answers, and don't turn requests away.
 func (j *job) findReplicas(names []string) []*magno.Replica {
 	snap := j.Book.Current()
 	list := make([]*magno.Replica, 0, len(names))
 	for _, name := range names {
-		if r := snap.Find(name); r != nil && !r.Leaving && !j.Notices.Leaving(name) {
+		if r := snap.Find(name); r != nil && !r.Leaving && !j.Notices.Leaving(name) && j.Notices.RestLeft(name) == 0 {
 			list = append(list, r)
 		}
 	}
--- a/entry/relay/notice.go
+++ b/entry/relay/notice.go
@@ -23,6 +23,9 @@
 	if changed || n.RetryAfter > 0 {
 		j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", n.Limited, "rate", n.Rate, "leaving", n.Leaving, "rest", n.RetryAfter)
 	}
+	if n.RetryAfter > 0 {
+		j.Pools.Router(j.service.Name).Rest(key, j.Clock.Now()+n.RetryAfter)
+	}
 	switch {
 	case j.service.Engine != nil:
 		if changed || j.permitLimited != n.Limited {
--- a/entry/relay/notice_test.go
+++ b/entry/relay/notice_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 
@@ -173,3 +174,52 @@
 		t.Errorf("the home was told %+v", l.reports)
 	}
 }
+
+// turnAway answers each request with 503 and a time for which to send nothing.
+func turnAway(_ int, r *http.Request, c net.Conn) bool {
+	fmt.Fprintf(c, "HTTP/1.1 503 x\r\nId: %s\r\nNot-Run: 1\r\nRest: 3000\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+	return true
+}
+
+// Guards against requests for an upstream that turned one away and stated for how long: they go
+// elsewhere, and if there is nowhere else they are refused at once with that time.
+func TestUpstreamThatTurnsAwayIsLeftAlone(t *testing.T) {
+	for _, kind := range []magno.RouteKind{magno.RouteOnce, magno.RouteStream} {
+		u, v := startUpstream(t, turnAway), startUpstream(t, streamOneEvent)
+		s, _ := newLimitedProxy(t, kind, u, v)
+		for i := range 4 {
+			if res, _, err := s.get(t, http.MethodPost, fmt.Sprint(i)); err != nil || res.StatusCode != 200 {
+				t.Fatalf("request %d: got %v %v", i, res, err)
+			}
+		}
+		if u.requestCount() != 1 || v.requestCount() != 4 {
+			t.Errorf("%d requests at the upstream that turned one away, %d at the other", u.requestCount(), v.requestCount())
+		}
+	}
+	u := startUpstream(t, turnAway)
+	s, _ := newLimitedProxy(t, magno.RouteOnce, u)
+	for i := range 3 {
+		res, _, err := s.get(t, http.MethodPost, fmt.Sprint(i))
+		if err != nil || res.StatusCode != http.StatusTooManyRequests {
+			t.Fatalf("request %d: got %v %v", i, res, err)
+		}
+		if after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err != nil || after < 2 {
+			t.Errorf("request %d is told to return after %q s", i, res.Header.Get("Retry-After"))
+		}
+	}
+	if u.requestCount() != 1 {
+		t.Errorf("%d requests sent", u.requestCount())
+	}
+}
+
+// Guards against a request that waited for a permit reaching an engine that has turned another
+// one away meanwhile.
+func TestRequestThatWaitedIsNotSentToAnUpstreamThatTurnsAway(t *testing.T) {
+	u := startUpstream(t, streamOneEvent)
+	s, _ := newLimitedProxy(t, magno.RouteStream, u)
+	s.permits.onAcquire = func(key string) { s.Notices.Record(key, magno.Notice{RetryAfter: 3000}, 0) }
+	res, _, err := s.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != http.StatusTooManyRequests || u.requestCount() != 0 {
+		t.Errorf("got %v %v, %d requests sent", res, err, u.requestCount())
+	}
+}
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -115,8 +115,11 @@
 		j.permitLimited = reply.Status.Limit != nil && reply.Status.Limit.Limited
 	}
 	if len(j.findReplicas([]string{key})) == 0 {
-		// The replica began to leave while the request waited.
+		// The replica began to leave, or to turn requests away, while the request waited.
 		j.Permits.Release(key, gate.EndCall{ID: req.ID})
+		if left := j.Notices.RestLeft(key); left > 0 {
+			j.deferRefusal(magno.Refuse(magno.KindBusy, "the upstream turns requests away").WithRetryAfter(left))
+		}
 		return "", resultRefused
 	}
 	return req.ID, resultDone
--- a/magno/notice/notice.go
+++ b/magno/notice/notice.go
@@ -1,6 +1,6 @@
 // Package notice tracks what upstreams state about themselves in their answers.
 //
-//	answer --> Record --> Board --> Limit, Leaving
+//	answer --> Record --> Board --> Limit, Leaving, RestLeft
 //	another process --> Adopt --^
 //
 // Load pattern: an upstream that is short of resources names a limit in each of its answers, and
@@ -40,6 +40,8 @@
 	// was last known not to.
 	leaving              bool
 	leavingAt, stayingAt magno.Millis
+	// restUntil is when the upstream accepts requests of this process again.
+	restUntil magno.Millis
 }
 
 // Record takes the notice in an answer to a request that was sent at the given time, and
@@ -58,6 +60,9 @@
 	case sentAt > s.limitedAt:
 		changed = s.end(now)
 	}
+	if n.RetryAfter > 0 {
+		s.restUntil = max(s.restUntil, now+n.RetryAfter)
+	}
 	switch {
 	case n.Leaving:
 		changed = b.setLeaving(s, true, now) || changed
@@ -192,6 +197,17 @@
 	return s != nil && s.leaving && b.Clock.Now()-s.leavingAt < leavingTTL
 }
 
+// RestLeft returns the time until an upstream accepts requests of this process again, zero if it
+// does now.
+func (b *Board) RestLeft(key string) magno.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.upstreams[key]; s != nil {
+		return max(s.restUntil-b.Clock.Now(), 0)
+	}
+	return 0
+}
+
 // Limited returns the number of upstreams that name a limit.
 func (b *Board) Limited() int {
 	b.mu.Lock()
--- a/magno/notice/notice_test.go
+++ b/magno/notice/notice_test.go
@@ -99,3 +99,19 @@
 		t.Error("it still leaves after a restart")
 	}
 }
+
+// Guards against a shorter time in a later answer ending a rest early.
+func TestRestLastsAsLongAsAsked(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Board{Clock: clock}
+	b.Record("u", magno.Notice{RetryAfter: 3000}, 0)
+	clock.Advance(1000)
+	b.Record("u", magno.Notice{RetryAfter: 500}, 0)
+	if left := b.RestLeft("u"); left != 2000 || b.RestLeft("v") != 0 {
+		t.Errorf("%d ms are left, want 2000", left)
+	}
+	clock.Advance(2000)
+	if left := b.RestLeft("u"); left != 0 {
+		t.Errorf("%d ms are left after the end", left)
+	}
+}
