sched, model, plain: the product's own interface goes by what upstreams state

They now pass on X-Limit, X-Leaving and Retry-After; the agent, which is the only sender, starts no more than the limit, nothing while it is turned away, and takes no new work while its upstream leaves. Jobs that can't end in time are refused at once. The stand-ins state them as faults limit, leaving and rest.

--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -158,10 +158,30 @@
 	a.loop = loop.New()
 	a.loop.Clock, a.loop.Scheduler, a.loop.Upstream, a.loop.Fence = a.Clock, sched, up, fence
 	a.loop.Events, a.loop.Log, a.loop.Suspects = a.Events, a.Log, a.Suspects
-	a.probe = &probe.Probe{Upstream: up, Interval: magno.Millis(a.opts.Probe), Log: a.Log, OnRestart: a.loop.Reset, OnReport: a.loop.Reconcile}
+	a.probe = &probe.Probe{Upstream: up, Interval: magno.Millis(a.opts.Probe), Log: a.Log, OnRestart: a.upstreamStarted, OnReport: a.loop.Reconcile}
+	if source, ok := up.(magno.NoticeSource); ok {
+		source.OnNotice(a.Clock, a.takeNotice)
+	}
 	return nil
 }
 
+// upstreamStarted handles a start of the upstream. What it stated before no longer holds.
+func (a *agent) upstreamStarted(p magno.Probe) {
+	a.server.SetStatedLeaving(false)
+	a.loop.Reset(p)
+}
+
+// takeNotice takes what the upstream stated in an answer to a request sent at the given time.
+func (a *agent) takeNotice(n magno.Notice, sentAt magno.Millis) {
+	if a.server.SetStatedLeaving(n.Leaving) {
+		a.Log.Info("upstream notice", "leaving", n.Leaving)
+	}
+	if n.RetryAfter > 0 {
+		a.Log.Info("upstream notice", "rest", n.RetryAfter)
+	}
+	a.loop.TakeNotice(n, sentAt)
+}
+
 // openLedger creates the ledger of idempotency keys and the witness. Each key has one home and
 // roster.SetSize witnesses, so a witness holds that many times the keys of a ledger.
 func (a *agent) openLedger() {
--- a/agent/loop/state.go
+++ b/agent/loop/state.go
@@ -36,6 +36,15 @@
 	})
 }
 
+// TakeNotice takes what the upstream stated in an answer to a request sent at the given time.
+func (l *Loop) TakeNotice(n magno.Notice, sentAt magno.Millis) {
+	taker, ok := l.Scheduler.(magno.NoticeTaker)
+	if !ok {
+		return
+	}
+	l.post(func() { taker.TakeNotice(n, sentAt) })
+}
+
 // holdsExactly reports whether the adapters that the scheduler considers loaded are those in held.
 func (l *Loop) holdsExactly(held []magno.Ref) bool {
 	known := l.Scheduler.Holds()
--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -54,6 +54,8 @@
 	drained atomic.Bool
 	// listedLeaving is true while the platform's list states that the instance is leaving.
 	listedLeaving atomic.Bool
+	// statedLeaving is true while the upstream states that it leaves.
+	statedLeaving atomic.Bool
 	// busy counts the runs under way. A planned stop waits until it is zero.
 	busy atomic.Int64
 
@@ -79,12 +81,18 @@
 // SetListedLeaving sets whether the platform's list states that the instance is leaving.
 func (s *Server) SetListedLeaving(leaving bool) { s.listedLeaving.Store(leaving) }
 
+// SetStatedLeaving sets whether the upstream states that it leaves, and reports whether that is a
+// change.
+func (s *Server) SetStatedLeaving(leaving bool) (changed bool) {
+	return s.statedLeaving.Swap(leaving) != leaving
+}
+
 // Drained reports whether operators have drained the instance.
 func (s *Server) Drained() bool { return s.drained.Load() }
 
 // Leaving reports whether new work is refused.
 func (s *Server) Leaving() bool {
-	return s.leaving.Load() || s.drained.Load() || s.listedLeaving.Load()
+	return s.leaving.Load() || s.drained.Load() || s.listedLeaving.Load() || s.statedLeaving.Load()
 }
 
 // Busy returns the number of runs under way.
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -318,6 +318,19 @@
 	Adopt(held []Ref)
 }
 
+// NoticeSource is implemented by upstreams whose answers may state something about them.
+type NoticeSource interface {
+	// OnNotice sets the function that takes the notice in each answer, and when the request
+	// was sent by the given clock. It must be called before the first request.
+	OnNotice(clock *Clock, take func(n Notice, sentAt Millis))
+}
+
+// NoticeTaker is implemented by schedulers that go by what the upstream states.
+type NoticeTaker interface {
+	// TakeNotice takes the notice in the answer to a request that was sent at the given time.
+	TakeNotice(n Notice, sentAt Millis)
+}
+
 // AddressSetter is implemented by upstreams that are reached over the network.
 type AddressSetter interface {
 	// SetAddress sets IP and port and the fencing token of requests.
--- a/magno/model/model.go
+++ b/magno/model/model.go
@@ -39,6 +39,8 @@
 	Fence int64
 	// Client is set by SetAddress.
 	Client *http.Client
+
+	Notices
 }
 
 func init() {
@@ -94,6 +96,7 @@
 // Run implements magno.Upstream. If it fails after the engine has accepted the request, it
 // is unknown how much of it was executed.
 func (e *Engine) Run(ctx context.Context, w magno.Work, emit func(magno.Piece)) (magno.Result, error) {
+	sentAt := e.Now()
 	resp, err := e.post(ctx, "/v1/completions", completionRequest{
 		Model: w.Job.Ref.String(), Prompt: w.Body, MaxTokens: w.MaxTokens, Stream: true,
 		Priority: w.Job.Urgency, RequestID: w.Job.ID, Fence: e.Fence,
@@ -103,6 +106,7 @@
 		return magno.Result{}, transportError(ctx, err)
 	}
 	defer resp.Body.Close()
+	e.Pass(resp, sentAt)
 	if resp.StatusCode != http.StatusOK {
 		return magno.Result{}, statusError(resp)
 	}
--- a/magno/plain/plain.go
+++ b/magno/plain/plain.go
@@ -31,6 +31,8 @@
 	// Address is the service's IP and port.
 	Address string
 	Client  *http.Client
+
+	model.Notices
 }
 
 func init() {
@@ -63,11 +65,13 @@
 	req.GetBody = nil
 	req.Header.Set("Content-Type", w.ContentType)
 	req.Header.Set("X-Request-Id", w.Job.ID)
+	sentAt := p.Now()
 	resp, err := p.Client.Do(req)
 	if err != nil {
 		return magno.Result{}, transportError(written.Load(), err)
 	}
 	defer resp.Body.Close()
+	p.Pass(resp, sentAt)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return magno.Result{}, transportError(true, err)
--- a/magno/sched/next.go
+++ b/magno/sched/next.go
@@ -45,7 +45,7 @@
 
 // startJobs starts queued jobs while there are free places and the batch is open.
 func (s *Sched) startJobs(orders []magno.Order, now magno.Millis) []magno.Order {
-	for s.exclusive == "" && s.batcher.FreePlaces(len(s.runs)) > 0 {
+	for s.exclusive == "" && s.batcher.FreePlaces(len(s.runs)) > 0 && s.noticeDelay(1, now) == 0 {
 		takesLong := s.batcher.AdmitsLong(s.longRunning)
 		it := s.queue.Peek(takesLong)
 		if it == nil {
@@ -59,6 +59,7 @@
 			return orders
 		}
 		s.queue.Take(takesLong)
+		s.limiter.Take(1)
 		s.slots.Pin(it.Job.Ref, now, it.Run)
 		s.runs[it.Job.ID] = &run{job: it.Job, started: now, long: it.Long}
 		s.prefilling++
--- a/magno/sched/report.go
+++ b/magno/sched/report.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/pace"
 )
 
 // Reset records that the upstream restarted empty. It returns the sorted IDs of the
@@ -26,6 +27,7 @@
 	}
 	s.slots.Reset()
 	s.reservedFor = magno.Ref{}
+	s.limiter, s.restUntil = pace.Limiter{}, 0
 	return ids
 }
 
@@ -37,7 +39,8 @@
 		work += max(r.job.Prompt+r.job.Output-r.generated, 0)
 	}
 	b := magno.Backlog{
-		Wait:   s.gate.EstimateWait(s.queue.ReadyRun(), s.batcher.FreePlaces(len(s.runs)), magno.Millis(s.meanRun)),
+		Wait: max(s.gate.EstimateWait(s.queue.ReadyRun(), s.batcher.FreePlaces(len(s.runs)), magno.Millis(s.meanRun)),
+			s.noticeDelay(s.queue.Len()+1, s.Clock.Now())),
 		Queued: s.queue.Len(), Running: len(s.runs), Work: work,
 		Pinned: s.slots.Pinned(), Held: s.slots.Held(),
 		Customer: s.queue.Customers(), Waits: s.waitsByCustomer(),
@@ -55,8 +58,9 @@
 func (s *Sched) waitsByCustomer() map[string]magno.Millis {
 	run := magno.Millis(s.meanRun)
 	ahead := s.queue.AheadByCustomer()
+	delay := s.noticeDelay(s.queue.Len()+1, s.Clock.Now())
 	for name, work := range ahead {
-		ahead[name] = s.gate.EstimateWait(work, s.batcher.FreePlaces(len(s.runs)), run)
+		ahead[name] = max(s.gate.EstimateWait(work, s.batcher.FreePlaces(len(s.runs)), run), delay)
 	}
 	return ahead
 }
@@ -68,6 +72,7 @@
 }
 
 var (
-	_ magno.Scheduler = (*Sched)(nil)
-	_ magno.TurnTaker = (*Sched)(nil)
+	_ magno.Scheduler   = (*Sched)(nil)
+	_ magno.TurnTaker   = (*Sched)(nil)
+	_ magno.NoticeTaker = (*Sched)(nil)
 )
--- a/magno/sched/sched.go
+++ b/magno/sched/sched.go
@@ -18,6 +18,7 @@
 	"magnoliastall.example/magno/admit"
 	"magnoliastall.example/magno/batch"
 	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/pace"
 	"magnoliastall.example/magno/place"
 	"magnoliastall.example/magno/share"
 )
@@ -98,6 +99,9 @@
 	reservedFor magno.Ref
 	// loadStarted is when the load in progress began.
 	loadStarted magno.Millis
+	// limiter is the limit that the upstream names. It accepts nothing before restUntil.
+	limiter   pace.Limiter
+	restUntil magno.Millis
 }
 
 // setup creates the components on first use, after the exported fields are set.
@@ -158,6 +162,9 @@
 	now := s.Clock.Now()
 	s.slots.AddDemand(job.Ref, now)
 	run := s.gate.EstimateRun(&job)
+	if r := s.refuseByNotice(&job, run, now); r != nil {
+		return r
+	}
 	if r := s.gate.Admit(now, &job, s.admissionView(&job, run, now)); r != nil {
 		return r
 	}
--- a/stand/engine/answer.go
+++ b/stand/engine/answer.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
+	if err := e.faults.TurnAway(c.Response().Header()); err != nil {
+		return err
+	}
 	r, err := e.submit(req)
 	if err != nil {
 		return err
--- a/stand/engine/http.go
+++ b/stand/engine/http.go
@@ -116,6 +116,7 @@
 		if _, out := e.faults.Active(fault.Outage, ""); out {
 			return echo.NewHTTPError(http.StatusServiceUnavailable, "outage")
 		}
+		e.faults.WriteNotice(c.Response().Header())
 		return next(c)
 	}
 }
--- a/stand/fault/fault.go
+++ b/stand/fault/fault.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -27,6 +28,9 @@
 	Crash       = "crash"       // requests that contain Match crash the upstream
 	Restart     = "restart"     // once: the state is lost, down for Value ms, then a new boot
 	IgnoreFence = "ignorefence" // a lower fencing token is accepted
+	Limit       = "limit"       // answers name a limit of Value requests per second
+	Leaving     = "leaving"     // answers state that the upstream leaves
+	Rest        = "rest"        // every call is turned away with 503 and a Retry-After of Value ms
 	Clear       = "clear"       // deactivates all faults
 )
 
@@ -82,7 +86,7 @@
 func (s Spec) validate() error {
 	highest := maxValue
 	switch s.Kind {
-	case Outage, Slow, Restart, IgnoreFence, Clear:
+	case Outage, Slow, Restart, IgnoreFence, Limit, Leaving, Rest, Clear:
 	case Stale, Lag:
 		highest = float64(past.Retention)
 	case Fail, Lost:
@@ -177,6 +181,27 @@
 	return 1
 }
 
+// WriteNotice writes what the service states about itself into the header of an answer.
+func (s *Injector) WriteNotice(h http.Header) {
+	if rate, ok := s.Active(Limit, ""); ok {
+		h.Set("X-Limit", strconv.FormatFloat(rate, 'f', -1, 64))
+	}
+	if _, ok := s.Active(Leaving, ""); ok {
+		h.Set("X-Leaving", "1")
+	}
+}
+
+// TurnAway returns the error that turns a call away, nil if the service accepts calls. The header
+// is that of the answer.
+func (s *Injector) TurnAway(h http.Header) error {
+	rest, ok := s.Active(Rest, "")
+	if !ok {
+		return nil
+	}
+	h.Set(echo.HeaderRetryAfter, strconv.FormatFloat(rest/float64(magno.Second), 'f', -1, 64))
+	return echo.NewHTTPError(http.StatusServiceUnavailable, "turned away")
+}
+
 // Register adds POST /fault to the administration API.
 func (s *Injector) Register(e *echo.Echo) {
 	e.POST("/fault", func(c echo.Context) error {
--- a/stand/plain/call.go
+++ b/stand/plain/call.go
@@ -19,6 +19,10 @@
 	if err != nil {
 		return err
 	}
+	if err := s.faults.TurnAway(c.Response().Header()); err != nil {
+		s.countRefused()
+		return err
+	}
 	name := c.Param("name")
 	subject := name + " " + string(body)
 	if s.faults.Hit(fault.Fail, subject) {
--- a/stand/plain/plain.go
+++ b/stand/plain/plain.go
@@ -144,6 +144,7 @@
 		s.processCtx, s.cancelProcess = context.WithCancel(context.Background())
 		s.faults.Kinds = map[string]bool{
 			fault.Outage: false, fault.Restart: false,
+			fault.Limit: false, fault.Leaving: false, fault.Rest: false,
 			fault.Slow: true, fault.Fail: true, fault.Lost: true, fault.Crash: true,
 		}
 		s.faults.OnRestart = s.restart
@@ -195,6 +196,7 @@
 		if _, out := s.faults.Active(fault.Outage, ""); out {
 			return echo.NewHTTPError(http.StatusServiceUnavailable, "outage")
 		}
+		s.faults.WriteNotice(c.Response().Header())
 		return next(c)
 	}
 }
--- a/stand/serve/serve.go
+++ b/stand/serve/serve.go
@@ -112,7 +112,9 @@
 			status, message = httpErr.Code, fmt.Sprint(httpErr.Message)
 		}
 		if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
-			c.Response().Header().Set(echo.HeaderRetryAfter, "1")
+			if h := c.Response().Header(); h.Get(echo.HeaderRetryAfter) == "" {
+				h.Set(echo.HeaderRetryAfter, "1")
+			}
 		}
 		var body errorBody
 		body.Error.Message, body.Error.Code = message, status
