soak: upstreams that name a limit, leave or turn requests away, with checks

New faults among the others, so they overlap with kills, pauses and cut paths. The checks count from what upstreams and callers saw, and excuse an entry only while it was disturbed or its path to that upstream was faulty. The numbers of the faults changed, so a seed plays other faults than before.

--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -21,6 +21,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -264,6 +265,12 @@
 	return slices.ContainsFunc(p.disturbedAt, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
+// pathFault reports whether the path to a worker was faulty in a period.
+func (f *fleet) pathFault(w *fake.Worker, from, to time.Time) bool {
+	listed, _, _ := strings.Cut(w.ID, "-")
+	return slices.ContainsFunc(f.proxies, func(p *proxy) bool { return p.listen == listed && p.faultyIn(from, to) })
+}
+
 // entryName names the entry with the given index in entries.
 func entryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
--- a/drive/soak/leave.go
+++ b/drive/soak/leave.go
@@ -23,7 +23,7 @@
 		case entry < 0:
 		case !a.Notice.Leaving:
 			delete(told, entry) // a new incarnation under the same name
-		case !known || o.disturbed(entry, first, a.At):
+		case !known || o.disturbed(entry, w, first, a.At):
 			told[entry] = a.At
 		case sentAt.Sub(first) > drainDelay:
 			broken = append(broken, fmt.Sprintf("upstream %s got request %s from entry %d, sent %d ms after it stated there that it leaves",
--- a/drive/soak/leave_test.go
+++ b/drive/soak/leave_test.go
@@ -47,7 +47,7 @@
 	o := &observer{
 		entry:     func(string) int { return 0 },
 		sentAt:    func(id string) time.Time { return began.Add(time.Duration(id[0]-'0') * 1500 * time.Millisecond) },
-		disturbed: func(int, time.Time, time.Time) bool { return false },
+		disturbed: func(int, *fake.Worker, time.Time, time.Time) bool { return false },
 	}
 	if broken := o.checkLeaving(w); len(broken) != 1 {
 		t.Errorf("got %q, want the request of 3 s after", broken)
--- a/drive/soak/limit.go
+++ b/drive/soak/limit.go
@@ -27,8 +27,9 @@
 	entry func(id string) int
 	// sentAt returns when the caller sent a request.
 	sentAt func(id string) time.Time
-	// disturbed reports whether an entry was stopped, killed or paused in a period.
-	disturbed func(entry int, from, to time.Time) bool
+	// disturbed reports whether an entry was stopped, killed or paused in a period, or its path to
+	// the worker was faulty.
+	disturbed func(entry int, w *fake.Worker, from, to time.Time) bool
 }
 
 // checkLimit returns the times at which a worker got more requests than its limit allows, from
@@ -43,14 +44,14 @@
 			end = changes[i+1].At
 		}
 		if c.Notice.Limited {
-			broken = append(broken, o.checkPeriod(w.ID, c, end, arrivals)...)
+			broken = append(broken, o.checkPeriod(w, c, end, arrivals)...)
 		}
 	}
 	return broken
 }
 
 // checkPeriod checks the period in which a worker named one limit.
-func (o *observer) checkPeriod(id string, c fake.NoticeChange, end time.Time, arrivals []fake.Arrival) []string {
+func (o *observer) checkPeriod(w *fake.Worker, c fake.NoticeChange, end time.Time, arrivals []fake.Arrival) []string {
 	told := map[int]time.Time{}
 	var counted []time.Time
 	allowed := limitFactor*limitWindow.Seconds()*c.Notice.Limit + limitSlack
@@ -60,7 +61,7 @@
 		}
 		entry := o.entry(a.ID)
 		first, known := told[entry]
-		if known && o.disturbed(entry, first, a.At) {
+		if known && o.disturbed(entry, w, first, a.At) {
 			known = false
 		}
 		if !known {
@@ -76,7 +77,7 @@
 		}
 		if a.At.Sub(c.At) > limitDelay && float64(len(counted)) > allowed {
 			return []string{fmt.Sprintf("upstream %s named a limit of %.1f per second and got %d requests in %s, allowed %.0f",
-				id, c.Notice.Limit, len(counted), limitWindow, allowed)}
+				w.ID, c.Notice.Limit, len(counted), limitWindow, allowed)}
 		}
 	}
 	return nil
@@ -101,6 +102,8 @@
 			}
 			return time.Time{}
 		},
-		disturbed: s.fleet.disturbed,
+		disturbed: func(entry int, w *fake.Worker, from, to time.Time) bool {
+			return s.fleet.disturbed(entry, from, to) || s.fleet.pathFault(w, from, to)
+		},
 	}
 }
--- a/drive/soak/limit_test.go
+++ b/drive/soak/limit_test.go
@@ -127,14 +127,14 @@
 	}
 	o := &observer{
 		entry:     func(id string) int { return int(id[0] - '0') },
-		disturbed: func(int, time.Time, time.Time) bool { return false },
+		disturbed: func(int, *fake.Worker, time.Time, time.Time) bool { return false },
 	}
 	end := at.At.Add(time.Minute)
-	if broken := o.checkPeriod("w", at, end, arrivals); len(broken) != 1 || !strings.Contains(broken[0], "allowed 11") {
+	if broken := o.checkPeriod(w, at, end, arrivals); len(broken) != 1 || !strings.Contains(broken[0], "allowed 11") {
 		t.Errorf("five requests per second at a limit of one: %q", broken)
 	}
-	o.disturbed = func(int, time.Time, time.Time) bool { return true }
-	if broken := o.checkPeriod("w", at, end, arrivals); len(broken) > 0 {
+	o.disturbed = func(int, *fake.Worker, time.Time, time.Time) bool { return true }
+	if broken := o.checkPeriod(w, at, end, arrivals); len(broken) > 0 {
 		t.Errorf("entries that were disturbed all the time: %q", broken)
 	}
 }
--- a/drive/soak/proxy.go
+++ b/drive/soak/proxy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,9 +30,11 @@
 type proxy struct {
 	listen, target string
 
-	mu    sync.Mutex
-	mode  mode
-	conns map[net.Conn]bool
+	mu   sync.Mutex
+	mode mode
+	// changedAt are the times at which the mode was set.
+	changedAt []time.Time
+	conns     map[net.Conn]bool
 }
 
 // run forwards connections until ctx ends.
@@ -63,6 +66,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	p.changedAt = append(p.changedAt, time.Now())
 	if m != modeReset {
 		return
 	}
@@ -71,6 +75,15 @@
 	}
 }
 
+// faultyIn reports whether a fault began or ended in a period, or up to maxFaultDuration before it.
+func (p *proxy) faultyIn(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.changedAt, func(at time.Time) bool {
+		return at.After(from.Add(-maxFaultDuration)) && at.Before(to)
+	})
+}
+
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
--- a/drive/soak/rest.go
+++ b/drive/soak/rest.go
@@ -30,7 +30,7 @@
 			if since > turned.Notice.Rest {
 				break
 			}
-			if since > restDelay && o.entry(a.ID) == entry && !o.disturbed(entry, turned.At, a.At) {
+			if since > restDelay && o.entry(a.ID) == entry && !o.disturbed(entry, w, turned.At, a.At) {
 				n++
 			}
 		}
--- a/drive/soak/rest_test.go
+++ b/drive/soak/rest_test.go
@@ -46,7 +46,7 @@
 	}
 	o := &observer{
 		entry:     func(string) int { return 0 },
-		disturbed: func(int, time.Time, time.Time) bool { return false },
+		disturbed: func(int, *fake.Worker, time.Time, time.Time) bool { return false },
 	}
 	if broken := o.checkRest(w); len(broken) != 1 {
 		t.Errorf("got %q, want three requests after the first", broken)
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -30,6 +31,9 @@
 	// half of what the platform allows.
 	recoveryLimit  = 12 * time.Second
 	powerLossLimit = 6 * time.Second
+	// noticeTime is how long an upstream states something at least: longer than a limit takes to
+	// bind.
+	noticeTime = limitDelay + time.Second
 	// requiredInRow is the number of consecutive requests that must then be served.
 	requiredInRow = 30
 	// listOutage is how long the instance list stays unavailable after a power loss.
@@ -101,6 +105,7 @@
 	unwatch()
 	<-watched
 	s.checkAll()
+	s.checkNotices()
 	s.printSummary()
 	return s.violations, nil
 }
@@ -200,7 +205,7 @@
 	x := f.proxies[rnd.IntN(len(f.proxies))]
 	u := append(f.engines[:len(f.engines):len(f.engines)], f.plains...)[rnd.IntN(engineCount+plainCount)]
 	none := func() {}
-	switch n := rnd.IntN(16); n {
+	switch n := rnd.IntN(19); n {
 	case 0, 1:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.kind, none
@@ -226,18 +231,47 @@
 	case 12:
 		f.publish()
 		return "configuration", none
+	default:
+		return f.startUpstreamFault(n, u, rnd)
+	}
+}
+
+// startUpstreamFault is startFault for the faults of upstreams.
+func (f *fleet) startUpstreamFault(n int, u *upstream, rnd *rand.Rand) (string, func()) {
+	none := func() {}
+	switch n {
 	case 13:
 		f.replace(u)
 		return "upstream replaced", none
 	case 14:
 		f.restart(u)
 		return "upstream restarted", none
+	case 15:
+		return "upstream limited", u.state(fake.Notice{Limited: true, Limit: float64(1+rnd.IntN(8)) / 2})
+	case 16:
+		u.worker.SetNotice(fake.Notice{Leaving: true})
+		return "upstream leaving", func() {
+			time.Sleep(noticeTime)
+			f.replace(u)
+		}
+	case 17:
+		return "upstream turns away", u.state(fake.Notice{Rest: time.Duration(1+rnd.IntN(3)) * time.Second})
 	default:
 		u.worker.AbortNext(1 + rnd.IntN(4))
 		return "answers broken", none
 	}
 }
 
+// state sets what the upstream states, and returns the function that ends it.
+func (u *upstream) state(n fake.Notice) func() {
+	w := u.worker
+	w.SetNotice(n)
+	return func() {
+		time.Sleep(noticeTime)
+		w.SetNotice(fake.Notice{})
+	}
+}
+
 // clearFaults ends all faults that may remain.
 func (s *Soak) clearFaults() {
 	for _, x := range s.fleet.proxies {
@@ -249,6 +283,7 @@
 	s.fleet.store.Down.Store(false)
 	for _, u := range append(s.fleet.engines, s.fleet.plains...) {
 		u.worker.AbortNext(0)
+		u.worker.SetNotice(fake.Notice{})
 	}
 }
 
@@ -345,6 +380,18 @@
 	s.checkUpstreams()
 }
 
+// checkNotices checks whether entries went by what upstreams stated.
+func (s *Soak) checkNotices() {
+	o := s.observer()
+	for _, w := range s.fleet.workers() {
+		for _, what := range slices.Concat(o.checkLimit(w), o.checkLeaving(w), o.checkRest(w)) {
+			s.mu.Lock()
+			s.violation("%s", what)
+			s.mu.Unlock()
+		}
+	}
+}
+
 // checkRequest compares what a caller received with what ran. The caller holds mu.
 func (s *Soak) checkRequest(id string, r *request) {
 	runs, o := s.fleet.runs(id), r.outcome
