--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -167,13 +167,13 @@
 
 // upstreamStarted handles a start of the upstream. What it stated before no longer holds.
 func (a *agent) upstreamStarted(p magno.Probe) {
-	a.server.SetStatedLeaving(false)
+	a.server.UpstreamStarted()
 	a.loop.Reset(p)
 }
 
 // takeNotice takes what the upstream stated in an answer to a request sent at the given time.
 func (a *agent) takeNotice(n magno.Notice, sentAt magno.Millis) {
-	if a.server.SetStatedLeaving(n.Leaving) {
+	if a.server.TakeNotice(n, sentAt) {
 		a.Log.Info("upstream notice", "leaving", n.Leaving)
 	}
 	if n.RetryAfter > 0 {
--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -151,10 +151,15 @@
 	}
 }
 
-// adoptLimit takes a limit that an entry knows of. This process may have started after the engine
-// named it.
+// adoptLimit takes a limit that an entry knows of, unless this process knows better: it may have
+// started after the engine named the limit. What it has told entries must not come back as news,
+// later by the way there and back each time: the limit would seem to be named again and again,
+// and would never end.
 func (k *Controller) adoptLimit(s *magno.LimitState, request string) {
-	if s != nil && s.Limited && k.gate.NameLimit(s.Rate, k.Clock.Now()-s.Age) {
+	if s == nil || !s.Limited || k.gate.Limit() != nil {
+		return
+	}
+	if k.gate.NameLimit(s.Rate, k.Clock.Now()-s.Age) {
 		k.logLimit(request)
 	}
 }
--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -150,12 +150,16 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	var reply gate.PermitReply
-	err := a.caller.Call(ctx, a.addr, gate.MethodPermit, gate.PermitCall{Replica: "r@1", Request: gate.Request{
-		ID: id, Model: "m", Adapter: "x", Prompt: 100, MaxOutput: 50, StartTarget: 60000, MaxWait: 60000, TimeLeft: 60000,
-	}}, &reply)
+	err := a.caller.Call(ctx, a.addr, gate.MethodPermit, gate.PermitCall{Replica: "r@1", Request: permitRequest(id)}, &reply)
 	return &reply, err
 }
 
+func permitRequest(id string) gate.Request {
+	return gate.Request{
+		ID: id, Model: "m", Adapter: "x", Prompt: 100, MaxOutput: 50, StartTarget: 60000, MaxWait: 60000, TimeLeft: 60000,
+	}
+}
+
 func newEngine() *engine { return &engine{held: map[string]int64{}, born: 1} }
 
 func TestPermitComesOnceTheAdapterIsThere(t *testing.T) {
@@ -288,3 +292,29 @@
 		t.Fatalf("got %+v, %v", r.reply, r.err)
 	}
 }
+
+// An agent starts while its engine names a limit, which only entries know of. It must hold from the
+// first permit on, or the engine gets a burst with each restart of its agent. What the agent knows
+// itself goes before what entries believe.
+func TestRestartedAgentLearnsTheLimitFromEntries(t *testing.T) {
+	a := start(t, newEngine())
+	if _, err := a.permit(t, "0"); err != nil { // the adapter is loaded now
+		t.Fatal(err)
+	}
+	call := gate.PermitCall{Replica: "r@1", Request: permitRequest("1"), Limit: &magno.LimitState{Limited: true, Rate: 10, Age: 3000}}
+	var reply gate.PermitReply
+	if err := a.caller.Call(t.Context(), a.addr, gate.MethodPermit, call, &reply); err != nil || reply.Refusal != nil {
+		t.Fatalf("got %+v, %v", reply, err)
+	}
+	if s := reply.Status.Limit; s == nil || !s.Limited || s.Rate != 10 || reply.Waits[gate.CauseLimit] == 0 {
+		t.Errorf("the limit is %+v, the waits are %v", reply.Status.Limit, reply.Waits)
+	}
+	if err := a.caller.Notify(t.Context(), a.addr, gate.MethodNotice, gate.NoticeCall{Replica: "r@1", ID: "1"}); err != nil {
+		t.Fatal(err)
+	}
+	status := gate.StatusCall{Replica: "r@1", Limit: call.Limit}
+	var after gate.StatusReply
+	if err := a.caller.Call(t.Context(), a.addr, gate.MethodStatus, status, &after); err != nil || after.Limit == nil || after.Limit.Limited {
+		t.Errorf("the limit is %+v after it has ended, %v", after.Limit, err)
+	}
+}
--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -54,8 +54,8 @@
 	drained atomic.Bool
 	// listedLeaving is true while the platform's list states that the instance is leaving.
 	listedLeaving atomic.Bool
-	// statedLeaving is true while the upstream states that it leaves.
-	statedLeaving atomic.Bool
+	// statedLeavingAt is when the upstream stated that it leaves, zero if it didn't.
+	statedLeavingAt atomic.Int64
 	// busy counts the runs under way. A planned stop waits until it is zero.
 	busy atomic.Int64
 
@@ -81,18 +81,29 @@
 // SetListedLeaving sets whether the platform's list states that the instance is leaving.
 func (s *Server) SetListedLeaving(leaving bool) { s.listedLeaving.Store(leaving) }
 
-// SetStatedLeaving sets whether the upstream states that it leaves, and reports whether that is a
-// change.
-func (s *Server) SetStatedLeaving(leaving bool) (changed bool) {
-	return s.statedLeaving.Swap(leaving) != leaving
+// TakeNotice takes what the upstream stated in an answer to a request that was sent at the given
+// time, and reports whether it began to leave or no longer does. An answer without the statement
+// undoes it only if its request was sent after it: others may be older.
+func (s *Server) TakeNotice(n magno.Notice, sentAt magno.Millis) (changed bool) {
+	at := s.statedLeavingAt.Load()
+	switch {
+	case n.Leaving:
+		return s.statedLeavingAt.CompareAndSwap(0, int64(s.Clock.Now()))
+	case at > 0 && int64(sentAt) > at:
+		return s.statedLeavingAt.CompareAndSwap(at, 0)
+	}
+	return false
 }
 
+// UpstreamStarted forgets what the upstream stated before it started.
+func (s *Server) UpstreamStarted() { s.statedLeavingAt.Store(0) }
+
 // Drained reports whether operators have drained the instance.
 func (s *Server) Drained() bool { return s.drained.Load() }
 
 // Leaving reports whether new work is refused.
 func (s *Server) Leaving() bool {
-	return s.leaving.Load() || s.drained.Load() || s.listedLeaving.Load() || s.statedLeaving.Load()
+	return s.leaving.Load() || s.drained.Load() || s.listedLeaving.Load() || s.statedLeavingAt.Load() > 0
 }
 
 // Busy returns the number of runs under way.
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -260,10 +260,7 @@
 	c.mu.Lock()
 	spec, revision, listsHash := s.spec, s.specRevision, s.status.ListsHash
 	c.mu.Unlock()
-	call := gate.StatusCall{Revision: revision, ListsHash: listsHash}
-	if call.Limit = c.untoldLimit(s); call.Limit != nil {
-		call.Replica = spec.Replica
-	}
+	call := gate.StatusCall{Revision: revision, ListsHash: listsHash, Replica: spec.Replica, Limit: c.Notices.State(spec.Replica)}
 	var reply gate.StatusReply
 	err := c.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
 	if err == nil && (reply.Revision < revision || (reply.Replica != spec.Replica && reply.Revision <= revision)) {
@@ -332,19 +329,6 @@
 	}
 }
 
-// untoldLimit returns the limit that an engine is known to have if its agent didn't report it:
-// the agent may have started after the engine named it.
-func (c *Client) untoldLimit(s *agentState) *magno.LimitState {
-	c.mu.Lock()
-	reported := s.status.Limit != nil && s.status.Limit.Limited
-	key := s.replica.Key()
-	c.mu.Unlock()
-	if reported {
-		return nil
-	}
-	return c.Notices.State(key)
-}
-
 // ReportNotice passes on what an engine's answer stated. If the notification is lost, the agent
 // learns of it with the next permit.
 func (c *Client) ReportNotice(key string, call gate.NoticeCall) {
--- a/entry/desk/permit.go
+++ b/entry/desk/permit.go
@@ -21,14 +21,13 @@
 	}
 	s.usedAt = c.Clock.Now()
 	lostCh, addr := s.lostCh, s.addr
-	call := gate.PermitCall{Request: req, Replica: key, ListsHash: s.status.ListsHash}
+	call := gate.PermitCall{Request: req, Replica: key, ListsHash: s.status.ListsHash, Limit: c.Notices.State(key)}
 	if s.status.Replica != key {
 		// The agent's next poll may be a second away; after a power loss of all machines this
 		// applies to every agent.
 		call.Spec, call.Revision = s.spec, s.specRevision
 	}
 	c.mu.Unlock()
-	call.Limit = c.untoldLimit(s)
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := make(chan struct{})
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -34,9 +34,9 @@
 
 // Methods of the protocol between entries.
 const (
-	MethodTake   = "limit/take"   // takeCall, answered by takeReply
-	MethodReport = "limit/report" // reportCall, a notification to the home
-	MethodState  = "limit/state"  // stateCall, a notification to all entries
+	MethodTake   = "take"   // takeCall, answered by takeReply
+	MethodReport = "stated" // reportCall, a notification to the home
+	MethodState  = "limit"  // stateCall, a notification to all entries
 )
 
 const (
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -20,7 +20,8 @@
 	// everything until it has one. Revision is that of the spec.
 	Spec     *Spec `json:"spec,omitempty"`
 	Revision int64 `json:"rev,omitempty"`
-	// Limit is a limit of the engine that the entry knows of, unless the agent reported it.
+	// Limit is the engine's limit as far as the entry knows, nil for none. The agent may have
+	// started after the engine named it.
 	Limit *magno.LimitState `json:"limit,omitempty"`
 }
 
@@ -67,7 +68,7 @@
 	Revision int64 `json:"rev"`
 	// ListsHash is the newest StatusReply.ListsHash that the entry has.
 	ListsHash uint64 `json:"held,omitempty"`
-	// Replica is set along with Limit, which is as in PermitCall.
+	// Replica is the incarnation that Limit belongs to, which is as in PermitCall.
 	Replica string            `json:"replica,omitempty"`
 	Limit   *magno.LimitState `json:"limit,omitempty"`
 }
--- a/magno/gate/notice.go
+++ b/magno/gate/notice.go
@@ -74,9 +74,3 @@
 
 // isLeaving reports whether the engine leaves, by its own statement or by the list.
 func (g *Gate) isLeaving() bool { return g.leavingAt > 0 || g.spec.Leaving }
-
-// limitWait is the time until one more request than those in the queue may start, as far as the
-// engine's limit is concerned.
-func (g *Gate) limitWait(now magno.Millis) magno.Millis {
-	return g.limiter.Delay(len(g.queue)+1, now)
-}
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -9,13 +9,14 @@
 
 // expectedWait estimates how long a request that arrives now would wait.
 func (g *Gate) expectedWait(req *Request, now magno.Millis) magno.Millis {
-	tokens := 0
+	tokens, ahead := 0, 0
 	for _, w := range g.queue {
 		if w.Rank <= req.Rank && now <= w.startBy {
 			tokens += g.prefillTokens(&w.Request)
+			ahead++
 		}
 	}
-	wait := max(g.pacer.expectedWait(tokens, now), g.capacityWait(), g.limitWait(now))
+	wait := max(g.pacer.expectedWait(tokens, now), g.capacityWait(), g.limiter.Delay(ahead+1, now))
 	if g.inventory.ready(req) {
 		return wait
 	}
@@ -67,7 +68,7 @@
 	next := g.forecast(now).nextLoad
 	return magno.Backlog{
 		Queued: len(g.queue), Running: g.runningCount(), Held: len(g.inventory.adapters),
-		Wait:       max(g.pacer.expectedWait(queued, now), g.capacityWait(), g.limitWait(now)) + g.congestion(),
+		Wait:       max(g.pacer.expectedWait(queued, now), g.capacityWait(), g.limiter.Delay(len(g.queue)+1, now)) + g.congestion(),
 		LoadWait:   next,
 		BaseWait:   g.inventory.baseModelWait(),
 		Warm:       g.inventory.warmHashes(),
--- a/magno/pace/pace.go
+++ b/magno/pace/pace.go
@@ -40,7 +40,7 @@
 // Name takes a limit that the upstream stated at the given time, and reports whether it changed
 // the one in force. A new limit starts without a burst: requests were just sent without it.
 func (l *Limiter) Name(rate float64, statedAt, now magno.Millis) (changed bool) {
-	if l.endedAt > 0 && statedAt <= l.endedAt {
+	if (l.endedAt > 0 && statedAt <= l.endedAt) || (l.limited && statedAt < l.namedAt) {
 		return false // an old statement that was delayed
 	}
 	l.namedAt = max(l.namedAt, statedAt)
--- a/magno/pace/pace_test.go
+++ b/magno/pace/pace_test.go
@@ -112,3 +112,15 @@
 		t.Errorf("delays of %d and %d ms, want 501 and 1501", first, third)
 	}
 }
+
+// Guards against a process with older knowledge replacing the limit in force.
+func TestOlderLimitDoesNotReplaceANewerOne(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	var l Limiter
+	old := clock.Now()
+	clock.Advance(100)
+	l.Name(2, clock.Now(), clock.Now())
+	if l.Name(50, old, clock.Now()) || l.State(clock.Now()).Rate != 2 {
+		t.Errorf("the limit is %v", l.State(clock.Now()).Rate)
+	}
+}
