--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -366,8 +366,13 @@
 			return
 		case <-time.After(restartDelay):
 		}
-		if p.start() != nil {
-			return
+		for err := p.start(); err != nil; err = p.start() {
+			fmt.Fprintf(os.Stderr, "soak: %v\n", err) // the machine may have no room for a process at the moment
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(restartDelay):
+			}
 		}
 	}
 }
