--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -315,37 +315,12 @@
 	if !current {
 		return
 	}
-	if reply.RestartAge > 0 {
-		c.Notices.Restarted(key, c.Clock.Now()-reply.RestartAge)
-	}
-	if reply.LeavingAge > 0 && c.Notices.AdoptLeaving(key, reply.LeavingAge) {
-		c.Log.Info("upstream notice", "replica", key, "leaving", true, "from", s.addr)
-	}
-	if reply.Limit != nil && c.Notices.Adopt(key, *reply.Limit) {
-		c.Log.Info("upstream notice", "replica", key, "limited", reply.Limit.Limited, "rate", reply.Limit.Rate, "from", s.addr)
-	}
+	c.adoptNotices(key, reply, s.addr)
 	if c.OnBacklog != nil {
 		c.OnBacklog(service, key, b)
 	}
 }
 
-// ReportNotice passes on what an engine's answer stated. If the notification is lost, the agent
-// learns of it with the next permit.
-func (c *Client) ReportNotice(key string, call gate.NoticeCall) {
-	c.mu.Lock()
-	s := c.agents[key]
-	c.mu.Unlock()
-	if s == nil {
-		return
-	}
-	call.Replica = key
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Duration())
-	defer cancel()
-	if err := c.Mesh.Notify(ctx, s.addr, gate.MethodNotice, call); err != nil {
-		c.Log.Info("cannot pass on notice", "replica", key, "request", call.ID, "limited", call.Limited, "error", err)
-	}
-}
-
 // ReportUnreachable records that a connection to an engine failed. If its agent is lost as
 // well, the machine is gone: the engine holds nothing any more, and no requests are sent to it
 // until its agent answers again.
