--- a/drive/soak/rest.go
+++ b/drive/soak/rest.go
@@ -27,7 +27,7 @@
 		n := 0
 		for _, a := range arrivals[i+1:] {
 			since := a.At.Sub(turned.At)
-			if since > turned.Notice.Rest {
+			if since > turned.Notice.Rest || a.Life != turned.Life {
 				break
 			}
 			if since > restDelay && o.entry(a.ID) == entry && !o.disturbed(entry, w, turned.At, a.At) {
