relay: only an upstream's own answers end what it stated

Found on reading the change: a 421 of another incarnation at the address, or an unsigned failure, has none of the headers and would have ended a limit or undone that the upstream leaves.

--- a/entry/relay/notice.go
+++ b/entry/relay/notice.go
@@ -12,13 +12,14 @@
 const agentlessShare = 0.25
 
 // recordNotice records what the upstream that answered states about itself, and passes it on to
-// the process that grants requests to it. An answer without the request's id may be another
-// upstream's.
+// the process that grants requests to it. An answer that is misrouted or has no request id may
+// be another upstream's. One that states nothing counts only if it is signed: not every failure
+// comes from the part of the upstream that knows its state.
 func (j *job) recordNotice(key string, reply *magno.Reply) {
-	if reply.ID != j.id {
+	n := reply.Notice
+	if reply.ID != j.id || reply.Misrouted || (n == magno.Notice{} && !reply.Signed) {
 		return
 	}
-	n := reply.Notice
 	changed := j.Notices.Record(key, n, j.sentAt)
 	if changed || n.RetryAfter > 0 {
 		j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", n.Limited, "rate", n.Rate, "leaving", n.Leaving, "rest", n.RetryAfter)
--- a/entry/relay/notice_test.go
+++ b/entry/relay/notice_test.go
@@ -223,3 +223,29 @@
 		t.Errorf("got %v %v, %d requests sent", res, err, u.requestCount())
 	}
 }
+
+// Guards against the answer of another incarnation, or a failure that isn't the upstream's own,
+// ending what the upstream stated.
+func TestForeignAnswerEndsNothing(t *testing.T) {
+	u := startUpstream(t, func(n int, r *http.Request, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		if n == 1 {
+			fmt.Fprintf(c, "HTTP/1.1 421 x\r\nId: %s\r\nSigned: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+			return true
+		}
+		fmt.Fprintf(c, "HTTP/1.1 502 x\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+		return true
+	})
+	s, l := newLimitedProxy(t, magno.RouteOnce, u)
+	key := s.pools.replicas[0]
+	l.open[key] = true
+	s.Notices.Adopt(key, magno.LimitState{Limited: true, Rate: 2, Age: 100})
+	for i := range 2 {
+		if _, _, err := s.get(t, http.MethodPost, fmt.Sprint(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, limited := s.Notices.Limit(key); !limited || len(l.reports) > 0 {
+		t.Errorf("the limit holds: %t; the home was told %+v", limited, l.reports)
+	}
+}
