--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -138,9 +138,10 @@
 		return
 	}
 	changed := false
-	if call.Limited {
+	switch {
+	case call.Limited:
 		changed = k.gate.NameLimit(call.Rate, k.Clock.Now())
-	} else {
+	case call.Signed:
 		changed = k.gate.EndLimit(call.ID)
 	}
 	if changed {
--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -309,7 +309,7 @@
 	if s := reply.Status.Limit; s == nil || !s.Limited || s.Rate != 10 || reply.Waits[gate.CauseLimit] == 0 {
 		t.Errorf("the limit is %+v, the waits are %v", reply.Status.Limit, reply.Waits)
 	}
-	if err := a.caller.Notify(t.Context(), a.addr, gate.MethodNotice, gate.NoticeCall{Replica: "r@1", ID: "1"}); err != nil {
+	if err := a.caller.Notify(t.Context(), a.addr, gate.MethodNotice, gate.NoticeCall{Replica: "r@1", ID: "1", Signed: true}); err != nil {
 		t.Fatal(err)
 	}
 	status := gate.StatusCall{Replica: "r@1", Limit: call.Limit}
--- a/entry/relay/notice.go
+++ b/entry/relay/notice.go
@@ -13,14 +13,17 @@
 
 // recordNotice records what the upstream that answered states about itself, and passes it on to
 // the process that grants requests to it. An answer that is misrouted or has no request id may
-// be another upstream's. One that states nothing counts only if it is signed: not every failure
-// comes from the part of the upstream that knows its state.
+// be another upstream's. One that isn't signed ends nothing by what it doesn't state: not every
+// failure comes from the part of the upstream that knows its state.
 func (j *job) recordNotice(key string, reply *magno.Reply) {
-	n := reply.Notice
-	if reply.ID != j.id || reply.Misrouted || (n == magno.Notice{} && !reply.Signed) {
+	if reply.ID != j.id || reply.Misrouted {
 		return
 	}
-	changed := j.Notices.Record(key, n, j.sentAt)
+	n, sentAt, grant := reply.Notice, j.sentAt, j.grant
+	if !reply.Signed {
+		sentAt, grant = 0, magno.LimitGrant{}
+	}
+	changed := j.Notices.Record(key, n, sentAt)
 	if changed || n.RetryAfter > 0 {
 		j.Log.Info("upstream notice", "replica", key, "request", j.id, "limited", n.Limited, "rate", n.Rate, "leaving", n.Leaving, "rest", n.RetryAfter)
 	}
@@ -29,11 +32,11 @@
 	}
 	switch {
 	case j.service.Engine != nil:
-		if changed || j.permitLimited != n.Limited {
-			j.Permits.ReportNotice(key, gate.NoticeCall{ID: j.permitID, Limited: n.Limited, Rate: n.Rate, Leaving: n.Leaving})
+		if changed || (j.permitLimited != n.Limited && (n.Limited || reply.Signed)) {
+			j.Permits.ReportNotice(key, gate.NoticeCall{ID: j.permitID, Limited: n.Limited, Rate: n.Rate, Leaving: n.Leaving, Signed: reply.Signed})
 		}
-	case changed, j.grant.Granted && (!n.Limited || n.Rate != j.grant.Rate):
-		j.Limits.Report(key, n, j.grant)
+	case changed, grant.Granted && (!n.Limited || n.Rate != grant.Rate):
+		j.Limits.Report(key, n, grant)
 	}
 }
 
--- a/entry/relay/notice_test.go
+++ b/entry/relay/notice_test.go
@@ -233,7 +233,7 @@
 			fmt.Fprintf(c, "HTTP/1.1 421 x\r\nId: %s\r\nSigned: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 			return true
 		}
-		fmt.Fprintf(c, "HTTP/1.1 502 x\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+		fmt.Fprintf(c, "HTTP/1.1 503 x\r\nId: %s\r\nNot-Run: 1\r\nRest: 1\r\nContent-Length: 0\r\n\r\n", id)
 		return true
 	})
 	s, l := newLimitedProxy(t, magno.RouteOnce, u)
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -47,6 +47,8 @@
 	Rate    float64 `json:"rate,omitempty"`
 	// Leaving is true if the answer stated that the engine leaves.
 	Leaving bool `json:"leaving,omitempty"`
+	// Signed is true if the answer is the engine's own, so that what it doesn't state has ended.
+	Signed bool `json:"signed,omitempty"`
 }
 
 // EndCall reports that an admitted request has ended, or that its caller has disconnected.
--- a/magno/notice/notice.go
+++ b/magno/notice/notice.go
@@ -46,7 +46,8 @@
 
 // Record takes the notice in an answer to a request that was sent at the given time, and
 // reports whether it changed what is known of the upstream. An answer without a limit ends a
-// limit only if its request was sent after the limit was last named: others may be older.
+// limit only if its request was sent after the limit was last named: others may be older. With
+// sentAt zero it ends nothing.
 func (b *Board) Record(key string, n magno.Notice, sentAt magno.Millis) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
