soak: a run waits until its processes have ended, also after an error

An agent that an early failed start had left behind at 16:43 held its port for half an hour: the agent of the same name failed to start in each run after it, silently ("address already in use" in its own log only), and the left one, of an older build, served in its place.

--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -75,7 +75,10 @@
 // Run runs the test and returns the guarantees that were violated.
 func (s *Soak) Run(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	defer func() {
+		cancel()
+		s.fleet.wait() // a process that is left behind holds its port in the next run
+	}()
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
