--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -47,6 +47,11 @@
 	// maxHomes bounds the homes that are tried. The second is tried only if the first can't be
 	// reached at all.
 	maxHomes = 2
+	// stateTimeout bounds the delivery of a change to one entry, and doubles with each of
+	// maxDeliveries tries. The first change opens connections to all entries, which takes a small
+	// or busy machine some time.
+	stateTimeout  = 500 * magno.Millis(1)
+	maxDeliveries = 4
 	// maxQueued bounds the changes that wait to be sent to all entries.
 	maxQueued = 64
 	// homeTTL is how long a home remembers an upstream that nobody asked for.
@@ -80,8 +85,31 @@
 type stateCall struct {
 	Key string `json:"key"`
 	// State is nil if no limit was named.
-	State   *magno.LimitState `json:"state,omitempty"`
-	Leaving bool              `json:"leaving,omitempty"`
+	State *magno.LimitState `json:"state,omitempty"`
+	// LeavingAge is the time since the upstream stated that it leaves, zero if it didn't.
+	LeavingAge magno.Millis `json:"parting,omitempty"`
+}
+
+// change is a change of what the home knows of an upstream.
+type change struct {
+	key     string
+	state   *magno.LimitState
+	leaving bool
+	at      magno.Millis
+}
+
+// call returns the call that tells of the change at the given time.
+func (c *change) call(now magno.Millis) stateCall {
+	call := stateCall{Key: c.key}
+	if c.state != nil {
+		aged := *c.state
+		aged.Age += now - c.at
+		call.State = &aged
+	}
+	if c.leaving {
+		call.LeavingAge = max(now-c.at, 1)
+	}
+	return call
 }
 
 // Manager asks the homes of upstreams, and is the home of some. Exported fields are set before
@@ -106,7 +134,7 @@
 	mu sync.Mutex
 	// homes holds the upstreams that this entry is the home of.
 	homes        map[string]*home
-	changes      chan stateCall
+	changes      chan change
 	calls, fails *metrics.Counter
 }
 
@@ -122,7 +150,7 @@
 func (m *Manager) Open() {
 	m.process = rand.Uint64() | 1
 	m.homes = map[string]*home{}
-	m.changes = make(chan stateCall, maxQueued)
+	m.changes = make(chan change, maxQueued)
 	m.calls = metrics.GetOrCreateCounter("limit_calls_total")
 	m.fails = metrics.GetOrCreateCounter("limit_failures_total")
 	m.Mesh.Handle(MethodTake, m.handleTake)
@@ -242,7 +270,7 @@
 		return
 	}
 	select {
-	case m.changes <- stateCall{Key: call.Key, State: l.State(now), Leaving: h.leaving}:
+	case m.changes <- change{key: call.Key, state: l.State(now), leaving: h.leaving, at: now}:
 	default: // entries learn of it from their own answers
 		m.Log.Warn("queue of upstream states is full", "replica", call.Key)
 	}
@@ -274,21 +302,36 @@
 	if c.State != nil && m.Notices.Adopt(c.Key, *c.State) {
 		m.Log.Info("upstream notice", "replica", c.Key, "limited", c.State.Limited, "rate", c.State.Rate, "from", from)
 	}
-	if c.Leaving && m.Notices.AdoptLeaving(c.Key, 0) {
+	if c.LeavingAge > 0 && m.Notices.AdoptLeaving(c.Key, c.LeavingAge) {
 		m.Log.Info("upstream notice", "replica", c.Key, "leaving", true, "from", from)
 	}
 }
 
-// broadcast tells all entries what is known of an upstream.
-func (m *Manager) broadcast(ctx context.Context, c stateCall) {
-	m.adopt(c, m.Self)
-	others := slices.DeleteFunc(m.Entries(), func(addr string) bool { return addr == m.Self })
-	err := m.Mesh.Broadcast(ctx, others, MethodState, callTimeout, c, func(addr string, err error) {
-		m.Log.Info("cannot pass on an upstream's state", "addr", addr, "replica", c.Key, "error", err)
+// broadcast tells all entries what is known of an upstream. Those that weren't reached are tried
+// again; an entry that never is learns it from its own answers.
+func (m *Manager) broadcast(ctx context.Context, c change) {
+	m.adopt(c.call(m.Clock.Now()), m.Self)
+	addrs := slices.DeleteFunc(m.Entries(), func(addr string) bool { return addr == m.Self })
+	for n := 0; n < maxDeliveries && len(addrs) > 0 && ctx.Err() == nil; n++ {
+		addrs = m.deliver(ctx, addrs, stateTimeout<<n, c.call(m.Clock.Now()))
+	}
+}
+
+// deliver tells the given entries what is known of an upstream, and returns those that weren't
+// reached.
+func (m *Manager) deliver(ctx context.Context, addrs []string, timeout magno.Millis, call stateCall) []string {
+	var mu sync.Mutex
+	var missed []string
+	err := m.Mesh.Broadcast(ctx, addrs, MethodState, timeout, call, func(addr string, err error) {
+		m.Log.Info("cannot pass on an upstream's state", "addr", addr, "replica", call.Key, "error", err)
+		mu.Lock()
+		defer mu.Unlock()
+		missed = append(missed, addr)
 	})
 	if err != nil {
-		m.Log.Error("cannot broadcast an upstream's state", "replica", c.Key, "error", err)
+		m.Log.Error("cannot encode an upstream's state", "replica", call.Key, "error", err)
 	}
+	return missed
 }
 
 func (m *Manager) handleTake(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -237,11 +237,35 @@
 	f := newFleet(t, 30)
 	f.nodes[3].Notices.Record(key, magno.Notice{Leaving: true}, f.clock.Now())
 	f.nodes[3].Report(key, magno.Notice{Leaving: true}, magno.LimitGrant{})
-	for _, n := range f.nodes {
+	f.waitLeaving(f.nodes)
+}
+
+// waitLeaving waits until entries know that the upstream leaves.
+func (f *fleet) waitLeaving(nodes []*node) {
+	f.t.Helper()
+	for _, n := range nodes {
 		for end := time.Now().Add(time.Minute); !n.Notices.Leaving(key); time.Sleep(time.Millisecond) {
 			if time.Now().After(end) {
-				t.Fatal("timed out waiting for an entry to be told")
+				f.t.Fatal("timed out waiting for an entry to be told that the upstream leaves")
 			}
 		}
 	}
 }
+
+// Guards against an entry that can't be reached at the first try going on without the limit: its
+// machine is starting, or busy.
+func TestEntryThatWasNotReachedIsToldAgain(t *testing.T) {
+	f := newFleet(t, 3)
+	late := f.nodes[2]
+	late.stop()
+	c := change{key: key, state: &magno.LimitState{Limited: true, Rate: 2, Age: 100}, leaving: true, at: f.clock.Now()}
+	f.clock.Advance(50)
+	missed := f.nodes[0].deliver(context.Background(), []string{f.nodes[1].Self, late.Self}, stateTimeout, c.call(f.clock.Now()))
+	if len(missed) != 1 || missed[0] != late.Self {
+		t.Errorf("%v were missed, want the one that is down", missed)
+	}
+	f.waitLeaving(f.nodes[1:2])
+	if s := f.nodes[1].Notices.State(key); s == nil || s.Age != 150 {
+		t.Errorf("the other one knows %+v", s)
+	}
+}
