--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -67,6 +67,8 @@
 	readAll, readFresh bool
 	callCount          *metrics.Counter
 	failureCount       *metrics.Counter
+	listingCount       *metrics.Counter
+	backwardCount      *metrics.Counter
 }
 
 // Name implements magno.Task.
@@ -76,6 +78,8 @@
 func (r *Reader) Run(ctx context.Context) error {
 	r.callCount = metrics.GetOrCreateCounter("list_calls_total")
 	r.failureCount = metrics.GetOrCreateCounter("list_failures_total")
+	r.listingCount = metrics.GetOrCreateCounter("list_full_reads_total")
+	r.backwardCount = metrics.GetOrCreateCounter("list_backward_reads_total")
 	r.readAll, r.readFresh = true, r.FreshFirst
 	for ctx.Err() == nil {
 		r.Book.Tick()
@@ -118,6 +122,9 @@
 	}
 	r.recordSuccess()
 	r.readAll, r.readFresh = false, false
+	if readAll {
+		r.logListing(since, revision, readFresh, len(changes))
+	}
 	update := r.Book.ApplyRead(changes, revision, readAll)
 	switch {
 	case !readAll:
@@ -145,6 +152,18 @@
 	return watchTimeout
 }
 
+// logListing logs a read of the whole list. A fresh one that is older than the known revision
+// means that the list itself went back.
+func (r *Reader) logListing(known, revision int64, fresh bool, items int) {
+	r.listingCount.Inc()
+	level := slog.LevelInfo
+	if fresh && revision < known {
+		r.backwardCount.Inc()
+		level = slog.LevelWarn
+	}
+	r.Log.Log(context.Background(), level, "list read", "rev", revision, "known", known, "fresh", fresh, "items", items)
+}
+
 func (r *Reader) recordFailure(err error) magno.Millis {
 	r.failureCount.Inc()
 	r.Book.RecordFailure()
