--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -202,7 +202,7 @@
 
 // updateSpec sets the spec of the engine if it is newer than the present one. From is the name of
 // the entry that sent it or the ID of its request, for the log.
-func (k *Controller) updateSpec(spec *gate.Spec, revision int64, from string) {
+func (k *Controller) updateSpec(spec *gate.Spec, revision magno.Revision, from string) {
 	if spec == nil || revision <= k.specRevision {
 		return
 	}
--- a/agent/keep/engine.go
+++ b/agent/keep/engine.go
@@ -125,7 +125,7 @@
 // revision of the spec that has it, and the age of the engine's latest report.
 type basis struct {
 	id       string
-	revision int64
+	revision magno.Revision
 	age      magno.Millis
 }
 
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -53,7 +53,7 @@
 	waiting map[string]chan gate.PermitReply
 	// specRevision is the revision of the spec in force. engineStart is taken from the engine's
 	// latest report, which was requested at reportAskedAt.
-	specRevision  int64
+	specRevision  magno.Revision
 	engineStart   magno.Millis
 	reportAskedAt magno.Millis
 	down          bool
--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -134,7 +134,7 @@
 }
 
 // sendStatus sends the status call that entries send at each poll.
-func (a *agent) sendStatus(t *testing.T, replica string, revision int64) gate.StatusReply {
+func (a *agent) sendStatus(t *testing.T, replica string, revision magno.Revision) gate.StatusReply {
 	t.Helper()
 	var reply gate.StatusReply
 	call := gate.StatusCall{Entry: "e", Spec: spec(replica), Revision: revision}
@@ -178,7 +178,7 @@
 // be refused for the outdated spec that the agent had. An older spec must be ignored.
 func TestPermitUpdatesEngineSpec(t *testing.T) {
 	a := start(t, newEngine())
-	ask := func(revision int64, replica string) *magno.Refusal {
+	ask := func(revision magno.Revision, replica string) *magno.Refusal {
 		var reply gate.PermitReply
 		call := gate.PermitCall{Replica: replica, Spec: spec(replica), Revision: revision, Request: gate.Request{
 			ID: replica, Model: "m", Adapter: "x", Prompt: 100, MaxOutput: 50, StartTarget: 60000, MaxWait: 60000, TimeLeft: 60000,
--- a/entry/desk/lost_test.go
+++ b/entry/desk/lost_test.go
@@ -111,7 +111,7 @@
 func TestWorkerThatStartsAgainHoldsNothing(t *testing.T) {
 	client, clock := newFleet(0)
 	client.Book = &view.Store{Clock: clock}
-	list := func(revision int64, born magno.Millis) string {
+	list := func(revision magno.Revision, born magno.Millis) string {
 		r := &magno.Replica{ID: "r", StartedAt: born, Service: "s", Address: "127.0.0.1:1", DataCentre: "x", Slots: 1}
 		client.Book.ApplyRead([]magno.Change{
 			{Key: "plan", Revision: revision, Plan: &magno.Plan{Version: 1, Services: []magno.Service{{Name: "s", Engine: &magno.Engine{Batch: 1}}}}},
--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -13,7 +13,7 @@
 	hash uint64
 	spec *gate.Spec
 	// specRevision is the revision of the list at which spec last changed.
-	specRevision int64
+	specRevision magno.Revision
 	status       gate.StatusReply
 	heardAt      magno.Millis
 	// calm is true if the last status changed nothing that routing depends on.
@@ -27,7 +27,7 @@
 	// revision that the poll was meant to deliver.
 	polling      bool
 	polledAt     magno.Millis
-	sentRevision int64
+	sentRevision magno.Revision
 	// lostCh is closed once the agent counts as lost, and replaced when it answers again.
 	lostCh chan struct{}
 	lost   bool
--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -20,8 +20,8 @@
 	Addr string `json:"addr"`
 	// Revision is the newest that it has, Age the time since that was known to be the
 	// list's newest.
-	Revision int64        `json:"rev"`
-	Age      magno.Millis `json:"age"`
+	Revision magno.Revision `json:"rev"`
+	Age      magno.Millis   `json:"age"`
 	// ListReachable is true while the platform's list answers it.
 	ListReachable bool `json:"able"`
 	// Leaving is true while it is shutting down.
@@ -55,6 +55,6 @@
 
 // Since requests the changes after a revision.
 type Since struct {
-	Revision int64 `json:"rev"`
-	Stamp    Stamp `json:"stamp"`
+	Revision magno.Revision `json:"rev"`
+	Stamp    Stamp          `json:"stamp"`
 }
--- a/entry/peers/model_test.go
+++ b/entry/peers/model_test.go
@@ -74,16 +74,16 @@
 func (f *fleet) write() { f.writtenAt = append(f.writtenAt, f.now) }
 
 // asOf returns the list's newest revision at a time.
-func (f *fleet) asOf(at magno.Millis) int64 {
+func (f *fleet) asOf(at magno.Millis) magno.Revision {
 	n := 0
 	for n < len(f.writtenAt) && f.writtenAt[n] <= at {
 		n++
 	}
-	return int64(n)
+	return magno.Revision(n)
 }
 
 // item returns the configuration of a revision.
-func item(revision int64) magno.Change { return plan(revision, revision) }
+func item(revision magno.Revision) magno.Change { return plan(int64(revision), revision) }
 
 // callList makes a process call the list. The response is what the list held at some time
 // during the call. A stale read may be older, and a watch may miss recent changes.
--- a/entry/peers/news.go
+++ b/entry/peers/news.go
@@ -14,7 +14,7 @@
 
 // fetchIfNewer fetches the changes that a peer has and this process lacks, one fetch at a
 // time.
-func (p *Peers) fetchIfNewer(addr string, revision int64) {
+func (p *Peers) fetchIfNewer(addr string, revision magno.Revision) {
 	p.mu.Lock()
 	mine := p.Book.Current().Revision
 	needed := revision > mine && !p.fetching
@@ -33,7 +33,7 @@
 }
 
 // fetch requests the changes after a revision from a peer.
-func (p *Peers) fetch(addr string, since int64) {
+func (p *Peers) fetch(addr string, since magno.Revision) {
 	timeout := p.fetchTimeout()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
 	defer cancel()
@@ -57,7 +57,7 @@
 
 // receive applies an update from a peer and returns its revision. What can't be applied is
 // fetched later.
-func (p *Peers) receive(u *Update, from string) (revision int64) {
+func (p *Peers) receive(u *Update, from string) (revision magno.Revision) {
 	var update view.Update
 	if err := json.Unmarshal(u.Payload, &update); err != nil {
 		p.Log.Warn("malformed update", "from", from, "error", err)
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -116,7 +116,7 @@
 	// wakeup holds a token while there are peers to be contacted at once.
 	wakeup chan struct{}
 	// receivedRevision is the newest revision received in an update from another entry.
-	receivedRevision int64
+	receivedRevision magno.Revision
 	updates          chan view.Update
 	// fetching is true while a fetch of items is in progress. slowFetches is the number
 	// of times that minFetchTimeout is doubled.
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -68,7 +68,7 @@
 	}
 }
 
-func plan(version, rev int64) magno.Change {
+func plan(version int64, rev magno.Revision) magno.Change {
 	return magno.Change{Key: "plan", Revision: rev, Plan: &magno.Plan{Version: version}}
 }
 
--- a/entry/peers/proof.go
+++ b/entry/peers/proof.go
@@ -23,7 +23,7 @@
 	// Offset may be negative.
 	Offset magno.Millis `json:"lead"`
 	// Revision is at least the list's newest at that time.
-	Revision int64 `json:"rev"`
+	Revision magno.Revision `json:"rev"`
 }
 
 // receivedStamp is another process's stamp and the time of its arrival.
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -65,7 +65,7 @@
 }
 
 // received reports whether another entry sent the changes up to a revision.
-func (p *Peers) received(revision int64) bool {
+func (p *Peers) received(revision magno.Revision) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.receivedRevision >= revision
--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -101,7 +101,7 @@
 	r.callCount.Inc()
 	since, calledAt := r.Book.Current().Revision, r.Book.Clock.Now()
 	var changes []magno.Change
-	var revision int64
+	var revision magno.Revision
 	var err error
 	readAll, readFresh, wait := r.readAll, r.readFresh, r.watchLength()
 	if readAll {
@@ -154,7 +154,7 @@
 
 // logListing logs a read of the whole list. A fresh one that is older than the known revision
 // means that the list itself went back.
-func (r *Reader) logListing(known, revision int64, fresh bool, items int) {
+func (r *Reader) logListing(known, revision magno.Revision, fresh bool, items int) {
 	r.listingCount.Inc()
 	level := slog.LevelInfo
 	if fresh && revision < known {
--- a/entry/reads/reads_test.go
+++ b/entry/reads/reads_test.go
@@ -22,7 +22,7 @@
 	waits                  int
 }
 
-func (l *fakeList) All(_ context.Context, fresh bool) ([]magno.Change, int64, error) {
+func (l *fakeList) All(_ context.Context, fresh bool) ([]magno.Change, magno.Revision, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.fail {
@@ -34,10 +34,10 @@
 	} else {
 		l.staleReads++
 	}
-	return []magno.Change{{Key: "plan", Revision: l.version, Plan: &magno.Plan{Version: l.version}}}, l.version, nil
+	return []magno.Change{{Key: "plan", Revision: magno.Revision(l.version), Plan: &magno.Plan{Version: l.version}}}, magno.Revision(l.version), nil
 }
 
-func (l *fakeList) Wait(ctx context.Context, after int64, _ magno.Millis) ([]magno.Change, int64, error) {
+func (l *fakeList) Wait(ctx context.Context, after magno.Revision, _ magno.Millis) ([]magno.Change, magno.Revision, error) {
 	magno.Sleep(ctx, 2)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/magno/delta/delta.go
+++ b/magno/delta/delta.go
@@ -32,7 +32,7 @@
 type Delta struct {
 	// Base is the revision of the earlier configuration; zero if the delta holds a full
 	// one.
-	Base int64
+	Base magno.Revision
 	// Rest is the new configuration without its routes.
 	Rest magno.Plan
 	// Routes holds the new and changed routes, and Gone the names of removed ones. Both
@@ -50,7 +50,7 @@
 
 // Diff returns the difference of next from base, which the list had at the given
 // revision. If it is no smaller than the full configuration, Diff returns that.
-func Diff(base *magno.Plan, revision int64, next *magno.Plan) *Delta {
+func Diff(base *magno.Plan, revision magno.Revision, next *magno.Plan) *Delta {
 	old, unique := routesByName(base)
 	if base == nil || revision == 0 || !unique {
 		return Full(next)
@@ -89,7 +89,7 @@
 
 // Apply returns the new configuration, made from base, which the list had at the given
 // revision and which isn't modified. The order of routes may differ from the sender's.
-func (d *Delta) Apply(base *magno.Plan, revision int64) (*magno.Plan, error) {
+func (d *Delta) Apply(base *magno.Plan, revision magno.Revision) (*magno.Plan, error) {
 	next := d.Rest
 	if d.Base == 0 {
 		next.Routes = d.Routes
--- a/magno/delta/delta_test.go
+++ b/magno/delta/delta_test.go
@@ -33,7 +33,7 @@
 }
 
 // roundTrip encodes a delta, decodes it and applies it.
-func roundTrip(t interface{ Fatal(...any) }, d *Delta, base *magno.Plan, revision int64) (*magno.Plan, error) {
+func roundTrip(t interface{ Fatal(...any) }, d *Delta, base *magno.Plan, revision magno.Revision) (*magno.Plan, error) {
 	data, err := d.Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -86,7 +86,7 @@
 	d := Diff(base, 3, planWithRoutes(2, map[string]int{"a": 1, "b": 1, "c": 2}))
 	for _, c := range []struct {
 		base     *magno.Plan
-		revision int64
+		revision magno.Revision
 	}{{base, 2}, {nil, 3}} {
 		if _, err := roundTrip(t, d, c.base, c.revision); !errors.Is(err, ErrBaseMismatch) {
 			t.Errorf("base at %d: %v", c.revision, err)
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -18,8 +18,8 @@
 	ListsHash uint64 `json:"held,omitempty"`
 	// Spec is set unless the agent is known to have it: an agent that has just started refuses
 	// everything until it has one. Revision is that of the spec.
-	Spec     *Spec `json:"spec,omitempty"`
-	Revision int64 `json:"rev,omitempty"`
+	Spec     *Spec          `json:"spec,omitempty"`
+	Revision magno.Revision `json:"rev,omitempty"`
 	// Limit is the engine's limit as far as the entry knows, nil for none. The agent may have
 	// started after the engine named it.
 	Limit *magno.LimitState `json:"limit,omitempty"`
@@ -67,7 +67,7 @@
 	// Spec is left out if the agent is known to have it.
 	Spec *Spec `json:"spec,omitempty"`
 	// Revision orders the specs of different entries; the highest one is in force.
-	Revision int64 `json:"rev"`
+	Revision magno.Revision `json:"rev"`
 	// ListsHash is the newest StatusReply.ListsHash that the entry has.
 	ListsHash uint64 `json:"held,omitempty"`
 	// Replica is the incarnation that Limit belongs to, which is as in PermitCall.
@@ -79,8 +79,8 @@
 type StatusReply struct {
 	// Replica is the incarnation that the agent has a spec for, and Revision that of the spec.
 	// A zero Revision asks for a spec.
-	Replica  string `json:"replica"`
-	Revision int64  `json:"rev"`
+	Replica  string         `json:"replica"`
+	Revision magno.Revision `json:"rev"`
 	// EngineStart is the engine's start time by its report, zero while it is unreachable.
 	EngineStart magno.Millis `json:"born,omitempty"`
 	Down        bool         `json:"down,omitempty"`
--- a/magno/plan.go
+++ b/magno/plan.go
@@ -129,7 +129,7 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Since is the revision of the list that created the entry. Of two entries with the
 	// same address, the one with the higher value is current.
-	Since int64 `json:"since"`
+	Since Revision `json:"since"`
 }
 
 // Key identifies the incarnation.
@@ -140,9 +140,9 @@
 type Change struct {
 	// Key is the name of the item and Revision that of its last change. A higher revision
 	// of a key replaces a lower one, whichever process it comes from.
-	Key      string `json:"key"`
-	Revision int64  `json:"rev"`
-	Deleted  bool   `json:"deleted,omitempty"`
+	Key      string   `json:"key"`
+	Revision Revision `json:"rev"`
+	Deleted  bool     `json:"deleted,omitempty"`
 	// Fault is the reason why the item is invalid. It is then treated as deleted.
 	Fault string `json:"fault,omitempty"`
 	Plan  *Plan  `json:"-"`
--- a/magno/site.go
+++ b/magno/site.go
@@ -75,10 +75,10 @@
 type Lister interface {
 	// All returns all items and the revision from which Wait continues without gaps. Unless
 	// fresh, the result may be seconds old, which costs the platform less.
-	All(ctx context.Context, fresh bool) ([]Change, int64, error)
+	All(ctx context.Context, fresh bool) ([]Change, Revision, error)
 	// Wait returns the changes after a revision as soon as there are any, at the latest
 	// after wait, and the revision to continue from.
-	Wait(ctx context.Context, after int64, wait Millis) ([]Change, int64, error)
+	Wait(ctx context.Context, after Revision, wait Millis) ([]Change, Revision, error)
 }
 
 // Call is the metadata of a caller's request.
--- a/magno/view/machine_test.go
+++ b/magno/view/machine_test.go
@@ -28,7 +28,7 @@
 }
 
 // stateAt returns the whole list at a revision.
-func (l *listModel) stateAt(revision int64) map[string]magno.Change {
+func (l *listModel) stateAt(revision magno.Revision) map[string]magno.Change {
 	state := map[string]magno.Change{}
 	for _, entry := range l.log {
 		if entry.Revision > revision {
@@ -44,8 +44,8 @@
 }
 
 // revisionBefore returns the newest revision before a time.
-func (l *listModel) revisionBefore(t magno.Millis) int64 {
-	revision := int64(0)
+func (l *listModel) revisionBefore(t magno.Millis) magno.Revision {
+	revision := magno.Revision(0)
 	for _, w := range l.log {
 		if w.writtenAt < t {
 			revision = w.Revision
@@ -54,10 +54,10 @@
 	return revision
 }
 
-func (l *listModel) newestRevision() int64 { return int64(len(l.log)) }
+func (l *listModel) newestRevision() magno.Revision { return magno.Revision(len(l.log)) }
 
 // changesAfter returns the changes after a revision.
-func (l *listModel) changesAfter(revision int64) []magno.Change {
+func (l *listModel) changesAfter(revision magno.Revision) []magno.Change {
 	var out []magno.Change
 	for _, w := range l.log {
 		if w.Revision > revision {
@@ -124,7 +124,7 @@
 // changes after it, as a watch does.
 func (f *fleet) read(t *rapid.T) {
 	s := f.pick(t, "reader")
-	old := max(f.list.newestRevision()-int64(rapid.IntRange(0, 4).Draw(t, "behind")), 0)
+	old := max(f.list.newestRevision()-magno.Revision(rapid.IntRange(0, 4).Draw(t, "behind")), 0)
 	var all []magno.Change
 	state := f.list.stateAt(old)
 	for _, key := range slices.Sorted(maps.Keys(state)) {
--- a/magno/view/news.go
+++ b/magno/view/news.go
@@ -6,8 +6,8 @@
 // processes.
 type Update struct {
 	Changes  []magno.Change `json:"changes"`
-	Since    int64          `json:"since"`
-	Revision int64          `json:"rev"`
+	Since    magno.Revision `json:"since"`
+	Revision magno.Revision `json:"rev"`
 	// Age is the time since Revision was known to be the newest revision of the list.
 	Age magno.Millis `json:"age"`
 	// Full means that Changes holds the whole list at Revision: an item that it doesn't
@@ -21,16 +21,16 @@
 // RevisionRange holds the revisions between After and Before, both exclusive. Before is
 // zero if the range is empty.
 type RevisionRange struct {
-	After  int64 `json:"after,omitempty"`
-	Before int64 `json:"before,omitempty"`
+	After  magno.Revision `json:"after,omitempty"`
+	Before magno.Revision `json:"before,omitempty"`
 }
 
-func (r RevisionRange) contains(revision int64) bool {
+func (r RevisionRange) contains(revision magno.Revision) bool {
 	return r.After < revision && revision < r.Before
 }
 
 // extend widens the range to include the given one.
-func (r *RevisionRange) extend(after, before int64) {
+func (r *RevisionRange) extend(after, before magno.Revision) {
 	if r.Before == 0 || after < r.After {
 		r.After = after
 	}
--- a/magno/view/tell.go
+++ b/magno/view/tell.go
@@ -167,7 +167,7 @@
 
 // Since returns an update with the newest change of each key after a revision. If this
 // process may have missed deletions since then, the update is full.
-func (s *Store) Since(revision int64) Update {
+func (s *Store) Since(revision magno.Revision) Update {
 	u := s.collectSince(revision)
 	for i := range u.Changes {
 		if c := &u.Changes[i]; c.Plan != nil && c.PlanDelta == nil {
@@ -180,7 +180,7 @@
 
 // collectSince does the work of Since, except for encoding configurations that have no
 // cached encoding.
-func (s *Store) collectSince(revision int64) Update {
+func (s *Store) collectSince(revision magno.Revision) Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setup()
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -45,7 +45,7 @@
 	// Pins maps MODEL/ADAPTER to the newest version declared for it.
 	Pins map[string]int64
 	// Revision is the revision of the list up to which all changes are included.
-	Revision int64
+	Revision magno.Revision
 }
 
 // Find returns the replica with the given key, or nil.
@@ -72,7 +72,7 @@
 	// newestSince maps each address to the start time of the newest entry seen there,
 	// including deleted ones. Its size is limited by the number of addresses on the
 	// platform.
-	newestSince map[string]int64
+	newestSince map[string]magno.Revision
 	current     *Snapshot
 	// plan is the configuration with the highest version received.
 	plan *magno.Plan
@@ -82,7 +82,7 @@
 	// freshAt is the latest time for which it is proven that the list had no revision
 	// newer than freshRevision.
 	freshAt       magno.Millis
-	freshRevision int64
+	freshRevision magno.Revision
 	// unknownDeletions is the range of revisions in which this process may have missed
 	// deletions. Only items created after the start of the range are affected.
 	unknownDeletions RevisionRange
@@ -132,7 +132,7 @@
 // RecordFreshness records that the newest revision of the list was no higher than the
 // given one at the given time. It is ignored if this process doesn't know all changes up
 // to that revision.
-func (s *Store) RecordFreshness(revision int64, at magno.Millis) {
+func (s *Store) RecordFreshness(revision magno.Revision, at magno.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setup()
@@ -144,7 +144,7 @@
 // FreshAt returns the latest time for which it is proven that the list had no revision
 // newer than the returned one, which this process knows; zero if there is no such time.
 // Unlike Age, it doesn't depend on messages that may have been delayed.
-func (s *Store) FreshAt() (at magno.Millis, revision int64) {
+func (s *Store) FreshAt() (at magno.Millis, revision magno.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.freshAt, s.freshRevision
@@ -159,7 +159,7 @@
 
 func (s *Store) setup() {
 	if s.items == nil {
-		s.items, s.newestSince = map[string]*record{}, map[string]int64{}
+		s.items, s.newestSince = map[string]*record{}, map[string]magno.Revision{}
 		s.changed = make(chan struct{})
 		s.current = &Snapshot{Replicas: map[string]*magno.Replica{}, Pins: map[string]int64{}}
 	}
@@ -177,7 +177,7 @@
 // read may be seconds old, so only the first one counts as a confirmation of the current
 // revision. ApplyRead returns the update for the other processes; for a full read it has
 // only the revision, because each process makes a full read when it starts.
-func (s *Store) ApplyRead(changes []magno.Change, revision int64, full bool) Update {
+func (s *Store) ApplyRead(changes []magno.Change, revision magno.Revision, full bool) Update {
 	update, bases := s.applyRead(changes, revision, full)
 	s.encodePlans(update.Changes, bases)
 	return update
@@ -185,7 +185,7 @@
 
 // applyRead does the work of ApplyRead except for encoding configurations, whose bases it
 // returns.
-func (s *Store) applyRead(changes []magno.Change, revision int64, full bool) (Update, []magno.Change) {
+func (s *Store) applyRead(changes []magno.Change, revision magno.Revision, full bool) (Update, []magno.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setup()
@@ -228,7 +228,7 @@
 
 // impliedDeletions returns deletions for the stored items that a full list doesn't have.
 // Items newer than the list, which may be outdated, are kept.
-func (s *Store) impliedDeletions(changes []magno.Change, revision int64) []magno.Change {
+func (s *Store) impliedDeletions(changes []magno.Change, revision magno.Revision) []magno.Change {
 	present := make(map[string]bool, len(changes))
 	for i := range changes {
 		present[changes[i].Key] = true
@@ -244,7 +244,7 @@
 
 // applyChanges applies changes and publishes a new snapshot if needed. The caller holds
 // mu.
-func (s *Store) applyChanges(changes []magno.Change, revision int64, confirmed magno.Millis) {
+func (s *Store) applyChanges(changes []magno.Change, revision magno.Revision, confirmed magno.Millis) {
 	changed := false
 	for i := range changes {
 		changed = s.applyChange(&changes[i]) || changed
@@ -317,7 +317,7 @@
 }
 
 // publish creates the next snapshot. The caller holds mu.
-func (s *Store) publish(revision int64, changed bool) {
+func (s *Store) publish(revision magno.Revision, changed bool) {
 	next := &Snapshot{Plan: s.plan, Revision: revision, Replicas: s.current.Replicas, Pins: s.current.Pins}
 	if changed {
 		next.Replicas, next.Pins = s.collect()
--- a/magno/view/view_test.go
+++ b/magno/view/view_test.go
@@ -17,17 +17,17 @@
 	return &Store{Clock: clock}, clock
 }
 
-func replicaChange(id string, rev int64, address string) magno.Change {
+func replicaChange(id string, rev magno.Revision, address string) magno.Change {
 	return magno.Change{Key: "servers/" + id, Revision: rev, Replica: &magno.Replica{
 		ID: id, Service: "s", Address: address, DataCentre: "x", Slots: 1, Since: rev,
 	}}
 }
 
-func deletionChange(id string, rev int64) magno.Change {
+func deletionChange(id string, rev magno.Revision) magno.Change {
 	return magno.Change{Key: "servers/" + id, Revision: rev, Deleted: true}
 }
 
-func planChange(version, rev int64) magno.Change {
+func planChange(version int64, rev magno.Revision) magno.Change {
 	return magno.Change{Key: "plan", Revision: rev, Plan: &magno.Plan{Version: version}}
 }
 
@@ -217,7 +217,7 @@
 func TestAnyOrderEndsTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var log []magno.Change
-		for rev := int64(1); rev <= 20; rev++ {
+		for rev := magno.Revision(1); rev <= 20; rev++ {
 			id := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "id"))
 			if rapid.Bool().Draw(t, "down") {
 				log = append(log, deletionChange(id, rev))
@@ -252,18 +252,18 @@
 	for _, c := range []struct {
 		name    string
 		changes []magno.Change
-		want    []int64
+		want    []magno.Revision
 		version int64
 	}{
-		{"a storm", []magno.Change{planChange(2, 10), planChange(3, 11), planChange(4, 12)}, []int64{12}, 4},
-		{"the last can't be read", []magno.Change{planChange(2, 10), planChange(3, 11), bad}, []int64{11, 60}, 3},
-		{"the last is an older one", []magno.Change{planChange(3, 10), planChange(2, 11)}, []int64{10, 11}, 3},
-		{"between others", []magno.Change{planChange(2, 10), replicaChange("a", 11, "10.0.0.1:80"), planChange(3, 12), deletionChange("a", 13)}, []int64{12, 13}, 3},
+		{"a storm", []magno.Change{planChange(2, 10), planChange(3, 11), planChange(4, 12)}, []magno.Revision{12}, 4},
+		{"the last can't be read", []magno.Change{planChange(2, 10), planChange(3, 11), bad}, []magno.Revision{11, 60}, 3},
+		{"the last is an older one", []magno.Change{planChange(3, 10), planChange(2, 11)}, []magno.Revision{10, 11}, 3},
+		{"between others", []magno.Change{planChange(2, 10), replicaChange("a", 11, "10.0.0.1:80"), planChange(3, 12), deletionChange("a", 13)}, []magno.Revision{12, 13}, 3},
 	} {
 		s, _ := newStore()
 		s.ApplyRead([]magno.Change{planChange(1, 1)}, 1, true)
 		update := s.ApplyRead(c.changes, 60, false)
-		var got []int64
+		var got []magno.Revision
 		for _, change := range update.Changes {
 			got = append(got, change.Revision)
 		}
