--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -112,8 +112,8 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	if errors.Is(err, magno.ErrCompacted) {
-		r.Log.Info("list history compacted, reading all of it", "compacted", true, "revision", since)
+	if errors.IsAny(err, magno.ErrCompacted, magno.ErrRestored) {
+		r.Log.Info("reading the whole list", "why", err, "rev", since)
 		r.readAll, r.readFresh = true, true
 		return 0
 	}
--- a/magno/site.go
+++ b/magno/site.go
@@ -71,13 +71,19 @@
 // read again.
 var ErrCompacted = errors.New("requested changes were compacted from the list")
 
+// ErrRestored means that the list came back from an older copy: revisions of before say nothing
+// about it, and all items must be read again.
+var ErrRestored = errors.New("the list was restored from an older copy")
+
 // Lister is a client of the platform's list.
 type Lister interface {
 	// All returns all items and the revision from which Wait continues without gaps. Unless
-	// fresh, the result may be seconds old, which costs the platform less.
+	// fresh, the result may be seconds old, which costs the platform less. It returns
+	// ErrRestored if the list was restored meanwhile.
 	All(ctx context.Context, fresh bool) ([]Change, Revision, error)
 	// Wait returns the changes after a revision as soon as there are any, at the latest
-	// after wait, and the revision to continue from.
+	// after wait, and the revision to continue from. It returns ErrCompacted or ErrRestored if
+	// the list doesn't have all of these changes.
 	Wait(ctx context.Context, after Revision, wait Millis) ([]Change, Revision, error)
 }
 
