view: a list that came back from an older copy undoes nothing that is known

What callers would see: right after a restore, requests go to upstreams that have left or said that they leave, keys are accepted that were withdrawn, and upstreams that the copy lacks get no request until they have registered again.

Cause: with the era in the revision, every item of the copy counts as newer than what was known.

Now a first listing after a restore replaces an item that it would undo only if that was written anew: a higher number than the known one, a revision after that listing, a later start. Otherwise it waits until the list counts as rewritten, three heartbeats and the time to register again; by then the entries of upstreams that are gone have expired. Configurations and adapter versions go by their own versions. Entries that the copy lacks are kept as after an outage. The reader's update holds what differs from before, so that others at the same revision needn't fetch the whole list.

--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -77,7 +77,7 @@
 	clock := magno.NewMonotonic()
 	e := &entry{settings: settings, log: log}
 	e.mesh = &wire.Mesh{Listen: settings.PeerAddress, Allow: []string{start.AnyAddress}, Clock: clock, Log: log}
-	e.book = &view.Store{Clock: magno.NewBootTime(), OnChange: changeLogger(log), Log: log}
+	e.book = &view.Store{Clock: magno.NewBootTime(), OnChange: changeLogger(log), Log: log, Heartbeat: settings.Heartbeat}
 	e.conns = &hop.Pool{Clock: clock}
 	e.notices = &notice.Board{Clock: clock}
 	metrics.GetOrCreateGauge("upstreams_limited", func() float64 { return float64(e.notices.Limited()) })
--- a/magno/site.go
+++ b/magno/site.go
@@ -48,6 +48,8 @@
 	ListAddress string
 	// Grace is the time between the stop signal and a forced kill.
 	Grace Millis
+	// Heartbeat is how often upstreams renew their entries in the list, zero if unknown.
+	Heartbeat Millis
 	// Lease is how long a command to an engine counts as its sender's.
 	Lease Millis
 	// RetryRatio and RetrySlack are the retry budget of all processes together in each
--- a/magno/view/news.go
+++ b/magno/view/news.go
@@ -16,6 +16,10 @@
 	// UnknownDeletions is the range of revisions in which the sender may have missed
 	// deletions. The receiver may then have missed them too.
 	UnknownDeletions RevisionRange `json:"blind,omitzero"`
+	// Base is the revision of the first listing after the list was restored, and Settle the
+	// time until it counts as rewritten.
+	Base   magno.Revision `json:"base,omitempty"`
+	Settle magno.Millis   `json:"settle,omitempty"`
 }
 
 // RevisionRange holds the revisions between After and Before, both exclusive. Before is
--- a/magno/view/tell.go
+++ b/magno/view/tell.go
@@ -25,7 +25,7 @@
 		if c.Fault == "" {
 			last[c.Key] = i
 		}
-		if !sameContent(s.items[c.Key], c) {
+		if rec := s.items[c.Key]; !sameContent(rec, c) || rec.pending != nil {
 			changed[c.Key] = true
 		}
 	}
@@ -137,6 +137,11 @@
 		return false
 	}
 	previous := old.change
+	if r := previous.Replica; r != nil && c.Replica != nil && r.Since.Number() == c.Replica.Since.Number() {
+		same := *r
+		same.Since = c.Replica.Since
+		previous.Replica = &same
+	}
 	previous.Revision = c.Revision
 	return reflect.DeepEqual(previous, *c)
 }
@@ -153,6 +158,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setup()
+	if s.knowsMore(&u) {
+		return errors.Wrapf(ErrGap, "update from revision %s over a restore, known up to %s", u.Since, s.current.Revision)
+	}
 	if !u.Full && u.Since > s.current.Revision {
 		return errors.Wrapf(ErrGap, "update after revision %d, known up to %d", u.Since, s.current.Revision)
 	}
@@ -165,6 +173,13 @@
 	return nil
 }
 
+// knowsMore reports whether an update begins in an earlier era and leaves out what this process
+// knows of that. It may then lack deletions. The caller holds mu.
+func (s *Store) knowsMore(u *Update) bool {
+	known := s.current.Revision
+	return !u.Full && u.Since < known && u.Since.Era() < u.Revision.Era() && known.Era() < u.Revision.Era()
+}
+
 // Since returns an update with the newest change of each key after a revision. If this
 // process may have missed deletions since then, the update is full.
 func (s *Store) Since(revision magno.Revision) Update {
@@ -184,15 +199,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setup()
-	u := Update{
-		Since: revision, Revision: s.current.Revision, Age: s.Clock.Now() - s.confirmedAt,
-		Full: s.unknownDeletions.contains(revision), UnknownDeletions: s.unknownDeletions,
-	}
+	u := s.updateSince(revision)
+	u.Full = s.unknownDeletions.contains(revision)
 	if u.Full {
 		revision = 0
 	}
 	for _, rec := range s.items {
-		if u.Full && rec.change.Deleted {
+		if u.Full && rec.change.Deleted && rec.pending == nil {
 			continue // a full update implies deletions
 		}
 		if rec.change.Revision > revision {
@@ -200,10 +213,23 @@
 			c.PlanDelta = rec.encodedPlan
 			u.Changes = append(u.Changes, c)
 		}
+		if rec.pending != nil && rec.pending.Revision > revision {
+			u.Changes = append(u.Changes, *rec.pending)
+		}
 	}
 	return u
 }
 
+// updateSince returns an update from a revision to the current one, without its changes. The
+// caller holds mu.
+func (s *Store) updateSince(revision magno.Revision) Update {
+	now := s.Clock.Now()
+	return Update{
+		Since: revision, Revision: s.current.Revision, Age: now - s.confirmedAt, UnknownDeletions: s.unknownDeletions,
+		Base: s.restore.base, Settle: max(s.restore.settledAt-now, 0),
+	}
+}
+
 // cacheEncoded stores an encoded configuration for the next process that requests it.
 func (s *Store) cacheEncoded(c *magno.Change) {
 	s.mu.Lock()
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -66,6 +66,8 @@
 	OnChange func(magno.Change)
 	// Log receives errors in encoding configurations. It may be nil.
 	Log *slog.Logger
+	// Heartbeat is how often upstreams renew their entries, zero if unknown.
+	Heartbeat magno.Millis
 
 	mu    sync.Mutex
 	items map[string]*record
@@ -90,6 +92,7 @@
 	// the time of that successful read if the outage lasted longer than minOutage.
 	failing     bool
 	recoveredAt magno.Millis
+	restore     restore
 	changed     chan struct{}
 }
 
@@ -99,7 +102,13 @@
 	// It is zero for other deletions, and once the deletion took effect.
 	effectiveAt magno.Millis
 	// previous is the upstream before such a deletion.
-	previous  *magno.Replica
+	previous *magno.Replica
+	// pending is the item in a restored list if that may be older than change. It is applied
+	// when the list counts as rewritten, unless another change comes before.
+	pending *magno.Change
+	// lastLife is the start time of the upstream, also of one that was deleted, zero if
+	// unknown.
+	lastLife  magno.Millis
 	appliedAt magno.Millis
 	// encodedPlan caches the full encoding of the configuration; nil until a process
 	// requested it.
@@ -196,6 +205,9 @@
 			s.recoveredAt = now
 		}
 	}
+	if full && s.current.Revision > 0 && revision.Era() > s.current.Revision.Era() {
+		return s.applyRestored(changes, revision)
+	}
 	if full {
 		confirmed := s.confirmedAt
 		if confirmed == 0 {
@@ -211,10 +223,28 @@
 	return update, bases
 }
 
+// applyRestored applies the first listing after the list was restored. The returned update has
+// only what differs from the known state, for the processes that know the same.
+func (s *Store) applyRestored(changes []magno.Change, revision magno.Revision) (Update, []magno.Change) {
+	s.beginEra(revision, s.settleTime())
+	since := s.current.Revision
+	toSend := append(s.changesToSend(changes), s.impliedDeletions(changes, revision)...)
+	toSend = slices.DeleteFunc(toSend, func(c magno.Change) bool { return s.olderVersion(&c) })
+	bases := s.bases(toSend)
+	s.unknownDeletions.extend(since, revision)
+	s.applyChanges(toSend, revision, s.Clock.Now())
+	u := s.updateSince(since)
+	u.Changes = toSend
+	return u, bases
+}
+
 // applyUpdateLocked applies an update. A full one doesn't show which items were created
 // and deleted before it, so this process can't report those deletions to others either.
 // The caller holds mu.
 func (s *Store) applyUpdateLocked(u Update, confirmed magno.Millis) {
+	if u.Revision.Era() > s.current.Revision.Era() {
+		s.beginEra(u.Base, u.Settle)
+	}
 	changes := u.Changes
 	if u.Full {
 		changes = append(slices.Clip(changes), s.impliedDeletions(changes, u.Revision)...)
@@ -262,23 +292,37 @@
 		// here.
 		return false
 	}
-	old, now := s.items[c.Key], s.Clock.Now()
-	rec := &record{change: *c, appliedAt: now}
-	rec.change.PlanDelta = nil
-	if c.Deleted && old != nil {
-		s.delayDeletion(rec, old, now)
+	old := s.items[c.Key]
+	if s.mayBeOlder(old, c) {
+		s.postpone(old, c)
+		return false
+	}
+	s.set(*c, old)
+	return true
+}
+
+// set stores a change in place of the old record, which may be nil. The caller holds mu.
+func (s *Store) set(c magno.Change, old *record) {
+	now := s.Clock.Now()
+	c.PlanDelta = nil
+	rec := &record{change: c, appliedAt: now}
+	if old != nil {
+		rec.lastLife = old.lastLife
+		if c.Deleted {
+			s.delayDeletion(rec, old, now)
+		}
 	}
 	s.items[c.Key] = rec
 	if r := c.Replica; r != nil {
+		rec.lastLife = r.StartedAt
 		s.newestSince[r.Address] = max(s.newestSince[r.Address], r.Since)
 	}
 	if c.Plan != nil && (s.plan == nil || c.Plan.Version > s.plan.Version) {
 		s.plan = c.Plan
 	}
 	if s.OnChange != nil {
-		s.OnChange(*c)
+		s.OnChange(c)
 	}
-	return true
 }
 
 // delayDeletion keeps an upstream in use for a while if its entry was deleted right after
@@ -300,7 +344,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setup()
-	now, changed := s.Clock.Now(), false
+	now, changed := s.Clock.Now(), s.applyPending()
 	for key, rec := range s.items {
 		if rec.effectiveAt > 0 && now >= rec.effectiveAt {
 			rec.effectiveAt, rec.previous = 0, nil
