view: restores in the model of the list, and what it found

The model now restores the list to a drawn earlier point, several times in a row, and checks that no process uses an upstream by an entry older than its leaving, that all have what the list has or keep something newer, and that they agree in the end. It found, each time at first in a run of a few seconds:

- a process that hears of a restore from one that started after it adopted the copy at once: the starter stated no time until the list counts as rewritten;
- an update over a restore is the difference of two states; a process inside its span kept entries that the list no longer has;
- a whole list from a peer holds items with revisions of earlier eras, which were dropped as known by processes that had missed the restore in between;
- what was postponed in one era survived into the next although that list lacked it, or was forgotten where an update didn't mention it;
- an upstream was never used again where a later entry at its address was lost;
- an answer from before the restore that arrives late confirmed the new state.

--- a/magno/revision.go
+++ b/magno/revision.go
@@ -35,6 +35,12 @@
 // Number returns the number that the list gave the change, which isn't unique over eras.
 func (r Revision) Number() int64 { return int64(r) & maxRevisionNumber }
 
+// EraStart returns the lowest revision of the same era.
+func (r Revision) EraStart() Revision { return r &^ maxRevisionNumber }
+
+// EraEnd returns the highest revision of the same era.
+func (r Revision) EraEnd() Revision { return r | maxRevisionNumber }
+
 // String returns the number, preceded by the era unless that is 0.
 func (r Revision) String() string {
 	if r.Era() == 0 {
--- a/magno/view/machine_test.go
+++ b/magno/view/machine_test.go
@@ -20,25 +20,56 @@
 	writtenAt magno.Millis
 }
 
-// listModel is the reference model of the list: the log of all changes.
+// listModel is the reference model of the list: the log of all changes. The revisions in it are
+// numbers without an era.
 type listModel struct {
-	log     []logEntry
+	// logs has the log of each era; one begins with a part of the log before.
+	logs    [][]logEntry
 	version int64
 	pins    map[string]int64
+	// newest is the newest revision over time.
+	newest []logEntry
+}
+
+func (l *listModel) era() int64 { return int64(len(l.logs) - 1) }
+
+// append adds a change to the log.
+func (l *listModel) append(c magno.Change, at magno.Millis) {
+	e := l.era()
+	l.logs[e] = append(l.logs[e], logEntry{c, at})
+	l.newest = append(l.newest, logEntry{magno.Change{Revision: l.newestRevision()}, at})
+}
+
+// restore brings the list back from a copy that lacks the last n changes.
+func (l *listModel) restore(n int, at magno.Millis) {
+	log := l.logs[l.era()]
+	l.logs = append(l.logs, slices.Clone(log[:len(log)-n]))
+	l.newest = append(l.newest, logEntry{magno.Change{Revision: l.newestRevision()}, at})
+}
+
+// inEra returns a change as the list reports it in an era.
+func inEra(c magno.Change, era int64) magno.Change {
+	c.Revision = rev(era, c.Revision.Number())
+	if c.Replica != nil {
+		r := *c.Replica
+		r.Since = rev(era, r.Since.Number())
+		c.Replica = &r
+	}
+	return c
 }
 
 // stateAt returns the whole list at a revision.
 func (l *listModel) stateAt(revision magno.Revision) map[string]magno.Change {
 	state := map[string]magno.Change{}
-	for _, entry := range l.log {
-		if entry.Revision > revision {
+	for _, entry := range l.logs[revision.Era()] {
+		if entry.Revision.Number() > revision.Number() {
 			break
 		}
 		if entry.Deleted {
 			delete(state, entry.Key)
 			continue
 		}
-		state[entry.Key] = entry.Change
+		state[entry.Key] = inEra(entry.Change, revision.Era())
 	}
 	return state
 }
@@ -46,7 +77,7 @@
 // revisionBefore returns the newest revision before a time.
 func (l *listModel) revisionBefore(t magno.Millis) magno.Revision {
 	revision := magno.Revision(0)
-	for _, w := range l.log {
+	for _, w := range l.newest {
 		if w.writtenAt < t {
 			revision = w.Revision
 		}
@@ -54,19 +85,34 @@
 	return revision
 }
 
-func (l *listModel) newestRevision() magno.Revision { return magno.Revision(len(l.log)) }
+func (l *listModel) newestRevision() magno.Revision {
+	return rev(l.era(), int64(len(l.logs[l.era()])))
+}
+
+// nextNumber returns the number of the next change.
+func (l *listModel) nextNumber() magno.Revision { return rev(0, l.newestRevision().Number()+1) }
 
-// changesAfter returns the changes after a revision.
+// changesAfter returns the changes after a revision of the present era.
 func (l *listModel) changesAfter(revision magno.Revision) []magno.Change {
 	var out []magno.Change
-	for _, w := range l.log {
-		if w.Revision > revision {
-			out = append(out, w.Change)
+	for _, w := range l.logs[l.era()] {
+		if w.Revision.Number() > revision.Number() {
+			out = append(out, inEra(w.Change, l.era()))
 		}
 	}
 	return out
 }
 
+// writtenAt returns when the change of a key at a revision was made, zero if there is none.
+func (l *listModel) writtenAt(key string, revision magno.Revision) magno.Millis {
+	for _, w := range l.logs[revision.Era()] {
+		if w.Key == key && w.Revision.Number() == revision.Number() {
+			return w.writtenAt
+		}
+	}
+	return 0
+}
+
 // fleet simulates processes that read the list and exchange updates.
 type fleet struct {
 	clock  *magno.Clock
@@ -76,14 +122,18 @@
 	// decrease.
 	maxPlans []int64
 	maxPins  []map[string]int64
+	// unusable maps the upstreams that each process knew as leaving or deleted to when that was
+	// written.
+	unusable []map[string]magno.Millis
 }
 
 func newFleet() *fleet {
-	f := &fleet{clock: magno.NewClock(magno.Hour), list: listModel{pins: map[string]int64{}}}
+	f := &fleet{clock: magno.NewClock(magno.Hour), list: listModel{logs: [][]logEntry{nil}, pins: map[string]int64{}}}
 	for range 3 {
 		f.stores = append(f.stores, &Store{Clock: f.clock})
 		f.maxPlans = append(f.maxPlans, 0)
 		f.maxPins = append(f.maxPins, map[string]int64{})
+		f.unusable = append(f.unusable, map[string]magno.Millis{})
 	}
 	return f
 }
@@ -94,7 +144,7 @@
 
 // write makes an operator or a worker change the list.
 func (f *fleet) write(t *rapid.T) {
-	revision := f.list.newestRevision() + 1
+	revision, newest := f.list.nextNumber(), f.list.newestRevision()
 	id := rapid.IntRange(0, 4).Draw(t, "id")
 	var c magno.Change
 	switch rapid.IntRange(0, 5).Draw(t, "kind") {
@@ -107,34 +157,66 @@
 		f.list.pins[name]++
 		c = magno.Change{Key: "pin/" + name, Revision: revision, Pin: &magno.Pin{Model: "m", Adapter: name, Number: f.list.pins[name]}}
 	case 2:
-		if c = deletionChange(fmt.Sprint(id), revision); f.list.stateAt(revision)[c.Key].Replica == nil {
+		if c = deletionChange(fmt.Sprint(id), revision); f.list.stateAt(newest)[c.Key].Replica == nil {
 			return // no such entry
 		}
 	default:
 		c = replicaChange(fmt.Sprint(id), revision, "10.0.0."+fmt.Sprint(id)+":80")
-		if old := f.list.stateAt(revision)[c.Key].Replica; old != nil {
+		if old := f.list.stateAt(newest)[c.Key].Replica; old != nil {
 			c.Replica.Since = old.Since
 			c.Replica.Leaving = rapid.Bool().Draw(t, "leaving")
 		}
 	}
-	f.list.log = append(f.list.log, logEntry{c, f.clock.Now()})
+	f.list.append(c, f.clock.Now())
+}
+
+// restore brings the list back from an older copy.
+func (f *fleet) restore(t *rapid.T) {
+	n := rapid.IntRange(0, 6).Draw(t, "lost")
+	f.list.restore(min(n, len(f.list.logs[f.list.era()])), f.clock.Now())
+	f.clock.Advance(1)
+}
+
+// rewrite makes the operator write the newest versions again.
+func (f *fleet) rewrite() {
+	if f.list.version > 0 {
+		c := planChange(f.list.version, f.list.nextNumber())
+		c.Plan.Routes = routesOfVersion(f.list.version)
+		f.list.append(c, f.clock.Now())
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.list.pins)) {
+		f.list.append(magno.Change{Key: "pin/" + name, Revision: f.list.nextNumber(), Pin: &magno.Pin{Model: "m", Adapter: name, Number: f.list.pins[name]}}, f.clock.Now())
+	}
 }
 
 // read makes a process read the whole list, possibly at an earlier revision, and then the
 // changes after it, as a watch does.
 func (f *fleet) read(t *rapid.T) {
 	s := f.pick(t, "reader")
-	old := max(f.list.newestRevision()-magno.Revision(rapid.IntRange(0, 4).Draw(t, "behind")), 0)
+	behind := int64(rapid.IntRange(0, 4).Draw(t, "behind"))
+	if known := s.Current().Revision; known > 0 && known.Era() < f.list.era() {
+		behind = 0 // after a restore a process makes a consistent read
+	}
+	old := rev(f.list.era(), max(f.list.newestRevision().Number()-behind, 0))
+	s.ApplyRead(f.listing(old), old, true)
+	f.follow(s)
+}
+
+// listing returns the items of the list at a revision.
+func (f *fleet) listing(at magno.Revision) []magno.Change {
 	var all []magno.Change
-	state := f.list.stateAt(old)
+	state := f.list.stateAt(at)
 	for _, key := range slices.Sorted(maps.Keys(state)) {
 		all = append(all, state[key])
 	}
-	s.ApplyRead(all, old, true)
-	f.follow(s)
+	return all
 }
 
+// follow makes a process watch the list. It reads all of it first if that was restored.
 func (f *fleet) follow(s *Store) Update {
+	if newest := f.list.newestRevision(); s.Current().Revision.Era() < newest.Era() {
+		return s.ApplyRead(f.listing(newest), newest, true)
+	}
 	return s.ApplyRead(f.list.changesAfter(s.Current().Revision), f.list.newestRevision(), false)
 }
 
@@ -177,8 +259,12 @@
 // fetch makes one process request what it lacks from another.
 func (f *fleet) fetch(t *rapid.T) {
 	from, to := f.pick(t, "from"), f.pick(t, "to")
-	if err := to.ApplyUpdate(roundTrip(t, from.Since(to.Current().Revision))); err != nil {
-		t.Fatal(err) // a response to its own request is never rejected
+	err := to.ApplyUpdate(roundTrip(t, from.Since(to.Current().Revision)))
+	switch {
+	case to.MustRead():
+		f.follow(to)
+	case err != nil:
+		t.Fatal(err) // another response to its own request is never rejected
 	}
 }
 
@@ -192,7 +278,7 @@
 	state := f.list.stateAt(f.list.newestRevision())
 	for _, key := range slices.Sorted(maps.Keys(state)) {
 		if state[key].Replica != nil && rapid.Bool().Draw(t, "ran out") {
-			f.list.log = append(f.list.log, logEntry{magno.Change{Key: key, Revision: f.list.newestRevision() + 1, Deleted: true}, f.clock.Now()})
+			f.list.append(magno.Change{Key: key, Revision: f.list.nextNumber(), Deleted: true}, f.clock.Now())
 		}
 	}
 }
@@ -223,21 +309,57 @@
 		f.maxPins[i] = snap.Pins
 		truth := f.list.stateAt(snap.Revision)
 		for key, c := range truth {
-			if rec := s.items[key]; rec == nil || !equalChanges(&rec.change, &c) {
-				t.Fatalf("process %d at revision %d lacks %s of revision %d", i, snap.Revision, key, c.Revision)
+			if rec := s.items[key]; rec == nil || !rec.agrees(&c) {
+				t.Fatalf("process %d at revision %s has %+v for %+v; %+v now %d", i, snap.Revision, rec, c, s.restore, f.clock.Now())
 			}
 		}
 		for key, rec := range s.items {
-			if _, there := truth[key]; !there && !rec.change.Deleted {
-				t.Fatalf("process %d at revision %d has %s, which the list doesn't have", i, snap.Revision, key)
+			if _, there := truth[key]; !there && rec.change.Replica != nil {
+				t.Fatalf("process %d at revision %s has %s, which the list doesn't have", i, snap.Revision, key)
 			}
 		}
+		f.checkUsable(t, i, s)
 		if s.confirmedAt > 0 && f.list.revisionBefore(now-s.Age()) > snap.Revision {
 			t.Fatalf("process %d reports that revision %d was the newest %d ms ago; it was %d", i, snap.Revision, s.Age(), f.list.revisionBefore(now-s.Age()))
 		}
 	}
 }
 
+// agrees reports whether a record holds an item of the list, now or later, or a newer version.
+func (rec *record) agrees(c *magno.Change) bool {
+	known := inEra(rec.change, c.Revision.Era())
+	switch {
+	case rec.pending != nil:
+		pending := inEra(*rec.pending, c.Revision.Era())
+		return equalChanges(&pending, c)
+	case c.Plan != nil && known.Plan != nil && known.Plan.Version > c.Plan.Version:
+		return true
+	case c.Pin != nil && known.Pin != nil && known.Pin.Number > c.Pin.Number:
+		return true
+	}
+	return equalChanges(&known, c)
+}
+
+// checkUsable checks that an upstream which left or said that it leaves isn't used again because
+// of what was written before that.
+func (f *fleet) checkUsable(t *rapid.T, i int, s *Store) {
+	for key, rec := range s.items {
+		if rec.change.Plan != nil || rec.change.Pin != nil {
+			continue
+		}
+		at, r := f.list.writtenAt(key, rec.change.Revision), rec.change.Replica
+		if r != nil && !r.Leaving && at < f.unusable[i][key] && s.settling() {
+			t.Fatalf("process %d uses %s by an entry of %d ms, which left at %d ms", i, key, at, f.unusable[i][key])
+		}
+		switch {
+		case r == nil || r.Leaving:
+			f.unusable[i][key] = max(f.unusable[i][key], at)
+		case !s.settling() || at >= f.unusable[i][key]:
+			delete(f.unusable[i], key) // the list counts as rewritten, or it was written later
+		}
+	}
+}
+
 // equalChanges reports whether two changes of an item have the same content.
 func equalChanges(a, b *magno.Change) bool {
 	c := *a
@@ -260,8 +382,9 @@
 		f := newFleet()
 		t.Repeat(map[string]func(*rapid.T){
 			"write": f.write, "write more": f.write, "read": f.read, "push": f.push, "fetch": f.fetch,
-			"pass": f.advance, "outage": f.outage, "": f.check,
+			"pass": f.advance, "outage": f.outage, "restore": f.restore, "": f.check,
 		})
+		f.rewrite()
 		f.settle(t)
 	})
 }
@@ -272,7 +395,7 @@
 	for _, s := range f.stores {
 		f.follow(s)
 	}
-	f.clock.Advance(2 * expiryGrace)
+	f.clock.Advance(f.stores[0].settleTime())
 	truth := f.list.stateAt(f.list.newestRevision())
 	for i, s := range f.stores {
 		s.Tick()
@@ -282,7 +405,7 @@
 			if r == nil {
 				continue
 			}
-			if got[r.ID] == nil || got[r.ID].Leaving != r.Leaving || got[r.ID].Since != r.Since {
+			if got[r.ID] == nil || got[r.ID].Leaving != r.Leaving || got[r.ID].Since.Number() != r.Since.Number() {
 				t.Fatalf("process %d has %v for %s, the list has %v", i, got[r.ID], key, r)
 			}
 		}
--- a/magno/view/news.go
+++ b/magno/view/news.go
@@ -17,9 +17,11 @@
 	// deletions. The receiver may then have missed them too.
 	UnknownDeletions RevisionRange `json:"blind,omitzero"`
 	// Base is the revision of the first listing after the list was restored, and Settle the
-	// time until it counts as rewritten.
+	// time until it counts as rewritten. Kept is what is known of items in Changes that may be
+	// older.
 	Base   magno.Revision `json:"base,omitempty"`
 	Settle magno.Millis   `json:"settle,omitempty"`
+	Kept   []magno.Change `json:"kept,omitempty"`
 }
 
 // RevisionRange holds the revisions between After and Before, both exclusive. Before is
--- a/magno/view/restore.go
+++ b/magno/view/restore.go
@@ -1,6 +1,10 @@
 package view
 
-import "magnoliastall.example/magno"
+import (
+	"maps"
+
+	"magnoliastall.example/magno"
+)
 
 const (
 	// defaultHeartbeat is used if the platform doesn't state how often entries are renewed.
@@ -17,11 +21,13 @@
 // copy at once: requests would be sent to upstreams that are about to stop, keys that were
 // withdrawn would be accepted, and upstreams that the copy lacks would be dropped.
 type restore struct {
-	// base is the revision of the first listing after the restore. What has a higher one was
-	// written after the restore, the rest may be older than what is known.
+	// base is the revision of the first consistent listing after the restore, the end of the
+	// era if there was none. What has a higher one was written after the restore, the rest may
+	// be older than what is known.
 	base magno.Revision
 	// settledAt is when the list counts as rewritten: live upstreams have registered again,
-	// and the entries of others have expired.
+	// and the entries of others have expired. It is zero from then on. A process that starts
+	// later doesn't know when the list was restored and assumes that it was just before.
 	settledAt magno.Millis
 }
 
@@ -43,6 +49,37 @@
 	}
 }
 
+// adoptKept adopts what another process knew from before the restore, as far as this one knows
+// less. The caller holds mu.
+func (s *Store) adoptKept(kept []magno.Change) {
+	for _, c := range kept {
+		if old := s.items[c.Key]; old == nil || c.Revision > old.change.Revision {
+			s.set(c, old)
+		}
+	}
+}
+
+// listedAt returns the items of a whole list as of the first listing after a restore, which has
+// the given revision. The sender has items with the revisions of earlier eras if the restore
+// didn't change them, whereas this process may have missed that it did. Newer versions from
+// earlier eras are stored at once. The caller holds mu.
+func (s *Store) listedAt(changes []magno.Change, base magno.Revision) []magno.Change {
+	listed := make([]magno.Change, 0, len(changes))
+	for _, c := range changes {
+		if c.Revision.Era() < base.Era() {
+			if c.Plan != nil || c.Pin != nil {
+				if old := s.items[c.Key]; old == nil || !s.olderVersion(&c) {
+					s.set(c, old)
+				}
+				continue
+			}
+			c.Revision = base
+		}
+		listed = append(listed, c)
+	}
+	return listed
+}
+
 // settling reports whether the list may differ from what its writers know. The caller holds mu.
 func (s *Store) settling() bool { return s.Clock.Now() < s.restore.settledAt }
 
@@ -57,9 +94,7 @@
 	case c.Replica == nil || c.Revision > s.restore.base || !s.settling():
 		return false
 	}
-	// All earlier changes of the item have lower numbers than the known one. What the list
-	// gave a higher number was therefore written after the restore.
-	return c.Revision.Number() <= old.change.Revision.Number() && old.undoneBy(c.Replica)
+	return old.undoneBy(c.Replica)
 }
 
 // undoneBy reports whether an entry would bring back an upstream that left or said that it
@@ -97,18 +132,29 @@
 	}
 }
 
-// applyPending applies the changes that were postponed, once the list counts as rewritten, and
-// reports whether there were any. The caller holds mu.
-func (s *Store) applyPending() bool {
-	if s.settling() {
+// endSettling applies the changes that were postponed, once the list counts as rewritten, and
+// reports whether the state may have changed. The caller holds mu.
+func (s *Store) endSettling() bool {
+	if s.restore.settledAt == 0 || s.settling() {
 		return false
 	}
-	applied := false
+	s.restore.settledAt = 0
+	// Entries that were lost in the restore no longer precede those that the list has.
+	maps.DeleteFunc(s.newestSince, func(_ string, since magno.Revision) bool { return since < s.current.Revision.EraStart() })
 	for _, rec := range s.items {
 		if rec.pending != nil {
 			s.set(*rec.pending, rec)
-			applied = true
 		}
 	}
-	return applied
+	for _, rec := range s.items {
+		s.recordSince(rec.change.Replica)
+	}
+	return true
+}
+
+// recordSince records the creation of an upstream's entry, nil for none. The caller holds mu.
+func (s *Store) recordSince(r *magno.Replica) {
+	if r != nil {
+		s.newestSince[r.Address] = max(s.newestSince[r.Address], r.Since)
+	}
 }
--- a/magno/view/restore_test.go
+++ b/magno/view/restore_test.go
@@ -53,7 +53,7 @@
 		{"leaving, written again", leaving, upstream(rev(1, 5), false), upstream(rev(1, 8), true), false, false},
 		{"leaving, then gone", leaving, upstream(rev(1, 5), false), deletionChange("a", rev(1, 8)), false, false},
 		{"leaving, back at a later revision", leaving, upstream(rev(1, 7), false), upstream(rev(1, 8), false), true, true},
-		{"leaving, back before the first read", leaving, upstream(rev(1, 10), false), magno.Change{}, true, true},
+		{"leaving, back before the first read", leaving, upstream(rev(1, 10), false), magno.Change{}, false, true},
 		{"leaving, a later life", born(upstream(9, true), 1000), born(upstream(rev(1, 6), false), 2000), magno.Change{}, true, true},
 		{"leaving, an earlier life", born(upstream(9, true), 2000), born(upstream(rev(1, 6), false), 1000), magno.Change{}, false, true},
 		{"gone, then the copy", gone, upstream(rev(1, 5), false), magno.Change{}, false, true},
@@ -131,3 +131,33 @@
 		}
 	}
 }
+
+// Guards against never again using an upstream whose address had a later entry that the restore
+// lost.
+func TestLostSuccessorIsForgotten(t *testing.T) {
+	s, clock := newStore()
+	s.ApplyRead([]magno.Change{replicaChange("a", 1, "10.0.0.1:80")}, 1, true)
+	s.ApplyRead([]magno.Change{replicaChange("b", 2, "10.0.0.1:80")}, 2, false)
+	s.ApplyRead([]magno.Change{replicaChange("a", rev(1, 1), "10.0.0.1:80")}, rev(1, 1), true)
+	if s.Current().Replicas["a"] != nil {
+		t.Error("the entry is used although its successor may be registered again")
+	}
+	clock.Advance(s.settleTime())
+	s.Tick()
+	if got := s.Current().Replicas; got["a"] == nil || len(got) != 1 {
+		t.Errorf("got %v, want a alone", got)
+	}
+}
+
+// Guards against an answer that a list gave before it was restored, and that arrives later: it
+// would confirm a state that the list no longer has.
+func TestAnswerFromBeforeTheRestoreIsIgnored(t *testing.T) {
+	s, clock := newStore()
+	s.ApplyRead([]magno.Change{planChange(1, 4)}, 4, true)
+	s.ApplyRead([]magno.Change{planChange(1, rev(1, 4))}, rev(1, 4), true)
+	clock.Advance(700)
+	u := s.ApplyRead([]magno.Change{planChange(2, 9)}, 9, false)
+	if snap := s.Current(); snap.Revision != rev(1, 4) || snap.Plan.Version != 1 || s.Age() != 700 || len(u.Changes) != 0 {
+		t.Errorf("revision %s, configuration %d, age %d, update %+v; want 1:4, 1, 700 and none", snap.Revision, snap.Plan.Version, s.Age(), u)
+	}
+}
--- a/magno/view/tell.go
+++ b/magno/view/tell.go
@@ -79,12 +79,12 @@
 
 // decodePlans decodes the configurations of an update. The result is nil for changes that
 // have none or that are already known. Like encodePlans, it runs without the lock.
-func (s *Store) decodePlans(changes []magno.Change) ([]*delta.Delta, error) {
+func (s *Store) decodePlans(u *Update) ([]*delta.Delta, error) {
 	known := s.Current().Revision
-	deltas := make([]*delta.Delta, len(changes))
-	for i := range changes {
-		c := &changes[i]
-		if c.PlanDelta == nil || c.Revision <= known {
+	deltas := make([]*delta.Delta, len(u.Changes))
+	for i := range u.Changes {
+		c := &u.Changes[i]
+		if c.PlanDelta == nil || u.repeats(c, known) {
 			continue
 		}
 		d, err := delta.Decode(c.PlanDelta)
@@ -100,11 +100,11 @@
 // ones. It fails if a delta has another base than the stored configuration, or if a
 // change is empty because the sender failed to encode its configuration. The caller holds
 // mu.
-func (s *Store) applyDeltas(changes []magno.Change, deltas []*delta.Delta) ([]magno.Change, error) {
-	changes = slices.Clone(changes)
+func (s *Store) applyDeltas(u *Update, deltas []*delta.Delta) ([]magno.Change, error) {
+	changes := slices.Clone(u.Changes)
 	for i := range changes {
 		c := &changes[i]
-		if c.Revision <= s.current.Revision {
+		if u.repeats(c, s.current.Revision) {
 			continue
 		}
 		if d := deltas[i]; d != nil {
@@ -149,22 +149,26 @@
 // ApplyUpdate applies an update from a peer. It returns an error, and changes nothing, if
 // the update starts after the known revision or can't be decoded against the known state.
 // The caller then requests everything it lacks, so a later change is never stored without
-// the earlier ones.
+// the earlier ones. MustRead tells if no peer may have it.
 func (s *Store) ApplyUpdate(u Update) error {
-	deltas, err := s.decodePlans(u.Changes)
+	deltas, err := s.decodePlans(&u)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setup()
-	if s.knowsMore(&u) {
+	if s.spansRestore(&u) {
 		return errors.Wrapf(ErrGap, "update from revision %s over a restore, known up to %s", u.Since, s.current.Revision)
 	}
+	if s.precedesBase(&u) {
+		s.mustRead = true
+		return errors.Wrapf(ErrGap, "update from %s, the first listing after a restore; known up to %s", u.Base, s.current.Revision)
+	}
 	if !u.Full && u.Since > s.current.Revision {
 		return errors.Wrapf(ErrGap, "update after revision %d, known up to %d", u.Since, s.current.Revision)
 	}
-	changes, err := s.applyDeltas(u.Changes, deltas)
+	changes, err := s.applyDeltas(&u, deltas)
 	if err != nil {
 		return err
 	}
@@ -173,11 +177,25 @@
 	return nil
 }
 
-// knowsMore reports whether an update begins in an earlier era and leaves out what this process
-// knows of that. It may then lack deletions. The caller holds mu.
-func (s *Store) knowsMore(u *Update) bool {
+// repeats reports whether a process that knows the list up to a revision knows a change as well.
+// Of a whole list after a restore it may know none.
+func (u *Update) repeats(c *magno.Change, known magno.Revision) bool {
+	return c.Revision <= known && (!u.Full || u.Revision.Era() == known.Era())
+}
+
+// spansRestore reports whether an update spans a restore of the list and this process is inside
+// that span. Unlike others, such an update doesn't have every change between its revisions, but
+// the difference of two states, which may lack a deletion for this one. The caller holds mu.
+func (s *Store) spansRestore(u *Update) bool {
 	known := s.current.Revision
-	return !u.Full && u.Since < known && u.Since.Era() < u.Revision.Era() && known.Era() < u.Revision.Era()
+	return !u.Full && u.Since.Era() < u.Revision.Era() && u.Since < known && known < u.Revision
+}
+
+// precedesBase reports whether this process read a restored list before the sender did. The
+// sender doesn't know which items changed between the two. The caller holds mu.
+func (s *Store) precedesBase(u *Update) bool {
+	known := s.current.Revision
+	return known.Era() == u.Revision.Era() && known < u.Base && known < u.Revision && u.Base != u.Base.EraEnd()
 }
 
 // Since returns an update with the newest change of each key after a revision. If this
@@ -205,17 +223,18 @@
 		revision = 0
 	}
 	for _, rec := range s.items {
-		if u.Full && rec.change.Deleted && rec.pending == nil {
+		c := rec.change
+		c.PlanDelta = rec.encodedPlan
+		if rec.pending != nil {
+			u.Kept = append(u.Kept, c)
+			c = *rec.pending
+		}
+		if u.Full && c.Deleted {
 			continue // a full update implies deletions
 		}
-		if rec.change.Revision > revision {
-			c := rec.change
-			c.PlanDelta = rec.encodedPlan
+		if c.Revision > revision {
 			u.Changes = append(u.Changes, c)
 		}
-		if rec.pending != nil && rec.pending.Revision > revision {
-			u.Changes = append(u.Changes, *rec.pending)
-		}
 	}
 	return u
 }
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -93,7 +93,9 @@
 	failing     bool
 	recoveredAt magno.Millis
 	restore     restore
-	changed     chan struct{}
+	// mustRead is true if this process lacks changes that it can't get from a peer.
+	mustRead bool
+	changed  chan struct{}
 }
 
 type record struct {
@@ -166,6 +168,13 @@
 	return s.Clock.Now() - s.freshAt
 }
 
+// MustRead reports whether this process lacks changes that it can get only from the list.
+func (s *Store) MustRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mustRead
+}
+
 func (s *Store) setup() {
 	if s.items == nil {
 		s.items, s.newestSince = map[string]*record{}, map[string]magno.Revision{}
@@ -199,6 +208,7 @@
 	defer s.mu.Unlock()
 	s.setup()
 	now := s.Clock.Now()
+	s.mustRead = false
 	if s.failing {
 		s.failing = false
 		if now-s.confirmedAt > minOutage {
@@ -213,9 +223,13 @@
 		if confirmed == 0 {
 			confirmed = now
 		}
-		s.applyUpdateLocked(Update{Changes: changes, Revision: revision, Full: true}, confirmed)
+		// It may be as old as the copy that the list was restored from.
+		s.applyUpdateLocked(Update{Changes: changes, Revision: revision, Full: true, Base: revision.EraEnd(), Settle: s.settleTime()}, confirmed)
 		return Update{Since: revision, Revision: revision, Age: now - s.confirmedAt}, nil
 	}
+	if revision.Era() != s.current.Revision.Era() {
+		return s.updateSince(s.current.Revision), nil // the list was restored while it answered
+	}
 	toSend := s.changesToSend(changes)
 	bases := s.bases(toSend)
 	update := Update{Changes: toSend, Since: s.current.Revision, Revision: revision}
@@ -226,9 +240,9 @@
 // applyRestored applies the first listing after the list was restored. The returned update has
 // only what differs from the known state, for the processes that know the same.
 func (s *Store) applyRestored(changes []magno.Change, revision magno.Revision) (Update, []magno.Change) {
-	s.beginEra(revision, s.settleTime())
 	since := s.current.Revision
 	toSend := append(s.changesToSend(changes), s.impliedDeletions(changes, revision)...)
+	s.beginEra(revision, s.settleTime())
 	toSend = slices.DeleteFunc(toSend, func(c magno.Change) bool { return s.olderVersion(&c) })
 	bases := s.bases(toSend)
 	s.unknownDeletions.extend(since, revision)
@@ -242,12 +256,16 @@
 // and deleted before it, so this process can't report those deletions to others either.
 // The caller holds mu.
 func (s *Store) applyUpdateLocked(u Update, confirmed magno.Millis) {
-	if u.Revision.Era() > s.current.Revision.Era() {
+	changes := u.Changes
+	if s.current.Revision == 0 || u.Revision.Era() > s.current.Revision.Era() {
 		s.beginEra(u.Base, u.Settle)
+		s.adoptKept(u.Kept)
+		if u.Full {
+			changes = s.listedAt(changes, u.Base)
+		}
 	}
-	changes := u.Changes
 	if u.Full {
-		changes = append(slices.Clip(changes), s.impliedDeletions(changes, u.Revision)...)
+		changes = append(slices.Clip(changes), s.impliedDeletions(u.Changes, u.Revision)...)
 		u.UnknownDeletions.extend(s.current.Revision, u.Revision)
 	}
 	if u.UnknownDeletions.Before > s.current.Revision {
@@ -265,7 +283,8 @@
 	}
 	var deletions []magno.Change
 	for key, rec := range s.items {
-		if !present[key] && !rec.change.Deleted && rec.change.Revision <= revision {
+		listed := !rec.change.Deleted || rec.pending != nil
+		if !present[key] && listed && rec.change.Revision <= revision {
 			deletions = append(deletions, magno.Change{Key: key, Revision: revision, Deleted: true})
 		}
 	}
@@ -313,9 +332,9 @@
 		}
 	}
 	s.items[c.Key] = rec
-	if r := c.Replica; r != nil {
-		rec.lastLife = r.StartedAt
-		s.newestSince[r.Address] = max(s.newestSince[r.Address], r.Since)
+	if c.Replica != nil {
+		rec.lastLife = c.Replica.StartedAt
+		s.recordSince(c.Replica)
 	}
 	if c.Plan != nil && (s.plan == nil || c.Plan.Version > s.plan.Version) {
 		s.plan = c.Plan
@@ -344,7 +363,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setup()
-	now, changed := s.Clock.Now(), s.applyPending()
+	now, changed := s.Clock.Now(), s.endSettling()
 	for key, rec := range s.items {
 		if rec.effectiveAt > 0 && now >= rec.effectiveAt {
 			rec.effectiveAt, rec.previous = 0, nil
