reads, peers: a restored list is read by few, and the rest get the difference

The reader that finds the list restored broadcasts what differs from before; others drop their own reading when that arrives first. Repeated gaps back off: in the incident one entry made a hundred calls a second. A stale listing isn't taken for the restored list, since it may be older than the restore.

--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -36,8 +36,9 @@
 	watchPause = 500 * magno.Millis(1)
 	// minBackoff is the pause after a failed call; it doubles up to maxBackoff. The
 	// platform counts refused calls as well, and an outage lasts for seconds.
-	minBackoff = 100 * magno.Millis(1)
-	maxBackoff = 800 * magno.Millis(1)
+	minBackoff      = 100 * magno.Millis(1)
+	maxBackoff      = 800 * magno.Millis(1)
+	maxBackoffSteps = 3
 	// checkInterval is how often a process that doesn't read checks whether it should.
 	checkInterval = 100 * magno.Millis(1)
 	// lostAfterFailures is the number of consecutive failed calls after which a reader
@@ -65,10 +66,15 @@
 	// readAll is true if the whole list must be read again, readFresh if that read must
 	// not be stale: the changes since a stale state are no longer available.
 	readAll, readFresh bool
-	callCount          *metrics.Counter
-	failureCount       *metrics.Counter
-	listingCount       *metrics.Counter
-	backwardCount      *metrics.Counter
+	// gapAfter is the known revision after which the list has no changes any more, gaps how
+	// often in a row that was so. The whole list is read unless a peer has sent later changes.
+	gapAfter magno.Revision
+	gaps     int
+
+	callCount     *metrics.Counter
+	failureCount  *metrics.Counter
+	listingCount  *metrics.Counter
+	backwardCount *metrics.Counter
 }
 
 // Name implements magno.Task.
@@ -76,24 +82,34 @@
 
 // Run reads the list until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
+	r.init()
+	for ctx.Err() == nil {
+		r.Book.Tick()
+		pause := checkInterval
+		if r.isDue() {
+			pause = r.poll(ctx)
+		}
+		magno.Sleep(ctx, pause)
+	}
+	return nil
+}
+
+func (r *Reader) init() {
 	r.callCount = metrics.GetOrCreateCounter("list_calls_total")
 	r.failureCount = metrics.GetOrCreateCounter("list_failures_total")
 	r.listingCount = metrics.GetOrCreateCounter("list_full_reads_total")
 	r.backwardCount = metrics.GetOrCreateCounter("list_backward_reads_total")
 	r.readAll, r.readFresh = true, r.FreshFirst
-	for ctx.Err() == nil {
-		r.Book.Tick()
-		if !r.readAll && !r.ShouldRead() {
-			magno.Sleep(ctx, checkInterval)
-			continue
-		}
-		if r.readAll && !r.ShouldRead() && r.Book.Current().Plan != nil {
-			r.readAll = false // received from a peer
-			continue
-		}
-		magno.Sleep(ctx, r.poll(ctx))
+}
+
+// isDue reports whether the list is to be read now.
+func (r *Reader) isDue() bool {
+	snap := r.Book.Current()
+	should := r.ShouldRead()
+	if r.readAll && snap.Plan != nil && (!should || snap.Revision > r.gapAfter) {
+		r.readAll, r.readFresh = false, false // a peer sent it
 	}
-	return nil
+	return r.readAll || should || r.Book.MustRead()
 }
 
 // poll makes one call and returns the pause until the next.
@@ -113,29 +129,32 @@
 		return 0
 	}
 	if errors.IsAny(err, magno.ErrCompacted, magno.ErrRestored) {
-		r.Log.Info("reading the whole list", "why", err, "rev", since)
-		r.readAll, r.readFresh = true, true
-		return 0
+		return r.recordGap(err, since)
 	}
 	if err != nil {
 		return r.recordFailure(err)
 	}
 	r.recordSuccess()
-	r.readAll, r.readFresh = false, false
+	known := r.Book.Current().Revision
 	if readAll {
-		r.logListing(since, revision, readFresh, len(changes))
+		r.logListing(known, revision, readFresh, len(changes))
+	}
+	if readAll && !readFresh && known > 0 && known.Era() < revision.Era() {
+		return r.recordGap(magno.ErrRestored, since) // it may be older than the restore
 	}
+	r.readAll, r.readFresh = false, false
 	update := r.Book.ApplyRead(changes, revision, readAll)
 	switch {
 	case !readAll:
+		r.gaps = 0
 		r.Book.RecordFreshness(revision, calledAt-(maxWatchLag-wait))
 	case readFresh:
 		r.Book.RecordFreshness(revision, calledAt)
 	}
-	if !readAll {
+	if !readAll || update.Since < update.Revision {
 		// After a loss of power everywhere, every process reads the whole list. If each of
 		// them then broadcast it and all others fetched it, small machines would have no
-		// capacity left.
+		// capacity left. After a restore of the list, few read it and the update is small.
 		r.Broadcast(update)
 	}
 	if len(changes) == 0 || readAll {
@@ -152,6 +171,19 @@
 	return watchTimeout
 }
 
+// recordGap prepares to read the whole list, for its changes since a revision can't be had any
+// more, and returns the pause until then. A peer may send them before that.
+func (r *Reader) recordGap(err error, since magno.Revision) magno.Millis {
+	r.recordSuccess() // the list answers
+	r.Log.Info("reading the whole list", "why", err, "rev", since)
+	r.readAll, r.readFresh, r.gapAfter = true, true, since
+	r.gaps++
+	if r.gaps == 1 {
+		return 0
+	}
+	return min(minBackoff<<min(r.gaps-2, maxBackoffSteps), maxBackoff)
+}
+
 // logListing logs a read of the whole list. A fresh one that is older than the known revision
 // means that the list itself went back.
 func (r *Reader) logListing(known, revision magno.Revision, fresh bool, items int) {
--- a/entry/reads/restore_test.go
+++ b/entry/reads/restore_test.go
@@ -104,3 +104,60 @@
 	list.Down.Store(false)
 	waitFor(t, "the changes after the restore", func() bool { return hasNews(r) })
 }
+
+// Guards against taking a stale listing for the restored list: it may be older than the restore.
+func TestStaleListingIsNotTakenForARestoredList(t *testing.T) {
+	list := fake.NewStore()
+	list.Put(planKey, fake.Plan(1, 4, "k"))
+	list.FreezeStaleReads()
+	list.Put(planKey, fake.Plan(2, 4, "k"))
+	list.Restore(0)
+	list.Put(planKey, fake.Plan(3, 4, "k"))
+	srv := httptest.NewServer(list)
+	defer srv.Close()
+	r := &Reader{
+		List: (&platform.Platform{}).Lister(strings.TrimPrefix(srv.URL, "http://")),
+		Book: &view.Store{Clock: magno.NewMonotonic()}, Broadcast: func(view.Update) {}, ReportReachable: func(bool) {},
+		Log: slog.New(slog.DiscardHandler),
+	}
+	r.init()
+	r.Book.ApplyRead([]magno.Change{{Key: planKey, Revision: 2, Plan: &magno.Plan{Version: 2}}}, 2, true)
+	r.poll(context.Background())
+	if got := r.Book.Current().Revision; got != 2 {
+		t.Fatalf("a stale listing brought revision %s", got)
+	}
+	r.poll(context.Background())
+	if snap := r.Book.Current(); snap.Plan.Version != 3 {
+		t.Errorf("configuration %d at %s, want 3", snap.Plan.Version, snap.Revision)
+	}
+}
+
+// Guards against a reader that asks without a pause while the list never has what it needs.
+func TestRepeatedGapsBackOff(t *testing.T) {
+	r := &Reader{Book: &view.Store{Clock: magno.NewMonotonic()}, ReportReachable: func(bool) {}, Log: slog.New(slog.DiscardHandler)}
+	for i, want := range []magno.Millis{0, minBackoff, 2 * minBackoff, 4 * minBackoff, maxBackoff, maxBackoff} {
+		if got := r.recordGap(magno.ErrCompacted, 1); got != want {
+			t.Errorf("pause %d is %d ms, want %d", i, got, want)
+		}
+	}
+}
+
+// Guards against reading the whole list although a peer has sent what is missing.
+func TestListingIsLeftOutIfAPeerSentIt(t *testing.T) {
+	r := &Reader{Book: &view.Store{Clock: magno.NewMonotonic()}, ShouldRead: func() bool { return true }, ReportReachable: func(bool) {}, Log: slog.New(slog.DiscardHandler)}
+	r.Book.ApplyRead([]magno.Change{{Key: planKey, Revision: 2, Plan: &magno.Plan{Version: 2}}}, 2, true)
+	r.recordGap(magno.ErrRestored, 2)
+	if !r.isDue() || !r.readAll {
+		t.Error("the whole list isn't read after a restore")
+	}
+	later, err := magno.NewRevision(1, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Book.ApplyUpdate(view.Update{Since: 2, Revision: later, Base: later}); err != nil {
+		t.Fatal(err)
+	}
+	if !r.isDue() || r.readAll {
+		t.Error("the whole list is read although a peer sent what is missing")
+	}
+}
