--- a/entry/peers/restore_test.go
+++ b/entry/peers/restore_test.go
@@ -155,9 +155,10 @@
 	}
 }
 
-func era(t *testing.T, era, number int64) magno.Revision {
+// restored returns a revision of a list that was restored once.
+func restored(t *testing.T, number int64) magno.Revision {
 	t.Helper()
-	r, err := magno.NewRevision(era, number)
+	r, err := magno.NewRevision(1, number)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -176,8 +177,8 @@
 	a := start(t, "a")
 	a.Book.ApplyRead([]magno.Change{plan(2, 1), upstream(2, false)}, 2, true)
 	a.Book.ApplyRead([]magno.Change{plan(3, 3), upstream(4, true)}, 4, false)
-	at := era(t, 1, 2)
-	listing := []magno.Change{plan(2, era(t, 1, 1)), upstream(at, false)}
+	at := restored(t, 2)
+	listing := []magno.Change{plan(2, restored(t, 1)), upstream(at, false)}
 	a.Book.ApplyConsistent(listing, at)
 	for _, name := range []string{"unverified", "verified"} {
 		b := start(t, name, a.Addr)
@@ -200,11 +201,11 @@
 // have: everybody would take what gets the revisions up to it for known.
 func TestRevisionThatTheListDoesNotHaveIsDropped(t *testing.T) {
 	a := start(t, "a")
-	at := era(t, 1, 2)
-	a.Book.ApplyConsistent([]magno.Change{plan(2, era(t, 1, 1)), upstream(at, false)}, at)
+	at := restored(t, 2)
+	a.Book.ApplyConsistent([]magno.Change{plan(2, restored(t, 1)), upstream(at, false)}, at)
 	b := start(t, "b", a.Addr)
-	ahead := era(t, 1, 9)
-	b.Book.ApplyRead([]magno.Change{plan(2, era(t, 1, 1)), upstream(ahead, true)}, ahead, true)
+	ahead := restored(t, 9)
+	b.Book.ApplyRead([]magno.Change{plan(2, restored(t, 1)), upstream(ahead, true)}, ahead, true)
 	waitFor(t, "the revision of the list", func() bool {
 		a.Book.ApplyRead(nil, at, false) // a confirms its state, as a reader does
 		return b.Book.Current().Revision == at
