gate, keep: a spec from an older copy takes back neither versions nor the engine's present life

What callers would see: an entry that reads the list from an older copy tells the agents of it at a later revision. The agent then loads an older version of an adapter, or goes back to an earlier life of its engine and refuses every request.

Cause: the latest revision decided alone. Versions in a spec now never decrease, and an agent that has the life which its engine reports doesn't go back to an earlier one. TestVersionsOfASpecNeverDecrease and TestSpecOfAnEarlierLifeIsIgnored failed before.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -206,7 +206,12 @@
 	if spec == nil || revision <= k.specRevision {
 		return
 	}
-	if was := k.gate.Spec().Replica; spec.Replica != was {
+	was := k.gate.Spec().Replica
+	if start := magno.KeyStart(spec.Replica); start > 0 && start < k.engineStart && magno.KeyStart(was) == k.engineStart {
+		k.Log.Info("spec of an earlier life ignored", "replica", spec.Replica, "is", was, "rev", revision, "from", from)
+		return
+	}
+	if spec.Replica != was {
 		k.Log.Info("replica", "is", spec.Replica, "was", was, "rev", revision, "from", from)
 	}
 	k.specRevision = revision
--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -318,3 +318,21 @@
 		t.Errorf("the limit is %+v after it has ended, %v", after.Limit, err)
 	}
 }
+
+// Guards against going back to an earlier life of the engine because an entry read the list from
+// an older copy: the agent would drop what it knows and refuse every request.
+func TestSpecOfAnEarlierLifeIsIgnored(t *testing.T) {
+	e := newEngine()
+	e.born = 5
+	a := start(t, e)
+	for a.sendStatus(t, "r@5", 2).EngineStart != 5 {
+		time.Sleep(time.Millisecond) // until the first report
+	}
+	if got := a.sendStatus(t, "r@1", 3); got.Replica != "r@5" || got.Revision != 2 {
+		t.Errorf("the agent went to %s at revision %s", got.Replica, got.Revision)
+	}
+	e.set(func() { e.born = 7 })
+	for a.sendStatus(t, "r@7", 4).Replica != "r@7" {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -20,6 +20,8 @@
 package gate
 
 import (
+	"maps"
+
 	"cmp"
 	"math"
 	"slices"
@@ -99,11 +101,26 @@
 	if g.spec.Replica != "" && s.Replica != g.spec.Replica {
 		g.reset()
 	}
+	s.Pins = newestVersions(g.spec.Pins, s.Pins)
 	g.spec = s
 	g.pacer.engine.Stride = s.Engine.Stride
 	g.inventory.setSpec(&g.spec, g.Clock.Now())
 }
 
+// newestVersions returns the higher of two versions of each adapter. The sender of a spec may know
+// older ones than its predecessor, if its list came back from an older copy.
+func newestVersions(known, next map[string]int64) map[string]int64 {
+	older := func(name string) bool { return known[name] > next[name] }
+	if !slices.ContainsFunc(slices.Collect(maps.Keys(known)), older) {
+		return next
+	}
+	merged := maps.Clone(known)
+	for name, version := range next {
+		merged[name] = max(version, known[name])
+	}
+	return merged
+}
+
 // Spec returns the spec last set.
 func (g *Gate) Spec() Spec { return g.spec }
 
--- a/magno/gate/orders_test.go
+++ b/magno/gate/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"magnoliastall.example/magno"
@@ -155,3 +156,14 @@
 		t.Errorf("load wait is %d ms, want the rest of 1300 ms and the load of an adapter", wait)
 	}
 }
+
+// Guards against loading an older version of an adapter because an entry read the list from an
+// older copy.
+func TestVersionsOfASpecNeverDecrease(t *testing.T) {
+	g := &Gate{Clock: magno.NewClock(magno.Hour)}
+	g.SetSpec(Spec{Replica: "r@1", ID: "r", Pins: map[string]int64{"m/a": 7, "m/b": 1}})
+	g.SetSpec(Spec{Replica: "r@1", ID: "r", Pins: map[string]int64{"m/a": 6, "m/c": 2}})
+	if got, want := g.Spec().Pins, map[string]int64{"m/a": 7, "m/b": 1, "m/c": 2}; !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/magno/plan.go
+++ b/magno/plan.go
@@ -1,6 +1,9 @@
 package magno
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
 
 // RouteKind tells whether the requests of a route may be repeated.
 type RouteKind int
@@ -135,6 +138,16 @@
 // Key identifies the incarnation.
 func (r *Replica) Key() string { return r.ID + "@" + strconv.FormatInt(int64(r.StartedAt), 10) }
 
+// KeyStart returns the start time in a key, zero if unknown.
+func KeyStart(key string) Millis {
+	_, text, _ := strings.Cut(key, "@")
+	start, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return Millis(start)
+}
+
 // Change is the state of an item of the platform's list at a revision. At most one of
 // Plan, Replica and Pin is set.
 type Change struct {
