soak: a list that comes back from an older copy, and upstreams that drain

New faults: the list is away and comes back from a copy of drawn age, and its writers write the lost items again at drawn times, in any order; an upstream says in the list that it leaves. New checks, from what callers and upstreams see: no request reaches an upstream 2 s after the list had it as leaving, without a disturbance of the list or an entry since; no entry accepts a key again that it had refused as withdrawn.

--- a/drive/soak/fault.go
+++ b/drive/soak/fault.go
@@ -37,7 +37,7 @@
 	x := f.proxies[rnd.IntN(len(f.proxies))]
 	u := append(f.engines[:len(f.engines):len(f.engines)], f.plains...)[rnd.IntN(engineCount+plainCount)]
 	none := func() {}
-	switch n := rnd.IntN(19); n {
+	switch n := rnd.IntN(21); n {
 	case 0, 1:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.kind, none
@@ -56,13 +56,20 @@
 		return "path " + modeNames[m], func() { x.set(modePass) }
 	case 10:
 		f.store.Down.Store(true)
-		return "list down", func() { f.store.Down.Store(false) }
+		f.disturbList()
+		return "list down", func() {
+			f.store.Down.Store(false)
+			f.disturbList()
+		}
 	case 11:
+		f.disturbList()
 		f.store.Compact()
 		return "list compacted", none
 	case 12:
 		f.publish()
 		return "configuration", none
+	case 18:
+		return "list restored", f.restoreList(rnd)
 	default:
 		return f.startUpstreamFault(n, u, rnd)
 	}
@@ -88,6 +95,12 @@
 		}
 	case 17:
 		return "upstream turns away", u.state(fake.Notice{Rest: time.Duration(1+rnd.IntN(3)) * time.Second})
+	case 19:
+		f.drain(u)
+		return "upstream drains", func() {
+			time.Sleep(noticeTime)
+			f.replace(u)
+		}
 	default:
 		u.worker.AbortNext(1 + rnd.IntN(4))
 		return "answers broken", none
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -60,6 +60,12 @@
 	// maps each of the others to when it was removed from the store.
 	keys      []string
 	withdrawn map[string]time.Time
+	// firstWithdrawn is as withdrawn, but isn't put off if a restore of the list loses that.
+	firstWithdrawn map[string]time.Time
+	// drainedAt maps workers to when the list last got an entry that says that they leave.
+	drainedAt map[*fake.Worker]time.Time
+	// listDisturbedAt are the times at which the list failed, recovered or lost its history.
+	listDisturbedAt []time.Time
 }
 
 // upstream is a worker at an address, with its entry in the instance list.
@@ -70,9 +76,16 @@
 	// own.
 	listed, listen string
 	incarnation    int
+	listState      string
 	handler        *swapHandler
 }
 
+// States of an upstream in the list.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
 // swapHandler lets the next incarnation of a worker serve at the same address.
 type swapHandler struct {
 	mu sync.Mutex
@@ -98,7 +111,7 @@
 }
 
 func newFleet(dir, bin string) *fleet {
-	return &fleet{dir: dir, bin: bin, store: fake.NewStore(), withdrawn: map[string]time.Time{}}
+	return &fleet{dir: dir, bin: bin, store: fake.NewStore(), withdrawn: map[string]time.Time{}, firstWithdrawn: map[string]time.Time{}, drainedAt: map[*fake.Worker]time.Time{}}
 }
 
 // start starts the fleet, which runs until ctx ends.
@@ -176,7 +189,8 @@
 	u.worker.Start()
 	u.handler.set(u.worker)
 	f.allWorkers = append(f.allWorkers, u.worker)
-	f.store.Put("servers/"+u.worker.ID, u.worker.StoreEntry(u.service, u.listed, "z", "ready"))
+	u.listState = stateReady
+	f.list(u)
 	if old != nil {
 		f.store.Delete("servers/" + old.ID)
 	}
@@ -188,20 +202,60 @@
 	defer f.mu.Unlock()
 	u.worker.StartEmpty = u.service == fake.EngineService
 	u.worker.Start()
-	f.store.Put("servers/"+u.worker.ID, u.worker.StoreEntry(u.service, u.listed, "z", "ready"))
+	u.listState = stateReady
+	f.list(u)
+}
+
+// list writes the entry of an upstream. The caller holds mu.
+func (f *fleet) list(u *upstream) {
+	f.store.Put("servers/"+u.worker.ID, u.worker.StoreEntry(u.service, u.listed, "z", u.listState))
+	delete(f.drainedAt, u.worker)
+	if u.listState == stateDraining {
+		f.drainedAt[u.worker] = time.Now()
+	}
 }
 
+// upstreams returns all engines and plain services.
+func (f *fleet) upstreams() []*upstream { return slices.Concat(f.engines, f.plains) }
+
 // publish writes the next version of the configuration, with a new additional key.
 func (f *fleet) publish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
 	key := fmt.Sprintf("further-%d", f.version)
-	f.store.Put("op/config", fake.Plan(f.version, adapterSlots, key))
-	if n := len(f.keys); n > 0 {
-		f.withdrawn[f.keys[n-1]] = time.Now()
-	}
 	f.keys = append(f.keys, key)
+	f.putPlan()
+	if n := len(f.keys); n > 1 {
+		f.withdrawn[f.keys[n-2]] = time.Now()
+		f.firstWithdrawn[f.keys[n-2]] = time.Now()
+	}
+}
+
+// putPlan writes the newest configuration. The caller holds mu.
+func (f *fleet) putPlan() {
+	f.store.Put("op/config", fake.Plan(f.version, adapterSlots, f.keys[len(f.keys)-1]))
+}
+
+// loseWithdrawals puts off the withdrawals that a restore of the list lost, and returns the keys.
+// The caller holds mu.
+func (f *fleet) loseWithdrawals(since time.Time) []string {
+	var lost []string
+	for key, at := range f.withdrawn {
+		if at.After(since) {
+			f.withdrawn[key] = time.Now().Add(time.Hour)
+			lost = append(lost, key)
+		}
+	}
+	return lost
+}
+
+// withdrawnAt returns when a key was first withdrawn.
+func (f *fleet) withdrawnAt(key string) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, gone := f.firstWithdrawn[key]
+	return at, gone
 }
 
 // key returns a random key, with recent keys more likely than old ones.
--- a/drive/soak/limit.go
+++ b/drive/soak/limit.go
@@ -30,6 +30,11 @@
 	// disturbed reports whether an entry was stopped, killed or paused in a period, or its path to
 	// the worker was faulty.
 	disturbed func(entry int, w *fake.Worker, from, to time.Time) bool
+	// calm reports whether the list and all entries were undisturbed in a period.
+	calm func(from, to time.Time) bool
+	// drainedAt returns when the list last got an entry that says that a worker leaves, zero if
+	// it has none.
+	drainedAt func(w *fake.Worker) time.Time
 }
 
 // checkLimit returns the times at which a worker got more requests than its limit allows, from
@@ -105,5 +110,11 @@
 		disturbed: func(entry int, w *fake.Worker, from, to time.Time) bool {
 			return s.fleet.disturbed(entry, from, to) || s.fleet.pathFault(w, from, to)
 		},
+		calm: s.fleet.calm,
+		drainedAt: func(w *fake.Worker) time.Time {
+			s.fleet.mu.Lock()
+			defer s.fleet.mu.Unlock()
+			return s.fleet.drainedAt[w]
+		},
 	}
 }
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -70,6 +70,8 @@
 	// key is the credential that the caller sent, at is when.
 	key string
 	at  time.Time
+	// doneAt is when the outcome was known, zero before.
+	doneAt time.Time
 }
 
 // Run runs the test and returns the guarantees that were violated.
@@ -160,7 +162,7 @@
 	o := caller.Send(ctx, address, path, id, adapter)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.outcome = o
+	r.outcome, r.doneAt = o, time.Now()
 	s.checkRequest(id, s.sent[id])
 	s.kinds[fmt.Sprintf("%s %s", strings.Trim(path, "/"), outcomeName(o))]++
 	return o
@@ -259,8 +261,13 @@
 // checkNotices checks whether entries went by what upstreams stated.
 func (s *Soak) checkNotices() {
 	o := s.observer()
+	for _, what := range s.checkKeys() {
+		s.mu.Lock()
+		s.violation("%s", what)
+		s.mu.Unlock()
+	}
 	for _, w := range s.fleet.workers() {
-		for _, what := range slices.Concat(o.checkLimit(w), o.checkLeaving(w), o.checkRest(w)) {
+		for _, what := range slices.Concat(o.checkLimit(w), o.checkLeaving(w), o.checkRest(w), o.checkDraining(w)) {
 			s.mu.Lock()
 			s.violation("%s", what)
 			s.mu.Unlock()
@@ -268,6 +275,20 @@
 	}
 }
 
+// requestsInOrder returns the requests that have an outcome, in the order of sending.
+func (s *Soak) requestsInOrder() []*request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*request
+	for _, r := range s.sent {
+		if !r.doneAt.IsZero() {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int { return a.at.Compare(b.at) })
+	return list
+}
+
 // checkRequest compares what a caller received with what ran. The caller holds mu.
 func (s *Soak) checkRequest(id string, r *request) {
 	runs, o := s.fleet.runs(id), r.outcome
