watch: the index is read after an outage of the service

What callers would see, by the product's own interface: a version published after the service came back from an older copy is in force up to half a minute late. Its revision may be one that the reader has seen, and then no watch reports it. After a failed call the index is read first.

--- a/magno/watch/reader.go
+++ b/magno/watch/reader.go
@@ -144,6 +144,9 @@
 		var busy *rateLimitError
 		if errors.As(err, &busy) {
 			wait = max(wait, busy.wait)
+		} else {
+			// The service may come back from an older copy and give out revisions again.
+			r.revision = -1
 		}
 		magno.Sleep(ctx, wait)
 		backoff = min(2*backoff, maxBackoff)
--- a/magno/watch/reader_test.go
+++ b/magno/watch/reader_test.go
@@ -28,7 +28,9 @@
 	down, rateLimited bool
 	// frozenIndex, if set, is returned in place of the current index.
 	frozenIndex []byte
-	reads       map[string]int
+	// keys, if set, are reported to watches in place of the index.
+	keys  []string
+	reads map[string]int
 }
 
 func newService(t *testing.T) (*fakeService, string) {
@@ -60,7 +62,11 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(watchResponse{Revision: s.revision, Keys: []string{pack.IndexKey}})
+		keys := s.keys
+		if keys == nil {
+			keys = []string{pack.IndexKey}
+		}
+		_ = json.NewEncoder(w).Encode(watchResponse{Revision: s.revision, Keys: keys})
 	default:
 		key := strings.TrimPrefix(req.URL.Path, "/v1/value/")
 		s.mu.Lock()
@@ -218,6 +224,25 @@
 	waitFor(t, "version 3", func() bool { return store.Version() == 3 })
 }
 
+// Guards against a service that comes back from an older copy after an outage: the next version
+// may have a revision that the reader has seen before, and then no watch reports it.
+func TestIndexIsReadAfterAnOutage(t *testing.T) {
+	s, url := newService(t)
+	s.publish(t, testConfig(1, 3))
+	store, r := startReader(t, url)
+	waitFor(t, "version 1", func() bool { return store.Version() == 1 })
+	s.set(func() { s.down = true })
+	waitFor(t, "notice of the outage", func() bool { return !r.Status().Reachable })
+	s.publish(t, testConfig(2, 3))
+	s.set(func() { s.keys = []string{"other"} })
+	s.set(func() { s.down = false })
+	for end := time.Now().Add(watchTimeout.Duration() / 2); store.Version() != 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the next version wasn't read")
+		}
+	}
+}
+
 // An operator publishes invalid versions: a profile without its adapter, and two shards
 // with the same name in them. The last valid version must stay active, the reason must be
 // reported, and the corrected version must be loaded.
