fleet: an instance list may state its era

What callers would see, by the product's own interface: for a minute after the instance list came back from an older copy, requests go to instances that have left, since its lower revisions are taken for those of a lagging replica. A list may now state an era as the platform's does, and one of a later era is applied at once. The fuzz target's expectation includes the era.

--- a/magno/fleet/fleet.go
+++ b/magno/fleet/fleet.go
@@ -40,10 +40,16 @@
 
 // list is the response of the platform.
 type list struct {
+	// Era rises when the list comes back from an older copy and gives out revisions again. It
+	// is zero for a platform that doesn't count that.
+	Era       int64            `json:"era,omitempty"`
 	Revision  int64            `json:"revision"`
 	Instances []magno.Instance `json:"instances"`
 }
 
+// at returns the revision of the list among all eras.
+func (l *list) at() (magno.Revision, error) { return magno.NewRevision(l.Era, l.Revision) }
+
 // override is the state of an instance that came from a peer.
 type override struct {
 	address string
@@ -70,7 +76,7 @@
 	mu sync.RWMutex
 	// revision is that of the list in use. Older ones, which a lagging replica may
 	// return, are ignored unless the list's revisions were reset.
-	revision int64
+	revision magno.Revision
 	// newestAt is when a list at least as new as that in use was last read.
 	newestAt  magno.Millis
 	instances map[string]magno.Instance
@@ -119,6 +125,9 @@
 	if err := fetch.JSON(ctx, client, f.URL+"/v1/instances", maxListSize, &l); err != nil {
 		return err
 	}
+	if _, err := l.at(); err != nil {
+		return err
+	}
 	if f.apply(l) && f.OnChange != nil {
 		f.OnChange()
 	}
@@ -129,17 +138,21 @@
 func (f *Fleet) apply(l list) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	revision, err := l.at()
+	if err != nil {
+		return false // poll reports it
+	}
 	f.lastPoll = f.Clock.Now()
-	if l.Revision >= f.revision {
+	if revision >= f.revision {
 		f.newestAt = f.lastPoll
 	}
-	if l.Revision == f.revision && f.instances != nil {
+	if revision == f.revision && f.instances != nil {
 		return false
 	}
-	if l.Revision < f.revision && f.lastPoll < f.newestAt+revisionResetAfter {
+	if revision < f.revision && f.lastPoll < f.newestAt+revisionResetAfter {
 		return false
 	}
-	f.revision = l.Revision
+	f.revision = revision
 	f.newestAt = f.lastPoll
 	f.instances = make(map[string]magno.Instance, len(l.Instances))
 	for _, in := range l.Instances {
--- a/magno/fleet/fleet_test.go
+++ b/magno/fleet/fleet_test.go
@@ -23,7 +23,9 @@
 			return
 		}
 		applied := fl.apply(l)
-		if _, ok := fl.Find("known"); applied != (l.Revision > 1) || (!applied && !ok) {
+		at, err := l.at()
+		newer := err == nil && at > 1
+		if _, ok := fl.Find("known"); applied != newer || (!applied && !ok) {
 			t.Errorf("%q: applied %v", data, applied)
 		}
 		for _, in := range fl.LiveAgents("p") {
@@ -64,3 +66,16 @@
 		t.Error("the next revision after the reset was not applied")
 	}
 }
+
+// Guards against ignoring a list that came back from an older copy for as long as one of a
+// lagging replica.
+func TestListOfALaterEraIsAppliedAtOnce(t *testing.T) {
+	f := &Fleet{Clock: magno.NewClock(magno.Hour)}
+	f.apply(list{Revision: 9, Instances: []magno.Instance{{Name: "before"}}})
+	if !f.apply(list{Era: 1, Revision: 4, Instances: []magno.Instance{{Name: "after"}}}) {
+		t.Error("the list of the later era is ignored")
+	}
+	if f.apply(list{Revision: 10, Instances: []magno.Instance{{Name: "before"}}}) {
+		t.Error("a list of the earlier era is applied")
+	}
+}
