site: what an upstream stated outlives a restore of the list

What callers would see: requests reach an upstream above the limit that it named, or after it stated that it leaves, because the older copy lacked its entry and it registered again. That was taken for a restart under its name. TestStatementsEndWithTheLifeOfTheUpstream, case 'after a restore', failed before.

--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -195,9 +195,13 @@
 
 // sameLife reports whether an upstream's earlier entry in the list and its present one, nil for
 // none, are of the same life. One that is listed anew, or no longer as leaving, has restarted
-// under its name, and what it stated before no longer holds.
+// under its name, and what it stated before no longer holds. After a restore of the list every
+// entry that was lost is listed anew, which says nothing.
 func sameLife(before, now *magno.Replica) bool {
-	return before != nil && now != nil && before.Since == now.Since && (now.Leaving || !before.Leaving)
+	if before == nil || now == nil || (before.Leaving && !now.Leaving) {
+		return false
+	}
+	return before.Since == now.Since || before.Since.Era() != now.Since.Era()
 }
 
 // follower passes changes of the list, and of the upstreams that state that they leave, to the
