--- a/magno/view/digest.go
+++ b/magno/view/digest.go
@@ -132,6 +132,7 @@
 // kept returns an update with what is known in place of older items of a restored list.
 func (s *Store) kept() Update {
 	s.mu.Lock()
+	s.setup()
 	u := s.updateSince(s.current.Revision)
 	u.OnlyKept = true
 	for _, rec := range s.items {
--- a/magno/view/tell.go
+++ b/magno/view/tell.go
@@ -116,7 +116,7 @@
 			c.Plan, c.PlanDelta = plan, nil
 		}
 		if c.Empty() {
-			return nil, errors.Newf("change of %s at revision %d is empty", c.Key, c.Revision)
+			return nil, errors.Newf("change of %s at revision %s is empty", c.Key, c.Revision)
 		}
 	}
 	return changes, nil
@@ -165,24 +165,25 @@
 		s.mergeKept(&u)
 		return nil
 	}
-	if u.Full && u.Verified && !s.verified && u.Revision.Era() == s.current.Revision.Era() {
-		s.reset()
-	}
+	replaces := u.Full && u.Verified && !s.verified && u.Revision.Era() == s.current.Revision.Era()
 	if s.spansRestore(&u) {
 		return errors.Wrapf(ErrGap, "update from revision %s over a restore, known up to %s", u.Since, s.current.Revision)
 	}
-	if s.precedesBase(&u) {
+	if !replaces && s.precedesBase(&u) {
 		s.mustRead = true
 		return errors.Wrapf(ErrGap, "update from %s, the first listing after a restore; known up to %s", u.Base, s.current.Revision)
 	}
 	if !u.Full && u.Since > s.current.Revision {
-		return errors.Wrapf(ErrGap, "update after revision %d, known up to %d", u.Since, s.current.Revision)
+		return errors.Wrapf(ErrGap, "update after revision %s, known up to %s", u.Since, s.current.Revision)
 	}
 	changes, err := s.applyDeltas(&u, deltas)
 	if err != nil {
 		return err
 	}
 	u.Changes = changes
+	if replaces {
+		s.reset()
+	}
 	s.applyUpdateLocked(u, s.Clock.Now()-u.Age)
 	if u.Verified && s.current.Revision == u.Revision && (u.Full || s.sum == u.Sum) {
 		s.verified = true
