--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -196,12 +196,12 @@
 	return min(minBackoff<<min(r.gaps-2, maxBackoffSteps), maxBackoff)
 }
 
-// logListing logs a read of the whole list. A fresh one that is older than the known revision
+// logListing logs a read of the whole list. A fresh one of a lower revision, or of a later era,
 // means that the list itself went back.
 func (r *Reader) logListing(known, revision magno.Revision, fresh bool, items int) {
 	r.listingCount.Inc()
 	level := slog.LevelInfo
-	if fresh && revision < known {
+	if fresh && known > 0 && (revision < known || revision.Era() != known.Era()) {
 		r.backwardCount.Inc()
 		level = slog.LevelWarn
 	}
