--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -14,11 +14,13 @@
 // while running it. A response that breaks off for another reason doesn't count.
 func (j *job) suspectIfCrashed(key string) {
 	if j.fingerprint == 0 || j.service.Engine == nil {
+		j.Log.Info("crash not checked", "request", j.id, "replica", key, "target", j.r.RequestURI, "body", len(j.body), "engine", j.service.Engine != nil)
 		return
 	}
-	fingerprint, h, id := j.fingerprint, j.Handler, j.id
+	fingerprint, h, id, target := j.fingerprint, j.Handler, j.id, j.r.RequestURI
 	time.AfterFunc(crashCheckDelay.Duration(), func() {
 		if !h.Permits.Down(key) {
+			h.Log.Info("no crash", "request", id, "replica", key, "target", target)
 			return
 		}
 		h.Suspects.RecordFailure(fingerprint)
