soak: requests that end the upstreams that run them; two failing tests

TestRequestThatEndsUpstreamsIsHeldBack: callers of everything else at a plain service were refused for as long as one caller sent such a request. The stream with a body ends 4 and is held back, and then another caller's request of the same path and body is refused as well.

TestSoundRequestIsServedThoughUpstreamsEnd: a stream is refused for good in the fourth round, after upstreams ended under it, though it was served between. So entries never clear what they counted: the suspicion of the issue is proved.

--- /dev/null
+++ b/drive/soak/fatal.go
@@ -0,0 +1,248 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"magnoliastall.example/platform/fake"
+)
+
+// Terms of the platform for a request that ends the upstreams that run it: later than fatalDelay
+// after the third of them ended, it may reach upstreams fatalSends times.
+const (
+	fatalEnds  = 3
+	fatalDelay = 3 * time.Second
+	fatalSends = 3
+)
+
+const (
+	// minAway and maxAway limit how long an upstream is gone after its end.
+	minAway = time.Second
+	maxAway = 3 * time.Second
+	// maxFatalRun limits how long a fatal request runs before its upstream ends.
+	maxFatalRun = 80 * time.Millisecond
+)
+
+// ending is the end of an upstream under a request.
+type ending struct {
+	target string
+	worker *fake.Worker
+	at     time.Time
+}
+
+// fatal holds the targets whose requests end the upstreams that run them.
+type fatal struct {
+	mu      sync.Mutex
+	targets map[string]bool
+	endings []ending
+	rnd     *rand.Rand
+}
+
+func newFatal() *fatal {
+	return &fatal{targets: map[string]bool{}, rnd: rand.New(rand.NewPCG(1, 1))} //nolint:gosec // not used as a secret
+}
+
+// set makes requests to the target fatal, or no longer.
+func (x *fatal) set(target string, on bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.targets[target] = on
+}
+
+// draw reports whether requests to the target are fatal, how long one runs before its upstream ends,
+// and how long that is away.
+func (x *fatal) draw(target string) (after, away time.Duration, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.targets[target] {
+		return 0, 0, false
+	}
+	after = time.Duration(x.rnd.Int64N(int64(maxFatalRun)))
+	away = minAway + time.Duration(x.rnd.Int64N(int64(maxAway-minAway)))
+	return after, away, true
+}
+
+// record records the end of a worker under a request, once for each target.
+func (x *fatal) record(target string, w *fake.Worker) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !slices.ContainsFunc(x.endings, func(e ending) bool { return e.target == target && e.worker == w }) {
+		x.endings = append(x.endings, ending{target: target, worker: w, at: time.Now()})
+	}
+}
+
+// of returns the ends of upstreams under a target's requests, in order.
+func (x *fatal) of(target string) []ending {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var list []ending
+	for _, e := range x.endings {
+		if e.target == target {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b ending) int { return a.at.Compare(b.at) })
+	return list
+}
+
+// fatalTargets returns all targets that were ever fatal.
+func (x *fatal) fatalTargets() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var list []string
+	for target := range x.targets {
+		list = append(list, target)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// onRun ends an upstream soon if a fatal request begins to run there.
+func (f *fleet) onRun(u *upstream, w *fake.Worker, target string) bool {
+	after, away, ok := f.fatal.draw(target)
+	if ok {
+		go func() {
+			time.Sleep(after)
+			f.end(u, w, target, away)
+		}()
+	}
+	return ok
+}
+
+// end ends a worker under a request without notice: its connections break and new ones are refused.
+// After a while another incarnation serves at its address.
+func (f *fleet) end(u *upstream, w *fake.Worker, target string, away time.Duration) {
+	f.mu.Lock()
+	if u.worker != w {
+		f.mu.Unlock()
+		return // replaced meanwhile
+	}
+	stop := u.stop
+	u.stop = nil
+	f.mu.Unlock()
+	f.fatal.record(target, w)
+	if stop == nil {
+		return // another request has ended it
+	}
+	stop()
+	time.Sleep(away)
+	if f.ctx.Err() != nil {
+		return
+	}
+	f.replace(u)
+	if err := f.listen(u); err != nil {
+		fmt.Fprintf(os.Stderr, "soak: %s does not come back: %v\n", u.listed, err)
+	}
+}
+
+// listen serves the present incarnation of an upstream, directly and through its proxy.
+func (f *fleet) listen(u *upstream) error {
+	ctx, cancel := context.WithCancel(f.ctx)
+	if err := serve(ctx, u.listen, u.handler); err != nil {
+		cancel()
+		return err
+	}
+	if err := u.proxy.run(ctx); err != nil {
+		cancel()
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.stop = cancel
+	return nil
+}
+
+// checkFatal returns the targets whose requests reached upstreams too often after the third of
+// those had ended.
+func (o *observer) checkFatal(x *fatal, workers []*fake.Worker) []string {
+	var broken []string
+	for _, target := range x.fatalTargets() {
+		ends := x.of(target)
+		if len(ends) < fatalEnds {
+			continue
+		}
+		third := ends[fatalEnds-1].at
+		late := 0
+		for _, w := range workers {
+			for _, a := range w.Arrivals() {
+				if a.Target == target && a.At.Sub(third) > fatalDelay && !o.disturbed(o.entry(a.ID), w, a.At.Add(-fatalDelay), a.At) {
+					late++
+				}
+			}
+		}
+		if late > fatalSends {
+			broken = append(broken, fmt.Sprintf("%s ended %d upstreams and reached upstreams %d times later than %s after the third end",
+				target, len(ends), late, fatalDelay))
+		}
+	}
+	return broken
+}
+
+// suspectLine matches an entry's log line of a request that it refused as fatal.
+var suspectLine = regexp.MustCompile(`msg=request .*request="?([^" ]+)"? .*outcome=suspect`)
+
+// checkSound returns the requests that an entry refused as fatal and that are not.
+func (s *Soak) checkSound() []string {
+	fatalTargets := s.fleet.fatal.fatalTargets()
+	var broken []string
+	for i := range entryCount {
+		data, err := os.ReadFile(filepath.Join(s.Dir, entryName(i)+".log"))
+		if err != nil {
+			return []string{err.Error()}
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			m := suspectLine.FindStringSubmatch(line)
+			if m == nil {
+				continue
+			}
+			s.mu.Lock()
+			r := s.sent[m[1]]
+			s.mu.Unlock()
+			if r == nil || !slices.Contains(fatalTargets, r.target) {
+				broken = append(broken, "refused though its upstreams ended by themselves: "+line)
+			}
+		}
+	}
+	return broken
+}
+
+// sendFatal sends requests to one target, as one caller, until ctx ends: each at a drawn entry and
+// under a new id.
+func (s *Soak) sendFatal(ctx context.Context, caller *fake.Caller, target, body, adapter string, rnd *rand.Rand) {
+	for i := 0; ctx.Err() == nil; i++ {
+		s.sendTo(ctx, caller, s.fleet.entries[rnd.IntN(entryCount)], target, body, fmt.Sprintf("%s-%d", strings.Trim(target, "/"), i), adapter)
+		time.Sleep(time.Duration(50+rnd.IntN(100)) * time.Millisecond)
+	}
+}
+
+// sendTo sends one request to a target and records its outcome.
+func (s *Soak) sendTo(ctx context.Context, caller *fake.Caller, address, target, body, id, adapter string) fake.Outcome {
+	r := &request{path: pathOf(target), target: target, entry: address, key: caller.Key, at: time.Now()}
+	s.mu.Lock()
+	s.sent[id] = r
+	s.mu.Unlock()
+	o := caller.SendTo(ctx, address, target, body, id, adapter)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.outcome, r.doneAt = o, time.Now()
+	s.checkRequest(id, r)
+	return o
+}
+
+// pathOf returns the path of the route to which a target belongs.
+func pathOf(target string) string {
+	for _, path := range []string{fake.PathOnce, fake.PathRepeat, fake.PathStream, fake.PathResume} {
+		if strings.HasPrefix(target, path) {
+			return path
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/drive/soak/fatal_test.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastall.example/platform/fake"
+)
+
+// fatalTime is how long a test sends a fatal request: three ends with the time to return after each,
+// fatalDelay, and time for further sends.
+const fatalTime = 3*maxAway + fatalDelay + 4*time.Second
+
+// callerFrom returns a caller with an address of its own.
+func callerFrom(ip string) *fake.Caller {
+	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	return &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{DialContext: d.DialContext}}, Key: fake.Key}
+}
+
+// newID returns an unused ID of a request.
+func (s *Soak) newID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("fatal-%d", len(s.sent))
+}
+
+// served reports whether a request is served in time, sent again and again to all entries.
+func (s *Soak) served(caller *fake.Caller, target, body, adapter string) bool {
+	end := time.Now().Add(recoveryLimit)
+	for n := 0; time.Now().Before(end); n++ {
+		o := s.sendTo(context.Background(), caller, s.fleet.entries[n%entryCount], target, body, s.newID(), adapter)
+		if o.Status == http.StatusOK && o.Complete {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// Guards against a request that ends each upstream that runs it and is sent on, whatever entry it
+// comes to, with a body or without.
+func TestRequestThatEndsUpstreamsIsHeldBack(t *testing.T) {
+	s := startSoak(t)
+	cases := map[string][]struct{ name, target, body, adapter string }{
+		fake.PlainService: {
+			{"plain service, no body", fake.PathRepeat + "fatal-1", "", ""},
+			{"plain service, body, runs once", fake.PathOnce + "fatal-2", "b", ""},
+		},
+		fake.EngineService: {
+			{"stream that resumes", fake.PathResume + "fatal-3", "b", "a1"},
+			{"stream, no body", fake.PathStream + "fatal-4", "", "a2"},
+		},
+	}
+	other := callerFrom("127.0.9.3")
+	s.sendFor(func() {
+		var services sync.WaitGroup
+		for _, list := range cases {
+			services.Go(func() {
+				for i, c := range list {
+					s.fleet.fatal.set(c.target, true)
+					ctx, cancel := context.WithTimeout(context.Background(), fatalTime)
+					rnd := rand.New(rand.NewPCG(s.Seed, uint64(i))) //nolint:gosec // not used as a secret
+					s.sendFatal(ctx, callerFrom("127.0.9.1"), c.target, c.body, c.adapter, rnd)
+					cancel()
+					s.fleet.fatal.set(c.target, false)
+					if !s.served(other, c.target, c.body, c.adapter) {
+						t.Errorf("%s: the same request of another caller isn't served", c.name)
+					}
+				}
+			})
+		}
+		services.Wait()
+	})
+	for _, list := range cases {
+		for _, c := range list {
+			t.Run(c.name, func(t *testing.T) {
+				ends := len(s.fleet.fatal.of(c.target))
+				t.Logf("%d upstreams ended", ends)
+				if ends < fatalEnds {
+					t.Errorf("ended %d upstreams, too few to tell", ends)
+				}
+			})
+		}
+	}
+	for _, what := range s.observer().checkFatal(s.fleet.fatal, s.fleet.workers()) {
+		t.Error(what)
+	}
+	for _, what := range s.checkSound() {
+		t.Error(what)
+	}
+}
+
+// Guards against refusing a request because upstreams ended by themselves while they ran it, though
+// others served it between, or because connections to sound upstreams were cut.
+func TestSoundRequestIsServedThoughUpstreamsEnd(t *testing.T) {
+	const rounds = 5
+	for _, c := range []struct{ name, target, body, adapter string }{
+		{"plain service, no body", fake.PathRepeat + "sound-1", "", ""},
+		{"plain service, body", fake.PathRepeat + "sound-2", "b", ""},
+		{"stream", fake.PathResume + "sound-3", "b", "a1"},
+		{"stream, no body", fake.PathResume + "sound-4", "", "a2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startSoak(t)
+			caller := callerFrom("127.0.9.2")
+			send := func() {
+				s.sendTo(context.Background(), caller, s.fleet.entries[0], c.target, c.body, s.newID(), c.adapter)
+			}
+			served := func() bool { return s.served(caller, c.target, c.body, c.adapter) }
+			for round := range rounds {
+				s.fleet.fatal.set(c.target, true)
+				send()
+				s.fleet.fatal.set(c.target, false)
+				if !served() {
+					t.Fatalf("round %d: not served after an upstream ended that ran it", round)
+				}
+			}
+			for round := range rounds {
+				for _, u := range s.fleet.upstreams() {
+					u.worker.AbortNext(1)
+				}
+				send()
+				time.Sleep(200 * time.Millisecond)
+				if !served() {
+					t.Fatalf("round %d: not served after connections to upstreams were cut", round)
+				}
+			}
+			if ends := len(s.fleet.fatal.of(c.target)); ends < rounds {
+				t.Errorf("%d upstreams ended, want one in each of %d rounds", ends, rounds)
+			}
+			for _, what := range s.checkSound() {
+				t.Error(what)
+			}
+		})
+	}
+}
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -64,6 +64,9 @@
 	firstWithdrawn map[string]time.Time
 	// drainedAt maps workers to when the list last got an entry that says that they leave.
 	drainedAt map[*fake.Worker]time.Time
+	fatal     *fatal
+	// ctx is that of start.
+	ctx context.Context //nolint:containedctx // upstreams that return run until it ends
 	// listDisturbedAt are the times at which the list failed, recovered or lost its history.
 	listDisturbedAt []time.Time
 }
@@ -78,6 +81,9 @@
 	incarnation    int
 	listState      string
 	handler        *swapHandler
+	proxy          *proxy
+	// stop ends the present incarnation, nil if it has ended.
+	stop context.CancelFunc
 }
 
 // States of an upstream in the list.
@@ -111,11 +117,13 @@
 }
 
 func newFleet(dir, bin string) *fleet {
-	return &fleet{dir: dir, bin: bin, store: fake.NewStore(), withdrawn: map[string]time.Time{}, firstWithdrawn: map[string]time.Time{}, drainedAt: map[*fake.Worker]time.Time{}}
+	return &fleet{dir: dir, bin: bin, store: fake.NewStore(), withdrawn: map[string]time.Time{}, firstWithdrawn: map[string]time.Time{}, drainedAt: map[*fake.Worker]time.Time{},
+		fatal: newFatal()}
 }
 
 // start starts the fleet, which runs until ctx ends.
 func (f *fleet) start(ctx context.Context) error {
+	f.ctx = ctx
 	if err := serve(ctx, address(5, 1, 30), f.store); err != nil {
 		return err
 	}
@@ -131,7 +139,7 @@
 	for i := range plainCount {
 		u := &upstream{service: fake.PlainService, listed: address(3, 100+i, 20), listen: address(4, i+1, 20), handler: &swapHandler{}}
 		f.plains = append(f.plains, u)
-		if err := f.serve(ctx, u); err != nil {
+		if err := f.serve(u); err != nil {
 			return err
 		}
 	}
@@ -156,7 +164,7 @@
 func (f *fleet) engine(ctx context.Context, n int) error {
 	u := &upstream{service: fake.EngineService, listed: address(3, n, 20), listen: address(2, n, 20), handler: &swapHandler{}}
 	f.engines = append(f.engines, u)
-	if err := f.serve(ctx, u); err != nil {
+	if err := f.serve(u); err != nil {
 		return err
 	}
 	if err := f.proxy(ctx, address(3, n, 10), address(2, n, 10)); err != nil {
@@ -168,12 +176,11 @@
 	})
 }
 
-func (f *fleet) serve(ctx context.Context, u *upstream) error {
+func (f *fleet) serve(u *upstream) error {
+	u.proxy = &proxy{listen: u.listed, target: u.listen}
+	f.proxies = append(f.proxies, u.proxy)
 	f.replace(u)
-	if err := serve(ctx, u.listen, u.handler); err != nil {
-		return err
-	}
-	return f.proxy(ctx, u.listed, u.listen)
+	return f.listen(u)
 }
 
 // replace starts a new incarnation and lists it under a new name.
@@ -186,8 +193,10 @@
 	if u.service == fake.EngineService {
 		u.worker.Model, u.worker.StartEmpty = fake.Model, old != nil
 	}
-	u.worker.Start()
-	u.handler.set(u.worker)
+	w := u.worker
+	w.OnRun = func(_, target string) bool { return f.onRun(u, w, target) }
+	w.Start()
+	u.handler.set(w)
 	f.allWorkers = append(f.allWorkers, u.worker)
 	u.listState = stateReady
 	f.list(u)
--- a/drive/soak/leave_test.go
+++ b/drive/soak/leave_test.go
@@ -42,7 +42,7 @@
 	w.SetNotice(fake.Notice{Leaving: true})
 	began := time.Now()
 	for i := range 3 {
-		w.Arrive(fmt.Sprint(i))
+		w.Arrive(fmt.Sprint(i), "")
 	}
 	o := &observer{
 		entry:     func(string) int { return 0 },
--- a/drive/soak/proxy.go
+++ b/drive/soak/proxy.go
@@ -44,11 +44,10 @@
 	if err != nil {
 		return err
 	}
-	p.conns = map[net.Conn]bool{}
 	go func() {
 		<-ctx.Done()
 		_ = l.Close()
-		p.set(modeReset)
+		p.resetAll()
 	}()
 	go func() {
 		for {
@@ -64,12 +63,18 @@
 
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.mode = m
 	p.changedAt = append(p.changedAt, time.Now())
-	if m != modeReset {
-		return
+	p.mu.Unlock()
+	if m == modeReset {
+		p.resetAll()
 	}
+}
+
+// resetAll resets the open connections.
+func (p *proxy) resetAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for c := range p.conns {
 		reset(c)
 	}
@@ -109,6 +114,9 @@
 		return
 	}
 	p.mu.Lock()
+	if p.conns == nil {
+		p.conns = map[net.Conn]bool{}
+	}
 	p.conns[near], p.conns[far] = true, true
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
--- a/drive/soak/rest_test.go
+++ b/drive/soak/rest_test.go
@@ -39,10 +39,10 @@
 	w := &fake.Worker{ID: "w"}
 	w.Start()
 	w.SetNotice(fake.Notice{Rest: time.Minute})
-	w.Arrive("0")
+	w.Arrive("0", "")
 	time.Sleep(restDelay + time.Millisecond)
 	for i := range 3 {
-		w.Arrive(fmt.Sprint(i))
+		w.Arrive(fmt.Sprint(i), "")
 	}
 	o := &observer{
 		entry:     func(string) int { return 0 },
--- a/drive/soak/restore_test.go
+++ b/drive/soak/restore_test.go
@@ -21,7 +21,7 @@
 	} {
 		w := &fake.Worker{ID: "w"}
 		w.Start()
-		w.Arrive("1")
+		w.Arrive("1", "")
 		drainedAt := time.Now()
 		o := &observer{
 			entry: func(string) int { return 0 }, sentAt: func(string) time.Time { return drainedAt.Add(c.after) },
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -63,8 +63,9 @@
 
 // request is one request of a caller.
 type request struct {
-	path    string
-	outcome fake.Outcome
+	// path is that of its route, target is empty if it is the usual one of the route.
+	path, target string
+	outcome      fake.Outcome
 	// entry is the address that the caller sent it to.
 	entry string
 	// key is the credential that the caller sent, at is when.
@@ -261,7 +262,7 @@
 // checkNotices checks whether entries went by what upstreams stated.
 func (s *Soak) checkNotices() {
 	o := s.observer()
-	for _, what := range s.checkKeys() {
+	for _, what := range slices.Concat(s.checkKeys(), s.checkSound(), o.checkFatal(s.fleet.fatal, s.fleet.workers())) {
 		s.mu.Lock()
 		s.violation("%s", what)
 		s.mu.Unlock()
