crash: an end counts once, for all that saw it, and a request that completes is cleared

Callers saw: a request that ran as two upstreams ended by themselves was refused for half an hour, at all entries, though others had served it between. On the own interface one restart of an engine could be enough.

Cause: the count of a request was a number that the latest update replaced. Entries added to it and never took anything off (only agents cleared), and one end was counted by the agent, by the entry and by each copy of the request. A stream that broke off counted although its engine lived on.

Why this works: a record is the set of upstreams that ended under a request, and sets are joined, so neither the number of observers nor the order of news matters. A completion clears the ends so far, at every process. An agent asks its upstream whether it is still the same before it counts. A request is refused after three ends, as the platform's bound has it, if no request that ran beside it explains them better and the pool's other upstreams didn't end too.

--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -158,6 +158,7 @@
 	a.loop = loop.New()
 	a.loop.Clock, a.loop.Scheduler, a.loop.Upstream, a.loop.Fence = a.Clock, sched, up, fence
 	a.loop.Events, a.loop.Log, a.loop.Suspects = a.Events, a.Log, a.Suspects
+	a.loop.Self, a.loop.Pool = a.opts.Name, a.opts.Pool
 	a.probe = &probe.Probe{Upstream: up, Interval: magno.Millis(a.opts.Probe), Log: a.Log, OnRestart: a.upstreamStarted, OnReport: a.loop.Reconcile}
 	if source, ok := up.(magno.NoticeSource); ok {
 		source.OnNotice(a.Clock, a.takeNotice)
--- a/agent/loop/loop.go
+++ b/agent/loop/loop.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/event"
@@ -31,8 +33,6 @@
 	// defaultOrderTimeout bounds an order, so that one that the upstream never answers does not
 	// occupy a slot forever.
 	defaultOrderTimeout = 30 * time.Second
-	// crashWindow is the time within which all streams that are interrupted by one crash end.
-	crashWindow magno.Millis = 20
 	// reportLag is how long after an order the upstream's report may still show the state before
 	// it.
 	reportLag = 5 * magno.Second
@@ -50,8 +50,11 @@
 	Fence  int64
 	Events *event.Ring
 	Log    *slog.Logger
-	// Suspects records requests whose streams were interrupted by a crash. It may be nil.
+	// Suspects records requests under which the upstream ended. It may be nil.
 	Suspects *crash.Suspects
+	// Self is the name of this instance, Pool the pool of the upstream. They identify the upstream
+	// among others.
+	Self, Pool string
 
 	// orderTimeout is defaultOrderTimeout except in tests.
 	orderTimeout time.Duration
@@ -66,10 +69,11 @@
 	// waiting maps the ID of each job that has neither started nor been refused. Only the loop's
 	// goroutine accesses it.
 	waiting map[string]*pending
-	// interrupted holds the fingerprints of streams that were interrupted since firstInterruptedAt,
-	// presumably by the same crash.
-	interrupted        []uint64
-	firstInterruptedAt magno.Millis
+	// boot is the boot number of the upstream's present incarnation, zero before the first probe.
+	boot atomic.Int64
+	// presumed holds the ends that aren't confirmed yet. Only the loop's goroutine accesses it.
+	presumed   []presumed
+	lifeChecks singleflight.Group
 	// turnEnded is closed to end the wait in Load. It is nil if there is none.
 	turnEnded chan struct{}
 	// ordersInFlight counts the loads and unloads under way; lastOrderAt is when the latest one
@@ -138,7 +142,7 @@
 	defer timer.Stop()
 	for {
 		var due <-chan time.Time
-		if len(l.waiting) > 0 || len(l.interrupted) > 0 {
+		if len(l.waiting) > 0 {
 			timer.Reset(tickInterval.Duration())
 			due = timer.C
 		}
@@ -156,7 +160,6 @@
 			continue
 		}
 		l.needsDecision = false
-		l.reportSuspects()
 		l.applyOrders(ctx)
 	}
 }
@@ -248,6 +251,7 @@
 // execute runs work that may start.
 func (l *Loop) execute(ctx context.Context, w magno.Work, d decision, emit func(magno.Piece)) (magno.Result, error) {
 	l.Events.Add("start", w.Job.ID, fmt.Sprintf("ref=%s queue=%d stall=%d", w.Job.Ref, d.queueTime, d.stallTime))
+	boot := l.boot.Load()
 	result, err := l.Upstream.Run(ctx, w, func(p magno.Piece) {
 		l.postUpdate(func() { l.Scheduler.Tokens(w.Job.ID, p.Tokens) })
 		emit(p)
@@ -257,38 +261,14 @@
 	if err == nil && result.Ref != w.Job.Ref {
 		err = magno.Refuse(magno.KindInternal, "the upstream ran %s instead of %s", result.Ref, w.Job.Ref).WithRun(magno.RunYes)
 	}
-	l.post(func() { l.done(w.Job, err) })
+	l.post(func() { l.Scheduler.Done(w.Job.ID, err == nil) })
+	if refusal, ok := err.(*magno.Refusal); ok { //nolint:errorlint // upstreams return it unwrapped
+		l.recordIfEnded(ctx, &w.Job, boot, refusal)
+	}
 	l.Events.Add("ended", w.Job.ID, fmt.Sprintf("ok=%t tokens=%d", err == nil, result.Output))
 	return result, err
 }
 
-// done handles the end of a job that was started.
-func (l *Loop) done(job magno.Job, err error) {
-	l.Scheduler.Done(job.ID, err == nil)
-	refusal, ok := err.(*magno.Refusal) //nolint:errorlint // execute returns it unwrapped
-	if !ok || refusal.Kind != magno.KindInterrupted || job.Fingerprint == 0 {
-		return
-	}
-	if len(l.interrupted) == 0 {
-		l.firstInterruptedAt = l.Clock.Now()
-	}
-	l.interrupted = append(l.interrupted, job.Fingerprint)
-}
-
-// reportSuspects records all streams that were interrupted within crashWindow as suspects of the
-// same crash. The probe would detect the restart too late: by then, second attempts could have
-// crashed another upstream.
-func (l *Loop) reportSuspects() {
-	if len(l.interrupted) == 0 || l.Clock.Now() < l.firstInterruptedAt+crashWindow {
-		return
-	}
-	if l.Suspects != nil {
-		l.Suspects.RecordCrash(l.interrupted)
-	}
-	l.Events.Add("suspect", "", fmt.Sprintf("streams=%d", len(l.interrupted)))
-	l.interrupted = nil
-}
-
 // offer offers a job to the scheduler and waits until it may start or is refused.
 func (l *Loop) offer(ctx context.Context, job magno.Job) decision {
 	p := &pending{ref: job.Ref, decision: make(chan decision, 1)}
--- a/agent/loop/state.go
+++ b/agent/loop/state.go
@@ -9,7 +9,8 @@
 // Reset handles a start of the upstream. The probe has its limits and the adapters that it holds.
 func (l *Loop) Reset(probe magno.Probe) {
 	l.post(func() {
-		ran := l.Scheduler.Reset()
+		ran := l.Scheduler.Reset(l.endOf(l.boot.Swap(probe.Boot)))
+		l.settlePresumed(probe.Boot)
 		if configurable, ok := l.Scheduler.(magno.Configurable); ok {
 			configurable.SetLimits(probe.Limits)
 			configurable.Adopt(probe.Loaded)
@@ -25,6 +26,7 @@
 // latest order.
 func (l *Loop) Reconcile(probe magno.Probe) {
 	l.postUpdate(func() {
+		l.settlePresumed(probe.Boot)
 		if l.ordersInFlight > 0 || l.Clock.Now() < l.lastOrderAt+reportLag || l.holdsExactly(probe.Loaded) {
 			return
 		}
--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -136,7 +136,7 @@
 		return refusalReply(refusal)
 	}
 	s.setLocalTimes(call)
-	s.mergeCrashes(call)
+	s.mergeEnds(call)
 	ctx, cancel := context.WithTimeout(ctx, call.Left.Duration())
 	defer cancel()
 	defer s.registerCancel(call.Call, cancel)()
@@ -164,13 +164,11 @@
 	call.Work.Job.Deadline = call.Work.Job.Arrived + call.Left
 }
 
-// mergeCrashes merges the number of crashes that the entry has counted for the request.
-func (s *Server) mergeCrashes(call *magno.RunCall) {
-	print := call.Work.Job.Fingerprint
-	if call.Crashes == 0 || print == 0 {
-		return
+// mergeEnds merges the ends of upstreams under the request that the entry knows of.
+func (s *Server) mergeEnds(call *magno.RunCall) {
+	if len(call.Ends) > 0 {
+		s.Suspects.Merge([]crash.Record{{Fingerprint: call.Work.Job.Fingerprint, Ends: call.Ends}})
 	}
-	s.Suspects.Merge([]crash.Record{{Fingerprint: print, Crashes: call.Crashes, UpdatedAt: s.Clock.Now()}})
 }
 
 // keyed runs a call with an idempotency key, which must not be executed twice. The run does not
@@ -188,7 +186,7 @@
 		return refusalReply(refusal.WithRun(magno.RunUnknown))
 	}
 	s.setLocalTimes(call)
-	s.mergeCrashes(call)
+	s.mergeEnds(call)
 	reply := s.Ledger.Do(ctx, keyed, func(run context.Context) magno.RunReply {
 		s.busy.Add(1)
 		defer s.busy.Add(-1)
@@ -221,7 +219,8 @@
 	})
 	stream.Close()
 	if err != nil {
-		return refusalReply(asRefusal(err))
+		refusal := asRefusal(err)
+		return magno.RunReply{Refusal: refusal, Ended: refusal.Ended}
 	}
 	return magno.RunReply{Result: &result, Parts: parts, Sum: xxhash.Sum64String(result.Text)}
 }
--- a/drive/fifo/fifo.go
+++ b/drive/fifo/fifo.go
@@ -243,7 +243,7 @@
 
 // Reset clears the running jobs and the loaded adapters, and returns the IDs of those
 // jobs.
-func (q *Queue) Reset() []string {
+func (q *Queue) Reset(magno.UpstreamEnd) []string {
 	ids := make([]string, 0, len(q.running))
 	for id, job := range q.running {
 		ids = append(ids, id)
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -65,11 +65,12 @@
 	discoveryTime     = 2 * magno.Second
 	discoveryInterval = 100 * magno.Millis(1)
 	assumedEntries    = 16
-	// suspectMaxAge is how long a suspect is repeated in hellos: longer than the interval
-	// between two hellos in a large fleet. maxSuspects bounds the suspects in one hello: a
-	// crash makes every request that ran there a suspect, and sending the whole list in
-	// each hello would saturate the links of small machines after a few crashes.
-	suspectMaxAge = 10 * magno.Second
+	// suspectMaxAge is how long a change of a suspect is repeated in hellos. Everyone that
+	// receives it does the same, so in a large fleet it reaches all within about a second.
+	// maxSuspects bounds the suspects in one hello: a crash makes every request that ran
+	// there a suspect, and sending the whole list in each hello would saturate the links of
+	// small machines after a few crashes.
+	suspectMaxAge = 2 * magno.Second
 	maxSuspects   = 64
 	// listRetryInterval is how often an entry that can't reach the list retries while
 	// others read it. While none of them can, it retries after listRetryStep for each
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -163,6 +163,7 @@
 		j.logTry("failed", errors.Newf("status %d", res.StatusCode))
 		return resultFailed
 	}
+	j.Suspects.Clear(j.fingerprint)
 	a.forward(j)
 	return resultDone
 }
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -18,12 +18,13 @@
 		return
 	}
 	fingerprint, h, id, target := j.fingerprint, j.Handler, j.id, j.r.RequestURI
+	end := magno.NewUpstreamEnd(j.service.Name, key)
 	time.AfterFunc(crashCheckDelay.Duration(), func() {
 		if !h.Permits.Down(key) {
 			h.Log.Info("no crash", "request", id, "replica", key, "target", target)
 			return
 		}
-		h.Suspects.RecordFailure(fingerprint)
-		h.Log.Warn("suspect", "request", id, "replica", key, "crashes", h.Suspects.CrashCount(fingerprint))
+		h.Suspects.RecordEnd(fingerprint, end)
+		h.Log.Warn("suspect", "request", id, "replica", key, "ends", h.Suspects.Count(fingerprint))
 	})
 }
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -70,6 +70,8 @@
 	refusal *magno.Refusal
 	// answerLost is true if no answer came although the agent may have received the call.
 	answerLost bool
+	// ended is set if the upstream ended while it ran the work.
+	ended *magno.UpstreamEnd
 	// holder is the agent that holds the key, if it isn't the one asked.
 	holder string
 	// backlog came with the answer; nil if there was none.
@@ -248,7 +250,7 @@
 	id := r.Work.Job.ID
 	call := magno.RunCall{
 		Call: fmt.Sprintf("%s/%d", id, n), Key: r.Key, Work: r.Work, Stream: r.Stream,
-		Config: r.ConfigVersion, Left: r.Deadline - s.Clock.Now(), Crashes: s.Suspects.CrashCount(r.Work.Job.Fingerprint),
+		Config: r.ConfigVersion, Left: r.Deadline - s.Clock.Now(), Ends: s.Suspects.Ends(r.Work.Job.Fingerprint),
 	}
 	call.Work.Job.ID = fmt.Sprintf("%s.%d", id, n)
 	if call.Left <= 0 {
@@ -263,9 +265,11 @@
 	if out.refusal != nil {
 		kind = string(out.refusal.Kind)
 	}
-	if kind == string(magno.KindInterrupted) && out.refusal.Run == magno.RunUnknown {
-		// Its next attempt runs alone; if that fails as well, it is the last.
-		s.Suspects.RecordFailure(r.Work.Job.Fingerprint)
+	switch {
+	case out.ended != nil:
+		s.Suspects.RecordEnd(r.Work.Job.Fingerprint, *out.ended)
+	case out.refusal == nil && !out.replay:
+		s.Suspects.Clear(r.Work.Job.Fingerprint)
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`magno_attempts_total{outcome=%q}`, kind)).Inc()
 	s.Events.Add("answer", id, fmt.Sprintf("from=%s n=%d outcome=%s", name, n, kind))
@@ -280,7 +284,7 @@
 		return s.callFailed(ctx, address, call, err)
 	}
 	if reply.Refusal != nil {
-		return outcome{refusal: reply.Refusal, backlog: &reply.Backlog, holder: reply.Holder}
+		return outcome{refusal: reply.Refusal, backlog: &reply.Backlog, holder: reply.Holder, ended: reply.Ended}
 	}
 	if reply.Result == nil {
 		return outcome{refusal: magno.Refuse(magno.KindInternal, "the agent's reply holds nothing")}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -81,7 +81,7 @@
 	e.conns = &hop.Pool{Clock: clock}
 	e.notices = &notice.Board{Clock: clock}
 	metrics.GetOrCreateGauge("upstreams_limited", func() float64 { return float64(e.notices.Limited()) })
-	suspects := &crash.Suspects{Clock: &magno.Clock{}}
+	suspects := &crash.Suspects{Clock: clock, PoolSize: func(pool uint64) int { return poolSize(e.book.Current(), pool) }}
 	e.peers = &peers.Peers{
 		Self: settings.Name, Addr: settings.PeerAddress, LinkMbps: settings.LinkMbps, DataCentre: settings.DataCentre, Seeds: settings.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
 	}
@@ -141,6 +141,17 @@
 	}
 }
 
+// poolSize returns the number of upstreams of the service with the given magno.PoolID.
+func poolSize(snap *view.Snapshot, pool uint64) int {
+	n := 0
+	for _, r := range snap.Replicas {
+		if magno.PoolID(r.Service) == pool {
+			n++
+		}
+	}
+	return n
+}
+
 // customerLimit returns a customer's limit, nil if it has none.
 func customerLimit(plan *magno.Plan, customer string) *magno.Limit {
 	if plan == nil {
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -1,15 +1,21 @@
-// Package crash tracks the fingerprints of requests that were running when an
-// upstream crashed.
+// Package crash tracks the requests under which upstreams ended, and decides which of them caused
+// it and must not run again.
 //
-// Load pattern: some requests crash every upstream that runs them, and their callers
-// send them again. Without this package one such request takes down a whole pool, one
-// upstream after the other, along with all other requests running there.
+// Load pattern: some requests end every upstream that runs them, and their callers send them
+// again. Without this package one such request takes down a whole pool, one upstream after the
+// other, along with all other requests that run there. Upstreams also end by themselves, one or
+// all at once, and the requests that ran there must be served by others.
 //
-// Every request that was running at a crash becomes a suspect. A suspect runs
-// alone, so a second crash affects no other request and identifies the cause; the
-// request is refused from then on. A suspect that completes is cleared. Records
-// expire and their number is bounded. They are soft state that peers merge; losing
-// them costs one more crash.
+//	upstream ends --> RecordEnd for each request that ran there --.
+//	request completes --> Clear ----------------------------------+--> Merge at peers
+//	before each send --> MustRefuse <-- records of all processes -'
+//
+// A record is the set of upstreams that ended under a request. Sets are joined, so it doesn't
+// matter which process saw an end, how many did, or in which order they learn of it. A request
+// that completes is cleared of the ends so far. One is refused if refuseEnds upstreams ended
+// under it that no other request explains better, unless the pool was failing anyway.
+//
+// Records expire and their number is bounded. They are soft state: losing them costs further ends.
 package crash
 
 import (
@@ -21,144 +27,230 @@
 )
 
 const (
-	// Retention is how long a record is kept after its last update. It exceeds
-	// the time for which callers keep resending a request.
+	// Retention is how long a record is kept after its last change. It exceeds the time for
+	// which callers keep resending a request.
 	Retention = 30 * magno.Minute
-	// MaxRecords limits the number of records: 64 full batches of 64 requests, at
-	// 24 bytes each.
+	// MaxRecords bounds the number of records: 64 full batches of 64 requests.
 	MaxRecords = 4096
-	// refuseThreshold is the number of crashes from which a request is refused.
-	refuseThreshold = 2
+	// maxEnds bounds the ends in a record.
+	maxEnds = 16
+	// refuseEnds is the number of ends from which a request is refused. Two can coincide with
+	// a sound request while upstreams are killed.
+	refuseEnds = 3
 )
 
-// Record is the crash record of one fingerprint.
+// Record is what is known about one request.
 type Record struct {
+	// Fingerprint identifies the request and its caller.
 	Fingerprint uint64 `json:"print"`
-	// Crashes is 0 for a cleared request, 1 for a suspect, and 2 or more for a
-	// request that is refused.
-	Crashes int `json:"crashes"`
-	// UpdatedAt is the time of the last update; the later update wins a merge.
-	UpdatedAt magno.Millis `json:"at"`
+	// Ends are the upstreams that ended while they ran the request.
+	Ends []magno.UpstreamEnd `json:"ends"`
 }
 
-// Suspects is the set of crash records. It is safe for concurrent use; exported
-// fields are set before use.
+// Suspects is the set of records. It is safe for concurrent use; exported fields are set before
+// use.
 type Suspects struct {
 	Clock *magno.Clock
-	// OnChange, if set, is called with each record that this process changes
-	// itself, but not with merged ones.
-	OnChange func(Record)
+	// OnChange, if set, is called with each end that this process records or clears itself,
+	// but not with merged ones.
+	OnChange func(fingerprint uint64, e magno.UpstreamEnd)
+	// PoolSize returns the number of upstreams in a pool. If nil, pools have one upstream.
+	PoolSize func(pool uint64) int
 
 	mu      sync.Mutex
-	records *simplelru.LRU[uint64, Record]
+	records *simplelru.LRU[uint64, *record]
+}
+
+// record is a Record as this process keeps it.
+type record struct {
+	ends []end
+	// changedAt is the time of the last change known here.
+	changedAt magno.Millis
+}
+
+// end is a magno.UpstreamEnd whose age is counted from at.
+type end struct {
+	upstream, pool uint64
+	cleared        bool
+	at             magno.Millis
+}
+
+// count returns the number of ends that the request isn't cleared of.
+func (r *record) count() int {
+	n := 0
+	for _, e := range r.ends {
+		if !e.cleared {
+			n++
+		}
+	}
+	return n
+}
+
+// find returns the end of an upstream, or nil.
+func (r *record) find(upstream uint64) *end {
+	for i := range r.ends {
+		if r.ends[i].upstream == upstream {
+			return &r.ends[i]
+		}
+	}
+	return nil
 }
 
-func (s *Suspects) get(fingerprint uint64) (Record, bool) {
+// add adds an end or joins it with the one that is known. It reports whether the record changed.
+func (r *record) add(e end) bool {
+	if old := r.find(e.upstream); old != nil {
+		changed := e.cleared && !old.cleared
+		old.cleared = old.cleared || e.cleared
+		return changed
+	}
+	if len(r.ends) >= maxEnds && !r.dropCleared() {
+		return false
+	}
+	r.ends = append(r.ends, e)
+	return true
+}
+
+// dropCleared makes room by dropping the oldest end that the request is cleared of.
+func (r *record) dropCleared() bool {
+	for i := range r.ends {
+		if r.ends[i].cleared {
+			r.ends = append(r.ends[:i], r.ends[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// get returns the record of a request, nil if there is none. The caller holds mu.
+func (s *Suspects) get(fingerprint uint64) *record {
 	if s.records == nil {
-		s.records, _ = simplelru.NewLRU[uint64, Record](MaxRecords, nil)
+		s.records, _ = simplelru.NewLRU[uint64, *record](MaxRecords, nil)
 	}
 	rec, ok := s.records.Get(fingerprint)
-	if ok && s.Clock.Now()-rec.UpdatedAt > Retention {
+	if !ok {
+		return nil
+	}
+	if s.Clock.Now()-rec.changedAt > Retention {
 		s.records.Remove(fingerprint)
-		return Record{}, false
+		return nil
 	}
-	return rec, ok
+	return rec
 }
 
-// RecordCrash records the fingerprints that were running when an upstream crashed.
-// Zero fingerprints are ignored. The count increases beyond 1 only for a request
-// that ran alone; one that ran beside others may not be the cause.
-func (s *Suspects) RecordCrash(fingerprints []uint64) {
-	for _, fingerprint := range fingerprints {
-		if fingerprint == 0 {
-			continue
-		}
-		s.update(fingerprint, func(crashes int) int {
-			if len(fingerprints) == 1 {
-				crashes++
-			}
-			return max(crashes, 1)
-		})
+// join adds an end to the record of a request and reports whether that changed. The caller holds mu.
+func (s *Suspects) join(fingerprint uint64, e end, now magno.Millis) bool {
+	rec := s.get(fingerprint)
+	if rec == nil {
+		rec = &record{}
 	}
+	if !rec.add(e) {
+		return false
+	}
+	rec.changedAt = now
+	s.records.Add(fingerprint, rec)
+	return true
 }
 
-// update replaces the crash count of a record and calls OnChange.
-func (s *Suspects) update(fingerprint uint64, next func(crashes int) int) {
+// RecordEnd records that an upstream ended while it ran a request. It may be called for the same
+// end any number of times. A zero fingerprint is ignored.
+func (s *Suspects) RecordEnd(fingerprint uint64, e magno.UpstreamEnd) {
+	if fingerprint == 0 {
+		return
+	}
 	s.mu.Lock()
-	rec, _ := s.get(fingerprint)
-	rec = Record{Fingerprint: fingerprint, Crashes: next(rec.Crashes), UpdatedAt: s.Clock.Now()}
-	s.records.Add(fingerprint, rec)
+	now := s.Clock.Now()
+	changed := s.join(fingerprint, end{upstream: e.Upstream, pool: e.Pool, at: now - e.Age}, now)
 	s.mu.Unlock()
-	if s.OnChange != nil {
-		s.OnChange(rec)
+	if changed && s.OnChange != nil {
+		s.OnChange(fingerprint, e)
 	}
 }
 
-// Clear clears a suspect that ran to completion.
+// Retract takes back an end that didn't happen.
+func (s *Suspects) Retract(fingerprint, upstream uint64) {
+	s.clear(fingerprint, func(e *end) bool { return e.upstream == upstream })
+}
+
+// Clear clears a request that ran to completion of the ends so far.
 func (s *Suspects) Clear(fingerprint uint64) {
-	if s.count(fingerprint) > 0 {
-		s.update(fingerprint, func(int) int { return 0 })
+	s.clear(fingerprint, func(*end) bool { return true })
+}
+
+// clear clears a request of the matching ends.
+func (s *Suspects) clear(fingerprint uint64, match func(*end) bool) {
+	if s.Count(fingerprint) == 0 {
+		return
+	}
+	cleared := s.clearRecord(fingerprint, match)
+	if s.OnChange == nil {
+		return
+	}
+	for _, e := range cleared {
+		s.OnChange(fingerprint, e)
 	}
 }
 
-// RecordFailure counts one failure of an upstream while it ran the request. Unlike
-// RecordCrash it does not need to know what else was running.
-func (s *Suspects) RecordFailure(fingerprint uint64) {
-	if fingerprint != 0 {
-		s.update(fingerprint, func(crashes int) int { return crashes + 1 })
+func (s *Suspects) clearRecord(fingerprint uint64, match func(*end) bool) []magno.UpstreamEnd {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.get(fingerprint)
+	if rec == nil {
+		return nil
+	}
+	now := s.Clock.Now()
+	var cleared []magno.UpstreamEnd
+	for i := range rec.ends {
+		if e := &rec.ends[i]; !e.cleared && match(e) {
+			e.cleared = true
+			cleared = append(cleared, e.export(now))
+		}
 	}
+	if len(cleared) > 0 {
+		rec.changedAt = now
+	}
+	return cleared
 }
 
-// MustRunAlone reports whether the request is a suspect, which must run alone.
-func (s *Suspects) MustRunAlone(fingerprint uint64) bool { return s.count(fingerprint) > 0 }
+func (r *record) export(now magno.Millis) []magno.UpstreamEnd {
+	ends := make([]magno.UpstreamEnd, 0, len(r.ends))
+	for i := range r.ends {
+		ends = append(ends, r.ends[i].export(now))
+	}
+	return ends
+}
 
-// MustRefuse reports whether the request crashed upstreams and must not run.
-func (s *Suspects) MustRefuse(fingerprint uint64) bool {
-	return s.count(fingerprint) >= refuseThreshold
+func (e *end) export(now magno.Millis) magno.UpstreamEnd {
+	return magno.UpstreamEnd{Upstream: e.upstream, Pool: e.pool, Cleared: e.cleared, Age: now - e.at}
 }
 
-func (s *Suspects) count(fingerprint uint64) int {
+// Count returns the number of upstreams that ended under a request since it last completed.
+func (s *Suspects) Count(fingerprint uint64) int {
 	if s == nil || fingerprint == 0 {
 		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rec, _ := s.get(fingerprint)
-	return rec.Crashes
-}
-
-// Merge merges records from a peer. If the times are equal the higher count wins,
-// so the result doesn't depend on the order of merges.
-func (s *Suspects) Merge(records []Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Clock.Now()
-	for _, rec := range records {
-		if rec.Fingerprint == 0 || now-rec.UpdatedAt > Retention {
-			continue
-		}
-		// A peer's clock may be ahead; a time in the future would win every merge.
-		rec.UpdatedAt = min(rec.UpdatedAt, now)
-		old, ok := s.get(rec.Fingerprint)
-		if !ok || rec.UpdatedAt > old.UpdatedAt || (rec.UpdatedAt == old.UpdatedAt && rec.Crashes > old.Crashes) {
-			s.records.Add(rec.Fingerprint, rec)
-		}
+	rec := s.get(fingerprint)
+	if rec == nil {
+		return 0
 	}
+	return rec.count()
 }
 
-// List returns the records that have not expired, the most recently used last.
-func (s *Suspects) List() []Record {
+// Ends returns the upstreams that ended under a request, those that it is cleared of too.
+func (s *Suspects) Ends(fingerprint uint64) []magno.UpstreamEnd {
+	if s == nil || fingerprint == 0 {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.records == nil {
+	rec := s.get(fingerprint)
+	if rec == nil {
 		return nil
 	}
-	now := s.Clock.Now()
-	list := make([]Record, 0, s.records.Len())
-	for _, rec := range s.records.Values() {
-		if now-rec.UpdatedAt <= Retention {
-			list = append(list, rec)
-		}
-	}
-	return list
+	return rec.export(s.Clock.Now())
 }
+
+// MustRunAlone reports whether an upstream ended under the request since it last completed. Where
+// it can, a scheduler runs it alone, so that it affects no other.
+func (s *Suspects) MustRunAlone(fingerprint uint64) bool { return s.Count(fingerprint) > 0 }
--- /dev/null
+++ b/magno/crash/judge.go
@@ -0,0 +1,104 @@
+package crash
+
+import "magnoliastall.example/magno"
+
+// intervalMargin is how much earlier or later than the ends under a request others count as of the
+// same period. Processes learn of one failure of many upstreams over about this time.
+const intervalMargin = 2 * magno.Second
+
+// MustRefuse reports whether upstreams end because of the request, so that it must not run.
+//
+// Load pattern: upstreams are killed over and over, or all at once, and callers send again what ran
+// there. A request that was there by chance is told from the cause in three ways: it completes at
+// times (Clear), other requests that ran there have more ends, or upstreams of the pool end that
+// didn't run it.
+func (s *Suspects) MustRefuse(fingerprint uint64) bool {
+	if s.Count(fingerprint) < refuseEnds {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.get(fingerprint)
+	if rec == nil {
+		return false
+	}
+	own, pool := s.ownEnds(fingerprint, rec)
+	if own < refuseEnds {
+		return false
+	}
+	size := 1
+	if s.PoolSize != nil {
+		size = max(s.PoolSize(pool), 1)
+	}
+	return s.otherEnds(rec, pool) < size*(own-refuseEnds+1)
+}
+
+// ownEnds returns the number of ends under a request that no other request explains as well, and
+// the pool of the last. If two requests always ran together, both are the cause once there are
+// more than refuseEnds. The caller holds mu.
+func (s *Suspects) ownEnds(fingerprint uint64, rec *record) (own int, pool uint64) {
+	count := rec.count()
+	for _, e := range rec.ends {
+		if e.cleared {
+			continue
+		}
+		pool = e.pool
+		rival := s.rivalCount(fingerprint, e.upstream)
+		if rival < count || (rival == count && count > refuseEnds) {
+			own++
+		}
+	}
+	return own, pool
+}
+
+// rivalCount returns the largest count among the other requests that ran on an upstream as it ended.
+// The caller holds mu.
+func (s *Suspects) rivalCount(fingerprint, upstream uint64) int {
+	most := 0
+	for _, other := range s.records.Keys() {
+		rec, _ := s.records.Peek(other)
+		if e := rec.find(upstream); other != fingerprint && e != nil && !e.cleared {
+			most = max(most, rec.count())
+		}
+	}
+	return most
+}
+
+// otherEnds returns the number of upstreams of a pool that ended in the period of a request's ends,
+// that didn't run it, and that ran no request with refuseEnds ends either. The caller holds mu.
+func (s *Suspects) otherEnds(rec *record, pool uint64) int {
+	from, to := rec.period()
+	// unexplained maps the upstreams to whether none of their requests explains their end.
+	unexplained := map[uint64]bool{}
+	for _, other := range s.records.Values() {
+		explains := other.count() >= refuseEnds
+		for _, e := range other.ends {
+			if e.pool != pool || e.at < from-intervalMargin || e.at > to+intervalMargin || rec.find(e.upstream) != nil {
+				continue
+			}
+			before, known := unexplained[e.upstream]
+			unexplained[e.upstream] = (before || !known) && !(explains && !e.cleared)
+		}
+	}
+	n := 0
+	for _, counts := range unexplained {
+		if counts {
+			n++
+		}
+	}
+	return n
+}
+
+// period returns the times of the first and the last end that the request isn't cleared of.
+func (r *record) period() (from, to magno.Millis) {
+	for _, e := range r.ends {
+		if e.cleared {
+			continue
+		}
+		if from == 0 || e.at < from {
+			from = e.at
+		}
+		to = max(to, e.at)
+	}
+	return from, to
+}
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -140,10 +140,10 @@
 	Loaded(ref Ref, ok bool)
 	// Unloaded reports the end of an ordered eviction.
 	Unloaded(ref Ref)
-	// Reset reports that the upstream restarted with no adapter loaded. It returns the IDs
-	// of the jobs that were running and are lost; the caller decides how to proceed with
-	// them.
-	Reset() []string
+	// Reset reports that the upstream ended and restarted with no adapter loaded. It returns
+	// the IDs of the jobs that were running and are lost; the caller decides how to proceed
+	// with them.
+	Reset(ended UpstreamEnd) []string
 	// Backlog returns the current load report.
 	Backlog() Backlog
 	// Holds maps the adapters in slots to whether they are pinned.
--- a/magno/kind.go
+++ b/magno/kind.go
@@ -122,6 +122,8 @@
 	Detail string `json:"detail,omitempty"`
 	// After is the delay before a retry; zero means don't retry.
 	After Millis `json:"after,omitempty"`
+	// Ended is set within an agent if the upstream ended while it ran the work.
+	Ended *UpstreamEnd `json:"-"`
 }
 
 // Refuse returns a refusal with the defaults of its kind.
--- a/magno/proc/proc.go
+++ b/magno/proc/proc.go
@@ -60,7 +60,7 @@
 	p.Events = &event.Ring{Process: p.Self.Name, Clock: p.Clock}
 	p.Store = &config.Store{Clock: p.Clock, Log: p.Log, Metrics: set, Check: check.New(p.Clock)}
 	p.Fleet = &fleet.Fleet{URL: p.List, Clock: p.Clock, Log: p.Log}
-	p.Suspects = &crash.Suspects{Clock: p.Clock}
+	p.Suspects = &crash.Suspects{Clock: magno.NewMonotonic(), PoolSize: p.poolSize}
 	publisher := &alert.Publisher{Suspects: p.Suspects}
 	p.Node = &spread.Node{
 		Self: gossip.Member{Name: p.Self.Name, Role: p.Self.Role, DataCentre: p.Self.DataCentre,
@@ -74,6 +74,17 @@
 	return nil
 }
 
+// poolSize returns the number of upstreams in the pool with the given magno.PoolID.
+func (p *Process) poolSize(pool uint64) int {
+	n := 0
+	for _, in := range p.Fleet.All() {
+		if in.Pool != "" && magno.PoolID(in.Pool) == pool {
+			n++
+		}
+	}
+	return n
+}
+
 // Tasks returns the tasks of the components.
 func (p *Process) Tasks() []magno.Task {
 	return []magno.Task{p.Mesh, p.Node, p.Fleet, &configFollower{p}}
--- a/magno/sched/report.go
+++ b/magno/sched/report.go
@@ -7,19 +7,17 @@
 	"magnoliastall.example/magno/pace"
 )
 
-// Reset records that the upstream restarted empty. It returns the sorted IDs of the
+// Reset records that the upstream ended and restarted empty. It returns the sorted IDs of the
 // jobs that were running and are lost; the caller decides what to do with them.
-// They become suspects for the crash.
-func (s *Sched) Reset() []string {
+// They become suspects of the end.
+func (s *Sched) Reset(ended magno.UpstreamEnd) []string {
 	s.setup()
 	ids := make([]string, 0, len(s.runs))
-	prints := make([]uint64, 0, len(s.runs))
 	for id, r := range s.runs {
 		ids = append(ids, id)
-		prints = append(prints, r.job.Fingerprint)
+		s.Suspects.RecordEnd(r.job.Fingerprint, ended)
 	}
 	sort.Strings(ids)
-	s.Suspects.RecordCrash(prints)
 	clear(s.runs)
 	s.longRunning, s.prefilling, s.exclusive, s.turnUntil = 0, 0, "", 0
 	for ref := range s.slots.Holds() {
--- a/magno/wire.go
+++ b/magno/wire.go
@@ -1,5 +1,7 @@
 package magno
 
+import "github.com/cespare/xxhash/v2"
+
 // Methods of the jsonrpc2 protocol between processes of the system.
 const (
 	MethodRun    = "run"    // entry to agent: RunCall, answered by RunReply
@@ -23,9 +25,8 @@
 	Work Work   `json:"work"`
 	// Stream is true if parts are to be sent as they are generated.
 	Stream bool `json:"stream,omitempty"`
-	// Crashes counts the upstream failures with this request that the entry saw. After one
-	// it runs alone, after more it is refused.
-	Crashes int `json:"crashes,omitempty"`
+	// Ends are the upstreams that ended under this request, as far as the entry knows.
+	Ends []UpstreamEnd `json:"ends,omitempty"`
 	// Config is the configuration version that the entry used. The agent refuses the
 	// request if its own is older and it can't catch up.
 	Config int64 `json:"config"`
@@ -42,6 +43,27 @@
 	Piece Piece `json:"piece"`
 }
 
+// UpstreamEnd is the end of one incarnation of an upstream that was not planned, as a process that
+// was killed, crashed or lost its machine.
+type UpstreamEnd struct {
+	// Upstream identifies the incarnation, Pool the pool or service that it belonged to.
+	Upstream uint64 `json:"up"`
+	Pool     uint64 `json:"pool,omitempty"`
+	// Cleared is true if the request that ran there completed afterwards.
+	Cleared bool `json:"clear,omitempty"`
+	// Age is the time since the end. Being relative, it doesn't need synchronized clocks.
+	Age Millis `json:"age,omitempty"`
+}
+
+// NewUpstreamEnd returns the end of an incarnation of an upstream, whose name must be unique in its
+// pool, that happened just now.
+func NewUpstreamEnd(pool, incarnation string) UpstreamEnd {
+	return UpstreamEnd{Upstream: xxhash.Sum64String(pool + "\x00" + incarnation), Pool: PoolID(pool)}
+}
+
+// PoolID returns the identifier of a pool or service in an UpstreamEnd.
+func PoolID(pool string) uint64 { return xxhash.Sum64String(pool) }
+
 // RunReply is the reply to a RunCall. Exactly one of Result and Refusal is set.
 type RunReply struct {
 	Result  *Result  `json:"result,omitempty"`
@@ -52,6 +74,8 @@
 	// Backlog and Config are the agent's load and configuration version.
 	Backlog Backlog `json:"backlog"`
 	Config  int64   `json:"config"`
+	// Ended is set if the upstream ended while it ran the work.
+	Ended *UpstreamEnd `json:"ended,omitempty"`
 	// Replay is true if the answer is that of an earlier call.
 	Replay bool `json:"replay,omitempty"`
 	// Holder is the agent that holds the grant of the key, if it isn't the one that replies.
