crash: an end that becomes known after the request completed doesn't count

Callers saw: a request refused although others had served it after each end.

Why this works: completions are remembered, and an end from before one is recorded as cleared, which spreads like any other.

--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -19,6 +19,7 @@
 	}
 	fingerprint, h, id, target := j.fingerprint, j.Handler, j.id, j.r.RequestURI
 	end := magno.NewUpstreamEnd(j.service.Name, key)
+	end.Age = crashCheckDelay
 	time.AfterFunc(crashCheckDelay.Duration(), func() {
 		if !h.Permits.Down(key) {
 			h.Log.Info("no crash", "request", id, "replica", key, "target", target)
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -34,6 +34,9 @@
 	MaxRecords = 4096
 	// maxEnds bounds the ends in a record.
 	maxEnds = 16
+	// maxCompleted bounds the completions that are remembered. An end is known a few seconds
+	// after it happened, and the request may have completed elsewhere by then.
+	maxCompleted = 8192
 	// refuseEnds is the number of ends from which a request is refused. Two can coincide with
 	// a sound request while upstreams are killed.
 	refuseEnds = 3
@@ -59,6 +62,9 @@
 
 	mu      sync.Mutex
 	records *simplelru.LRU[uint64, *record]
+	// completed holds the time of the last completion of requests, also of those without a
+	// record.
+	completed *simplelru.LRU[uint64, magno.Millis]
 }
 
 // record is a Record as this process keeps it.
@@ -121,11 +127,17 @@
 	return false
 }
 
-// get returns the record of a request, nil if there is none. The caller holds mu.
-func (s *Suspects) get(fingerprint uint64) *record {
+// setup creates the tables on first use. The caller holds mu.
+func (s *Suspects) setup() {
 	if s.records == nil {
 		s.records, _ = simplelru.NewLRU[uint64, *record](MaxRecords, nil)
+		s.completed, _ = simplelru.NewLRU[uint64, magno.Millis](maxCompleted, nil)
 	}
+}
+
+// get returns the record of a request, nil if there is none. The caller holds mu.
+func (s *Suspects) get(fingerprint uint64) *record {
+	s.setup()
 	rec, ok := s.records.Get(fingerprint)
 	if !ok {
 		return nil
@@ -143,6 +155,9 @@
 	if rec == nil {
 		rec = &record{}
 	}
+	if at, ok := s.completed.Peek(fingerprint); ok && at > e.at {
+		e.cleared = true
+	}
 	if !rec.add(e) {
 		return false
 	}
@@ -171,8 +186,16 @@
 	s.clear(fingerprint, func(e *end) bool { return e.upstream == upstream })
 }
 
-// Clear clears a request that ran to completion of the ends so far.
+// Clear clears a request that ran to completion of the ends so far, also of those that become known
+// later.
 func (s *Suspects) Clear(fingerprint uint64) {
+	if s == nil || fingerprint == 0 {
+		return
+	}
+	s.mu.Lock()
+	s.setup()
+	s.completed.Add(fingerprint, s.Clock.Now())
+	s.mu.Unlock()
 	s.clear(fingerprint, func(*end) bool { return true })
 }
 
--- a/magno/crash/crash_test.go
+++ b/magno/crash/crash_test.go
@@ -140,6 +140,31 @@
 	}
 }
 
+// Guards against holding ends against a request that became known only after it completed, here or
+// at another process.
+func TestEndsKnownAfterACompletionAreCleared(t *testing.T) {
+	clock := magno.NewClock(1_000_000)
+	a, b := newSuspects(clock, 4), newSuspects(clock, 4)
+	for u := range uint64(5) {
+		endedAt := clock.Now()
+		clock.Advance(50)
+		b.Clear(7)
+		clock.Advance(2000)
+		a.RecordEnd(7, magno.UpstreamEnd{Upstream: u, Pool: pool, Age: clock.Now() - endedAt})
+		b.Merge(a.List())
+		a.Merge(b.List())
+	}
+	if n := a.Count(7) + b.Count(7); n != 0 {
+		t.Errorf("%d ends, want 0", n)
+	}
+	a.Clear(7)
+	clock.Advance(10)
+	endAll(a, 9, 7)
+	if n := a.Count(7); n != 1 {
+		t.Errorf("%d ends after the completion, want 1", n)
+	}
+}
+
 // Guards against unbounded memory when many different requests run into crashes, or one into many.
 func TestRecordsAreBounded(t *testing.T) {
 	s := newSuspects(magno.NewClock(1), 1)
