relay: ends of upstreams count for every service, with a body or without

Cause: the count was kept, but two conditions in front of it left out plain services, which have no agent to ask, and requests without a body, which had no fingerprint. It was also looked at once at the start of a request only, not after a wait or between two sends.

Why this works: an end is recognised without an agent too, by refused connections (at once) or by the next incarnation in the list (1 to 3 s), and only for upstreams that don't leave; one that answers a later request lives. Each send asks first.

--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -82,6 +82,10 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, key, addr)
+}
+
+func (p *Pool) dial(ctx context.Context, key, addr string) (*Conn, error) {
 	p.dialCounter().Inc()
 	d := net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
 	conn, err := d.DialContext(ctx, "tcp", addr)
@@ -91,6 +95,18 @@
 	return &Conn{Conn: conn, key: key, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
 }
 
+// Probe reports whether an upstream accepts connections. It opens one, unless there is an idle one,
+// and keeps it for the next request.
+func (p *Pool) Probe(ctx context.Context, key, addr string) error {
+	c, err := p.Get(ctx, key, addr)
+	if err != nil {
+		return err
+	}
+	c.expires = p.Clock.Now() + defaultIdleTime
+	p.keep(c)
+	return nil
+}
+
 func (p *Pool) dialCounter() *metrics.Counter {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,6 +164,11 @@
 		return
 	}
 	c.expires = p.Clock.Now() + idleTimeFor(res.Header.Get("Keep-Alive"))
+	p.keep(c)
+}
+
+// keep adds an idle connection, or closes it if there are too many.
+func (p *Pool) keep(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,6 +149,9 @@
 	// is.
 	declines func(key string) bool
 
+	// down makes all engines count as down.
+	down atomic.Bool
+
 	mu      sync.Mutex
 	notices []gate.NoticeCall
 }
@@ -175,13 +179,14 @@
 	p.notices = append(p.notices, call)
 }
 func (p *fakePermits) Holds(string, string) bool { return true }
-func (p *fakePermits) Down(string) bool          { return false }
+func (p *fakePermits) Down(string) bool          { return p.down.Load() }
 func (p *fakePermits) ReportUnreachable(string)  {}
 
 // fakeUpstream answers each request on a connection by calling script, and records the
 // requests.
 type fakeUpstream struct {
 	addr     string
+	listener net.Listener
 	mu       sync.Mutex
 	requests []*http.Request
 }
@@ -193,7 +198,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	u := &fakeUpstream{addr: l.Addr().String()}
+	u := &fakeUpstream{addr: l.Addr().String(), listener: l}
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -56,7 +56,7 @@
 	// configAge is how long ago the configuration had been confirmed when the key was checked,
 	// zero where no key is needed.
 	configAge magno.Millis
-	// fingerprint identifies requests that crash upstreams. It is zero without a body.
+	// fingerprint identifies the request and its caller when it comes again.
 	fingerprint uint64
 	// received is when the request's header was read, deadline when the response is due.
 	received, deadline magno.Millis
@@ -117,7 +117,7 @@
 		return
 	}
 	if j.Suspects.MustRefuse(j.fingerprint) {
-		j.refuse(magno.Refuse(magno.KindSuspect, "requests like it crashed upstreams"))
+		j.refuse(suspectRefusal())
 		return
 	}
 	ctx, cancel := context.WithTimeout(j.r.Context(), (j.deadline - j.Clock.Now()).Duration())
@@ -138,6 +138,10 @@
 	}
 }
 
+func suspectRefusal() *magno.Refusal {
+	return magno.Refuse(magno.KindSuspect, "upstreams ended under this request")
+}
+
 // canRetry reports whether the request may be sent once more after res.
 func (j *job) canRetry(ctx context.Context, res result) bool {
 	if ctx.Err() != nil || j.deadline-j.Clock.Now() < minRunTime/2 {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -19,7 +19,6 @@
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
 
@@ -99,7 +98,7 @@
 	Conns   *hop.Pool
 	Permits Permits
 	Pools   Pools
-	// Suspects records the requests that crashed upstreams.
+	// Suspects records the requests under which upstreams ended.
 	Suspects *crash.Suspects
 	// Notices holds what upstreams state about themselves.
 	Notices *notice.Board
@@ -128,6 +127,7 @@
 	// loadLevel is a strain.Level.
 	loadLevel atomic.Int32
 	permitSeq atomic.Uint64
+	ends      endChecks
 }
 
 // configTables holds the lookup tables of one configuration.
@@ -270,9 +270,7 @@
 		return magno.Refuse(magno.KindTooLarge, "a body of over %d bytes", limit)
 	}
 	j.body = body
-	if len(body) > 0 {
-		j.fingerprint = xxhash.Sum64String(j.r.RequestURI + "\n" + string(body))
-	}
+	j.fingerprint = j.computeFingerprint()
 	return nil
 }
 
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,9 +38,17 @@
 func (j *job) send(ctx context.Context, r *magno.Replica, urgency int) result {
 	key := r.Key()
 	j.lastReplica = key
+	if j.Suspects.MustRefuse(j.fingerprint) {
+		// Upstreams ended under it while it waited or was sent before.
+		j.refusal = suspectRefusal()
+		return resultRefused
+	}
 	conn, err := j.Conns.Get(ctx, key, r.Address)
 	if err != nil {
 		j.logTry("connect", err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			j.refusesConnections(key)
+		}
 		j.tried = append(j.tried, key)
 		if j.service.Engine != nil && ctx.Err() == nil {
 			j.Permits.ReportUnreachable(key)
@@ -91,10 +100,11 @@
 // connectionFailed handles a connection that failed after the request was sent.
 func (j *job) connectionFailed(ctx context.Context, r *magno.Replica, err error) result {
 	if ctx.Err() != nil {
+		j.noteCancelled(r)
 		return resultAborted
 	}
 	j.logTry("broken", err)
-	j.suspectIfCrashed(r.Key())
+	j.checkEnded(r)
 	return resultFailed
 }
 
@@ -140,6 +150,9 @@
 func (j *job) handleResponse(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
 	reply := j.Dialect.Reply(res.StatusCode, res.Header)
 	j.recordNotice(r.Key(), &reply)
+	if reply.Signed && reply.ID == j.id {
+		j.answeredSince(r.Key(), j.sentAt)
+	}
 	if j.route.Kind == magno.RouteStream && res.StatusCode == http.StatusOK && j.authentic(res, &reply) {
 		return j.forwardStream(ctx, r, conn, res)
 	}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -48,6 +48,7 @@
 	// Closing the connection stops the upstream before the stream is resumed elsewhere.
 	_ = conn.Close()
 	if errors.Is(err, errCallerGone) {
+		j.noteCancelled(r)
 		return resultAborted
 	}
 	return j.connectionFailed(ctx, r, err)
--- /dev/null
+++ b/entry/relay/suspect_test.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"magnoliastall.example/magno"
+)
+
+// breakOff ends the connection without an answer.
+func breakOff(int, *http.Request, net.Conn) bool { return false }
+
+// awaitChecks waits until no upstream is being checked.
+func (s *testProxy) awaitChecks(t *testing.T) {
+	t.Helper()
+	waitFor(t, "the checks of upstreams", func() bool { return s.ends.active.Load() == 0 })
+}
+
+// endCounts returns the requests under which upstreams ended, by the number of ends.
+func (s *testProxy) endCounts() (counts []int) {
+	for _, rec := range s.Suspects.List() {
+		counts = append(counts, s.Suspects.Count(rec.Fingerprint))
+	}
+	return counts
+}
+
+// Guards against sending a request on because the end of an upstream under it isn't recognised: by
+// refused connections, by another incarnation at the address, by an engine's agent, with a body or
+// without.
+func TestEndOfAnUpstreamIsRecognised(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kind   magno.RouteKind
+		method string
+		end    func(s *testProxy, u *fakeUpstream)
+	}{
+		{"connections refused, no body", magno.RouteIdempotent, http.MethodGet, func(_ *testProxy, u *fakeUpstream) { _ = u.listener.Close() }},
+		{"connections refused, body", magno.RouteOnce, http.MethodPost, func(_ *testProxy, u *fakeUpstream) { _ = u.listener.Close() }},
+		{"another incarnation", magno.RouteIdempotent, http.MethodGet, func(s *testProxy, u *fakeUpstream) {
+			s.Book.ApplyRead([]magno.Change{
+				{Key: "u0", Revision: 2, Deleted: true},
+				{Key: "v0", Revision: 2, Replica: &magno.Replica{ID: "v0", Service: "s", Address: u.addr, DataCentre: "x", Slots: 4}},
+			}, 2, true)
+		}},
+		{"the agent says so", magno.RouteStream, http.MethodGet, func(s *testProxy, _ *fakeUpstream) { s.permits.down.Store(true) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s *testProxy
+			var u *fakeUpstream
+			u = startUpstream(t, func(int, *http.Request, net.Conn) bool {
+				c.end(s, u)
+				return false
+			})
+			s = newTestProxy(t, c.kind, false, u)
+			_, _, _ = s.get(t, c.method, "1")
+			s.awaitChecks(t)
+			if got := s.endCounts(); len(got) != 1 || got[0] != 1 {
+				t.Errorf("ends are %v, want one of one request", got)
+			}
+		})
+	}
+}
+
+// Guards against counting an end where there was none: a connection that is cut while the upstream
+// lives on, or an upstream that leaves as planned.
+func TestCutsAndDeparturesAreNoEnds(t *testing.T) {
+	t.Run("cut", func(t *testing.T) {
+		u := startUpstream(t, func(n int, r *http.Request, c net.Conn) bool {
+			if n%2 == 1 {
+				return false
+			}
+			writeResponse(c, r.Header.Get("Id"), http.StatusNotFound, "")
+			return true
+		})
+		s := newTestProxy(t, magno.RouteOnce, false, u)
+		for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
+			_, _, _ = s.do(t, http.MethodPost, "/p/"+id, id, "")
+		}
+		s.awaitChecks(t)
+		if got := s.endCounts(); len(got) != 0 {
+			t.Errorf("ends are %v, want none", got)
+		}
+	})
+	t.Run("leaving", func(t *testing.T) {
+		var s *testProxy
+		var u *fakeUpstream
+		u = startUpstream(t, func(int, *http.Request, net.Conn) bool {
+			s.Book.ApplyRead([]magno.Change{{
+				Key: "u0", Revision: 2, Replica: &magno.Replica{ID: "u0", Service: "s", Address: u.addr, DataCentre: "x", Slots: 4, Leaving: true},
+			}}, 2, true)
+			_ = u.listener.Close()
+			return false
+		})
+		s = newTestProxy(t, magno.RouteOnce, false, u)
+		_, _, _ = s.get(t, http.MethodPost, "1")
+		s.awaitChecks(t)
+		if got := s.endCounts(); len(got) != 0 {
+			t.Errorf("ends are %v, want none", got)
+		}
+	})
+}
+
+// Guards against missing a request whose caller leaves just before the upstream ends under it.
+func TestCancelledRunCountsIfItsUpstreamEnds(t *testing.T) {
+	reached := make(chan struct{}, 2)
+	var u *fakeUpstream
+	u = startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		reached <- struct{}{}
+		if r.RequestURI == "/p/patient" {
+			_ = u.listener.Close()
+			return false
+		}
+		_, _ = bufio.NewReader(c).ReadByte() // until the connection closes
+		return false
+	})
+	s := newTestProxy(t, magno.RouteOnce, false, u)
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String()) //nolint:noctx // on this machine
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = c.Write([]byte("POST /p/leaves HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nContent-Length: 0\r\n\r\n"))
+	<-reached
+	_ = c.Close()
+	waitFor(t, "the request to be cancelled", func() bool {
+		s.ends.mu.Lock()
+		defer s.ends.mu.Unlock()
+		return len(s.ends.cancelled) == 1
+	})
+	_, _, _ = s.do(t, http.MethodPost, "/p/patient", "2", "")
+	s.awaitChecks(t)
+	if got := s.endCounts(); len(got) != 2 {
+		t.Errorf("ends are %v, want one of each request", got)
+	}
+}
+
+// Guards against sending a request that was found to end upstreams while it waited for a permit, or
+// after its first send.
+func TestSuspectIsNotSentAfterAWait(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// duringPermit is true if the third end becomes known during the wait.
+		duringPermit bool
+		status       int
+	}{
+		{"for a permit", true, http.StatusServiceUnavailable},
+		{"after its first send", false, http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s *testProxy
+			thirdEnd := func() {
+				for _, rec := range s.Suspects.List() {
+					s.Suspects.RecordEnd(rec.Fingerprint, magno.UpstreamEnd{Upstream: 10, Pool: rec.Ends[0].Pool})
+				}
+			}
+			first := startUpstream(t, func(n int, _ *http.Request, _ net.Conn) bool {
+				if n == 2 {
+					thirdEnd()
+				}
+				return false
+			})
+			second := startUpstream(t, breakOff)
+			s = newTestProxy(t, magno.RouteStream, true, first, second)
+			s.permits.down.Store(true)
+			_, _, _ = s.get(t, http.MethodGet, "1")
+			s.awaitChecks(t)
+			if got := s.endCounts(); len(got) != 1 || got[0] != 2 {
+				t.Fatalf("ends are %v, want two of one request", got)
+			}
+			if c.duringPermit {
+				s.permits.onAcquire = func(string) { thirdEnd() }
+			}
+			res, _, err := s.get(t, http.MethodGet, "2")
+			if err != nil || res.StatusCode != c.status {
+				t.Errorf("%v %v, want %d", res, err, c.status)
+			}
+			if n := second.requestCount(); n != 1 {
+				t.Errorf("sent %d times after the third end", n-1)
+			}
+		})
+	}
+}
+
+// Guards against an upstream's end being charged to requests that broke off long before it.
+func TestEarlierBreakIsNoPartOfALaterEnd(t *testing.T) {
+	var u *fakeUpstream
+	u = startUpstream(t, func(n int, _ *http.Request, _ net.Conn) bool {
+		if n == 2 {
+			_ = u.listener.Close()
+		}
+		return false
+	})
+	s := newTestProxy(t, magno.RouteOnce, false, u)
+	_, _, _ = s.do(t, http.MethodPost, "/p/early", "1", "")
+	time.Sleep((cancelWindow + 100).Duration())
+	_, _, _ = s.do(t, http.MethodPost, "/p/late", "2", "")
+	s.awaitChecks(t)
+	if got := s.endCounts(); len(got) != 1 {
+		t.Errorf("ends are %v, want one of the later request", got)
+	}
+}
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -56,6 +56,16 @@
 	return nil
 }
 
+// Occupied reports whether a replica is listed at an address.
+func (s *Snapshot) Occupied(address string) bool {
+	for _, r := range s.Replicas {
+		if r.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Store holds the state and applies changes to it. It is safe for concurrent use;
 // exported fields are set before the first use.
 type Store struct {
