relay, front: the caller is part of a request's identity

Callers saw: a request refused because another caller's of the same path and body had ended upstreams.

Cause: the fingerprint held path and body only, on both interfaces.

Why this works: on the platform a caller is its key and the address that it connects from (the balancer keeps it, a new connection has another port only); on the own interface it is the caller that fair queueing goes by. Method and host count too.

--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -196,10 +196,11 @@
 	}
 	now := f.Clock.Now()
 	r.Deadline = now + left
+	who := caller(c, user)
 	r.Work.Job = magno.Job{
 		ID:          id(c),
 		Customer:    p.Customer,
-		Caller:      caller(c, user),
+		Caller:      who,
 		Profile:     p.Name,
 		Ref:         magno.Ref{Adapter: p.Adapter, Version: p.Version},
 		Urgency:     p.Urgency,
@@ -207,7 +208,7 @@
 		Prompt:      len(w.Body)/bytesPerToken + 1,
 		Output:      max(w.MaxTokens, 1),
 		Prefix:      xxhash.Sum64String(w.Body[:min(len(w.Body), prefixBytes)]),
-		Fingerprint: xxhash.Sum64String(p.Name + "\x00" + w.Path + "\x00" + w.Body),
+		Fingerprint: xxhash.Sum64String(p.Name + "\x00" + who + "\x00" + w.Path + "\x00" + w.Body),
 		Arrived:     now,
 		Deadline:    r.Deadline,
 		Idempotent:  p.Idempotent,
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,9 +32,19 @@
 	maxRunsPerCheck = 256
 )
 
-// computeFingerprint returns a hash of the request that is the same at all entries.
+// computeFingerprint returns a hash of the request and its caller that is the same at all entries.
 func (j *job) computeFingerprint() uint64 {
-	return xxhash.Sum64String(j.r.Method + " " + j.r.RequestURI + "\n" + string(j.body))
+	host, _, err := net.SplitHostPort(j.r.RemoteAddr)
+	if err != nil {
+		host = j.r.RemoteAddr
+	}
+	d := xxhash.New()
+	for _, part := range []string{host, j.call.Key, j.r.Method, j.r.Host, j.r.RequestURI} {
+		_, _ = d.WriteString(part) // a Digest returns no errors
+		_, _ = d.WriteString("\n")
+	}
+	_, _ = d.Write(j.body)
+	return max(d.Sum64(), 1)
 }
 
 // brokenRun is a run whose connection broke, or which was cancelled.
