loop: plain services end under a request like engines

Callers saw, on the product's own interface: a request that ends a plain service's upstreams was sent on without end, and all other calls of the service failed.

Cause: the agent counted only streams that were interrupted. The call to a plain service that ends has no answer at all, which is another kind of error; so has an engine that ends before the first token.

Why this works: what makes an end is that the upstream is another one, or not there, right after; the kind of error only starts the check.

--- a/agent/loop/crash.go
+++ b/agent/loop/crash.go
@@ -33,7 +33,7 @@
 	if refusal == nil || refusal.Run != magno.RunUnknown || ctx.Err() != nil || l.Suspects == nil || job.Fingerprint == 0 || boot == 0 {
 		return
 	}
-	if refusal.Kind != magno.KindInterrupted {
+	if refusal.Kind != magno.KindInterrupted && refusal.Kind != magno.KindUnknown {
 		return
 	}
 	now, err := l.probeLife()
--- a/agent/loop/crash_test.go
+++ b/agent/loop/crash_test.go
@@ -29,7 +29,7 @@
 // Guards against a request that ends its upstream over and over: it must be refused after the third
 // end, and what ran beside it must not.
 func TestRequestsUnderAnEndAreSuspects(t *testing.T) {
-	for _, kind := range []magno.Kind{magno.KindInterrupted} {
+	for _, kind := range []magno.Kind{magno.KindInterrupted, magno.KindUnknown} {
 		both := make(chan struct{})
 		b := breaking(t, kind, func(e *engine) {
 			<-both
--- a/drive/proof/caller_test.go
+++ b/drive/proof/caller_test.go
@@ -43,6 +43,9 @@
 	if f.bearer != "" {
 		req.Header.Set("Authorization", "Bearer "+f.bearer)
 	}
+	if f.caller != "" {
+		req.Header.Set("X-Caller", f.caller)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return reply{err: err, header: http.Header{}}
--- a/drive/proof/fleet_test.go
+++ b/drive/proof/fleet_test.go
@@ -61,8 +61,9 @@
 
 // fleet is a deployment of real processes.
 type fleet struct {
-	// bearer is the API key that callers send, empty for none.
+	// bearer is the API key that callers send, caller their name, each empty for none.
 	bearer    string
+	caller    string
 	t         *testing.T
 	layout    layout.Layout
 	config    magno.Config
