peers: an entry that starts or was cut off learns of requests that end upstreams

Callers would see: an upstream ends once more for each entry that starts after the third end, and for each that was cut off.

Evidence: TestStartingEntryLearnsOldSuspects; without this change an entry that starts later never learns of the request.

--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -38,8 +38,10 @@
 	// equal: with a hundred entries, the addresses would be most of the message.
 	MemberHash uint64   `json:"crowd"`
 	Peers      []string `json:"peers,omitempty"`
-	// Suspects are requests that crashed upstreams, as far as they are recent.
-	Suspects []crash.Record `json:"suspects,omitempty"`
+	// Suspects are requests under which upstreams ended: those that changed lately and, in a
+	// reply, those that the receiver may lack by its SuspectDigest.
+	Suspects      []crash.Record `json:"suspects,omitempty"`
+	SuspectDigest uint64         `json:"ends,omitempty"`
 	// Stamp is the sender's time. Proof is addressed to the receiver and may be nil.
 	Stamp Stamp  `json:"stamp"`
 	Proof *Proof `json:"proof,omitempty"`
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -72,6 +72,8 @@
 	// small machines after a few crashes.
 	suspectMaxAge = 2 * magno.Second
 	maxSuspects   = 64
+	// maxSerious bounds the suspects that are sent to an entry which lacks some.
+	maxSerious = 16
 	// listRetryInterval is how often an entry that can't reach the list retries while
 	// others read it. While none of them can, it retries after listRetryStep for each
 	// entry that ranks ahead of it.
@@ -334,7 +336,7 @@
 func (p *Peers) newHello(memberHash uint64, knownCount int) Hello {
 	h := Hello{
 		Name: p.Self, Addr: p.Addr, LinkMbps: p.LinkMbps, DataCentre: p.DataCentre, Digest: p.Book.Digest(), Age: p.Book.Age(),
-		Suspects: p.Suspects.UpdatedSince(p.Suspects.Clock.Now()-suspectMaxAge, maxSuspects),
+		Suspects: p.Suspects.UpdatedSince(p.Suspects.Clock.Now()-suspectMaxAge, maxSuspects), SuspectDigest: p.Suspects.Digest(),
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -118,6 +118,19 @@
 	waitFor(t, "the suspect to be cleared", func() bool { return a.Suspects.Count(77) == 0 })
 }
 
+// Guards against an entry that starts, or was cut off, sending a request to upstreams that ended
+// others long before.
+func TestStartingEntryLearnsOldSuspects(t *testing.T) {
+	a := start(t, "a")
+	a.Suspects.RecordEnd(77, magno.UpstreamEnd{Upstream: 1, Pool: 9})
+	endUnder(a.Suspects, 77, 2, 3)
+	waitFor(t, "the suspect to be old", func() bool {
+		return len(a.Suspects.UpdatedSince(a.Suspects.Clock.Now()-suspectMaxAge, 1)) == 0
+	})
+	b := start(t, "b", a.Addr)
+	waitFor(t, "the suspect", func() bool { return b.Suspects.MustRefuse(77) })
+}
+
 // Upstreams crash one after the other, and all requests that ran there become suspects.
 // With every suspect in every hello, the links of small machines had no capacity left for
 // responses to callers.
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -65,6 +65,9 @@
 	// completed holds the time of the last completion of requests, also of those without a
 	// record.
 	completed *simplelru.LRU[uint64, magno.Millis]
+	// changes counts the changes of records.
+	changes  int64
+	digested digested
 }
 
 // record is a Record as this process keeps it.
@@ -162,6 +165,7 @@
 		return false
 	}
 	rec.changedAt = now
+	s.changes++
 	s.records.Add(fingerprint, rec)
 	return true
 }
@@ -230,6 +234,7 @@
 	}
 	if len(cleared) > 0 {
 		rec.changedAt = now
+		s.changes++
 	}
 	return cleared
 }
--- a/magno/crash/crash_test.go
+++ b/magno/crash/crash_test.go
@@ -184,3 +184,30 @@
 		t.Errorf("%d ends in a record, %d not cleared", len(rec.Ends), s.Count(7))
 	}
 }
+
+// Guards against processes that compare equal though one lacks what another knows of a request, and
+// against comparing what every crash leaves behind.
+func TestDigestTellsMissingRecords(t *testing.T) {
+	clock := magno.NewClock(1_000_000)
+	a, b := newSuspects(clock, 4), newSuspects(clock, 4)
+	endAll(a, 1, 1, 2, 3)
+	if a.Digest() != 0 || len(a.Serious(10)) != 0 {
+		t.Error("requests with one end are compared")
+	}
+	endAll(a, 2, 1)
+	if a.Digest() == 0 {
+		t.Error("a request with two ends isn't compared")
+	}
+	b.Merge(a.Serious(10))
+	if a.Digest() != b.Digest() {
+		t.Error("processes with the same records compare different")
+	}
+	endAll(a, 3, 1)
+	if a.Digest() == b.Digest() {
+		t.Error("a process that lacks the third end compares equal")
+	}
+	clock.Advance(Retention + digestTTL)
+	if a.Digest() != 0 {
+		t.Error("an expired record is compared")
+	}
+}
--- a/magno/crash/share.go
+++ b/magno/crash/share.go
@@ -6,6 +6,10 @@
 	"magnoliastall.example/magno"
 )
 
+// seriousEnds is the number of ends from which a record is compared between processes. A crash
+// leaves one end in the record of each request that ran there; those are sent once.
+const seriousEnds = 2
+
 // Merge joins records from a peer with those of this process.
 func (s *Suspects) Merge(records []Record) {
 	s.mu.Lock()
@@ -34,6 +38,11 @@
 	return s.list(func(rec *record) bool { return rec.changedAt > since }, limit)
 }
 
+// Serious returns the last limit records of requests under which several upstreams ended.
+func (s *Suspects) Serious(limit int) []Record {
+	return s.list(func(rec *record) bool { return rec.count() >= seriousEnds }, limit)
+}
+
 func (s *Suspects) list(include func(*record) bool, limit int) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,3 +64,32 @@
 	slices.Reverse(list)
 	return list
 }
+
+// digestTTL is how long a digest is used while no record changes: records expire.
+const digestTTL = magno.Second
+
+// Digest returns a checksum of the records that Serious returns, zero if there are none. Processes
+// with different ones lack records of each other.
+func (s *Suspects) Digest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	if s.records == nil || (s.digested.changes == s.changes && now-s.digested.at < digestTTL) {
+		return s.digested.sum
+	}
+	s.digested = digested{changes: s.changes, at: now}
+	for _, print := range s.records.Keys() {
+		rec, _ := s.records.Peek(print)
+		if n := rec.count(); n >= seriousEnds && now-rec.changedAt <= Retention {
+			s.digested.sum ^= print * uint64(2*min(n, refuseEnds)+1) //nolint:gosec // n is positive
+		}
+	}
+	return s.digested.sum
+}
+
+// digested is a digest and what it was made from.
+type digested struct {
+	sum     uint64
+	changes int64
+	at      magno.Millis
+}
