peers: hellos of a large fleet are spread over their interval

Callers would see: a request that ends upstreams reaches them through entries that have not heard of it, in a fleet of a hundred entries or more.

Cause: the time between two hellos of a pair grows with the fleet (6.7 s at 100 entries, 20 s at 300), and pairs had no phase of their own.

Why this works: each pair draws a phase when it meets; the rate of hellos stays what it was.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -144,6 +144,8 @@
 	// askedAt is the time of the last hello to it, learnedAt that at which its address
 	// became known.
 	askedAt, learnedAt magno.Millis
+	// early is how much earlier than usual the next hello to it is due.
+	early magno.Millis
 	// lastStamp is the last stamp received from it.
 	lastStamp receivedStamp
 }
@@ -249,7 +251,7 @@
 	defer p.mu.Unlock()
 	list := map[string]*peer{}
 	now := p.Clock.Now()
-	interval := helloInterval * magno.Millis(max(len(p.known), helloScaleFrom)) / helloScaleFrom
+	interval := p.interval()
 	probing := 0
 	for _, k := range p.known {
 		if k.pending && !k.alive {
@@ -271,12 +273,17 @@
 			}
 			probing++
 		}
-		k.pending, k.askedAt = true, now
+		k.pending, k.askedAt, k.early = true, now, 0
 		list[addr] = k
 	}
 	return list
 }
 
+// interval returns the usual time between two hellos to a peer. The caller holds mu.
+func (p *Peers) interval() magno.Millis {
+	return helloInterval * magno.Millis(max(len(p.known), helloScaleFrom)) / helloScaleFrom
+}
+
 // due reports whether the peer is to be sent a hello, given the usual interval between two
 // of them. hasMet is false for an entry that has met no other yet.
 func (k *peer) due(now, interval magno.Millis, hasMet bool) bool {
@@ -291,7 +298,7 @@
 	case !k.initiator:
 		interval += helloInterval
 	}
-	return now-max(k.askedAt, k.seenAt) >= interval-helloInterval/2
+	return now-max(k.askedAt, k.seenAt) >= interval-helloInterval/2-k.early
 }
 
 // initiates reports whether this entry is the initiator of a pair. The other one gets the
@@ -393,6 +400,9 @@
 	}
 	if !k.alive {
 		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
+		// Entries that start together meet together. Without a phase of its own for each pair
+		// all hellos of a large fleet come at once, and news wait for the next round.
+		k.early = rand.N(p.interval())
 		p.wake()
 	}
 	k.hello, k.rank = *h, h.rank()
