peers: hellos carry the end of an upstream once for all requests that ran there

Cause: each request that ran at a crash was a record of its own of about a hundred bytes, and 64 of them are in each hello for as long as they are news.

Why this works: the requests of one end differ in their fingerprints only. What two entries know alike is not repeated, whatever the size of the fleet.

--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -19,10 +19,7 @@
 	}
 	p.applyHello(&h)
 	reply := p.newHello(h.MemberHash, h.KnownCount)
-	if h.SuspectDigest != reply.SuspectDigest {
-		// An entry that just started, or was cut off, would send such a request to upstreams again.
-		reply.Suspects = append(reply.Suspects, p.Suspects.Serious(maxSerious)...)
-	}
+	reply.Ends = append(reply.Ends, p.missingEnds(h.EndDigest)...)
 	reply.Proof = p.freshnessProof(receivedStamp{stamp: h.Stamp, receivedAt: receivedAt})
 	return reply, nil
 }
--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 
 	"magnoliastall.example/magno"
-	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/view"
 )
 
@@ -38,10 +37,10 @@
 	// equal: with a hundred entries, the addresses would be most of the message.
 	MemberHash uint64   `json:"crowd"`
 	Peers      []string `json:"peers,omitempty"`
-	// Suspects are requests under which upstreams ended: those that changed lately and, in a
-	// reply, those that the receiver may lack by its SuspectDigest.
-	Suspects      []crash.Record `json:"suspects,omitempty"`
-	SuspectDigest uint64         `json:"ends,omitempty"`
+	// Ends are the unplanned ends of upstreams and the requests that ran there: those of which
+	// the sender heard lately and, in a reply, those that the receiver may lack by its EndDigest.
+	Ends      []Ending `json:"ends,omitempty"`
+	EndDigest uint64   `json:"endsum,omitempty"`
 	// Stamp is the sender's time. Proof is addressed to the receiver and may be nil.
 	Stamp Stamp  `json:"stamp"`
 	Proof *Proof `json:"proof,omitempty"`
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -343,7 +343,7 @@
 func (p *Peers) newHello(memberHash uint64, knownCount int) Hello {
 	h := Hello{
 		Name: p.Self, Addr: p.Addr, LinkMbps: p.LinkMbps, DataCentre: p.DataCentre, Digest: p.Book.Digest(), Age: p.Book.Age(),
-		Suspects: p.Suspects.UpdatedSince(p.Suspects.Clock.Now()-suspectMaxAge, maxSuspects), SuspectDigest: p.Suspects.Digest(),
+		Ends: p.recentEnds(), EndDigest: p.Suspects.Digest(),
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -391,7 +391,7 @@
 // applyHello updates the state of a peer from its hello.
 func (p *Peers) applyHello(h *Hello) {
 	p.addAddrs(append(h.Peers, h.Addr))
-	p.Suspects.Merge(h.Suspects)
+	p.mergeEnds(h.Ends)
 	p.mu.Lock()
 	k := p.known[h.Addr]
 	if k == nil { // it is this entry itself
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -139,7 +139,7 @@
 	for i := range uint64(3000) {
 		endUnder(a.Suspects, i+1, i)
 	}
-	if n := len(a.newHello(0, 0).Suspects); n != maxSuspects {
+	if n := len(a.newHello(0, 0).Ends); n != maxSuspects {
 		t.Errorf("a hello has %d suspects, want %d", n, maxSuspects)
 	}
 }
--- /dev/null
+++ b/entry/peers/suspect_test.go
@@ -0,0 +1,167 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/view"
+	"magnoliastall.example/magno/wire"
+)
+
+const (
+	// refuseWithin is the time after the third end under a request within which all entries
+	// must refuse it.
+	refuseWithin = 3 * magno.Second
+	// maxSuspectRate is what a process may send and receive for control in all, in bytes per
+	// second.
+	maxSuspectRate = 21_000
+	// fleetTick is the step of a helloFleet's time.
+	fleetTick = 20 * magno.Millis(1)
+)
+
+// helloFleet is a number of entries that exchange hellos without a network, on one clock.
+type helloFleet struct {
+	clock  *magno.Clock
+	peers  []*Peers
+	byAddr map[string]*Peers
+	// bytes are the bytes of suspects that each entry sent and received.
+	bytes map[*Peers]int
+}
+
+func newHelloFleet(t *testing.T, n int) *helloFleet {
+	f := &helloFleet{clock: magno.NewClock(magno.Hour), byAddr: map[string]*Peers{}, bytes: map[*Peers]int{}}
+	for i := range n {
+		f.peers = append(f.peers, f.newPeer(i, n))
+	}
+	f.run(t, 30*magno.Second, func() bool { return false })
+	return f
+}
+
+// newPeer returns an entry that knows all n of a fleet.
+func (f *helloFleet) newPeer(i, n int) *Peers {
+	p := &Peers{
+		Self: fmt.Sprint(i), Addr: addr(i), Mesh: &wire.Mesh{}, Book: &view.Store{Clock: f.clock},
+		Suspects: &crash.Suspects{Clock: f.clock, PoolSize: func(uint64) int { return n }}, Clock: f.clock, Log: slog.New(slog.DiscardHandler),
+	}
+	for j := range n {
+		p.Seeds = append(p.Seeds, addr(j))
+	}
+	p.Open()
+	f.byAddr[p.Addr] = p
+	return p
+}
+
+// run exchanges hellos until done or for the given time, and returns the time that passed.
+func (f *helloFleet) run(t *testing.T, limit magno.Millis, done func() bool) magno.Millis {
+	t.Helper()
+	begin := f.clock.Now()
+	for n := 0; f.clock.Now()-begin < limit && !done(); n++ {
+		f.clock.Advance(fleetTick)
+		for i, p := range f.peers {
+			if (n+i)%int(p.pollInterval()/fleetTick) != 0 {
+				continue
+			}
+			for to := range p.due() {
+				f.exchange(t, p, f.byAddr[to])
+			}
+		}
+	}
+	return f.clock.Now() - begin
+}
+
+// exchange has an entry send a hello and receive the reply, as sendHello does.
+func (f *helloFleet) exchange(t *testing.T, from, to *Peers) {
+	t.Helper()
+	k := from.known[to.Addr]
+	hello := from.newHello(k.hello.MemberHash, k.hello.KnownCount)
+	params, err := json.Marshal(hello)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.count(t, &hello, from, to)
+	answer, err := to.onHello(context.Background(), nil, params)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply, _ := answer.(Hello)
+	f.count(t, &reply, from, to)
+	k.pending = false
+	from.applyHello(&reply)
+}
+
+func (f *helloFleet) count(t *testing.T, h *Hello, ends ...*Peers) {
+	t.Helper()
+	if len(h.Ends) == 0 {
+		return
+	}
+	data, err := json.Marshal(h.Ends)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range ends {
+		f.bytes[p] += len(data)
+	}
+}
+
+// Guards against a request that reaches upstreams through entries that haven't heard of the third
+// end in time, and against hellos that grow with the fleet or with the requests that ran at a crash.
+func TestSuspectsReachAllEntries(t *testing.T) {
+	for _, n := range []int{30, 100, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			f := newHelloFleet(t, n)
+			for i := range uint64(64) { // one engine's requests, each the only one of its entry
+				endUnder(f.peers[int(i)%n].Suspects, 1000+i, 1)
+			}
+			for i := range uint64(3) {
+				endUnder(f.peers[i].Suspects, 77, i+1)
+			}
+			clear(f.bytes)
+			refused := func() bool {
+				for _, p := range f.peers {
+					if !p.Suspects.MustRefuse(77) {
+						return false
+					}
+				}
+				return true
+			}
+			took := f.run(t, refuseWithin, refused)
+			if !refused() {
+				t.Errorf("not refused by all within %d ms", took)
+			}
+			const window = 10 * magno.Second
+			f.run(t, window-took, func() bool { return false })
+			most, sum := 0, 0
+			for _, b := range f.bytes {
+				most, sum = max(most, b), sum+b
+			}
+			rate := most / int(window/magno.Second)
+			t.Logf("refused by all after %d ms; bytes of suspects in 10 s: %d a second on average, %d at the busiest", took, sum/n/int(window/magno.Second), rate)
+			if rate > maxSuspectRate {
+				t.Errorf("suspects take %d bytes a second of an entry, want %d at most", rate, maxSuspectRate)
+			}
+			clear(f.bytes)
+			f.run(t, window, func() bool { return false })
+			if len(f.bytes) > 0 {
+				t.Errorf("%d entries still send suspects that all know", len(f.bytes))
+			}
+			f.restart(t, n)
+		})
+	}
+}
+
+// restart replaces an entry, which must learn the suspect as soon as it hears of others.
+func (f *helloFleet) restart(t *testing.T, n int) {
+	t.Helper()
+	fresh := f.newPeer(0, n)
+	f.peers[0] = fresh
+	took := f.run(t, refuseWithin, func() bool { return fresh.Suspects.MustRefuse(77) })
+	if !fresh.Suspects.MustRefuse(77) {
+		t.Errorf("an entry that starts doesn't refuse the request after %d ms", took)
+	}
+	t.Logf("refused by an entry that starts after %d ms", took)
+}
