relay, front: a caller is its customer, not its address

A request that comes again comes from other addresses, as a phone does that moves between networks, so each address had three ends of its own.

Why this works: with keys the customer tells callers apart, on the own interface what the caller states of itself; without, the upstream gets the same request whoever sends it. TestRequestThatEndsUpstreams- IsHeldBack sends from 20 addresses now, and its other caller is another customer.

peers: only the side that says hello draws a phase.

--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -27,6 +29,8 @@
 	// minAway and maxAway limit how long an upstream is gone after its end.
 	minAway = time.Second
 	maxAway = 3 * time.Second
+	// addresses is the number of addresses from which a fatal request comes.
+	addresses = 20
 	// maxFatalRun limits how long a fatal request runs before its upstream ends.
 	maxFatalRun = 80 * time.Millisecond
 )
@@ -214,15 +218,23 @@
 	return broken
 }
 
-// sendFatal sends requests to one target, as one caller, until ctx ends: each at a drawn entry and
-// under a new id.
-func (s *Soak) sendFatal(ctx context.Context, caller *fake.Caller, target, body, adapter string, rnd *rand.Rand) {
+// sendFatal sends requests to one target until ctx ends: each from a drawn address, at a drawn entry
+// and under a new id.
+func (s *Soak) sendFatal(ctx context.Context, target, body, adapter string, rnd *rand.Rand) {
 	for i := 0; ctx.Err() == nil; i++ {
+		caller := callerFrom(fmt.Sprintf("127.0.9.%d", 10+rnd.IntN(addresses)))
 		s.sendTo(ctx, caller, s.fleet.entries[rnd.IntN(entryCount)], target, body, fmt.Sprintf("%s-%d", strings.Trim(target, "/"), i), adapter)
+		caller.HTTP.CloseIdleConnections()
 		time.Sleep(time.Duration(50+rnd.IntN(100)) * time.Millisecond)
 	}
 }
 
+// callerFrom returns a caller with an address of its own.
+func callerFrom(ip string) *fake.Caller {
+	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	return &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{DialContext: d.DialContext}}, Key: fake.Key}
+}
+
 // sendTo sends one request to a target and records its outcome.
 func (s *Soak) sendTo(ctx context.Context, caller *fake.Caller, address, target, body, id, adapter string) fake.Outcome {
 	r := &request{path: pathOf(target), target: target, entry: address, key: caller.Key, at: time.Now()}
--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -17,12 +16,6 @@
 // fatalDelay, and time for further sends.
 const fatalTime = 3*maxAway + fatalDelay + 4*time.Second
 
-// callerFrom returns a caller with an address of its own.
-func callerFrom(ip string) *fake.Caller {
-	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
-	return &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{DialContext: d.DialContext}}, Key: fake.Key}
-}
-
 // newID returns an unused ID of a request.
 func (s *Soak) newID() string {
 	s.mu.Lock()
@@ -57,7 +50,8 @@
 			{"stream, no body", fake.PathStream + "fatal-4", "", "a2"},
 		},
 	}
-	other := callerFrom("127.0.9.3")
+	other := callerFrom("127.0.9.1")
+	other.Key = fake.OtherKey
 	s.sendFor(func() {
 		var services sync.WaitGroup
 		for _, list := range cases {
@@ -66,11 +60,11 @@
 					s.fleet.fatal.set(c.target, true)
 					ctx, cancel := context.WithTimeout(context.Background(), fatalTime)
 					rnd := rand.New(rand.NewPCG(s.Seed, uint64(i))) //nolint:gosec // not used as a secret
-					s.sendFatal(ctx, callerFrom("127.0.9.1"), c.target, c.body, c.adapter, rnd)
+					s.sendFatal(ctx, c.target, c.body, c.adapter, rnd)
 					cancel()
 					s.fleet.fatal.set(c.target, false)
 					if !s.served(other, c.target, c.body, c.adapter) {
-						t.Errorf("%s: the same request of another caller isn't served", c.name)
+						t.Errorf("%s: the same request of another customer isn't served", c.name)
 					}
 				}
 			})
--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -196,11 +196,10 @@
 	}
 	now := f.Clock.Now()
 	r.Deadline = now + left
-	who := caller(c, user)
 	r.Work.Job = magno.Job{
 		ID:          id(c),
 		Customer:    p.Customer,
-		Caller:      who,
+		Caller:      caller(c, user),
 		Profile:     p.Name,
 		Ref:         magno.Ref{Adapter: p.Adapter, Version: p.Version},
 		Urgency:     p.Urgency,
@@ -208,7 +207,7 @@
 		Prompt:      len(w.Body)/bytesPerToken + 1,
 		Output:      max(w.MaxTokens, 1),
 		Prefix:      xxhash.Sum64String(w.Body[:min(len(w.Body), prefixBytes)]),
-		Fingerprint: xxhash.Sum64String(p.Name + "\x00" + who + "\x00" + w.Path + "\x00" + w.Body),
+		Fingerprint: xxhash.Sum64String(p.Name + "\x00" + statedCaller(c, user) + "\x00" + w.Path + "\x00" + w.Body),
 		Arrived:     now,
 		Deadline:    r.Deadline,
 		Idempotent:  p.Idempotent,
@@ -248,7 +247,16 @@
 	return k, nil
 }
 
+// caller returns a stable identifier of the caller, its address if it states none.
 func caller(c echo.Context, user string) string {
+	if name := statedCaller(c, user); name != "" {
+		return name
+	}
+	return c.RealIP()
+}
+
+// statedCaller returns the identifier that the caller states, empty if there is none.
+func statedCaller(c echo.Context, user string) string {
 	if name := c.Request().Header.Get(headerCaller); name != "" {
 		return name
 	}
@@ -258,7 +266,7 @@
 	if auth := c.Request().Header.Get(echo.HeaderAuthorization); auth != "" {
 		return strconv.FormatUint(xxhash.Sum64String(auth), 16)
 	}
-	return c.RealIP()
+	return ""
 }
 
 // id returns the request's identifier, which it generates on first use.
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -402,7 +402,9 @@
 		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
 		// Entries that start together meet together. Without a phase of its own for each pair
 		// all hellos of a large fleet come at once, and news wait for the next round.
-		k.early = rand.N(p.interval())
+		if k.initiator {
+			k.early = rand.N(p.interval())
+		}
 		p.wake()
 	}
 	k.hello, k.rank = *h, h.rank()
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -55,7 +55,10 @@
 	for _, p := range f.peers {
 		for to, k := range p.known {
 			k.hello = f.byAddr[to].newHello(0, len(f.peers))
-			k.alive, k.seenAt, k.early = true, f.clock.Now(), rand.N(p.interval()) //nolint:gosec // not used as a secret
+			k.alive, k.seenAt = true, f.clock.Now()
+			if k.initiator {
+				k.early = rand.N(p.interval()) //nolint:gosec // not used as a secret
+			}
 		}
 	}
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -227,7 +227,11 @@
 	if refusal := j.readBody(); refusal != nil {
 		return refusal
 	}
-	return j.authorize()
+	if refusal := j.authorize(); refusal != nil {
+		return refusal
+	}
+	j.fingerprint = j.computeFingerprint()
+	return nil
 }
 
 // startRetryAfter returns the Retry-After of a process without a configuration. A process that
@@ -270,7 +274,6 @@
 		return magno.Refuse(magno.KindTooLarge, "a body of over %d bytes", limit)
 	}
 	j.body = body
-	j.fingerprint = j.computeFingerprint()
 	return nil
 }
 
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,14 +31,11 @@
 	maxRunsPerCheck = 256
 )
 
-// computeFingerprint returns a hash of the request and its caller that is the same at all entries.
+// computeFingerprint returns a hash of the request and its customer that is the same at all entries.
+// The caller's address is no part of it: it changes as callers move between networks.
 func (j *job) computeFingerprint() uint64 {
-	host, _, err := net.SplitHostPort(j.r.RemoteAddr)
-	if err != nil {
-		host = j.r.RemoteAddr
-	}
 	d := xxhash.New()
-	for _, part := range []string{host, j.call.Key, j.r.Method, j.r.Host, j.r.RequestURI} {
+	for _, part := range []string{j.customerName(), j.r.Method, j.r.Host, j.r.RequestURI} {
 		_, _ = d.WriteString(part) // a Digest returns no errors
 		_, _ = d.WriteString("\n")
 	}
@@ -223,6 +219,9 @@
 func (h *Handler) confirmEnd(c *endCheck) {
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
+	if c.ended {
+		return
+	}
 	c.ended = true
 	for _, run := range c.runs {
 		h.recordEnd(c, run)
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -204,26 +204,25 @@
 	}
 }
 
-// Guards against taking a request for another caller's, or not knowing it again when it comes over a
-// new connection under a new id.
-func TestFingerprintIdentifiesRequestAndCaller(t *testing.T) {
-	fingerprint := func(method, target, remote, key, body string) uint64 {
+// Guards against taking a request for another customer's, or not knowing it again when it comes from
+// another address under a new id.
+func TestFingerprintIdentifiesRequestAndCustomer(t *testing.T) {
+	fingerprint := func(method, target, remote, customer, body string) uint64 {
 		r := httptest.NewRequest(method, target, nil)
 		r.RemoteAddr = remote
 		r.Header.Set("Id", rand.Text())
-		return (&job{r: r, call: magno.Call{Key: key}, body: []byte(body)}).computeFingerprint()
+		return (&job{r: r, customer: &magno.Customer{Name: customer}, body: []byte(body)}).computeFingerprint()
 	}
 	base := fingerprint("GET", "/p/1?q=a", "10.0.0.1:1000", "k", "")
-	if got := fingerprint("GET", "/p/1?q=a", "10.0.0.1:2000", "k", ""); got != base || got == 0 {
+	if got := fingerprint("GET", "/p/1?q=a", "10.0.0.2:2000", "k", ""); got != base || got == 0 {
 		t.Errorf("a request that comes again has fingerprint %x, want %x", got, base)
 	}
 	for what, got := range map[string]uint64{
-		"method":  fingerprint("POST", "/p/1?q=a", "10.0.0.1:1000", "k", ""),
-		"path":    fingerprint("GET", "/p/2?q=a", "10.0.0.1:1000", "k", ""),
-		"query":   fingerprint("GET", "/p/1?q=b", "10.0.0.1:1000", "k", ""),
-		"address": fingerprint("GET", "/p/1?q=a", "10.0.0.2:1000", "k", ""),
-		"key":     fingerprint("GET", "/p/1?q=a", "10.0.0.1:1000", "l", ""),
-		"body":    fingerprint("GET", "/p/1?q=a", "10.0.0.1:1000", "k", "b"),
+		"method":   fingerprint("POST", "/p/1?q=a", "10.0.0.1:1000", "k", ""),
+		"path":     fingerprint("GET", "/p/2?q=a", "10.0.0.1:1000", "k", ""),
+		"query":    fingerprint("GET", "/p/1?q=b", "10.0.0.1:1000", "k", ""),
+		"customer": fingerprint("GET", "/p/1?q=a", "10.0.0.1:1000", "l", ""),
+		"body":     fingerprint("GET", "/p/1?q=a", "10.0.0.1:1000", "k", "b"),
 	} {
 		if got == base {
 			t.Errorf("a request with another %s has the same fingerprint", what)
