--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -221,9 +221,9 @@
 // sendFatal sends requests to one target until ctx ends: each from a drawn address, at a drawn entry
 // and under a new id.
 func (s *Soak) sendFatal(ctx context.Context, target, body, adapter string, rnd *rand.Rand) {
-	for i := 0; ctx.Err() == nil; i++ {
+	for ctx.Err() == nil {
 		caller := callerFrom(fmt.Sprintf("127.0.9.%d", 10+rnd.IntN(addresses)))
-		s.sendTo(ctx, caller, s.fleet.entries[rnd.IntN(entryCount)], target, body, fmt.Sprintf("%s-%d", strings.Trim(target, "/"), i), adapter)
+		s.sendTo(ctx, caller, s.fleet.entries[rnd.IntN(entryCount)], target, body, s.newID(), adapter)
 		caller.HTTP.CloseIdleConnections()
 		time.Sleep(time.Duration(50+rnd.IntN(100)) * time.Millisecond)
 	}
@@ -235,6 +235,11 @@
 	return &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{DialContext: d.DialContext}}, Key: fake.Key}
 }
 
+// newID returns an unused ID of a request.
+func (s *Soak) newID() string {
+	return fmt.Sprintf("fatal-%d", s.nextID.Add(1))
+}
+
 // sendTo sends one request to a target and records its outcome.
 func (s *Soak) sendTo(ctx context.Context, caller *fake.Caller, address, target, body, id, adapter string) fake.Outcome {
 	r := &request{path: pathOf(target), target: target, entry: address, key: caller.Key, at: time.Now()}
--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -16,12 +15,8 @@
 // fatalDelay, and time for further sends.
 const fatalTime = 3*maxAway + fatalDelay + 4*time.Second
 
-// newID returns an unused ID of a request.
-func (s *Soak) newID() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return fmt.Sprintf("fatal-%d", len(s.sent))
-}
+// senders is the number of copies of a fatal request that are sent at the same time.
+const senders = 3
 
 // served reports whether a request is served in time, sent again and again to all entries.
 func (s *Soak) served(caller *fake.Caller, target, body, adapter string) bool {
@@ -59,8 +54,14 @@
 				for i, c := range list {
 					s.fleet.fatal.set(c.target, true)
 					ctx, cancel := context.WithTimeout(context.Background(), fatalTime)
-					rnd := rand.New(rand.NewPCG(s.Seed, uint64(i))) //nolint:gosec // not used as a secret
-					s.sendFatal(ctx, c.target, c.body, c.adapter, rnd)
+					var sending sync.WaitGroup
+					for n := range senders {
+						sending.Go(func() {
+							rnd := rand.New(rand.NewPCG(s.Seed, uint64(senders*i+n))) //nolint:gosec // not used as a secret
+							s.sendFatal(ctx, c.target, c.body, c.adapter, rnd)
+						})
+					}
+					sending.Wait()
 					cancel()
 					s.fleet.fatal.set(c.target, false)
 					if !s.served(other, c.target, c.body, c.adapter) {
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"magnoliastall.example/platform/fake"
@@ -49,8 +50,9 @@
 	Dir, Bin string
 	Out      io.Writer
 
-	fleet *fleet
-	mu    sync.Mutex
+	fleet  *fleet
+	nextID atomic.Int64
+	mu     sync.Mutex
 	// sent holds the requests by id, with what their callers received.
 	sent       map[string]*request
 	kinds      map[string]int
