soak: a request that ends the upstreams that run it is one of the faults

Copies of it are sent from drawn addresses, at drawn entries and under new ids; upstreams are away for 1 to 3 s and come back under new ids.

--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -29,6 +29,8 @@
 	// minAway and maxAway limit how long an upstream is gone after its end.
 	minAway = time.Second
 	maxAway = 3 * time.Second
+	// maxCopies limits the senders of a fatal request.
+	maxCopies = 3
 	// addresses is the number of addresses from which a fatal request comes.
 	addresses = 20
 	// maxFatalRun limits how long a fatal request runs before its upstream ends.
@@ -218,6 +220,29 @@
 	return broken
 }
 
+// startFatal has copies of a request sent that ends the upstreams that run it, until the returned
+// function is called.
+func (s *Soak) startFatal(rnd *rand.Rand) func() {
+	path := []string{fake.PathOnce, fake.PathRepeat, fake.PathStream, fake.PathResume}[rnd.IntN(4)]
+	target, body, adapter := fmt.Sprintf("%sfatal-%d", path, rnd.Uint32()), []string{"", "body"}[rnd.IntN(2)], ""
+	if path == fake.PathStream || path == fake.PathResume {
+		adapter = fmt.Sprintf("a%d", 1+rnd.IntN(adapters))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var sending sync.WaitGroup
+	s.fleet.fatal.set(target, true)
+	for range 1 + rnd.IntN(maxCopies) {
+		copies := rand.New(rand.NewPCG(rnd.Uint64(), 0)) //nolint:gosec // not used as a secret
+		sending.Go(func() { s.sendFatal(ctx, target, body, adapter, copies) })
+	}
+	return func() {
+		time.Sleep(fatalDelay + maxAway)
+		stop()
+		sending.Wait()
+		s.fleet.fatal.set(target, false)
+	}
+}
+
 // sendFatal sends requests to one target until ctx ends: each from a drawn address, at a drawn entry
 // and under a new id.
 func (s *Soak) sendFatal(ctx context.Context, target, body, adapter string, rnd *rand.Rand) {
--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -15,9 +15,6 @@
 // fatalDelay, and time for further sends.
 const fatalTime = 3*maxAway + fatalDelay + 4*time.Second
 
-// senders is the number of copies of a fatal request that are sent at the same time.
-const senders = 3
-
 // served reports whether a request is served in time, sent again and again to all entries.
 func (s *Soak) served(caller *fake.Caller, target, body, adapter string) bool {
 	end := time.Now().Add(recoveryLimit)
@@ -55,9 +52,9 @@
 					s.fleet.fatal.set(c.target, true)
 					ctx, cancel := context.WithTimeout(context.Background(), fatalTime)
 					var sending sync.WaitGroup
-					for n := range senders {
+					for n := range maxCopies {
 						sending.Go(func() {
-							rnd := rand.New(rand.NewPCG(s.Seed, uint64(senders*i+n))) //nolint:gosec // not used as a secret
+							rnd := rand.New(rand.NewPCG(s.Seed, uint64(maxCopies*i+n))) //nolint:gosec // not used as a secret
 							s.sendFatal(ctx, c.target, c.body, c.adapter, rnd)
 						})
 					}
--- a/drive/soak/fault.go
+++ b/drive/soak/fault.go
@@ -37,7 +37,7 @@
 	x := f.proxies[rnd.IntN(len(f.proxies))]
 	u := append(f.engines[:len(f.engines):len(f.engines)], f.plains...)[rnd.IntN(engineCount+plainCount)]
 	none := func() {}
-	switch n := rnd.IntN(21); n {
+	switch n := rnd.IntN(22); n {
 	case 0, 1:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.kind, none
@@ -70,6 +70,8 @@
 		return "configuration", none
 	case 18:
 		return "list restored", f.restoreList(rnd)
+	case 21:
+		return "fatal request", s.startFatal(rnd)
 	default:
 		return f.startUpstreamFault(n, u, rnd)
 	}
