--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -127,8 +127,13 @@
 	waitFor(t, "the suspect to be old", func() bool {
 		return len(a.Suspects.UpdatedSince(a.Suspects.Clock.Now()-suspectMaxAge, 1)) == 0
 	})
+	endUnder(a.Suspects, 78, 4, 5, 6)
+	a.Suspects.Clear(78)
 	b := start(t, "b", a.Addr)
 	waitFor(t, "the suspect", func() bool { return b.Suspects.MustRefuse(77) })
+	if n := b.Suspects.Count(78); n != 0 {
+		t.Errorf("%d ends count against a request that completed before the entry started", n)
+	}
 }
 
 // Upstreams crash one after the other, and all requests that ran there become suspects.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -93,12 +93,16 @@
 		writeResponse(c, r.Header.Get("Id"), 500, "no")
 		return true
 	}
-	u, v := startUpstream(t, fail), startUpstream(t, fail)
-	s := newTestProxy(t, magno.RouteIdempotent, false, u, v)
-	s.pools.retries = 0
-	res, body, err := s.get(t, http.MethodGet, "1")
-	if err != nil || res.StatusCode != 500 || body != "no" || u.requestCount()+v.requestCount() != 1 {
-		t.Fatalf("got %v %q %v after %d sends", res, body, err, u.requestCount()+v.requestCount())
+	for name, kind := range map[string]magno.RouteKind{"plain service": magno.RouteIdempotent, "engine": magno.RouteStream} {
+		t.Run(name, func(t *testing.T) {
+			u, v := startUpstream(t, fail), startUpstream(t, fail)
+			s := newTestProxy(t, kind, true, u, v)
+			s.pools.retries = 0
+			res, body, err := s.get(t, http.MethodGet, "1")
+			if err != nil || res.StatusCode != 500 || body != "no" || u.requestCount()+v.requestCount() != 1 {
+				t.Fatalf("got %v %q %v after %d sends", res, body, err, u.requestCount()+v.requestCount())
+			}
+		})
 	}
 }
 
@@ -226,32 +230,40 @@
 	}
 }
 
-// A caller leaves in the middle of a stream. The upstream must notice at once, or it would go
-// on for a caller that is gone.
+// A caller leaves in the middle of a stream, or before the answer of a plain service. The upstream
+// must notice at once, or it would go on for a caller that is gone.
 func TestLeavingCallerEndsTheWork(t *testing.T) {
-	closed := make(chan struct{})
-	u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
-		writeStreamHead(c, r.Header.Get("Id"))
-		writeChunk(c, eventText(1))
-		_, _ = c.Read(make([]byte, 1))
-		close(closed)
-		return false
-	})
-	s := newTestProxy(t, magno.RouteStream, false, u)
-	ctx, cancel := context.WithCancel(context.Background())
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+"/p/1", strings.NewReader("b"))
-	req.Host = "h.example"
-	req.Header.Set("Id", "1")
-	res, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer res.Body.Close()
-	cancel()
-	select {
-	case <-closed:
-	case <-time.After(20 * time.Second):
-		t.Error("the upstream's connection is still open though the caller left")
+	for name, kind := range map[string]magno.RouteKind{"plain service": magno.RouteIdempotent, "engine": magno.RouteStream} {
+		t.Run(name, func(t *testing.T) {
+			reached, closed := make(chan struct{}), make(chan struct{})
+			u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+				if kind == magno.RouteStream {
+					writeStreamHead(c, r.Header.Get("Id"))
+					writeChunk(c, eventText(1))
+				}
+				close(reached)
+				_, _ = c.Read(make([]byte, 1))
+				close(closed)
+				return false
+			})
+			s := newTestProxy(t, kind, false, u)
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				<-reached
+				cancel()
+			}()
+			req, _ := http.NewRequestWithContext(ctx, http.MethodGet, s.server.URL+"/p/1", nil)
+			req.Host = "h.example"
+			req.Header.Set("Id", "1")
+			if res, err := http.DefaultTransport.RoundTrip(req); err == nil {
+				defer res.Body.Close()
+			}
+			select {
+			case <-closed:
+			case <-time.After(20 * time.Second):
+				t.Error("the upstream's connection is still open though the caller left")
+			}
+		})
 	}
 }
 
