--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
