--- a/drive/proof/crash_test.go
+++ b/drive/proof/crash_test.go
@@ -112,3 +112,31 @@
 	setAll(`{"kind":"clear"}`)
 	f.eventually("the request is served", func() bool { return f.post(0, path, "", body).status == 200 })
 }
+
+// Guards against refusing a call that may run only once because plain services ended while they ran
+// it, time and again, though others served it between.
+func TestSoundKeyedCallIsServedThoughServicesEnd(t *testing.T) {
+	f := newFleet(t, fastLayout(1))
+	const body = `{"id":"sound"}`
+	setAll := func(fault string) {
+		for _, in := range f.instances {
+			if in.Pool == "status" {
+				f.upstreamFault(in.Name, fault)
+			}
+		}
+	}
+	for round := range 5 {
+		setAll(`{"kind":"crash","match":"sound"}`)
+		if r := f.post(round%2, recordPath, newKey(), body); r.status == 200 || r.kind() == magno.KindSuspect {
+			t.Fatalf("round %d: %v, want that the service ends", round, r)
+		}
+		setAll(`{"kind":"clear"}`)
+		f.eventually("the call is served", func() bool {
+			r := f.post(round%2, recordPath, newKey(), body)
+			if r.kind() == magno.KindSuspect {
+				t.Fatalf("round %d: refused as suspect", round)
+			}
+			return r.status == 200
+		})
+	}
+}
