--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -138,10 +138,6 @@
 	}
 }
 
-func suspectRefusal() *magno.Refusal {
-	return magno.Refuse(magno.KindSuspect, "upstreams ended under this request")
-}
-
 // canRetry reports whether the request may be sent once more after res.
 func (j *job) canRetry(ctx context.Context, res result) bool {
 	if ctx.Err() != nil || j.deadline-j.Clock.Now() < minRunTime/2 {
