relay: a caller that leaves as the response begins ends the work

Callers don't see it; the upstream does: it went on for a caller that was gone, until it sent its next event or ended, and the connection and the handler stayed.

Cause: the end of a request sets a deadline in the past on the upstream's connection. Once the header of the response was read, and before each event of a stream, the deadline was set anew; if the caller left or the time ended just before that, its deadline was lost.

Why this works: whoever sets a deadline looks once more whether the request has ended.

--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -70,7 +70,7 @@
 		return j.connectionFailed(ctx, r, err)
 	}
 	j.recordRun()
-	res, err := j.receiveHead(conn)
+	res, err := j.receiveHead(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
 		return j.connectionFailed(ctx, r, err)
@@ -126,21 +126,30 @@
 
 // receiveHead reads the header of the response, with a shorter timeout if another upstream may
 // be tried.
-func (j *job) receiveHead(conn *hop.Conn) (*http.Response, error) {
+func (j *job) receiveHead(ctx context.Context, conn *hop.Conn) (*http.Response, error) {
 	if j.canRetryElsewhere() {
 		limit := max(headTimeoutAims*j.route.Aim, minHeadTimeout)
-		_ = conn.SetReadDeadline(time.Now().Add(min(limit, j.deadline-j.Clock.Now()).Duration()))
+		setReadDeadline(ctx, conn, time.Now().Add(min(limit, j.deadline-j.Clock.Now()).Duration()))
 	}
 	res, err := conn.Receive(j.r.Method, func(res *http.Response) bool {
 		id := j.Dialect.Reply(res.StatusCode, res.Header).ID
 		return id == j.id || id == ""
 	})
 	if err == nil {
-		_ = conn.SetReadDeadline(time.Time{})
+		setReadDeadline(ctx, conn, time.Time{})
 	}
 	return res, err
 }
 
+// setReadDeadline sets the deadline for reads. The end of ctx, which aborts them by a deadline too,
+// must not be undone.
+func setReadDeadline(ctx context.Context, conn *hop.Conn, t time.Time) {
+	_ = conn.SetReadDeadline(t)
+	if ctx.Err() != nil {
+		_ = conn.SetDeadline(time.Unix(pastDeadline, 0))
+	}
+}
+
 // canRetryElsewhere reports whether another upstream could be tried after this one.
 func (j *job) canRetryElsewhere() bool {
 	return j.route.Repeatable() && j.runs < j.route.Attempts
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -37,7 +37,7 @@
 // forwardStream forwards events as they arrive. It forwards only complete events, so that the
 // stream can be resumed elsewhere after the last of them.
 func (j *job) forwardStream(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
-	err := j.copyEvents(conn, res)
+	err := j.copyEvents(ctx, conn, res)
 	if err == nil {
 		j.Suspects.Clear(j.fingerprint)
 		j.Conns.Put(conn, res)
@@ -55,11 +55,11 @@
 }
 
 // copyEvents forwards events until the end of the stream.
-func (j *job) copyEvents(conn *hop.Conn, res *http.Response) error {
+func (j *job) copyEvents(ctx context.Context, conn *hop.Conn, res *http.Response) error {
 	events := bufio.NewReaderSize(res.Body, streamBufferSize)
 	flush := http.NewResponseController(j.w)
 	for {
-		j.setStallTimeout(conn)
+		j.setStallTimeout(ctx, conn)
 		event, err := readEvent(events)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -97,7 +97,7 @@
 }
 
 // setStallTimeout bounds the wait for the next event if the stream could be resumed elsewhere.
-func (j *job) setStallTimeout(conn *hop.Conn) {
+func (j *job) setStallTimeout(ctx context.Context, conn *hop.Conn) {
 	if !j.canRetryElsewhere() {
 		return
 	}
@@ -105,7 +105,7 @@
 	if j.events == 0 {
 		limit = max(firstEventTimeoutAims*j.route.Aim, minStallTimeout)
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(limit.Duration()))
+	setReadDeadline(ctx, conn, time.Now().Add(limit.Duration()))
 }
 
 // isNewEvent records an event's id. It returns false if the caller already has the event, for
