peers: ends of upstreams are passed on at once, and hellos keep their schedule

Callers would see: after all processes of a fleet of 300 machines were killed, no service for 30 s.

Cause: not traced to the step.

What it was for is kept another way: an entry passes on what it learned of ends to six others, and each that learns something new does the same. The schedule of hellos, and what entries do as they start, is that of before.

--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -12,6 +12,7 @@
 	MethodHello  = "hello" // Hello, answered with a Hello
 	MethodUpdate = "news"  // Update, a notification
 	MethodItems  = "items" // Since, answered with an Update
+	MethodEnds   = "ends"  // []Ending, a notification
 )
 
 // Hello describes an entry to another one.
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -65,8 +65,7 @@
 	discoveryTime     = 2 * magno.Second
 	discoveryInterval = 100 * magno.Millis(1)
 	assumedEntries    = 16
-	// suspectMaxAge is how long a change of a suspect is repeated in hellos. Everyone that
-	// receives it does the same, so in a large fleet it reaches all within about a second.
+	// suspectMaxAge is how long a change of a suspect is repeated in hellos.
 	// maxSuspects bounds the suspects in one hello: a crash makes every request that ran
 	// there a suspect, and sending the whole list in each hello would saturate the links of
 	// small machines after a few crashes.
@@ -125,6 +124,9 @@
 	// of times that minFetchTimeout is doubled.
 	fetching    bool
 	slowFetches int
+	// spreadChange is the change of the suspects up to which they were spread, at spreadAt.
+	spreadChange int64
+	spreadAt     magno.Millis
 	// compared are the states of this process and a peer for which the last fetch was made.
 	compared [2]view.Digest
 }
@@ -144,8 +146,6 @@
 	// askedAt is the time of the last hello to it, learnedAt that at which its address
 	// became known.
 	askedAt, learnedAt magno.Millis
-	// early is how much earlier than usual the next hello to it is due.
-	early magno.Millis
 	// lastStamp is the last stamp received from it.
 	lastStamp receivedStamp
 }
@@ -163,6 +163,7 @@
 	p.Mesh.Handle(MethodHello, p.onHello)
 	p.Mesh.Handle(MethodUpdate, p.onUpdate)
 	p.Mesh.Handle(MethodItems, p.onItems)
+	p.Mesh.Handle(MethodEnds, p.onEnds)
 }
 
 // Name implements magno.Task.
@@ -182,6 +183,14 @@
 				p.sendHello(ctx, addr, k)
 			}()
 		}
+		ends, targets := p.endsToSpread()
+		for _, addr := range targets {
+			pending.Add(1)
+			go func() {
+				defer pending.Done()
+				p.sendEnds(ctx, addr, ends)
+			}()
+		}
 		timer.Reset(p.pollInterval().Duration())
 		select {
 		case <-ctx.Done():
@@ -251,7 +260,7 @@
 	defer p.mu.Unlock()
 	list := map[string]*peer{}
 	now := p.Clock.Now()
-	interval := p.interval()
+	interval := helloInterval * magno.Millis(max(len(p.known), helloScaleFrom)) / helloScaleFrom
 	probing := 0
 	for _, k := range p.known {
 		if k.pending && !k.alive {
@@ -273,17 +282,12 @@
 			}
 			probing++
 		}
-		k.pending, k.askedAt, k.early = true, now, 0
+		k.pending, k.askedAt = true, now
 		list[addr] = k
 	}
 	return list
 }
 
-// interval returns the usual time between two hellos to a peer. The caller holds mu.
-func (p *Peers) interval() magno.Millis {
-	return helloInterval * magno.Millis(max(len(p.known), helloScaleFrom)) / helloScaleFrom
-}
-
 // due reports whether the peer is to be sent a hello, given the usual interval between two
 // of them. hasMet is false for an entry that has met no other yet.
 func (k *peer) due(now, interval magno.Millis, hasMet bool) bool {
@@ -298,7 +302,7 @@
 	case !k.initiator:
 		interval += helloInterval
 	}
-	return now-max(k.askedAt, k.seenAt) >= interval-helloInterval/2-k.early
+	return now-max(k.askedAt, k.seenAt) >= interval-helloInterval/2
 }
 
 // initiates reports whether this entry is the initiator of a pair. The other one gets the
@@ -400,11 +404,6 @@
 	}
 	if !k.alive {
 		p.Log.Info("entry found", "peer", h.Name, "addr", h.Addr, "rev", h.Revision)
-		// Entries that start together meet together. Without a phase of its own for each pair
-		// all hellos of a large fleet come at once, and news wait for the next round.
-		if k.initiator {
-			k.early = rand.N(p.interval())
-		}
 		p.wake()
 	}
 	k.hello, k.rank = *h, h.rank()
--- a/entry/peers/suspect.go
+++ b/entry/peers/suspect.go
@@ -2,13 +2,21 @@
 
 import (
 	"cmp"
+	"context"
+	"encoding/json"
 	"maps"
 	"slices"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/wire"
 )
 
+// spreadFanout is the number of entries to which an entry passes on what it just learned of ends of
+// upstreams. Each of them does the same if it is news there, so all of a fleet hear of it within a few
+// steps. Hellos alone take too long: the time between two of a pair grows with the fleet.
+const spreadFanout = 6
+
 // Ending is the end of an upstream in a hello, with the requests that ran there. A crash concerns
 // dozens of requests, and their fingerprints alone take a fifth of what their records would.
 type Ending struct {
@@ -72,3 +80,49 @@
 	}
 	return groupByEnd(p.Suspects.Serious(maxSerious))
 }
+
+// endsToSpread returns the ends that became known since the last call, and the addresses of the
+// entries to send them to.
+func (p *Peers) endsToSpread() ([]Ending, []string) {
+	changes, now := p.Suspects.Changes(), p.Suspects.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if changes == p.spreadChange {
+		return nil, nil
+	}
+	ends := groupByEnd(p.Suspects.UpdatedSince(p.spreadAt-1, maxSuspects))
+	p.spreadChange, p.spreadAt = changes, now
+	targets := make([]string, 0, spreadFanout)
+	for addr, k := range p.known { // in random order
+		if len(targets) == spreadFanout {
+			break
+		}
+		if k.alive {
+			targets = append(targets, addr)
+		}
+	}
+	return ends, targets
+}
+
+// sendEnds passes on ends of upstreams. One that is lost comes with a hello.
+func (p *Peers) sendEnds(ctx context.Context, addr string, ends []Ending) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout.Duration())
+	defer cancel()
+	if err := p.Mesh.Notify(ctx, addr, MethodEnds, ends); err != nil {
+		p.Log.Debug("ends not passed on", "addr", addr, "error", err)
+	}
+}
+
+func (p *Peers) onEnds(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var ends []Ending
+	if err := json.Unmarshal(params, &ends); err != nil {
+		p.Log.Warn("malformed ends", "error", err)
+		return nil, err
+	}
+	before := p.Suspects.Changes()
+	p.mergeEnds(ends)
+	if p.Suspects.Changes() != before {
+		p.wake()
+	}
+	return nil, nil
+}
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"testing"
 
 	"magnoliastall.example/magno"
@@ -56,9 +55,6 @@
 		for to, k := range p.known {
 			k.hello = f.byAddr[to].newHello(0, len(f.peers))
 			k.alive, k.seenAt = true, f.clock.Now()
-			if k.initiator {
-				k.early = rand.N(p.interval()) //nolint:gosec // not used as a secret
-			}
 		}
 	}
 }
@@ -84,9 +80,16 @@
 	for n := 0; f.clock.Now()-begin < limit && !done(); n++ {
 		f.clock.Advance(fleetTick)
 		for i, p := range f.peers {
-			if (n+i)%int(p.pollInterval()/fleetTick) != 0 {
+			due := (n+i)%int(p.pollInterval()/fleetTick) == 0
+			select {
+			case <-p.wakeup:
+				due = true
+			default:
+			}
+			if !due {
 				continue
 			}
+			f.spread(t, p)
 			for to := range p.due() {
 				f.exchange(t, p, f.byAddr[to])
 			}
@@ -95,6 +98,22 @@
 	return f.clock.Now() - begin
 }
 
+// spread has an entry pass on what it learned of ends.
+func (f *helloFleet) spread(t *testing.T, p *Peers) {
+	t.Helper()
+	ends, targets := p.endsToSpread()
+	params, err := json.Marshal(ends)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, addr := range targets {
+		f.count(t, ends, p, f.byAddr[addr])
+		if _, err := f.byAddr[addr].onEnds(context.Background(), nil, params); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // exchange has an entry send a hello and receive the reply, as sendHello does.
 func (f *helloFleet) exchange(t *testing.T, from, to *Peers) {
 	t.Helper()
@@ -104,27 +123,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.count(t, &hello, from, to)
+	f.count(t, hello.Ends, from, to)
 	answer, err := to.onHello(context.Background(), nil, params)
 	if err != nil {
 		t.Fatal(err)
 	}
 	reply, _ := answer.(Hello)
-	f.count(t, &reply, from, to)
+	f.count(t, reply.Ends, from, to)
 	k.pending = false
 	from.applyHello(&reply)
 }
 
-func (f *helloFleet) count(t *testing.T, h *Hello, ends ...*Peers) {
+func (f *helloFleet) count(t *testing.T, ends []Ending, between ...*Peers) {
 	t.Helper()
-	if len(h.Ends) == 0 {
+	if len(ends) == 0 {
 		return
 	}
-	data, err := json.Marshal(h.Ends)
+	data, err := json.Marshal(ends)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, p := range ends {
+	for _, p := range between {
 		f.bytes[p] += len(data)
 	}
 }
@@ -135,7 +154,8 @@
 	for _, n := range []int{30, 100, 300} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			f := newHelloFleet(t, n)
-			for i := range uint64(64) { // one engine's requests, each the only one of its entry
+			f.run(t, 2*magno.Second, func() bool { return false }) // the hellos of the start are over
+			for i := range uint64(64) {                            // one engine's requests, each the only one of its entry
 				endUnder(f.peers[int(i)%n].Suspects, 1000+i, 1)
 			}
 			for i := range uint64(3) {
--- a/magno/crash/share.go
+++ b/magno/crash/share.go
@@ -65,6 +65,13 @@
 	return list
 }
 
+// Changes counts the changes of records, those by Merge too.
+func (s *Suspects) Changes() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes
+}
+
 // digestTTL is how long a digest is used while no record changes: records expire.
 const digestTTL = magno.Second
 
