--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -115,7 +115,7 @@
 			}
 			for round := range rounds {
 				for _, u := range s.fleet.upstreams() {
-					u.worker.AbortNext(1)
+					s.fleet.current(u).AbortNext(1)
 				}
 				send()
 				time.Sleep(200 * time.Millisecond)
--- a/drive/soak/fault.go
+++ b/drive/soak/fault.go
@@ -88,15 +88,15 @@
 		f.restart(u)
 		return "upstream restarted", none
 	case 15:
-		return "upstream limited", u.state(fake.Notice{Limited: true, Limit: float64(1+rnd.IntN(8)) / 2})
+		return "upstream limited", f.state(u, fake.Notice{Limited: true, Limit: float64(1+rnd.IntN(8)) / 2})
 	case 16:
-		u.worker.SetNotice(fake.Notice{Leaving: true})
+		f.current(u).SetNotice(fake.Notice{Leaving: true})
 		return "upstream leaving", func() {
 			time.Sleep(noticeTime)
 			f.replace(u)
 		}
 	case 17:
-		return "upstream turns away", u.state(fake.Notice{Rest: time.Duration(1+rnd.IntN(3)) * time.Second})
+		return "upstream turns away", f.state(u, fake.Notice{Rest: time.Duration(1+rnd.IntN(3)) * time.Second})
 	case 19:
 		f.drain(u)
 		return "upstream drains", func() {
@@ -104,14 +104,14 @@
 			f.replace(u)
 		}
 	default:
-		u.worker.AbortNext(1 + rnd.IntN(4))
+		f.current(u).AbortNext(1 + rnd.IntN(4))
 		return "answers broken", none
 	}
 }
 
 // state sets what the upstream states, and returns the function that ends it.
-func (u *upstream) state(n fake.Notice) func() {
-	w := u.worker
+func (f *fleet) state(u *upstream, n fake.Notice) func() {
+	w := f.current(u)
 	w.SetNotice(n)
 	return func() {
 		time.Sleep(noticeTime)
@@ -129,8 +129,9 @@
 	}
 	s.fleet.store.Down.Store(false)
 	for _, u := range append(s.fleet.engines, s.fleet.plains...) {
-		u.worker.AbortNext(0)
-		u.worker.SetNotice(fake.Notice{})
+		w := s.fleet.current(u)
+		w.AbortNext(0)
+		w.SetNotice(fake.Notice{})
 	}
 }
 
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -224,6 +224,13 @@
 	}
 }
 
+// current returns the present worker of an upstream.
+func (f *fleet) current(u *upstream) *fake.Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return u.worker
+}
+
 // upstreams returns all engines and plain services.
 func (f *fleet) upstreams() []*upstream { return slices.Concat(f.engines, f.plains) }
 
