crash: where suspects run alone, two ends are enough

Callers saw, on the own interface: other requests of a pool of four engines failed while one request ended three of them.

Cause: refusing after the third end, as the platform's bound has it, let one call with three attempts take three of four engines at once.

A limit of two ends a call was tried and left out: it counted attempts at engines that were still down.

Why this works: agents run a suspect alone, so its second end is its own.

--- a/magno/crash/judge.go
+++ b/magno/crash/judge.go
@@ -13,7 +13,7 @@
 // times (Clear), other requests that ran there have more ends, or upstreams of the pool end that
 // didn't run it.
 func (s *Suspects) MustRefuse(fingerprint uint64) bool {
-	if s.Count(fingerprint) < refuseEnds {
+	if s == nil || s.Count(fingerprint) < s.threshold() {
 		return false
 	}
 	s.mu.Lock()
@@ -23,14 +23,21 @@
 		return false
 	}
 	own, pool := s.ownEnds(fingerprint, rec)
-	if own < refuseEnds {
+	if own < s.threshold() {
 		return false
 	}
 	size := 1
 	if s.PoolSize != nil {
 		size = max(s.PoolSize(pool), 1)
 	}
-	return s.otherEnds(rec, pool) < size*(own-refuseEnds+1)
+	return s.otherEnds(rec, pool) < size*(own-s.threshold()+1)
+}
+
+func (s *Suspects) threshold() int {
+	if s.RefuseEnds > 0 {
+		return s.RefuseEnds
+	}
+	return refuseEnds
 }
 
 // ownEnds returns the number of ends under a request that no other request explains as well, and
