loop, relay: what is sent after an upstream's end has no part in it

Callers would see: a sound request refused because it was sent, twice, to upstreams that had ended and still accepted connections, as they do behind a proxy.

Cause: whatever broke off on an incarnation that turned out to have ended was charged with its end.

Evidence: TestRequestsAfterAnEndAreNoSuspects, in both packages, failed before this change.

Why this works: a run can only have caused an end, or been there, if it was sent before the connections broke. An agent remembers the incarnation that ended; an entry compares the time of the send.

--- a/agent/loop/crash.go
+++ b/agent/loop/crash.go
@@ -21,6 +21,16 @@
 	boot        int64
 }
 
+// runningBoot returns the boot number of the upstream to which a run is sent now, zero if that has
+// ended: what is sent after the end has no part in it, though connections may still be accepted.
+func (l *Loop) runningBoot() int64 {
+	boot := l.boot.Load()
+	if boot == l.endedBoot.Load() {
+		return 0
+	}
+	return boot
+}
+
 // endOf returns the end of the incarnation of the upstream with the given boot number.
 func (l *Loop) endOf(boot int64) magno.UpstreamEnd {
 	return magno.NewUpstreamEnd(l.Pool, l.Self+"/"+strconv.FormatInt(boot, 10))
@@ -43,6 +53,7 @@
 	if err != nil && errors.Is(err, context.DeadlineExceeded) {
 		return // it hangs
 	}
+	l.endedBoot.Store(boot)
 	end := l.endOf(boot)
 	l.Suspects.RecordEnd(job.Fingerprint, end)
 	refusal.Ended = &end
@@ -68,6 +79,7 @@
 // settlePresumed clears the requests of ends that didn't happen: the upstream that couldn't be
 // reached is still the same. It runs on the loop's goroutine.
 func (l *Loop) settlePresumed(boot int64) {
+	l.endedBoot.CompareAndSwap(boot, 0)
 	for _, p := range l.presumed {
 		if p.boot == boot {
 			l.Suspects.Retract(p.fingerprint, l.endOf(boot).Upstream)
--- a/agent/loop/crash_test.go
+++ b/agent/loop/crash_test.go
@@ -85,7 +85,7 @@
 	await(t, "the request to be cleared", func() bool { return !b.Suspects.MustRunAlone(1) })
 }
 
-// Guards against a second wait, after the first one for the answer, for an upstream that hangs.
+// Guards against counting an upstream that hangs as one that ended.
 func TestHangingProbeIsNoEnd(t *testing.T) {
 	hangs := context.DeadlineExceeded
 	b := breaking(t, magno.KindInterrupted, func(e *engine) { e.probeErr.Store(&hangs) })
@@ -94,3 +94,23 @@
 		t.Errorf("counts as an end after %s", time.Since(begin))
 	}
 }
+
+// Guards against holding an end against requests that were sent to the upstream only after it: it may
+// still accept connections, and break them off, until it is back.
+func TestRequestsAfterAnEndAreNoSuspects(t *testing.T) {
+	refused := errors.New("connection reset")
+	b := breaking(t, magno.KindUnknown, func(e *engine) { e.probeErr.Store(&refused) })
+	<-b.do(context.Background(), "x")
+	if !b.Suspects.MustRunAlone(1) {
+		t.Fatal("what ran as the upstream ended is no suspect")
+	}
+	if r := <-b.do(context.Background(), "yy"); r.Ended != nil || b.Suspects.MustRunAlone(2) {
+		t.Error("what was sent after the end counts as a suspect")
+	}
+	b.Reconcile(magno.Probe{Boot: 1})
+	await(t, "the first request to be cleared", func() bool { return !b.Suspects.MustRunAlone(1) })
+	<-b.do(context.Background(), "yy")
+	if !b.Suspects.MustRunAlone(2) {
+		t.Error("an end after the upstream was found alive isn't counted")
+	}
+}
--- a/agent/loop/loop.go
+++ b/agent/loop/loop.go
@@ -71,6 +71,8 @@
 	waiting map[string]*pending
 	// boot is the boot number of the upstream's present incarnation, zero before the first probe.
 	boot atomic.Int64
+	// endedBoot is the boot number of the incarnation that ended last, zero if none is known.
+	endedBoot atomic.Int64
 	// presumed holds the ends that aren't confirmed yet. Only the loop's goroutine accesses it.
 	presumed   []presumed
 	lifeChecks singleflight.Group
@@ -251,7 +253,7 @@
 // execute runs work that may start.
 func (l *Loop) execute(ctx context.Context, w magno.Work, d decision, emit func(magno.Piece)) (magno.Result, error) {
 	l.Events.Add("start", w.Job.ID, fmt.Sprintf("ref=%s queue=%d stall=%d", w.Job.Ref, d.queueTime, d.stallTime))
-	boot := l.boot.Load()
+	boot := l.runningBoot()
 	result, err := l.Upstream.Run(ctx, w, func(p magno.Piece) {
 		l.postUpdate(func() { l.Scheduler.Tokens(w.Job.ID, p.Tokens) })
 		emit(p)
--- a/entry/relay/ending.go
+++ b/entry/relay/ending.go
@@ -78,14 +78,18 @@
 	h := j.Handler
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
-	if c := h.ends.newest[key]; c != nil && (c.ended || run.at-c.brokenAt <= cancelWindow) {
+	c := h.ends.newest[key]
+	switch {
+	case c != nil && j.sentAt <= c.brokenAt:
 		h.addRun(c, run)
 		return
+	case c != nil && (c.ended || run.at-c.brokenAt <= cancelWindow):
+		return // sent after the end
 	}
 	if h.ends.newest == nil {
 		h.ends.newest = map[string]*endCheck{}
 	}
-	c := &endCheck{replica: r, brokenAt: run.at, runs: []brokenRun{run}}
+	c = &endCheck{replica: r, brokenAt: run.at, runs: []brokenRun{run}}
 	h.ends.newest[key] = c
 	h.ends.active.Add(1)
 	go h.runEndCheck(c)
@@ -111,7 +115,9 @@
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
 	if c := h.ends.newest[run.key]; c != nil && run.at-c.brokenAt <= cancelWindow {
-		h.addRun(c, run)
+		if j.sentAt <= c.brokenAt {
+			h.addRun(c, run)
+		}
 		return
 	}
 	h.ends.cancelled = slices.DeleteFunc(h.ends.cancelled, func(old brokenRun) bool { return run.at-old.at > cancelWindow })
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -200,6 +200,23 @@
 	}
 }
 
+// Guards against holding an end against requests that were sent to the upstream only after it. Behind a
+// proxy it still accepts connections, and breaks them off.
+func TestRequestsAfterAnEndAreNoSuspects(t *testing.T) {
+	u := startUpstream(t, breakOff)
+	s := newTestProxy(t, magno.RouteOnce, false, u)
+	s.post(t, "/p/ran")
+	s.post(t, "/p/later")
+	s.Book.ApplyRead([]magno.Change{
+		{Key: "u0", Revision: 2, Deleted: true},
+		{Key: "v0", Revision: 2, Replica: &magno.Replica{ID: "v0", Service: "s", Address: u.addr, DataCentre: "x", Slots: 4}},
+	}, 2, true)
+	s.awaitChecks(t)
+	if got := s.endCounts(); len(got) != 1 || got[0] != 1 {
+		t.Errorf("ends are %v, want one of the first request", got)
+	}
+}
+
 // Guards against an upstream's end being charged to requests that broke off long before it.
 func TestEarlierBreakIsNoPartOfALaterEnd(t *testing.T) {
 	var u *fakeUpstream
