crash: on the own interface a request is held back after two ends, and refused after three

Callers would see: a request refused for half an hour because two upstreams were killed while they ran it and nothing served it between.

Cause: one threshold for two matters: how fast upstreams may end, and what proves a cause.

Why this works: after the second end the request waits for 3 s, in which upstreams are back; the third end decides, as on the platform. Rivals of a request are looked up in one walk over the records instead of one for each end, under a lock on the way of requests.

--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -37,9 +37,12 @@
 	// maxCompleted bounds the completions that are remembered. An end is known a few seconds
 	// after it happened, and the request may have completed elsewhere by then.
 	maxCompleted = 8192
-	// refuseEnds is the number of ends from which a request is refused, unless RefuseEnds says
-	// otherwise. Two can coincide with a sound request while upstreams are killed.
+	// refuseEnds is the number of ends from which a request is refused. Two can coincide with
+	// a sound request while upstreams are killed.
 	refuseEnds = 3
+	// holdTime is how long a request is held back after the end that HoldEnds names. Upstreams
+	// are back after it.
+	holdTime = 3 * magno.Second
 )
 
 // Record is what is known about one request.
@@ -57,9 +60,10 @@
 	// OnChange, if set, is called with each end that this process records or clears itself,
 	// but not with merged ones.
 	OnChange func(fingerprint uint64, e magno.UpstreamEnd)
-	// RefuseEnds is the number of ends from which a request is refused, refuseEnds if zero. It can
-	// be lower where suspects run alone.
-	RefuseEnds int
+	// HoldEnds is the number of ends from which a request is refused for holdTime after the last
+	// of them, zero for none. In a small pool a third end at once would leave no upstream for
+	// other requests.
+	HoldEnds int
 	// PoolSize returns the number of upstreams in a pool. If nil, pools have one upstream.
 	PoolSize func(pool uint64) int
 
--- a/magno/crash/crash_test.go
+++ b/magno/crash/crash_test.go
@@ -140,6 +140,35 @@
 	}
 }
 
+// Guards against a request that takes one upstream after the other before those are back, and against
+// refusing for good what may have been there by chance twice.
+func TestRequestIsHeldBackAfterTheSecondEnd(t *testing.T) {
+	clock := magno.NewClock(1_000_000)
+	s := newSuspects(clock, 4)
+	s.HoldEnds = 2
+	endAll(s, 1, 7)
+	if s.MustRefuse(7) {
+		t.Error("held back after one end")
+	}
+	endAll(s, 2, 7)
+	if !s.MustRefuse(7) {
+		t.Error("sent on right after two ends")
+	}
+	clock.Advance(holdTime)
+	if s.MustRefuse(7) {
+		t.Error("refused for good after two ends")
+	}
+	endAll(s, 3, 7)
+	clock.Advance(10 * holdTime)
+	if !s.MustRefuse(7) {
+		t.Error("sent on after three ends")
+	}
+	s.Clear(7)
+	if s.MustRefuse(7) {
+		t.Error("refused after it completed")
+	}
+}
+
 // Guards against holding ends against a request that became known only after it completed, here or
 // at another process.
 func TestEndsKnownAfterACompletionAreCleared(t *testing.T) {
--- a/magno/crash/judge.go
+++ b/magno/crash/judge.go
@@ -13,7 +13,8 @@
 // times (Clear), other requests that ran there have more ends, or upstreams of the pool end that
 // didn't run it.
 func (s *Suspects) MustRefuse(fingerprint uint64) bool {
-	if s == nil || s.Count(fingerprint) < s.threshold() {
+	n := s.Count(fingerprint)
+	if n == 0 || (n < refuseEnds && (s.HoldEnds == 0 || n < s.HoldEnds)) {
 		return false
 	}
 	s.mu.Lock()
@@ -23,21 +24,17 @@
 		return false
 	}
 	own, pool := s.ownEnds(fingerprint, rec)
-	if own < s.threshold() {
+	if s.HoldEnds > 0 && own >= s.HoldEnds && s.Clock.Now()-rec.lastEnd() < holdTime {
+		return true
+	}
+	if own < refuseEnds {
 		return false
 	}
 	size := 1
 	if s.PoolSize != nil {
 		size = max(s.PoolSize(pool), 1)
 	}
-	return s.otherEnds(rec, pool) < size*(own-s.threshold()+1)
-}
-
-func (s *Suspects) threshold() int {
-	if s.RefuseEnds > 0 {
-		return s.RefuseEnds
-	}
-	return refuseEnds
+	return s.otherEnds(rec, pool) < size*(own-refuseEnds+1)
 }
 
 // ownEnds returns the number of ends under a request that no other request explains as well, and
@@ -45,12 +42,13 @@
 // more than refuseEnds. The caller holds mu.
 func (s *Suspects) ownEnds(fingerprint uint64, rec *record) (own int, pool uint64) {
 	count := rec.count()
+	rivals := s.rivalCounts(fingerprint, rec)
 	for _, e := range rec.ends {
 		if e.cleared {
 			continue
 		}
 		pool = e.pool
-		rival := s.rivalCount(fingerprint, e.upstream)
+		rival := rivals[e.upstream]
 		if rival < count || (rival == count && count > refuseEnds) {
 			own++
 		}
@@ -58,17 +56,22 @@
 	return own, pool
 }
 
-// rivalCount returns the largest count among the other requests that ran on an upstream as it ended.
-// The caller holds mu.
-func (s *Suspects) rivalCount(fingerprint, upstream uint64) int {
-	most := 0
-	for _, other := range s.records.Keys() {
-		rec, _ := s.records.Peek(other)
-		if e := rec.find(upstream); other != fingerprint && e != nil && !e.cleared {
-			most = max(most, rec.count())
+// rivalCounts maps the upstreams that ended under a request to the largest count among the other
+// requests that ran there. The caller holds mu.
+func (s *Suspects) rivalCounts(fingerprint uint64, rec *record) map[uint64]int {
+	counts := make(map[uint64]int, len(rec.ends))
+	for _, print := range s.records.Keys() {
+		if print == fingerprint {
+			continue
+		}
+		other, _ := s.records.Peek(print)
+		for _, e := range other.ends {
+			if !e.cleared && rec.find(e.upstream) != nil {
+				counts[e.upstream] = max(counts[e.upstream], other.count())
+			}
 		}
 	}
-	return most
+	return counts
 }
 
 // otherEnds returns the number of upstreams of a pool that ended in the period of a request's ends,
@@ -97,6 +100,12 @@
 	return n
 }
 
+// lastEnd returns the time of the last end that the request isn't cleared of.
+func (r *record) lastEnd() magno.Millis {
+	_, to := r.period()
+	return to
+}
+
 // period returns the times of the first and the last end that the request isn't cleared of.
 func (r *record) period() (from, to magno.Millis) {
 	for _, e := range r.ends {
--- a/magno/proc/proc.go
+++ b/magno/proc/proc.go
@@ -25,9 +25,9 @@
 	"magnoliastall.example/magno/wire"
 )
 
-// aloneEnds is the number of ends from which a request is refused. Agents run a suspect alone, and a
-// third end could take the last upstream of a small pool from all others.
-const aloneEnds = 2
+// holdEnds is the number of ends after which a request is held back for a while. A call makes several
+// attempts within moments.
+const holdEnds = 2
 
 // Process contains the shared components of a process.
 type Process struct {
@@ -64,7 +64,7 @@
 	p.Events = &event.Ring{Process: p.Self.Name, Clock: p.Clock}
 	p.Store = &config.Store{Clock: p.Clock, Log: p.Log, Metrics: set, Check: check.New(p.Clock)}
 	p.Fleet = &fleet.Fleet{URL: p.List, Clock: p.Clock, Log: p.Log}
-	p.Suspects = &crash.Suspects{Clock: magno.NewMonotonic(), PoolSize: p.poolSize, RefuseEnds: aloneEnds}
+	p.Suspects = &crash.Suspects{Clock: magno.NewMonotonic(), PoolSize: p.poolSize, HoldEnds: holdEnds}
 	publisher := &alert.Publisher{Suspects: p.Suspects}
 	p.Node = &spread.Node{
 		Self: gossip.Member{Name: p.Self.Name, Role: p.Self.Role, DataCentre: p.Self.DataCentre,
