--- a/entry/peers/suspect.go
+++ b/entry/peers/suspect.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"sync"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
@@ -104,6 +105,14 @@
 	return ends, targets
 }
 
+// spreadEnds passes on what became known since the last call.
+func (p *Peers) spreadEnds(ctx context.Context, pending *sync.WaitGroup) {
+	ends, targets := p.endsToSpread()
+	for _, addr := range targets {
+		pending.Go(func() { p.sendEnds(ctx, addr, ends) })
+	}
+}
+
 // sendEnds passes on ends of upstreams. One that is lost comes with a hello.
 func (p *Peers) sendEnds(ctx context.Context, addr string, ends []Ending) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout.Duration())
