--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -52,8 +52,8 @@
 	rnd     *rand.Rand
 }
 
-func newFatal() *fatal {
-	return &fatal{targets: map[string]bool{}, rnd: rand.New(rand.NewPCG(1, 1))} //nolint:gosec // not used as a secret
+func newFatal(seed uint64) *fatal {
+	return &fatal{targets: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1<<33))} //nolint:gosec // not used as a secret
 }
 
 // set makes requests to the target fatal, or no longer.
--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -132,3 +135,63 @@
 		})
 	}
 }
+
+// Guards against a check that can't fail: a request that reaches upstreams late and often.
+func TestFatalCheckFindsLateRequests(t *testing.T) {
+	const target = "/repeat/fatal"
+	x := newFatal(1)
+	x.set(target, true)
+	var workers []*fake.Worker
+	for range fatalEnds {
+		w := &fake.Worker{ID: "w"}
+		w.Start()
+		x.record(target, w)
+		x.record(target, w)
+		workers = append(workers, w)
+	}
+	o := &observer{
+		entry:     func(string) int { return 0 },
+		disturbed: func(int, *fake.Worker, time.Time, time.Time) bool { return false },
+	}
+	for range fatalSends {
+		workers[0].Arrive("1", target)
+	}
+	time.Sleep(fatalDelay + 10*time.Millisecond)
+	for range fatalSends {
+		workers[1].Arrive("2", target)
+		workers[1].Arrive("3", "/repeat/another")
+	}
+	if broken := o.checkFatal(x, workers); len(broken) != 0 {
+		t.Errorf("%d late requests are allowed: %q", fatalSends, broken)
+	}
+	workers[2].Arrive("4", target)
+	if broken := o.checkFatal(x, workers); len(broken) != 1 {
+		t.Errorf("got %q, want one too many", broken)
+	}
+	o.disturbed = func(int, *fake.Worker, time.Time, time.Time) bool { return true }
+	if broken := o.checkFatal(x, workers); len(broken) != 0 {
+		t.Errorf("an entry that was disturbed: %q", broken)
+	}
+}
+
+// Guards against a check that can't fail: an entry's log line of a sound request that it refused.
+func TestSoundCheckFindsRefusedRequests(t *testing.T) {
+	s := &Soak{Dir: t.TempDir(), fleet: newFleet("", ""), sent: map[string]*request{"a-1": {target: "/repeat/fatal"}, "b-2": {target: "/repeat/x"}}}
+	s.fleet.fatal.set("/repeat/fatal", true)
+	line := `time=2026-01-01T00:00:00.000Z level=INFO msg=request process=entry-1 request=%s route=repeat customer=alpha adapter="" status=503 outcome=%s why="upstreams ended under this request" replica="" tries=0` + "\n"
+	text := fmt.Sprintf(line, "a-1", "suspect") + fmt.Sprintf(line, "b-2", "served")
+	for i := range entryCount {
+		if err := os.WriteFile(filepath.Join(s.Dir, entryName(i)+".log"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if broken := s.checkSound(); len(broken) != 0 {
+		t.Errorf("a fatal request that was refused: %q", broken)
+	}
+	if err := os.WriteFile(filepath.Join(s.Dir, entryName(0)+".log"), []byte(text+fmt.Sprintf(line, "b-2", "suspect")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if broken := s.checkSound(); len(broken) != 1 {
+		t.Errorf("got %q, want the sound request", broken)
+	}
+}
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -118,7 +118,7 @@
 
 func newFleet(dir, bin string) *fleet {
 	return &fleet{dir: dir, bin: bin, store: fake.NewStore(), withdrawn: map[string]time.Time{}, firstWithdrawn: map[string]time.Time{}, drainedAt: map[*fake.Worker]time.Time{},
-		fatal: newFatal()}
+		fatal: newFatal(0)}
 }
 
 // start starts the fleet, which runs until ctx ends.
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -121,6 +121,7 @@
 func (s *Soak) start(ctx context.Context) error {
 	s.sent, s.kinds, s.faults, s.reported = map[string]*request{}, map[string]int{}, map[string]int{}, map[string]bool{}
 	s.fleet = newFleet(s.Dir, s.Bin)
+	s.fleet.fatal = newFatal(s.Seed)
 	if err := s.fleet.start(ctx); err != nil {
 		return err
 	}
