--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -38,6 +38,8 @@
 	adapterSlots    = 5
 	eventsPerStream = 12
 	portBase        = 21000
+	// maxSeeds is the largest number of seeds that the platform names.
+	maxSeeds = 3
 	// readyTimeout limits the time until the fleet serves its first request.
 	readyTimeout = 20 * time.Second
 )
@@ -123,6 +125,22 @@
 
 // start starts the fleet, which runs until ctx ends.
 func (f *fleet) start(ctx context.Context) error {
+	if err := f.startList(ctx); err != nil {
+		return err
+	}
+	for i := range engineCount {
+		if err := f.engine(ctx, i+1); err != nil {
+			return err
+		}
+	}
+	if err := f.startPlains(plainCount); err != nil {
+		return err
+	}
+	return f.startEntries(ctx, entryCount)
+}
+
+// startList starts the list with the first configuration. All else runs until ctx ends, too.
+func (f *fleet) startList(ctx context.Context) error {
 	f.ctx = ctx
 	if err := serve(ctx, address(5, 1, 30), f.store); err != nil {
 		return err
@@ -131,23 +149,28 @@
 		return err
 	}
 	f.publish()
-	for i := range engineCount {
-		if err := f.engine(ctx, i+1); err != nil {
-			return err
-		}
-	}
-	for i := range plainCount {
+	return nil
+}
+
+// startPlains starts n upstreams of the plain service.
+func (f *fleet) startPlains(n int) error {
+	for i := range n {
 		u := &upstream{service: fake.PlainService, listed: address(3, 100+i, 20), listen: address(4, i+1, 20), handler: &swapHandler{}}
 		f.plains = append(f.plains, u)
 		if err := f.serve(u); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// startEntries starts n entries. The first of them are seeds, maxSeeds at most.
+func (f *fleet) startEntries(ctx context.Context, n int) error {
 	var seeds []string
-	for i := range entryCount {
+	for i := range min(n, maxSeeds) {
 		seeds = append(seeds, address(1, i+1, 3))
 	}
-	for i := range entryCount {
+	for i := range n {
 		m := &fake.Machine{
 			Name: entryName(i), Zone: "z", IP: fmt.Sprintf("127.0.1.%d", i+1), Callers: address(1, i+1, 1),
 			Ready: address(1, i+1, 2), Peers: address(1, i+1, 3), InternalPort: portBase + 10, Store: address(5, 2, 30), Seeds: seeds,
--- /dev/null
+++ b/drive/soak/retry_test.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"magnoliastall.example/platform/fake"
+)
+
+// Size of the fleet in the tests of retries: an entry more than there are seeds.
+const (
+	retryEntries = maxSeeds + 1
+	retryPlains  = 6
+	retryCallers = 16
+	// retryPause limits the pause of a caller between two requests.
+	retryPause = 180 * time.Millisecond
+)
+
+// startPlainSoak starts entries and upstreams of the plain service, and waits until they serve.
+func startPlainSoak(t *testing.T) *Soak {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Soak{Seed: 1, Dir: t.TempDir(), Bin: programDir, Out: io.Discard, sent: map[string]*request{}, reported: map[string]bool{}}
+	f := newFleet(s.Dir, s.Bin)
+	s.fleet = f
+	t.Cleanup(func() {
+		cancel()
+		f.wait()
+	})
+	for _, err := range []error{f.startList(ctx), f.startPlains(retryPlains), f.startEntries(ctx, retryEntries)} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.started = time.Now()
+	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{}}, Key: fake.Key}
+	for _, entry := range f.entries {
+		for n := 0; ; n++ {
+			if o := s.sendTo(ctx, caller, entry, fake.PathRepeat+"x", "", fmt.Sprintf("ready-%s-%d", entry, n), ""); o.Status == http.StatusOK {
+				break
+			}
+			if time.Since(s.started) > readyTimeout {
+				t.Fatal("the fleet did not serve a request within the ready timeout")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return s
+}
+
+// sendRepeatable has callers send requests that may be repeated to all entries while act runs.
+func (s *Soak) sendRepeatable(act func()) {
+	ctx, stop := context.WithCancel(context.Background())
+	var sending sync.WaitGroup
+	for i := range retryCallers {
+		sending.Go(func() {
+			rnd := rand.New(rand.NewPCG(s.Seed, uint64(i))) //nolint:gosec // not used as a secret
+			caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, Key: fake.Key}
+			for ctx.Err() == nil {
+				s.sendTo(context.Background(), caller, s.fleet.entries[rnd.IntN(len(s.fleet.entries))], fake.PathRepeat+"x", "", s.newID(), "")
+				time.Sleep(time.Duration(rnd.Int64N(int64(retryPause))))
+			}
+		})
+	}
+	act()
+	stop()
+	sending.Wait()
+}
+
+// fail makes all upstreams fail with the status, or by broken connections, until the returned function
+// is called.
+func (f *fleet) fail(status int) func() {
+	for _, u := range f.upstreams() {
+		if status == 0 {
+			f.current(u).AbortNext(1 << 30)
+			continue
+		}
+		f.current(u).FailWith(status)
+	}
+	return func() {
+		for _, u := range f.upstreams() {
+			f.current(u).AbortNext(0)
+			f.current(u).FailWith(0)
+		}
+	}
+}
+
+// kill kills entries, with a pause between two of them. Each starts again after restartDelay.
+func (f *fleet) kill(entries int, pause time.Duration) {
+	for i := range entries {
+		f.process(entryName(i)).signal(syscall.SIGKILL)
+		time.Sleep(pause)
+	}
+}
+
+// Guards against entries that are killed after they have used their retries and use them once more:
+// the upstreams get the repeats of both lives within one window.
+func TestRestartedEntriesStayWithinTheRetryBudget(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		status  int
+		killed  int
+		pause   time.Duration
+		repeats int
+	}{
+		{"all at once, connections break", 0, retryEntries, 0, 1},
+		{"one after the other, 500", http.StatusInternalServerError, retryEntries, 600 * time.Millisecond, 1},
+		{"one again and again, 503 not run", http.StatusServiceUnavailable, 1, 1500 * time.Millisecond, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startPlainSoak(t)
+			s.sendRepeatable(func() {
+				time.Sleep(retryWindow)
+				end := s.fleet.fail(c.status)
+				time.Sleep(2 * time.Second)
+				for range c.repeats {
+					s.fleet.kill(c.killed, c.pause)
+				}
+				time.Sleep(retryWindow)
+				end()
+			})
+			l := s.retryLoads()[fake.PlainService]
+			t.Logf("%d repeats in the worst window, allowed %.0f", l.repeats, l.allowed)
+			if l.repeats == 0 {
+				t.Error("no request was repeated")
+			}
+			for _, what := range s.checkRetries() {
+				t.Error(what)
+			}
+		})
+	}
+}
