hop: nothing arrives of a request whose write failed without a byte

A test for a point that was only assumed: a send that fails so takes nothing from the retry budget, and the upstream must not have got anything. It holds; no code changes.

--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -105,3 +106,26 @@
 		t.Errorf("got error %v, want one that isn't marked with ErrSent", err)
 	}
 }
+
+// Guards against a send that counts as not sent though the upstream got the request: where no byte
+// was written, none may arrive.
+func TestNothingArrivesOfAnUnsentRequest(t *testing.T) {
+	p, _, upstream, addr := newIdleConn(t, "")
+	c, err := p.Get(t.Context(), "u", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Unix(1, 0)); err != nil { // the caller has left
+		t.Fatal(err)
+	}
+	if err := c.Send(&Request{Method: http.MethodGet, Target: "/", Host: "h"}); err == nil || errors.Is(err, ErrSent) {
+		t.Fatalf("got %v, want an error of a request that wasn't sent", err)
+	}
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var b [1]byte
+	if n, err := upstream.Read(b[:]); n != 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("the upstream got %d bytes, %v", n, err)
+	}
+}
