allow, relay: a retry counts when it is sent, not when it is allowed

What callers saw: nothing directly; upstreams that come back get the retries of several seconds at once, on top of those of the window that begins then.

Cause: a retry was charged to the budget when the attempt before it failed. While all upstreams are gone, or wait for an adapter, retries wait for seconds, and arrive in another window than that to which they were charged. A count of what is sent was kept where it is decided, not where it happens.

A retry is now reserved, and counted right before it is sent; one that is not sent is returned. A send that reaches no upstream at all (connections refused, nothing written) isn't one.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -62,7 +62,10 @@
 type fakePools struct {
 	mu       sync.Mutex
 	replicas []string
-	retries  int
+	// retries is the number of retries left, reserved and spent what became of the others. OnSpend
+	// reports whether a reserved one may be sent, nil for always.
+	retries, reserved, spent int
+	onSpend                  func() bool
 	// outstanding is the work that each replica was reported to have.
 	outstanding map[string]int
 	// maxWait is the Most of each choice. Replicas in rankedLast are chosen last.
@@ -74,11 +77,33 @@
 
 func (p *fakePools) Router(string) magno.Chooser { return p }
 func (p *fakePools) CountRequest(string)         {}
-func (p *fakePools) AllowRetry(string) bool {
+func (p *fakePools) ReserveRetry(string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.retries == 0 {
+		return false
+	}
 	p.retries--
-	return p.retries >= 0
+	p.reserved++
+	return true
+}
+
+func (p *fakePools) SpendRetry(string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserved--
+	if p.onSpend != nil && !p.onSpend() {
+		return false
+	}
+	p.spent++
+	return true
+}
+
+func (p *fakePools) ReturnRetry(string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserved--
+	p.retries++
 }
 func (p *fakePools) Update([]magno.Target) {}
 func (p *fakePools) Rest(name string, until magno.Millis) {
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -69,6 +69,9 @@
 	mayHaveRun bool
 	// runs counts the upstreams that may have run it.
 	runs int
+	// arrived is true once an upstream may have received the request: all further sends are
+	// retries. retryReserved is true while one is reserved in the retry budget.
+	arrived, retryReserved bool
 	// sentAt is when the last send began.
 	sentAt magno.Millis
 	// permitID is the permit of the last send, empty if it had none. permitLimited is true if it
@@ -129,6 +132,7 @@
 	}
 	defer j.returnQuota()
 	j.Pools.CountRequest(j.service.Name)
+	defer j.returnRetry()
 	for {
 		res := j.attempt(ctx)
 		if res == resultDone || !j.canRetry(ctx, res) {
@@ -147,9 +151,9 @@
 	case resultUnsent:
 		return len(j.tried) < maxReplicasTried
 	case resultNotRun:
-		return len(j.tried) < maxReplicasTried && j.Pools.AllowRetry(j.service.Name)
+		return len(j.tried) < maxReplicasTried && j.reserveRetry()
 	case resultFailed:
-		return j.route.Repeatable() && j.runs < j.route.Attempts && j.Pools.AllowRetry(j.service.Name)
+		return j.route.Repeatable() && j.runs < j.route.Attempts && j.reserveRetry()
 	}
 	return false
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -72,10 +72,14 @@
 type Pools interface {
 	// Router returns the router of a service.
 	Router(service string) magno.Chooser
-	// CountRequest counts a request towards the retry budget. AllowRetry reports whether the
-	// budget allows one more send, and charges it.
+	// CountRequest counts a request towards the retry budget.
 	CountRequest(service string)
-	AllowRetry(service string) bool
+	// ReserveRetry sets one retry aside in the retry budget, or returns false if that is used up.
+	// Each reserved retry ends with SpendRetry right before it is sent, which returns false if it
+	// must not be, or with ReturnRetry.
+	ReserveRetry(service string) bool
+	SpendRetry(service string) bool
+	ReturnRetry(service string)
 }
 
 // Limits grants the requests to upstreams that name a limit and have no agent to grant them.
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -55,6 +55,10 @@
 		}
 		return j.abortedOr(ctx, resultUnsent)
 	}
+	if !j.spendRetry() {
+		_ = conn.Close()
+		return resultRefused
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
 	defer stop()
 	j.tried = append(j.tried, key)
@@ -66,10 +70,10 @@
 			j.logTry("send", err)
 			return j.abortedOr(ctx, resultUnsent)
 		}
-		j.recordRun()
+		j.recordArrival()
 		return j.connectionFailed(ctx, r, err)
 	}
-	j.recordRun()
+	j.recordArrival()
 	res, err := j.receiveHead(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
@@ -78,12 +82,13 @@
 	return j.handleResponse(ctx, r, conn, res)
 }
 
-func (j *job) recordRun() {
+func (j *job) recordArrival() {
+	j.arrived = true
 	j.mayHaveRun = true
 	j.runs++
 }
 
-// retractRun undoes recordRun: the last upstream did not run the request.
+// retractRun takes back a run of recordArrival: the last upstream did not run the request.
 func (j *job) retractRun() {
 	j.runs--
 	j.mayHaveRun = j.runs > 0
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -95,16 +95,28 @@
 
 // CountRequest implements relay.Pools.
 func (p *pools) CountRequest(service string) {
-	p.mu.Lock()
-	pool := p.get(service)
-	p.mu.Unlock()
-	pool.retries.RecordRequest()
+	p.retries(service).RecordRequest()
+}
+
+// ReserveRetry implements relay.Pools.
+func (p *pools) ReserveRetry(service string) bool {
+	return p.retries(service).Reserve(p.part())
+}
+
+// SpendRetry implements relay.Pools.
+func (p *pools) SpendRetry(service string) bool {
+	return p.retries(service).Spend(p.part())
 }
 
-// AllowRetry implements relay.Pools.
-func (p *pools) AllowRetry(service string) bool {
+// ReturnRetry implements relay.Pools.
+func (p *pools) ReturnRetry(service string) { p.retries(service).Return() }
+
+// part returns this process's part of the slack.
+func (p *pools) part() float64 { return 1 / float64(p.peers.Processes()) }
+
+// retries returns the retry budget of a service.
+func (p *pools) retries(service string) *allow.Budget {
 	p.mu.Lock()
-	pool := p.get(service)
-	p.mu.Unlock()
-	return pool.retries.TakeRetry(p.peers.Processes())
+	defer p.mu.Unlock()
+	return p.get(service).retries
 }
--- a/magno/allow/allow.go
+++ b/magno/allow/allow.go
@@ -6,10 +6,13 @@
 // window, all processes together may send Ratio retries per request received, plus
 // Slack.
 //
-// No state is shared. Each process counts the requests that it received itself and
-// uses an equal part of the slack. The total stays within the limit as long as each
-// process knows how many there are; SafetyFactor allows for those it doesn't know
-// yet.
+// No state is shared. Each process counts the requests that it received and the retries
+// that it sent itself, and uses a part of the slack. The total stays within the limit as
+// long as each process knows how many there are; SafetyFactor allows for those it doesn't
+// know yet.
+//
+//	Reserve --> wait for an upstream --> Spend: counted at the time of sending
+//	   '-----> no upstream is had -----> Return
 package allow
 
 import (
@@ -36,8 +39,9 @@
 
 	mu sync.Mutex
 	// requests and retries count the requests received and the retries sent within the
-	// last WindowLength.
+	// last WindowLength, reserved the retries that wait to be sent.
 	requests, retries slide.Sum
+	reserved          int
 }
 
 // RecordRequest counts a received request.
@@ -48,20 +52,49 @@
 	b.requests.Add(1, b.Clock.Now())
 }
 
-// TakeRetry takes one retry from the budget, or returns false if it is used up. The
-// slack is divided among the given number of processes, which includes this one.
-func (b *Budget) TakeRetry(processes int) bool {
+// Reserve sets one retry aside, or returns false if the budget is used up. Part is this
+// process's part of the slack, from 0 to 1. Each reserved retry ends with Spend or Return.
+func (b *Budget) Reserve(part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setWindows()
 	now := b.Clock.Now()
-	slackShare := min(float64(now-b.StartedAt)/float64(max(b.WindowLength, 1)), 1)
-	limit := SafetyFactor * (b.Ratio*b.requests.Total(now) + slackShare*b.Slack/float64(max(processes, 1)))
-	if b.retries.Total(now)+1 > limit {
+	if b.retries.Total(now)+float64(b.reserved)+1 > b.limit(part, now) {
+		return false
+	}
+	b.reserved++
+	return true
+}
+
+// Spend counts a reserved retry as sent now. It returns false if the limit has fallen
+// meanwhile; the retry must not be sent then. Its reservation ends in any case.
+//
+// Load pattern: all upstreams are gone, and the retries of some seconds wait for the first
+// one that is back. They arrive there within one window, whenever they were reserved.
+func (b *Budget) Spend(part float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setWindows()
+	b.reserved--
+	now := b.Clock.Now()
+	if b.retries.Total(now)+1 > b.limit(part, now) {
 		return false
 	}
 	b.retries.Add(1, now)
 	return true
 }
 
+// Return ends the reservation of a retry that isn't sent.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+}
+
+// limit returns how many retries this process may send per window. The caller holds mu.
+func (b *Budget) limit(part float64, now magno.Millis) float64 {
+	age := float64(now-b.StartedAt) / float64(max(b.WindowLength, 1))
+	return SafetyFactor * (b.Ratio*b.requests.Total(now) + min(age, 1)*part*b.Slack)
+}
+
 func (b *Budget) setWindows() { b.requests.Window, b.retries.Window = b.WindowLength, b.WindowLength }
--- a/magno/allow/allow_test.go
+++ b/magno/allow/allow_test.go
@@ -9,6 +9,9 @@
 	"magnoliastall.example/magno/slide"
 )
 
+// take reserves a retry and sends it at once.
+func (b *Budget) take(part float64) bool { return b.Reserve(part) && b.Spend(part) }
+
 // Guards against exceeding the limit when a pool fails all requests and every process
 // retries them. Four processes with uneven traffic together must stay within it in
 // every window.
@@ -30,7 +33,7 @@
 			b := budgets[rapid.IntRange(0, processes-1).Draw(t, "process")]
 			b.RecordRequest()
 			events = append(events, event{clock.Now(), false})
-			if b.TakeRetry(processes) {
+			if b.take(1.0 / processes) {
 				events = append(events, event{clock.Now(), true})
 			}
 		}
@@ -57,14 +60,14 @@
 	clock := magno.NewClock(magno.Hour)
 	b := &Budget{Clock: clock, Ratio: 0.2, Slack: 10, WindowLength: 10 * magno.Second}
 	retries := 0
-	for retries <= 100 && b.TakeRetry(1) {
+	for retries <= 100 && b.take(1) {
 		retries++
 	}
 	if float64(retries) > b.Slack {
 		t.Fatalf("%d retries were allowed, of at most %.0f", retries, b.Slack)
 	}
 	clock.Advance(11 * magno.Second)
-	if !b.TakeRetry(1) {
+	if !b.take(1) {
 		t.Error("no retry is allowed after the window has passed")
 	}
 }
@@ -104,7 +107,7 @@
 			b.RecordRequest()
 			requests.Add(1, now)
 			for range 3 {
-				if b.TakeRetry(processes) {
+				if b.take(1 / float64(processes)) {
 					retries.Add(1, now)
 				}
 			}
