retry: a new budget holds two retries, not a full bucket

The retry budget of the own interface started full in each life of each process. Entries that are killed again and again while a pool fails retried ten requests in each life. A new budget now holds what one request needs for its three attempts; successes fill it.

TestBudgetBoundsRetries expected Depth + Ratio x successes from a new budget; it now expects InitialTokens + Ratio x successes, with the same margin, and TestBucketHoldsItsDepth checks the depth that it checked along the way. TestLivesDoNotEachRetryAWholeBucket: 200 retries in 20 lives before, 40 now.

--- a/magno/retry/retry.go
+++ b/magno/retry/retry.go
@@ -8,7 +8,8 @@
 // A token bucket limits retries to a fraction of the successes: with a Ratio of 0.1,
 // a pool that fails completely gets a tenth more attempts, not three times as many.
 // The depth of the bucket allows immediate retries of single failures in a pool with
-// little traffic. Waits use exponential backoff with full jitter, so that requests
+// little traffic. A new bucket is nearly empty, since processes that are killed again and
+// again while a pool fails would otherwise retry a whole bucket in each life. Waits use exponential backoff with full jitter, so that requests
 // that failed together are not retried together.
 package retry
 
@@ -23,6 +24,9 @@
 const (
 	DefaultRatio = 0.1
 	DefaultDepth = 10.0
+	// InitialTokens is the number of retries in a new budget: a single request right after the
+	// start of a process gets three attempts.
+	InitialTokens = 2.0
 	// DefaultBase is the upper bound of the first wait. It doubles with each attempt.
 	DefaultBase = 20 * magno.Millis(1)
 	// DefaultCap is the largest upper bound of a wait.
@@ -34,7 +38,7 @@
 type Budget struct {
 	// Ratio is the number of retries that each success adds to the budget.
 	Ratio float64
-	// Depth is the capacity of the bucket in retries. A new budget is full.
+	// Depth is the capacity of the bucket in retries, at least InitialTokens.
 	Depth float64
 	// Base and Cap bound the first and the longest wait.
 	Base magno.Millis
@@ -63,7 +67,7 @@
 		b.Cap = DefaultCap
 	}
 	b.rand = rand.New(rand.NewPCG(b.Seed, 3))
-	b.tokens = b.Depth
+	b.tokens = InitialTokens
 }
 
 // Succeeded records a successful attempt.
--- a/magno/retry/retry_test.go
+++ b/magno/retry/retry_test.go
@@ -19,11 +19,46 @@
 			retries++
 		}
 	}
-	if want := int(DefaultDepth + 500*DefaultRatio); retries > want || retries < want-2 {
+	if want := int(InitialTokens + 500*DefaultRatio); retries > want || retries < want-2 {
 		t.Fatalf("%d retries were allowed, want about %d", retries, want)
 	}
 }
 
+// Guards against a bucket that holds more than its depth after a long time without failures.
+func TestBucketHoldsItsDepth(t *testing.T) {
+	b := &Budget{}
+	for range 1000 {
+		b.Succeeded()
+	}
+	if n := b.retryAll(100); n != DefaultDepth {
+		t.Errorf("%d retries in a row were allowed, want %v", n, DefaultDepth)
+	}
+}
+
+// Guards against processes that are killed again and again while a pool fails, and retry a whole
+// bucket in each life.
+func TestLivesDoNotEachRetryAWholeBucket(t *testing.T) {
+	const lives = 20
+	sum := 0
+	for range lives {
+		sum += (&Budget{}).retryAll(100)
+	}
+	if sum < lives || sum > lives*InitialTokens {
+		t.Errorf("%d retries were allowed in %d lives, want %v", sum, lives, lives*InitialTokens)
+	}
+}
+
+// retryAll returns how many of n failures in a row may be retried.
+func (b *Budget) retryAll(n int) int {
+	retries := 0
+	for range n {
+		if _, ok := b.Allow(magno.Refuse(magno.KindNoUpstream, "down"), 1, magno.Minute, 0, true); ok {
+			retries++
+		}
+	}
+	return retries
+}
+
 func TestAgain(t *testing.T) {
 	tests := []struct {
 		name   string
