peers: sides of a partition share the slack by their seeds, and lost entries count while their retries do

Three causes of one kind, an entry that knows fewer others than there are and takes a larger part of the slack: - An entry that starts while it is cut off knows only the seeds. Each side of a partition divided the whole slack among its entries. Each seed now carries an equal part, which the entries that reach it share. - An entry whose machine refuses connections was left out at once, though what it had sent within the window still counts. It now counts until that has left the window. - A peer counted for 30 s after its last hello. Above 450 entries hellos of a pair are further apart than that, and a living peer stopped counting. It now counts as long as it is alive, and 30 s after it was lost. Limits of customers and upstreams use the same count.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -57,8 +57,8 @@
 	maxProbes = 32
 	// maxSampledPeers bounds the entries listed in a hello to one that knows most of them.
 	maxSampledPeers = 16
-	// memberTTL is how long a peer that was alive still counts among those that share the
-	// retry budget: it may be unreachable from here only.
+	// memberTTL is how long a peer that was alive still counts among those that share a
+	// limit: it may be unreachable from here only.
 	memberTTL = 30 * magno.Second
 	// discoveryTime is how long an entry that has met no other assumes that assumedEntries
 	// exist. Until it meets one it looks for peers every discoveryInterval.
@@ -144,8 +144,8 @@
 	seenAt  magno.Millis
 	pending bool
 	// askedAt is the time of the last hello to it, learnedAt that at which its address
-	// became known.
-	askedAt, learnedAt magno.Millis
+	// became known, lostAt that at which it was last found to be no longer alive.
+	askedAt, learnedAt, lostAt magno.Millis
 	// lastStamp is the last stamp received from it.
 	lastStamp receivedStamp
 }
@@ -264,7 +264,7 @@
 		k.misses++
 		k.refused = errors.Is(err, syscall.ECONNREFUSED)
 		if k.alive && k.misses >= lostAfterMisses {
-			k.alive = false
+			k.alive, k.lostAt = false, p.Clock.Now()
 			p.Log.Info("entry lost", "peer", k.hello.Name, "addr", addr, "error", err)
 		}
 	}
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -81,7 +81,7 @@
 		nodes = append(nodes, start(t, fmt.Sprint("n", i), seed.Addr))
 	}
 	for _, n := range nodes {
-		waitFor(t, "all peers", func() bool { return n.Processes() == len(nodes) })
+		waitFor(t, "all peers", func() bool { return n.Processes(magno.Second) == len(nodes) })
 	}
 	first := nodes[3]
 	first.Broadcast(first.Book.ApplyRead([]magno.Change{plan(7, 5)}, 5, true))
@@ -158,7 +158,7 @@
 	seed := start(t, "seed")
 	nodes := []*node{seed, start(t, "a", seed.Addr), start(t, "b", seed.Addr)}
 	for _, n := range nodes {
-		waitFor(t, "all peers", func() bool { return n.Processes() == len(nodes) })
+		waitFor(t, "all peers", func() bool { return n.Processes(magno.Second) == len(nodes) })
 	}
 	memberHash := seed.newHello(0, 0).MemberHash
 	for _, n := range nodes {
--- a/entry/peers/role_test.go
+++ b/entry/peers/role_test.go
@@ -21,7 +21,7 @@
 		nodes = append(nodes, start(t, fmt.Sprint("n", i), seed.Addr))
 	}
 	for _, n := range nodes {
-		waitFor(t, "all peers", func() bool { return n.Processes() == len(nodes) })
+		waitFor(t, "all peers", func() bool { return n.Processes(magno.Second) == len(nodes) })
 		n.Book.ApplyRead([]magno.Change{plan(1, 1)}, 1, true)
 	}
 	confirm := func() {
@@ -78,7 +78,7 @@
 		nodes = append(nodes, startWithLink(t, fmt.Sprint("n", i), link, seed.Addr))
 	}
 	for _, n := range nodes {
-		waitFor(t, "all peers", func() bool { return n.Processes() == len(nodes) })
+		waitFor(t, "all peers", func() bool { return n.Processes(magno.Second) == len(nodes) })
 		n.Book.ApplyRead([]magno.Change{plan(1, 1)}, 1, true)
 	}
 	for _, n := range nodes {
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -100,20 +100,17 @@
 
 // ReserveRetry implements relay.Pools.
 func (p *pools) ReserveRetry(service string) bool {
-	return p.retries(service).Reserve(p.part())
+	return p.retries(service).Reserve(p.peers.Part(p.settings.RetryWindow))
 }
 
 // SpendRetry implements relay.Pools.
 func (p *pools) SpendRetry(service string) bool {
-	return p.retries(service).Spend(p.part())
+	return p.retries(service).Spend(p.peers.Part(p.settings.RetryWindow))
 }
 
 // ReturnRetry implements relay.Pools.
 func (p *pools) ReturnRetry(service string) { p.retries(service).Return() }
 
-// part returns this process's part of the slack.
-func (p *pools) part() float64 { return 1 / float64(p.peers.Processes()) }
-
 // retries returns the retry budget of a service.
 func (p *pools) retries(service string) *allow.Budget {
 	p.mu.Lock()
