allow: what a process sent before it was killed counts in the limit

What callers saw: upstreams that fail get more repeats than all entries together may send (BUDGET), in the window after entries were killed.

Cause: each process counts its own retries, and what its earlier life sent within the window is forgotten when it ends. Its slack grew from zero anew, but the part by requests did not, and the earlier life's whole budget came on top. The test that existed spends evenly, so that the old part leaves the window as the new one grows; the worst load is a burst right before the kill. Class of fault: what a process counts for all is lost when it ends.

The limit is divided: 0.65 of it for processes that have run for a window, 0.25 for those that started within it, which together send at most that however often they are restarted. Nothing has to be remembered or told, so it holds where all are lost at once. What others could tell an entry that restarts would lack what was sent since its last message, which is the worst case.

--- a/drive/soak/retry_test.go
+++ b/drive/soak/retry_test.go
@@ -78,11 +78,7 @@
 // is called.
 func (f *fleet) fail(status int) func() {
 	for _, u := range f.upstreams() {
-		if status == 0 {
-			f.current(u).AbortNext(1 << 30)
-			continue
-		}
-		f.current(u).FailWith(status)
+		f.failOne(u, status)
 	}
 	return func() {
 		for _, u := range f.upstreams() {
@@ -92,6 +88,15 @@
 	}
 }
 
+// failOne makes an upstream fail with the status, or by broken connections with 0.
+func (f *fleet) failOne(u *upstream, status int) {
+	if status == 0 {
+		f.current(u).AbortNext(1 << 30)
+		return
+	}
+	f.current(u).FailWith(status)
+}
+
 // kill kills entries, with a pause between two of them. Each starts again after restartDelay.
 func (f *fleet) kill(entries int, pause time.Duration) {
 	for i := range entries {
@@ -137,3 +142,58 @@
 		})
 	}
 }
+
+// servedShare returns the share of the requests sent in a period that were served.
+func (s *Soak) servedShare(from, to time.Time) (share float64, sent int) {
+	served := 0
+	for _, r := range s.requestsInOrder() {
+		if r.at.Before(from) || r.at.After(to) {
+			continue
+		}
+		sent++
+		if r.outcome.Status == http.StatusOK && r.outcome.Complete {
+			served++
+		}
+	}
+	return float64(served) / float64(max(sent, 1)), sent
+}
+
+// Guards against entries that start with so few retries that callers see the failures of a single
+// upstream.
+func TestRestartedEntriesServeBesideAFailingUpstream(t *testing.T) {
+	const (
+		startTime = time.Second
+		period    = 6 * time.Second
+		least     = 0.95
+	)
+	for _, c := range []struct {
+		name   string
+		status int
+		killed int
+	}{
+		{"all restart, connections break", 0, retryEntries},
+		{"all restart, 500", http.StatusInternalServerError, retryEntries},
+		{"one restarts, 500", http.StatusInternalServerError, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startPlainSoak(t)
+			var from time.Time
+			s.sendRepeatable(func() {
+				time.Sleep(time.Second)
+				s.fleet.kill(c.killed, 0)
+				s.fleet.failOne(s.fleet.plains[0], c.status)
+				time.Sleep(startTime)
+				from = time.Now()
+				time.Sleep(period)
+			})
+			share, sent := s.servedShare(from, from.Add(period))
+			t.Logf("%.4f of %d requests were served", share, sent)
+			if share < least {
+				t.Errorf("%.4f of %d requests were served, want %.2f", share, sent, least)
+			}
+			for _, what := range s.checkRetries() {
+				t.Error(what)
+			}
+		})
+	}
+}
--- a/magno/allow/allow.go
+++ b/magno/allow/allow.go
@@ -6,10 +6,11 @@
 // window, all processes together may send Ratio retries per request received, plus
 // Slack.
 //
-// No state is shared. Each process counts the requests that it received and the retries
-// that it sent itself, and uses a part of the slack. The total stays within the limit as
-// long as each process knows how many there are; SafetyFactor allows for those it doesn't
-// know yet.
+// No state is shared, and none outlives a process. Each process counts what it received
+// and sent itself and uses a part of the slack. What it had sent before it was killed is
+// forgotten, but still counts at the upstreams. So a process uses RestartShare of the
+// limit until it has run for a window, and only then SteadyShare: the earlier lives of all
+// processes and the later ones, however many, stay within the limit together.
 //
 //	Reserve --> wait for an upstream --> Spend: counted at the time of sending
 //	   '-----> no upstream is had -----> Return
@@ -22,9 +23,13 @@
 	"magnoliastall.example/magno/slide"
 )
 
-// SafetyFactor is the part of the limit that is used. Other processes may not count a
-// newly started one for up to two seconds.
-const SafetyFactor = 0.8
+const (
+	// SteadyShare is the part of the limit that a process uses after its first window,
+	// RestartShare that before. Their sum leaves a margin for requests that arrive
+	// unevenly and for processes that count each other late.
+	SteadyShare  = 0.65
+	RestartShare = 0.25
+)
 
 // Budget is the retry budget of one process for one service. It is safe for concurrent
 // use; exported fields are set before use.
@@ -34,7 +39,7 @@
 	Slack        float64
 	WindowLength magno.Millis
 	// StartedAt is when this process started. Its part of the slack grows from zero over the
-	// first WindowLength, because all processes may have been restarted after using theirs.
+	// first WindowLength, so that a process that is restarted again and again uses it once.
 	StartedAt magno.Millis
 
 	mu sync.Mutex
@@ -94,7 +99,10 @@
 // limit returns how many retries this process may send per window. The caller holds mu.
 func (b *Budget) limit(part float64, now magno.Millis) float64 {
 	age := float64(now-b.StartedAt) / float64(max(b.WindowLength, 1))
-	return SafetyFactor * (b.Ratio*b.requests.Total(now) + min(age, 1)*part*b.Slack)
+	if age >= 1 {
+		return SteadyShare * (b.Ratio*b.requests.Total(now) + part*b.Slack)
+	}
+	return RestartShare * (b.Ratio*b.requests.Total(now) + age*part*b.Slack)
 }
 
 func (b *Budget) setWindows() { b.requests.Window, b.retries.Window = b.WindowLength, b.WindowLength }
--- a/magno/allow/restart_test.go
+++ b/magno/allow/restart_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"magnoliastall.example/magno"
 )
 
@@ -108,6 +110,53 @@
 	return worst
 }
 
+// Guards against processes that use their retries, are killed and use them again: what an
+// earlier life sent within the window counts together with what the next ones send. Entries are
+// also added, get uneven parts of the traffic, and retries wait for an upstream.
+func TestLivesTogetherStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{clock: magno.NewClock(magno.Hour)}
+		for range rapid.IntRange(1, 8).Draw(t, "entries") {
+			e := &entry{weight: float64(rapid.IntRange(1, 4).Draw(t, "weight"))}
+			f.start(e)
+			f.entries = append(f.entries, e)
+		}
+		rate := float64(rapid.IntRange(0, 60).Draw(t, "rate"))
+		for range 2 * modelWindow / modelStep { // all have run for long
+			f.play(rate, 0, false)
+		}
+		for range rapid.IntRange(2, 8).Draw(t, "phases") {
+			rate = float64(rapid.IntRange(0, 60).Draw(t, "rate"))
+			failing, wait := rapid.SampledFrom([]float64{0, 0.2, 1, 1}).Draw(t, "failing"), rapid.Bool().Draw(t, "wait")
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				f.play(rate, failing, wait)
+			}
+			for _, e := range f.entries {
+				f.release(e)
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				for _, e := range f.entries {
+					f.start(e)
+				}
+			case 1:
+				for _, e := range f.entries {
+					if rapid.Bool().Draw(t, "killed") {
+						f.start(e)
+					}
+				}
+			case 2:
+				e := &entry{weight: 1}
+				f.start(e)
+				f.entries = append(f.entries, e)
+			}
+		}
+		if excess := f.excess(); excess > 0 {
+			t.Fatalf("%.0f retries over the limit", excess)
+		}
+	})
+}
+
 // Guards against retries that wait for an upstream while it is gone, and reach it together with
 // those that are reserved after it came back.
 func TestRetriesThatWaitCountWhenTheyAreSent(t *testing.T) {
