relay: whether a request was sent before an upstream ended is told by its number, not by the millisecond

What callers saw: a sound request could be charged with the end of an upstream that it was sent to only after that end, and count as its cause after three of them.

Cause: sends and breaks were ordered by times in milliseconds, and those of the same millisecond counted as sent before. Sends are numbered now.

--- a/entry/relay/ending.go
+++ b/entry/relay/ending.go
@@ -49,6 +49,8 @@
 type endCheck struct {
 	replica  *magno.Replica
 	brokenAt magno.Millis
+	// lastSend is the number of the last send that had begun by then.
+	lastSend uint64
 	runs     []brokenRun
 	// ended is true once it is known that it did, alive once it answered a later request.
 	ended, alive bool
@@ -80,7 +82,7 @@
 	defer h.ends.mu.Unlock()
 	c := h.ends.newest[key]
 	switch {
-	case c != nil && j.sentAt <= c.brokenAt:
+	case c != nil && j.sendNumber <= c.lastSend:
 		h.addRun(c, run)
 		return
 	case c != nil && (c.ended || run.at-c.brokenAt <= cancelWindow):
@@ -89,7 +91,7 @@
 	if h.ends.newest == nil {
 		h.ends.newest = map[string]*endCheck{}
 	}
-	c = &endCheck{replica: r, brokenAt: run.at, runs: []brokenRun{run}}
+	c = &endCheck{replica: r, brokenAt: run.at, lastSend: h.sendCount.Load(), runs: []brokenRun{run}}
 	h.ends.newest[key] = c
 	h.ends.active.Add(1)
 	go h.runEndCheck(c)
@@ -97,13 +99,13 @@
 
 // answeredSince ends the check of an upstream that answered a request sent after the connections
 // broke.
-func (h *Handler) answeredSince(key string, sentAt magno.Millis) {
+func (h *Handler) answeredSince(key string, sendNumber uint64) {
 	if h.ends.active.Load() == 0 {
 		return
 	}
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
-	if c := h.ends.newest[key]; c != nil && sentAt > c.brokenAt {
+	if c := h.ends.newest[key]; c != nil && sendNumber > c.lastSend {
 		c.alive = true
 	}
 }
@@ -115,7 +117,7 @@
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
 	if c := h.ends.newest[run.key]; c != nil && run.at-c.brokenAt <= cancelWindow {
-		if j.sentAt <= c.brokenAt {
+		if j.sendNumber <= c.lastSend {
 			h.addRun(c, run)
 		}
 		return
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -72,8 +72,9 @@
 	// arrived is true once an upstream may have received the request: all further sends are
 	// retries. retryReserved is true while one is reserved in the retry budget.
 	arrived, retryReserved bool
-	// sentAt is when the last send began.
-	sentAt magno.Millis
+	// sentAt is when the last send began, sendNumber its number among those of the process.
+	sentAt     magno.Millis
+	sendNumber uint64
 	// permitID is the permit of the last send, empty if it had none. permitLimited is true if it
 	// was granted under a limit of the engine.
 	permitID      string
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -131,6 +131,8 @@
 	// loadLevel is a strain.Level.
 	loadLevel atomic.Int32
 	permitSeq atomic.Uint64
+	// sendCount counts the sends to upstreams. Their order can't be told from times in milliseconds.
+	sendCount atomic.Uint64
 	ends      endChecks
 }
 
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -63,7 +63,7 @@
 	defer stop()
 	j.tried = append(j.tried, key)
 	j.sends++
-	j.sentAt = j.Clock.Now()
+	j.sentAt, j.sendNumber = j.Clock.Now(), j.sendCount.Add(1)
 	if err := conn.Send(j.upstreamRequest(r, urgency)); err != nil {
 		_ = conn.Close()
 		if !errors.Is(err, hop.ErrSent) {
@@ -165,7 +165,7 @@
 	reply := j.Dialect.Reply(res.StatusCode, res.Header)
 	j.recordNotice(r.Key(), &reply)
 	if reply.Signed && reply.ID == j.id {
-		j.answeredSince(r.Key(), j.sentAt)
+		j.answeredSince(r.Key(), j.sendNumber)
 	}
 	if j.route.Kind == magno.RouteStream && res.StatusCode == http.StatusOK && j.authentic(res, &reply) {
 		return j.forwardStream(ctx, r, conn, res)
