trial, crash: a request that is refused for the ends of upstreams runs once more, alone

What callers saw: a sound request that three upstreams' own ends hit in a row was answered 503 at all entries for half an hour; nobody could clear it, since it never ran.

Cause: a record is cleared by a completion, and a refused request can't complete.

10 s after the last end the request's home, one entry for all, grants one send of it. If it completes it is cleared at all entries; if one more upstream ends it stays refused, for then more ended than it takes to be refused; if neither, it may be tried once more. The platform allows three sends after the third end. A process that has just started grants none for as long, since it may not know yet how a trial ended.

Evidence: TestSoundRequestIsServedAgainAfterThreeEnds, four entries, six upstreams: on the code before refused at all four entries after 15 s, now served everywhere. TestRequestThatEndsUpstreamsIsHeldBack sends for 12 s longer, so that it includes the trial: 4 upstreams end in each case, within the bound of late sends.

--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -14,15 +14,24 @@
 	"magnoliastall.example/platform/fake"
 )
 
-// fatalTime is how long a test sends a fatal request: three ends with the time to return after each,
-// fatalDelay, and time for further sends.
-const fatalTime = 3*maxAway + fatalDelay + 4*time.Second
+const (
+	// trialTime is the time after the last end of an upstream within which an entry tries a
+	// request that is refused for the ends.
+	trialTime = 15 * time.Second
+	// fatalTime is how long a test sends a fatal request: three ends with the time to return after
+	// each, the time until it is tried, and time for further sends.
+	fatalTime = 3*maxAway + trialTime + 4*time.Second
+)
 
 // served reports whether a request is served in time, sent again and again to all entries.
 func (s *Soak) served(caller *fake.Caller, target, body, adapter string) bool {
-	end := time.Now().Add(recoveryLimit)
+	return s.servedWithin(recoveryLimit, caller, target, body, adapter)
+}
+
+func (s *Soak) servedWithin(limit time.Duration, caller *fake.Caller, target, body, adapter string) bool {
+	end := time.Now().Add(limit)
 	for n := 0; time.Now().Before(end); n++ {
-		o := s.sendTo(context.Background(), caller, s.fleet.entries[n%entryCount], target, body, s.newID(), adapter)
+		o := s.sendTo(context.Background(), caller, s.fleet.entries[n%len(s.fleet.entries)], target, body, s.newID(), adapter)
 		if o.Status == http.StatusOK && o.Complete {
 			return true
 		}
@@ -136,6 +145,35 @@
 	}
 }
 
+// Guards against a sound request that three upstreams' own ends hit in a row, and that is refused at
+// all entries for as long as they remember.
+func TestSoundRequestIsServedAgainAfterThreeEnds(t *testing.T) {
+	const target = fake.PathRepeat + "sound-5"
+	s := startPlainSoak(t)
+	caller := callerFrom("127.0.9.2")
+	s.fleet.fatal.set(target, true)
+	for n := 0; len(s.fleet.fatal.of(target)) < fatalEnds; n++ {
+		s.sendTo(context.Background(), caller, s.fleet.entries[n%len(s.fleet.entries)], target, "", s.newID(), "")
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.fleet.fatal.set(target, false)
+	time.Sleep(500 * time.Millisecond)
+	for _, entry := range s.fleet.entries {
+		if o := s.sendTo(context.Background(), caller, entry, target, "", s.newID(), ""); o.Status != http.StatusServiceUnavailable {
+			t.Errorf("%s answers %d after three ends, want a refusal", entry, o.Status)
+		}
+	}
+	if !s.servedWithin(trialTime, caller, target, "", "") {
+		t.Error("not served again")
+	}
+	time.Sleep(fatalDelay) // entries tell each other of ends and completions within this time
+	for _, entry := range s.fleet.entries {
+		if o := s.sendTo(context.Background(), caller, entry, target, "", s.newID(), ""); o.Status != http.StatusOK {
+			t.Errorf("%s answers %d after the request has completed", entry, o.Status)
+		}
+	}
+}
+
 // Guards against a check that can't fail: a request that reaches upstreams late and often.
 func TestFatalCheckFindsLateRequests(t *testing.T) {
 	const target = "/repeat/fatal"
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -72,6 +72,8 @@
 	// arrived is true once an upstream may have received the request: all further sends are
 	// retries. retryReserved is true while one is reserved in the retry budget.
 	arrived, retryReserved bool
+	// trial is true for a request that is refused and may be sent once all the same.
+	trial bool
 	// sentAt is when the last send began, sendNumber its number among those of the process.
 	sentAt     magno.Millis
 	sendNumber uint64
@@ -120,12 +122,15 @@
 		j.refuse(magno.Refuse(magno.KindNoUpstream, "the route's service isn't configured").WithRetryAfter(noReplicaRetryAfter))
 		return
 	}
-	if j.Suspects.MustRefuse(j.fingerprint) {
-		j.refuse(suspectRefusal())
-		return
-	}
 	ctx, cancel := context.WithTimeout(j.r.Context(), (j.deadline - j.Clock.Now()).Duration())
 	defer cancel()
+	if j.Suspects.MustRefuse(j.fingerprint) {
+		j.trial = j.Trials != nil && j.Trials.Ask(ctx, j.fingerprint)
+		if !j.trial {
+			j.refuse(suspectRefusal())
+			return
+		}
+	}
 	if refusal := j.takeQuota(ctx); refusal != nil {
 		j.refusal = refusal
 		j.finish(resultRefused)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -92,6 +92,11 @@
 	Report(key string, n magno.Notice, g magno.LimitGrant)
 }
 
+// Trials decides whether a request that is refused because upstreams ended under it may be sent once.
+type Trials interface {
+	Ask(ctx context.Context, fingerprint uint64) bool
+}
+
 // Handler handles callers' requests. Exported fields are set before use.
 type Handler struct {
 	// Name is the name of this instance. It makes the IDs of permits unique.
@@ -104,6 +109,8 @@
 	Pools   Pools
 	// Suspects records the requests under which upstreams ended.
 	Suspects *crash.Suspects
+	// Trials is nil where refused requests aren't tried.
+	Trials Trials
 	// Notices holds what upstreams state about themselves.
 	Notices *notice.Board
 	Limits  Limits
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -38,7 +38,7 @@
 func (j *job) send(ctx context.Context, r *magno.Replica, urgency int) result {
 	key := r.Key()
 	j.lastReplica = key
-	if j.Suspects.MustRefuse(j.fingerprint) {
+	if !j.trial && j.Suspects.MustRefuse(j.fingerprint) {
 		// Upstreams ended under it while it waited or was sent before.
 		j.refusal = suspectRefusal()
 		return resultRefused
@@ -61,6 +61,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
 	defer stop()
+	j.trial = false
 	j.tried = append(j.tried, key)
 	j.sends++
 	j.sentAt, j.sendNumber = j.Clock.Now(), j.sendCount.Add(1)
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/rand"
 	"net"
 	"net/http"
@@ -261,3 +262,51 @@
 		}
 	}
 }
+
+// grantTrials grants every trial.
+type grantTrials struct{ asked int }
+
+func (g *grantTrials) Ask(context.Context, uint64) bool {
+	g.asked++
+	return true
+}
+
+// Guards against a refused request that is tried and then sent to further upstreams, and against one
+// that completes in its trial and stays refused.
+func TestTriedRequestIsSentOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer func(int, *http.Request, net.Conn) bool
+		status int
+		asked  int
+	}{
+		{"ends the upstream", breakOff, http.StatusBadGateway, 2},
+		{"completes", streamOneEvent, http.StatusOK, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u, v := startUpstream(t, c.answer), startUpstream(t, c.answer)
+			s := newTestProxy(t, magno.RouteStream, true, u, v)
+			trials := &grantTrials{}
+			s.Trials = trials
+			s.permits.down.Store(true)
+			r := httptest.NewRequest(http.MethodGet, "/p/1", nil)
+			r.Host = "h.example"
+			j := &job{Handler: s.Handler, r: r}
+			for n := range uint64(3) {
+				s.Suspects.RecordEnd(j.computeFingerprint(), magno.UpstreamEnd{Upstream: n + 1})
+			}
+			res, _, err := s.get(t, http.MethodGet, "1")
+			if err != nil || res.StatusCode != c.status {
+				t.Errorf("got %v %v, want %d", res, err, c.status)
+			}
+			if n := u.requestCount() + v.requestCount(); n != 1 {
+				t.Errorf("sent %d times in its trial", n)
+			}
+			s.awaitChecks(t)
+			s.send(t, http.MethodGet, "2")
+			if trials.asked != c.asked {
+				t.Errorf("asked for %d trials, want %d", trials.asked, c.asked)
+			}
+		})
+	}
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -23,6 +23,7 @@
 	"magnoliastall.example/entry/peers"
 	"magnoliastall.example/entry/reads"
 	"magnoliastall.example/entry/relay"
+	"magnoliastall.example/entry/trial"
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/admin"
 	"magnoliastall.example/magno/crash"
@@ -104,9 +105,11 @@
 		Self: settings.PeerAddress, Mesh: e.mesh, Homes: e.peers.Homes, Entries: e.peers.Entries, Count: e.peers.Count, Notices: e.notices, Clock: clock, Log: log,
 	}
 	e.limit.Open()
+	trials := &trial.Manager{Self: settings.PeerAddress, Mesh: e.mesh, Homes: e.peers.Homes, Suspects: suspects, Clock: clock, Log: log}
+	trials.Open()
 	handler := &relay.Handler{
 		Name: settings.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Conns: e.conns, Permits: e.desk, Pools: e.pools,
-		Suspects: suspects, Notices: e.notices, Limits: e.limit, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
+		Suspects: suspects, Trials: trials, Notices: e.notices, Limits: e.limit, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
 		BodyMemory: memoryBudget(settings.MemoryLimit), ResponseMemory: memoryBudget(settings.MemoryLimit),
 	}
 	e.peers.Leaving = handler.Draining
--- /dev/null
+++ b/entry/trial/trial.go
@@ -0,0 +1,110 @@
+// Package trial lets a request that is refused as the cause of upstreams' ends run once more, alone.
+//
+//	relay: refused --Ask--> home of the request (this or another entry): Suspects --> granted or not
+//	          '--one send--> completes: cleared at all entries, or ends one more upstream
+//
+// Load pattern: copies of the request reach many entries at the same time. If each decided by itself,
+// a request that does end upstreams would end one for each entry. So one entry decides for all, the
+// request's home. While it can't be reached the request stays refused.
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"sync"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/wire"
+)
+
+// MethodTrial asks a request's home for a trial. It takes a call and returns a reply.
+const MethodTrial = "trial"
+
+const (
+	// callTimeout bounds a call to a home.
+	callTimeout = 150 * magno.Millis(1)
+	// askInterval is the least time between two calls for the same request, of which there may be
+	// many copies.
+	askInterval = magno.Second
+)
+
+type call struct {
+	Fingerprint uint64 `json:"print"`
+}
+
+type reply struct {
+	Granted bool `json:"granted"`
+}
+
+// Manager asks the homes of requests for trials, and is the home of some. Exported fields are set
+// before Open.
+type Manager struct {
+	// Self is this entry's address.
+	Self string
+	Mesh *wire.Mesh
+	// Homes lists the addresses of the homes of a key in order of preference.
+	Homes    func(key string) []string
+	Suspects *crash.Suspects
+	Clock    *magno.Clock
+	Log      *slog.Logger
+
+	mu sync.Mutex
+	// askedAt holds when this process last asked for a request.
+	askedAt *simplelru.LRU[uint64, magno.Millis]
+}
+
+// Open registers the method on the mesh. It must be called before the mesh runs.
+func (m *Manager) Open() {
+	m.askedAt, _ = simplelru.NewLRU[uint64, magno.Millis](crash.MaxRecords, nil)
+	m.Mesh.Handle(MethodTrial, m.handleTrial)
+}
+
+// Ask reports whether a refused request may be sent once.
+func (m *Manager) Ask(ctx context.Context, fingerprint uint64) bool {
+	if !m.Suspects.TrialDue(fingerprint) || !m.mayAsk(fingerprint) {
+		return false
+	}
+	homes := m.Homes(strconv.FormatUint(fingerprint, 16))
+	if len(homes) == 0 {
+		return false
+	}
+	granted, err := m.callHome(ctx, homes[0], fingerprint)
+	m.Log.Info("trial", "print", fingerprint, "home", homes[0], "granted", granted, "error", err)
+	return granted
+}
+
+// mayAsk reports whether the home may be asked now, and records that it is.
+func (m *Manager) mayAsk(fingerprint uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	if at, ok := m.askedAt.Get(fingerprint); ok && now-at < askInterval {
+		return false
+	}
+	m.askedAt.Add(fingerprint, now)
+	return true
+}
+
+func (m *Manager) callHome(ctx context.Context, addr string, fingerprint uint64) (bool, error) {
+	if addr == m.Self {
+		return m.Suspects.GrantTrial(fingerprint), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	var r reply
+	err := m.Mesh.Call(ctx, addr, MethodTrial, call{fingerprint}, &r)
+	return r.Granted, err
+}
+
+func (m *Manager) handleTrial(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var c call
+	if err := json.Unmarshal(params, &c); err != nil {
+		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
+	}
+	return reply{m.Suspects.GrantTrial(c.Fingerprint)}, nil
+}
--- /dev/null
+++ b/entry/trial/trial_test.go
@@ -0,0 +1,92 @@
+package trial
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
+	"magnoliastall.example/magno/wire"
+)
+
+// startManager returns the manager of an entry that refuses a request with the given fingerprint.
+func startManager(t *testing.T, clock *magno.Clock, fingerprint uint64) *Manager {
+	t.Helper()
+	mesh := &wire.Mesh{Listen: "127.0.0.1:0"}
+	if err := mesh.Open(); err != nil {
+		t.Fatal(err)
+	}
+	m := &Manager{
+		Self: mesh.Addr(), Mesh: mesh, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		Suspects: &crash.Suspects{Clock: clock, PoolSize: func(uint64) int { return 4 }},
+	}
+	for u := range uint64(3) {
+		m.Suspects.RecordEnd(fingerprint, magno.UpstreamEnd{Upstream: u + 1, Pool: 1})
+	}
+	m.Open()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- mesh.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return m
+}
+
+// Guards against copies of a request that reach several entries at once and are tried by each: a
+// request that ends upstreams would end one for each entry.
+func TestCopiesAtAllEntriesAreTriedOnce(t *testing.T) {
+	const fingerprint = 7
+	clock := magno.NewClock(magno.Hour)
+	var all []*Manager
+	for range 3 {
+		all = append(all, startManager(t, clock, fingerprint))
+	}
+	for _, m := range all {
+		m.Homes = func(string) []string { return []string{all[0].Self, all[1].Self} }
+	}
+	ask := func() int {
+		var granted atomic.Int32
+		var asking sync.WaitGroup
+		for _, m := range all {
+			for range 10 {
+				asking.Go(func() {
+					if m.Ask(context.Background(), fingerprint) {
+						granted.Add(1)
+					}
+				})
+			}
+		}
+		asking.Wait()
+		return int(granted.Load())
+	}
+	if n := ask(); n != 0 {
+		t.Errorf("%d trials right after the ends", n)
+	}
+	clock.Advance(crash.TrialWait)
+	if n := ask(); n != 1 {
+		t.Errorf("%d trials, want one", n)
+	}
+	clock.Advance(askInterval)
+	if n := ask(); n != 0 {
+		t.Errorf("%d trials while the first goes on", n)
+	}
+}
+
+// Guards against an entry that decides by itself while the home can't be reached.
+func TestNoTrialWithoutTheHome(t *testing.T) {
+	const fingerprint = 7
+	clock := magno.NewClock(magno.Hour)
+	m := startManager(t, clock, fingerprint)
+	m.Homes = func(string) []string { return []string{"127.0.0.1:1", m.Self} }
+	clock.Advance(crash.TrialWait)
+	if m.Ask(context.Background(), fingerprint) {
+		t.Error("tried without the home")
+	}
+}
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -13,7 +13,8 @@
 // A record is the set of upstreams that ended under a request. Sets are joined, so it doesn't
 // matter which process saw an end, how many did, or in which order they learn of it. A request
 // that completes is cleared of the ends so far. One is refused if refuseEnds upstreams ended
-// under it that no other request explains better, unless the pool was failing anyway.
+// under it that no other request explains better, unless the pool was failing anyway. Later it may
+// run once more, alone, which clears it if it was sound.
 //
 // Records expire and their number is bounded. They are soft state: losing them costs further ends.
 package crash
@@ -75,6 +76,8 @@
 	// changes counts the changes of records.
 	changes  int64
 	digested digested
+	// startedAt is the time of the first use.
+	startedAt magno.Millis
 }
 
 // record is a Record as this process keeps it.
@@ -82,6 +85,9 @@
 	ends []end
 	// changedAt is the time of the last change known here.
 	changedAt magno.Millis
+	// trials counts the trials that this process granted, the last one at triedAt.
+	trials  int
+	triedAt magno.Millis
 }
 
 // end is a magno.UpstreamEnd whose age is counted from at.
@@ -140,6 +146,7 @@
 // setup creates the tables on first use. The caller holds mu.
 func (s *Suspects) setup() {
 	if s.records == nil {
+		s.startedAt = s.Clock.Now()
 		s.records, _ = simplelru.NewLRU[uint64, *record](MaxRecords, nil)
 		s.completed, _ = simplelru.NewLRU[uint64, magno.Millis](maxCompleted, nil)
 	}
