soak: bursts of failures around kills of entries, and a check of all repeats

All upstreams fail beside more requests than usual, then entries are killed, all at once or one after the other, and start again while failures go on. Repeats are summed over all entries and services for each sliding window.

--- a/drive/soak/retry_test.go
+++ b/drive/soak/retry_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -74,37 +73,6 @@
 	sending.Wait()
 }
 
-// fail makes all upstreams fail with the status, or by broken connections, until the returned function
-// is called.
-func (f *fleet) fail(status int) func() {
-	for _, u := range f.upstreams() {
-		f.failOne(u, status)
-	}
-	return func() {
-		for _, u := range f.upstreams() {
-			f.current(u).AbortNext(0)
-			f.current(u).FailWith(0)
-		}
-	}
-}
-
-// failOne makes an upstream fail with the status, or by broken connections with 0.
-func (f *fleet) failOne(u *upstream, status int) {
-	if status == 0 {
-		f.current(u).AbortNext(1 << 30)
-		return
-	}
-	f.current(u).FailWith(status)
-}
-
-// kill kills entries, with a pause between two of them. Each starts again after restartDelay.
-func (f *fleet) kill(entries int, pause time.Duration) {
-	for i := range entries {
-		f.process(entryName(i)).signal(syscall.SIGKILL)
-		time.Sleep(pause)
-	}
-}
-
 // Guards against entries that are killed after they have used their retries and use them once more:
 // the upstreams get the repeats of both lives within one window.
 func TestRestartedEntriesStayWithinTheRetryBudget(t *testing.T) {
@@ -197,3 +165,37 @@
 		})
 	}
 }
+
+// Guards against a check that can't fail: more repeats than allowed, in one window or spread over two.
+func TestRetryCheckFindsExcess(t *testing.T) {
+	start := time.Now()
+	times := func(n int, from, to time.Duration) []time.Time {
+		var list []time.Time
+		for i := range n {
+			list = append(list, start.Add(from+time.Duration(i)*(to-from)/time.Duration(n)))
+		}
+		return list
+	}
+	const second = time.Second
+	for _, c := range []struct {
+		name    string
+		sent    []time.Time
+		repeats []time.Time
+		excess  float64
+	}{
+		{"none", times(100, 0, 10*second), nil, 0},
+		{"the slack", nil, times(40, 0, 5*second), 0},
+		{"one more", nil, times(41, 0, 5*second), 1},
+		{"spread over two windows", nil, times(60, 0, 20*second), -10},
+		{"for requests of the window", times(100, 0, 10*second), times(60, 5*second, 10*second), 0.2},
+		{"for requests of the window before", times(100, 0, 10*second), times(60, 10*second, 20*second), 0},
+		{"for requests long before", times(100, 0, 10*second), times(60, 30*second, 40*second), 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := worstRetryLoad(c.sent, c.repeats)
+			if got := l.excess(); got < c.excess-0.5 || got > c.excess+0.5 {
+				t.Errorf("%d repeats, allowed %.1f, want an excess of %.1f", l.repeats, l.allowed, c.excess)
+			}
+		})
+	}
+}
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -265,7 +265,7 @@
 // checkNotices checks whether entries went by what upstreams stated.
 func (s *Soak) checkNotices() {
 	o := s.observer()
-	for _, what := range slices.Concat(s.checkKeys(), s.checkSound(), o.checkFatal(s.fleet.fatal, s.fleet.workers())) {
+	for _, what := range slices.Concat(s.checkKeys(), s.checkSound(), o.checkFatal(s.fleet.fatal, s.fleet.workers()), s.checkRetries()) {
 		s.mu.Lock()
 		s.violation("%s", what)
 		s.mu.Unlock()
