site: retries and refused retries are counted, and a refusal says what the budget held

A log told of a request how often it was tried, but not why no more: whether the budget was used up, of which part of the slack and how long after the start.

soak: a limit binds an entry from its first answered request on.

--- a/drive/soak/limit.go
+++ b/drive/soak/limit.go
@@ -69,6 +69,9 @@
 		if known && o.disturbed(entry, w, first, a.At) {
 			known = false
 		}
+		if !known && a.Unanswered {
+			continue // the entry got no response that states the limit
+		}
 		if !known {
 			told[entry] = a.At
 			continue
--- a/drive/soak/limit_test.go
+++ b/drive/soak/limit_test.go
@@ -133,6 +133,16 @@
 	if broken := o.checkPeriod(w, at, end, arrivals); len(broken) != 1 || !strings.Contains(broken[0], "allowed 11") {
 		t.Errorf("five requests per second at a limit of one: %q", broken)
 	}
+	for i := range arrivals {
+		arrivals[i].Unanswered = true
+	}
+	if broken := o.checkPeriod(w, at, end, arrivals); len(broken) > 0 {
+		t.Errorf("entries that got no answer: %q", broken)
+	}
+	arrivals[0].Unanswered, arrivals[1].Unanswered, arrivals[2].Unanswered = false, false, false
+	if broken := o.checkPeriod(w, at, end, arrivals); len(broken) != 1 {
+		t.Errorf("entries that got an answer each before the others broke: %q", broken)
+	}
 	o.disturbed = func(int, *fake.Worker, time.Time, time.Time) bool { return true }
 	if broken := o.checkPeriod(w, at, end, arrivals); len(broken) > 0 {
 		t.Errorf("entries that were disturbed all the time: %q", broken)
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -1,8 +1,10 @@
 package site
 
 import (
+	"log/slog"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"magnoliastall.example/entry/peers"
@@ -20,6 +22,7 @@
 	notices  *notice.Board
 	peers    *peers.Peers
 	settings *magno.SiteSettings
+	log      *slog.Logger
 	// startedAt is the start time of this process.
 	startedAt magno.Millis
 
@@ -100,12 +103,26 @@
 
 // ReserveRetry implements relay.Pools.
 func (p *pools) ReserveRetry(service string) bool {
-	return p.retries(service).Reserve(p.peers.Part(p.settings.RetryWindow))
+	part, retries := p.peers.Part(p.settings.RetryWindow), p.retries(service)
+	return retries.Reserve(part) || p.refused(service, part, retries)
 }
 
 // SpendRetry implements relay.Pools.
 func (p *pools) SpendRetry(service string) bool {
-	return p.retries(service).Spend(p.peers.Part(p.settings.RetryWindow))
+	part, retries := p.peers.Part(p.settings.RetryWindow), p.retries(service)
+	if !retries.Spend(part) {
+		return p.refused(service, part, retries)
+	}
+	metrics.GetOrCreateCounter("retries_total").Inc()
+	return true
+}
+
+// refused logs that the budget allows no retry, and returns false.
+func (p *pools) refused(service string, part float64, retries *allow.Budget) bool {
+	used, limit := retries.Usage(part)
+	metrics.GetOrCreateCounter("retries_refused_total").Inc()
+	p.log.Info("retry refused", "service", service, "used", used, "limit", limit, "part", part, "age", p.clock.Now()-p.startedAt)
+	return false
 }
 
 // ReturnRetry implements relay.Pools.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -87,7 +87,7 @@
 		Self: settings.Name, Addr: settings.PeerAddress, LinkMbps: settings.LinkMbps, DataCentre: settings.DataCentre, Seeds: settings.Seeds, Mesh: e.mesh, Book: e.book, Suspects: suspects, Clock: clock, Log: log,
 	}
 	e.peers.Open()
-	e.pools = &pools{clock: clock, book: e.book, notices: e.notices, peers: e.peers, settings: settings, startedAt: clock.Now()}
+	e.pools = &pools{clock: clock, book: e.book, notices: e.notices, peers: e.peers, settings: settings, log: log, startedAt: clock.Now()}
 	e.reader = &reads.Reader{
 		List: site.Lister(settings.ListAddress), Book: e.book, ShouldRead: e.peers.ShouldRead, IsReader: e.peers.IsReader, Broadcast: e.peers.Broadcast, ReportReachable: e.peers.SetListReachable, FreshFirst: settings.MaxRevokeDelay > 0, Log: log,
 	}
--- a/magno/allow/allow.go
+++ b/magno/allow/allow.go
@@ -96,6 +96,15 @@
 	b.reserved--
 }
 
+// Usage returns how many retries were sent within the window or are reserved, and how many may be.
+func (b *Budget) Usage(part float64) (used, limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setWindows()
+	now := b.Clock.Now()
+	return b.retries.Total(now) + float64(b.reserved), b.limit(part, now)
+}
+
 // limit returns how many retries this process may send per window. The caller holds mu.
 func (b *Budget) limit(part float64, now magno.Millis) float64 {
 	age := float64(now-b.StartedAt) / float64(max(b.WindowLength, 1))
