--- a/magno/allow/allow.go
+++ b/magno/allow/allow.go
@@ -8,8 +8,8 @@
 //
 // No state is shared, and none outlives a process. Each process counts what it received
 // and sent itself and uses a part of the slack. What it had sent before it was killed is
-// forgotten, but still counts at the upstreams. So a process uses RestartShare of the
-// limit until it has run for a window, and only then SteadyShare: the earlier lives of all
+// forgotten, but still counts at the upstreams. So a process uses restartShare of the
+// limit until it has run for a window, and only then steadyShare: the earlier lives of all
 // processes and the later ones, however many, stay within the limit together.
 //
 //	Reserve --> wait for an upstream --> Spend: counted at the time of sending
@@ -24,11 +24,11 @@
 )
 
 const (
-	// SteadyShare is the part of the limit that a process uses after its first window,
-	// RestartShare that before. Their sum leaves a margin for requests that arrive
+	// steadyShare is the part of the limit that a process uses after its first window,
+	// restartShare that before. Their sum leaves a margin for requests that arrive
 	// unevenly and for processes that count each other late.
-	SteadyShare  = 0.65
-	RestartShare = 0.25
+	steadyShare  = 0.65
+	restartShare = 0.25
 )
 
 // Budget is the retry budget of one process for one service. It is safe for concurrent
@@ -109,9 +109,9 @@
 func (b *Budget) limit(part float64, now magno.Millis) float64 {
 	age := float64(now-b.StartedAt) / float64(max(b.WindowLength, 1))
 	if age >= 1 {
-		return SteadyShare * (b.Ratio*b.requests.Total(now) + part*b.Slack)
+		return steadyShare * (b.Ratio*b.requests.Total(now) + part*b.Slack)
 	}
-	return RestartShare * (b.Ratio*b.requests.Total(now) + age*part*b.Slack)
+	return restartShare * (b.Ratio*b.requests.Total(now) + age*part*b.Slack)
 }
 
 func (b *Budget) setWindows() { b.requests.Window, b.retries.Window = b.WindowLength, b.WindowLength }
