relay: a test that repeats stay within a route's attempts and the time left

Two lines of the rule on repeats that were only read so far: upstreams that break off, fail, state that they did not run the request, or refuse connections, in any order, with one to three attempts.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -37,6 +37,7 @@
 
 func (testDialect) Write(h http.Header, o magno.ForwardInfo) {
 	h.Set("Only", o.Replica)
+	h.Set("Left", strconv.FormatInt(int64(o.Left), 10))
 	if o.Keyed {
 		h.Del("Authorization")
 	}
--- a/entry/relay/retry_test.go
+++ b/entry/relay/retry_test.go
@@ -1,9 +1,15 @@
 package relay
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
+	"time"
+
+	"pgregory.net/rapid"
 
 	"magnoliastall.example/magno"
 )
@@ -88,3 +94,90 @@
 		})
 	}
 }
+
+// failures are the ways in which an upstream in a test fails, after a pause.
+var failures = []struct {
+	name string
+	// runs is true if the upstream has begun to run the request.
+	runs bool
+	fail func(r *http.Request, c net.Conn) bool
+}{
+	{"breaks off", true, func(*http.Request, net.Conn) bool { return false }},
+	{"answers 500", true, func(r *http.Request, c net.Conn) bool { return failRequest(0, r, c) }},
+	{"answers 503", true, func(r *http.Request, c net.Conn) bool {
+		writeResponse(c, r.Header.Get("Id"), http.StatusServiceUnavailable, "")
+		return true
+	}},
+	{"states that it did not run it", false, func(r *http.Request, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 503 x\r\nId: %s\r\nSigned: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return true
+	}},
+}
+
+// sendLog records what the upstreams of a test got.
+type sendLog struct {
+	mu sync.Mutex
+	// runs counts the upstreams that began to run the request.
+	runs int
+	// left are the times that were passed on, in order, and pauses how long each upstream took.
+	left   []int
+	pauses []time.Duration
+}
+
+func (l *sendLog) add(r *http.Request, runs bool, pause time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if runs {
+		l.runs++
+	}
+	left, _ := strconv.Atoi(r.Header.Get("Left"))
+	l.left, l.pauses = append(l.left, left), append(l.pauses, pause)
+}
+
+// Guards against a request that runs on more upstreams than its route allows, and against sends that
+// are passed more time than the one before had left.
+func TestRepeatsStayWithinTheAttemptsAndTheDeadline(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		attempts := rapid.IntRange(1, 3).Draw(rt, "attempts")
+		kind := rapid.SampledFrom([]magno.RouteKind{magno.RouteIdempotent, magno.RouteStream, magno.RouteOnce}).Draw(rt, "kind")
+		var log sendLog
+		var ups, refusing []*fakeUpstream
+		for range 4 {
+			how := rapid.SampledFrom(failures).Draw(rt, "failure")
+			pause := time.Duration(rapid.IntRange(0, 20).Draw(rt, "pause")) * time.Millisecond
+			refuses := rapid.IntRange(0, 5).Draw(rt, "refuses") == 0
+			u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+				log.add(r, how.runs, pause)
+				time.Sleep(pause)
+				return how.fail(r, c)
+			})
+			ups = append(ups, u)
+			if refuses {
+				refusing = append(refusing, u)
+			}
+		}
+		s := newTestProxy(t, kind, true, ups...)
+		for _, u := range refusing { // only now, as another server could get the port
+			_ = u.listener.Close()
+		}
+		s.changes[0].Plan.Routes[0].Attempts = attempts
+		res, _, err := s.get(t, http.MethodGet, "1")
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		if err == nil && (res.StatusCode == http.StatusOK || (log.runs > 0 && promisesNotRun(res.StatusCode))) {
+			rt.Fatalf("got %d after %d runs", res.StatusCode, log.runs)
+		}
+		allowed := attempts
+		if kind == magno.RouteOnce {
+			allowed = 1
+		}
+		if log.runs > allowed {
+			rt.Fatalf("%d upstreams ran it, allowed %d", log.runs, allowed)
+		}
+		for i := 1; i < len(log.left); i++ {
+			if most := log.left[i-1] - int(log.pauses[i-1].Milliseconds()) + 1; log.left[i] > most {
+				rt.Fatalf("send %d was passed %d ms, at most %d were left", i, log.left[i], most)
+			}
+		}
+	})
+}
