quota: a process that starts uses its part of a customer's limit as it accrues, not a burst at once

What callers saw: nothing; found by going through what processes count for all. While no home of a customer can be reached each process admits requests by its own part of the limit, and that part began full in each life; a request larger than it passed at once. Processes that are killed again and again meanwhile let one request of any size through in each life.

The part now fills from the start of the process. Two tests of the lease manager, whose entries had just started, let a second pass first: they guard against refusals by entries that run.

--- a/drive/limit/fleet.go
+++ b/drive/limit/fleet.go
@@ -50,7 +50,7 @@
 
 // start starts or restarts an entry with empty state.
 func (f *fleet) start(i int) {
-	f.quotas[i], f.grants[i], f.calls[i] = &quota.Quota{Clock: f.Clock}, &grant.Granter{Clock: f.Clock, Window: window}, map[string]*pendingCall{}
+	f.quotas[i], f.grants[i], f.calls[i] = &quota.Quota{Clock: f.Clock, StartedAt: f.Clock.Now()}, &grant.Granter{Clock: f.Clock, Window: window}, map[string]*pendingCall{}
 }
 
 func (f *fleet) admit(i int, customer string, cost float64, decided func(bool)) {
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -100,6 +100,7 @@
 // Open registers the method on the mesh. It must be called before the mesh runs.
 func (m *Manager) Open() {
 	m.quota.Clock, m.grants.Clock = m.Clock, m.Clock
+	m.quota.StartedAt = m.Clock.Now()
 	m.grants.Window = m.Window
 	if m.Window <= 0 {
 		m.grants.Window = defaultWindow
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -115,6 +115,7 @@
 		return nil, ctx.Err()
 	})
 	setHomes([]string{b.Self}, c)
+	clock.Advance(magno.Second)
 	if runs := takeMany(c, 30, 10); runs == 0 || runs == 30 {
 		t.Errorf("%d of 30 requests admitted from the entry's own share, want some but not all", runs)
 	}
@@ -129,6 +130,7 @@
 	clock := magno.NewClock(magno.Hour)
 	b, c := startNode(t, clock), startNode(t, clock)
 	setHomes([]string{b.Self}, c)
+	clock.Advance(magno.Second)
 	other := customer
 	other.Name = "beta"
 	if r := c.Take(context.Background(), &other, 10); r != nil {
--- a/magno/quota/quota.go
+++ b/magno/quota/quota.go
@@ -58,6 +58,8 @@
 // Clock is set before use.
 type Quota struct {
 	Clock *magno.Clock
+	// StartedAt is when this process started. Its share while no home answers fills from then.
+	StartedAt magno.Millis
 
 	customers map[string]*account
 }
@@ -143,6 +145,9 @@
 
 // Fallback takes a request's cost from this process's own share of the allowance while
 // no home answers. Known is the number of processes that share the allowance.
+//
+// Load pattern: processes are killed again and again while no home can be reached. Each of
+// them starts with an empty share, for its predecessor may have used all of it.
 func (q *Quota) Fallback(customer string, limit magno.Limit, cost float64, known int) (v Verdict, after magno.Millis) {
 	acc, now := q.account(customer, limit), q.Clock.Now()
 	if v, _ := acc.take(cost, now); v == Allowed {
@@ -153,7 +158,7 @@
 	acc.fallback.Rate = limit.Rate / float64(max(known, 1))
 	acc.fallback.Burst = acc.fallback.Rate * fallbackBurstSeconds
 	if fresh {
-		acc.fallback.SetLevel(acc.fallback.Burst, now)
+		acc.fallback.SetLevel(acc.fallback.Rate*float64(now-q.StartedAt)/float64(magno.Second), now)
 	}
 	if !acc.fallback.Allows(cost, now) {
 		return Refused, fallbackRetryAfter
--- a/magno/quota/quota_test.go
+++ b/magno/quota/quota_test.go
@@ -89,3 +89,22 @@
 		t.Errorf("%v tokens used in 10 s, the process's share is %v", sum, part)
 	}
 }
+
+// Guards against processes that are killed again and again while no home can be reached, and each use
+// a share of the allowance at once: one request of any size in each life.
+func TestFallbackOfManyLivesUsesOnePart(t *testing.T) {
+	const lives, life, known = 20, 400 * magno.Millis(1), 30
+	clock := magno.NewClock(magno.Hour)
+	sum := 0.0
+	for range lives {
+		q := &Quota{Clock: clock, StartedAt: clock.Now()}
+		for end := clock.Now() + life; clock.Now() < end; clock.Advance(100) {
+			if v, _ := q.Fallback("a", limit, 500, known); v == Allowed {
+				sum += 500
+			}
+		}
+	}
+	if part := limit.Rate / known * float64(lives*life) / 1000; sum > part {
+		t.Errorf("%v tokens used in %d lives, the process's share is %v", sum, lives, part)
+	}
+}
