site: what an upstream stated outlives an entry that a restore of the list lost

Cause: a list that was restored lacks an upstream. Entries use it for 2.2 s more, then drop it, and with it what it stated; the list names it again a moment later, in the same life. The statements are now kept for 10 s and hold if the next entry is of another era of the list.

Evidence: the entries' logs (rest noted at 62.25 and 62.31 s, restore at 60.41 s, named again at 63.11 s, requests from 63.13 s on); TestStatementsOutliveAnEntryThatARestoreLost, which the old rule fails, since it forgot at once what isn't listed.

--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -207,17 +207,6 @@
 	}
 }
 
-// sameLife reports whether an upstream's earlier entry in the list and its present one, nil for
-// none, are of the same life. One that is listed anew, or no longer as leaving, has restarted
-// under its name, and what it stated before no longer holds. After a restore of the list every
-// entry that was lost is listed anew, which says nothing.
-func sameLife(before, now *magno.Replica) bool {
-	if before == nil || now == nil || (before.Leaving && !now.Leaving) {
-		return false
-	}
-	return before.Since == now.Since || before.Since.Era() != now.Since.Era()
-}
-
 // follower passes changes of the list, and of the upstreams that state that they leave, to the
 // components that keep a copy.
 type follower struct {
@@ -229,16 +218,15 @@
 
 // Run follows the list until ctx ends.
 func (f *follower) Run(ctx context.Context) error {
-	listed := map[string]*magno.Replica{}
+	known := lives{clock: f.notices.Clock}
 	for {
 		changed, noticed := f.book.Changed(), f.notices.Changed()
-		before := listed
-		listed = map[string]*magno.Replica{}
+		listed := map[string]*magno.Replica{}
 		for _, r := range f.book.Current().Replicas {
 			listed[r.Key()] = r
 		}
 		f.conns.Prune(func(key string) bool { return listed[key] != nil })
-		f.notices.Prune(func(key string) bool { return sameLife(before[key], listed[key]) })
+		f.notices.Prune(known.update(listed))
 		f.pools.update()
 		select {
 		case <-ctx.Done():
