--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -83,6 +83,7 @@
 	return j.handleResponse(ctx, r, conn, res)
 }
 
+// recordArrival records that the upstream may have received the request, and may run it.
 func (j *job) recordArrival() {
 	j.arrived = true
 	j.mayHaveRun = true
