relay: an end is recognised though another connection to the upstream broke just before

Cause: a request that was sent after another connection to the upstream broke, and within half a second, was taken for one that was sent after the end. Upstreams whose connections break for other reasons live on, and end a moment later under that request; nothing was charged with it.

An upstream that refuses connections had not ended while it still accepted one. Runs over connections that were opened after the first break are charged too if the end is known by refused connections, and checked anew if the upstream answers in between. Where the end is known otherwise nothing changes: behind a proxy connections are accepted after it.

--- a/entry/relay/ending.go
+++ b/entry/relay/ending.go
@@ -19,6 +19,10 @@
 //	caller leaves --> noteCancelled ------------------------------------------------^  |
 //	a send is refused --> refusesConnections ---------------------------------------'  v
 //	a later answer --> answeredSince --> no end                        recordEnd --> Suspects
+//
+// Connections also break while an upstream lives on, and it may end a moment later under a request
+// that was sent in between. Whether it had ended before that can't be told from the break. But an
+// upstream whose machine refuses connections had not ended while it still accepted them.
 
 const (
 	// firstEndCheck and lastEndCheck are how long after a connection broke the upstream is first
@@ -52,6 +56,8 @@
 	// lastSend is the number of the last send that had begun by then.
 	lastSend uint64
 	runs     []brokenRun
+	// accepted are later runs over connections that were accepted after brokenAt, and broke too.
+	accepted []brokenRun
 	// ended is true once it is known that it did, alive once it answered a later request.
 	ended, alive bool
 }
@@ -86,13 +92,22 @@
 		h.addRun(c, run)
 		return
 	case c != nil && (c.ended || run.at-c.brokenAt <= cancelWindow):
-		return // sent after the end
+		// It was sent after the end, unless that came later than the first break.
+		if !c.ended && j.newConn && len(c.accepted) < maxRunsPerCheck {
+			c.accepted = append(c.accepted, run)
+		}
+		return
 	}
+	h.startCheck(&endCheck{replica: r, brokenAt: run.at, runs: []brokenRun{run}})
+}
+
+// startCheck starts a check of the runs that have just broken. The caller holds mu.
+func (h *Handler) startCheck(c *endCheck) {
 	if h.ends.newest == nil {
 		h.ends.newest = map[string]*endCheck{}
 	}
-	c = &endCheck{replica: r, brokenAt: run.at, lastSend: h.sendCount.Load(), runs: []brokenRun{run}}
-	h.ends.newest[key] = c
+	c.lastSend = h.sendCount.Load()
+	h.ends.newest[c.replica.Key()] = c
 	h.ends.active.Add(1)
 	go h.runEndCheck(c)
 }
@@ -153,7 +168,11 @@
 			h.Log.Info("no crash", "replica", key, "runs", len(c.runs))
 			return
 		case endConfirmed:
-			h.confirmEnd(c)
+			h.confirmEnd(c, false)
+			time.Sleep(cancelWindow.Duration())
+			return
+		case endRefused:
+			h.confirmEnd(c, true)
 			time.Sleep(cancelWindow.Duration())
 			return
 		}
@@ -161,14 +180,19 @@
 	h.Log.Info("no crash found", "replica", key, "runs", len(c.runs))
 }
 
-// dropCheck ends the check of an upstream.
+// dropCheck ends the check of an upstream. If that has answered since the first runs broke, those that
+// broke later are checked next.
 func (h *Handler) dropCheck(c *endCheck) {
 	key := c.replica.Key()
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
 	h.ends.active.Add(-1)
-	if h.ends.newest[key] == c {
-		delete(h.ends.newest, key)
+	if h.ends.newest[key] != c {
+		return
+	}
+	delete(h.ends.newest, key)
+	if n := len(c.accepted); n > 0 && c.alive {
+		h.startCheck(&endCheck{replica: c.replica, brokenAt: c.accepted[n-1].at, runs: c.accepted})
 	}
 }
 
@@ -179,6 +203,8 @@
 	endUnknown endState = iota
 	endAlive
 	endConfirmed
+	// endRefused is endConfirmed by refused connections: it still lived when it accepted one.
+	endRefused
 )
 
 // upstreamEnded reports whether the upstream of a check ended. The agent of an engine knows, a machine
@@ -201,24 +227,31 @@
 		}
 		return endUnknown
 	case h.isEngine(snap.Plan, c.replica.Service) && h.Permits.Down(key):
+		if h.refuses(c) {
+			return endRefused
+		}
 		return endConfirmed
 	case alive:
 		return endAlive
-	case dial:
-		if errors.Is(h.Conns.Probe(context.Background(), key, c.replica.Address), syscall.ECONNREFUSED) {
-			return endConfirmed
-		}
+	case dial && h.refuses(c):
+		return endRefused
 	}
 	return endUnknown
 }
 
+// refuses reports whether the upstream of a check refuses connections.
+func (h *Handler) refuses(c *endCheck) bool {
+	return errors.Is(h.Conns.Probe(context.Background(), c.replica.Key(), c.replica.Address), syscall.ECONNREFUSED)
+}
+
 func (h *Handler) isEngine(plan *magno.Plan, service string) bool {
 	s := plan.Service(service)
 	return s != nil && s.Engine != nil
 }
 
-// confirmEnd records the end under all runs of a check.
-func (h *Handler) confirmEnd(c *endCheck) {
+// confirmEnd records the end under all runs of a check. Refused is true if the upstream refuses
+// connections now.
+func (h *Handler) confirmEnd(c *endCheck, refused bool) {
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
 	if c.ended {
@@ -228,6 +261,11 @@
 	for _, run := range c.runs {
 		h.recordEnd(c, run)
 	}
+	if refused {
+		for _, run := range c.accepted {
+			h.recordEnd(c, run)
+		}
+	}
 	for _, run := range h.ends.cancelled {
 		if run.key == c.replica.Key() && c.brokenAt-run.at <= cancelWindow {
 			h.recordEnd(c, run)
@@ -241,6 +279,6 @@
 	c := h.ends.newest[key]
 	h.ends.mu.Unlock()
 	if c != nil {
-		h.confirmEnd(c)
+		h.confirmEnd(c, true)
 	}
 }
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -77,6 +77,8 @@
 	// sentAt is when the last send began, sendNumber its number among those of the process.
 	sentAt     magno.Millis
 	sendNumber uint64
+	// newConn is true if the last send went over a connection opened for it.
+	newConn bool
 	// permitID is the permit of the last send, empty if it had none. permitLimited is true if it
 	// was granted under a limit of the engine.
 	permitID      string
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -61,7 +61,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
 	defer stop()
-	j.trial = false
+	j.trial, j.newConn = false, !conn.Reused
 	j.tried = append(j.tried, key)
 	j.sends++
 	j.sentAt, j.sendNumber = j.Clock.Now(), j.sendCount.Add(1)
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -310,3 +310,36 @@
 		})
 	}
 }
+
+// Guards against a request that ends each upstream that runs it and isn't recognised, because another
+// connection to the upstream broke just before, while it lived on.
+func TestEndAfterAnotherBreakIsRecognised(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind magno.RouteKind
+	}{
+		{"plain service", magno.RouteOnce},
+		{"engine", magno.RouteStream},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var u *fakeUpstream
+			u = startUpstream(t, func(n int, _ *http.Request, _ net.Conn) bool {
+				if n == 2 {
+					_ = u.listener.Close()
+				}
+				return false
+			})
+			s := newTestProxy(t, c.kind, false, u)
+			s.permits.down.Store(c.kind == magno.RouteStream)
+			s.post(t, "/p/reset")
+			s.post(t, "/p/fatal")
+			s.awaitChecks(t)
+			r := httptest.NewRequest(http.MethodPost, "/p/fatal", nil)
+			r.Host = "h.example"
+			fatal := &job{Handler: s.Handler, r: r, body: []byte("body")}
+			if n := s.Suspects.Count(fatal.computeFingerprint()); n != 1 {
+				t.Errorf("%d ends are known under the request, want one", n)
+			}
+		})
+	}
+}
