crash: two requests that end the upstreams of one pool are told from a pool that fails

Cause: ends of other upstreams of the pool speak for a pool that fails anyway, unless a request with three ends explains them. The second request had two so far, so its ends counted for the first one's innocence: in a pool of two upstreams two such ends are enough. The ends under one further request that has several no longer count; a pool that fails by itself has ends under many.

Evidence: the entries' logs (print has three ends at 21.860 s, is not refused, and has a fourth at 25.108 s; the other one's ends are at 22.44 and 23.43 s); a case of TestRequestThatRanByChanceIsNotRefused fails before.

--- a/magno/crash/crash_test.go
+++ b/magno/crash/crash_test.go
@@ -121,6 +121,15 @@
 				endAll(s, 30+u, neighbour)
 			}
 		}},
+		{name: "two causes at once, one of them with two ends so far, beside failures", cause: true, play: func(s *Suspects) {
+			for u := range uint64(3) {
+				endAll(s, u, cause)
+			}
+			endAll(s, 30, neighbour)
+			endAll(s, 31, neighbour)
+			endAll(s, 40, 100)
+			endAll(s, 41, 101)
+		}},
 		{name: "the cause always beside another", cause: true, sound: true, play: func(s *Suspects) {
 			for u := range uint64(4) {
 				endAll(s, u, cause, sound)
--- a/magno/crash/judge.go
+++ b/magno/crash/judge.go
@@ -76,6 +76,10 @@
 
 // otherEnds returns the number of upstreams of a pool that ended in the period of a request's ends,
 // that didn't run it, and that ran no request with refuseEnds ends either. The caller holds mu.
+//
+// Load pattern: two requests end the upstreams of one pool at the same time. Until the second has
+// refuseEnds ends too, its upstreams would look as if the pool were failing anyway, and the first would
+// be sent on. So the ends under one further request that has several don't count.
 func (s *Suspects) otherEnds(rec *record, pool uint64) int {
 	from, to := rec.period()
 	// unexplained maps the upstreams to whether none of their requests explains their end.
@@ -97,9 +101,28 @@
 			n++
 		}
 	}
+	if second := s.mostEnds(unexplained); second >= seriousEnds {
+		n -= second
+	}
 	return n
 }
 
+// mostEnds returns the largest number of the given upstreams that ended under one request. The caller
+// holds mu.
+func (s *Suspects) mostEnds(upstreams map[uint64]bool) int {
+	most := 0
+	for _, rec := range s.records.Values() {
+		n := 0
+		for _, e := range rec.ends {
+			if !e.cleared && upstreams[e.upstream] {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // lastEnd returns the time of the last end that the request isn't cleared of.
 func (r *record) lastEnd() magno.Millis {
 	_, to := r.period()
