--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -148,27 +148,27 @@
 // Guards against a sound request that three upstreams' own ends hit in a row, and that is refused at
 // all entries for as long as they remember.
 func TestSoundRequestIsServedAgainAfterThreeEnds(t *testing.T) {
-	const target = fake.PathRepeat + "sound-5"
+	const target, body = fake.PathOnce + "sound-5", "b" // one send each, so that no fourth upstream ends
 	s := startPlainSoak(t)
 	caller := callerFrom("127.0.9.2")
 	s.fleet.fatal.set(target, true)
 	for n := 0; len(s.fleet.fatal.of(target)) < fatalEnds; n++ {
-		s.sendTo(context.Background(), caller, s.fleet.entries[n%len(s.fleet.entries)], target, "", s.newID(), "")
+		s.sendTo(context.Background(), caller, s.fleet.entries[n%len(s.fleet.entries)], target, body, s.newID(), "")
 		time.Sleep(100 * time.Millisecond)
 	}
 	s.fleet.fatal.set(target, false)
 	time.Sleep(fatalDelay) // entries tell each other of ends and completions within this time
 	for _, entry := range s.fleet.entries {
-		if o := s.sendTo(context.Background(), caller, entry, target, "", s.newID(), ""); o.Status != http.StatusServiceUnavailable {
+		if o := s.sendTo(context.Background(), caller, entry, target, body, s.newID(), ""); o.Status != http.StatusServiceUnavailable {
 			t.Errorf("%s answers %d after three ends, want a refusal", entry, o.Status)
 		}
 	}
-	if !s.servedWithin(trialTime, caller, target, "", "") {
+	if !s.servedWithin(trialTime, caller, target, body, "") {
 		t.Error("not served again")
 	}
 	time.Sleep(fatalDelay)
 	for _, entry := range s.fleet.entries {
-		if o := s.sendTo(context.Background(), caller, entry, target, "", s.newID(), ""); o.Status != http.StatusOK {
+		if o := s.sendTo(context.Background(), caller, entry, target, body, s.newID(), ""); o.Status != http.StatusOK {
 			t.Errorf("%s answers %d after the request has completed", entry, o.Status)
 		}
 	}
