retry: a new budget fills in time

A process whose pool is busy from its start on had two retries and few successes to earn more. The bucket now also fills over the first 10 s, so that lives of any number and length fill it once in that time, and have two retries each beside.

--- a/magno/retry/retry.go
+++ b/magno/retry/retry.go
@@ -24,6 +24,8 @@
 const (
 	DefaultRatio = 0.1
 	DefaultDepth = 10.0
+	// FillTime is how long a new budget takes to fill without any success.
+	FillTime = 10 * magno.Second
 	// InitialTokens is the number of retries in a new budget: a single request right after the
 	// start of a process gets three attempts.
 	InitialTokens = 2.0
@@ -38,6 +40,8 @@
 type Budget struct {
 	// Ratio is the number of retries that each success adds to the budget.
 	Ratio float64
+	// Clock is that of the process. Without one a new budget fills by successes only.
+	Clock *magno.Clock
 	// Depth is the capacity of the bucket in retries, at least InitialTokens.
 	Depth float64
 	// Base and Cap bound the first and the longest wait.
@@ -48,6 +52,10 @@
 	mu     sync.Mutex
 	rand   *rand.Rand
 	tokens float64
+	// grown is the number of tokens that were added because time passed since startedAt, the
+	// first use.
+	grown     float64
+	startedAt magno.Millis
 }
 
 func (b *Budget) setup() {
@@ -68,6 +76,20 @@
 	}
 	b.rand = rand.New(rand.NewPCG(b.Seed, 3))
 	b.tokens = InitialTokens
+	if b.Clock != nil {
+		b.startedAt = b.Clock.Now()
+	}
+}
+
+// grow adds the tokens due since the first use.
+func (b *Budget) grow() {
+	if b.Clock == nil {
+		return
+	}
+	age := min(float64(b.Clock.Now()-b.startedAt)/float64(FillTime), 1)
+	due := age * (b.Depth - InitialTokens)
+	b.tokens = min(b.tokens+due-b.grown, b.Depth)
+	b.grown = due
 }
 
 // Succeeded records a successful attempt.
@@ -91,6 +113,7 @@
 	defer b.mu.Unlock()
 	b.setup()
 	span := min(b.Base<<min(max(attempt-1, 0), 20), b.Cap)
+	b.grow()
 	wait := magno.Millis(b.rand.Int64N(int64(span) + 1))
 	if wait+need > left || b.tokens < 1 {
 		return 0, false
--- a/magno/retry/retry_test.go
+++ b/magno/retry/retry_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// Guards against a budget that stays nearly empty in a process whose pool fails from its start on.
+func TestNewBucketFillsInTime(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Budget{Clock: clock}
+	n := b.retryAll(100)
+	clock.Advance(FillTime / 2)
+	half := b.retryAll(100)
+	clock.Advance(FillTime)
+	if rest := b.retryAll(100); n != InitialTokens || half != 4 || rest != 4 {
+		t.Errorf("%d, %d and %d retries were allowed at the start, after half and all of the time, want 2, 4 and 4", n, half, rest)
+	}
+	clock.Advance(FillTime)
+	if more := b.retryAll(100); more != 0 {
+		t.Errorf("%d retries without a success", more)
+	}
+}
+
 // retryAll returns how many of n failures in a row may be retried.
 func (b *Budget) retryAll(n int) int {
 	retries := 0
