--- a/magno/retry/retry_test.go
+++ b/magno/retry/retry_test.go
@@ -30,7 +30,7 @@
 	for range 1000 {
 		b.Succeeded()
 	}
-	if n := b.retryAll(100); n != DefaultDepth {
+	if n := b.retryAll(); n != DefaultDepth {
 		t.Errorf("%d retries in a row were allowed, want %v", n, DefaultDepth)
 	}
 }
@@ -41,7 +41,7 @@
 	const lives = 20
 	sum := 0
 	for range lives {
-		sum += (&Budget{}).retryAll(100)
+		sum += (&Budget{}).retryAll()
 	}
 	if sum < lives || sum > lives*InitialTokens {
 		t.Errorf("%d retries were allowed in %d lives, want %v", sum, lives, lives*InitialTokens)
@@ -52,23 +52,23 @@
 func TestNewBucketFillsInTime(t *testing.T) {
 	clock := magno.NewClock(magno.Hour)
 	b := &Budget{Clock: clock}
-	n := b.retryAll(100)
+	n := b.retryAll()
 	clock.Advance(FillTime / 2)
-	half := b.retryAll(100)
+	half := b.retryAll()
 	clock.Advance(FillTime)
-	if rest := b.retryAll(100); n != InitialTokens || half != 4 || rest != 4 {
+	if rest := b.retryAll(); n != InitialTokens || half != 4 || rest != 4 {
 		t.Errorf("%d, %d and %d retries were allowed at the start, after half and all of the time, want 2, 4 and 4", n, half, rest)
 	}
 	clock.Advance(FillTime)
-	if more := b.retryAll(100); more != 0 {
+	if more := b.retryAll(); more != 0 {
 		t.Errorf("%d retries without a success", more)
 	}
 }
 
-// retryAll returns how many of n failures in a row may be retried.
-func (b *Budget) retryAll(n int) int {
+// retryAll returns how many of a hundred failures in a row may be retried.
+func (b *Budget) retryAll() int {
 	retries := 0
-	for range n {
+	for range 100 {
 		if _, ok := b.Allow(magno.Refuse(magno.KindNoUpstream, "down"), 1, magno.Minute, 0, true); ok {
 			retries++
 		}
