--- a/drive/sim/sim.go
+++ b/drive/sim/sim.go
@@ -161,7 +161,7 @@
 				return err
 			}
 			r.Update(targets)
-			s.entries[p.name] = append(s.entries[p.name], entry{r, &retry.Budget{Clock: s.clock, Seed: e.Seed}, e.DataCentre})
+			s.entries[p.name] = append(s.entries[p.name], entry{r, &retry.Budget{Seed: e.Seed}, e.DataCentre})
 		}
 	}
 	return nil
--- a/entry/daemon/routers.go
+++ b/entry/daemon/routers.go
@@ -80,7 +80,7 @@
 	defer r.mu.Unlock()
 	b := r.budgets[pool]
 	if b == nil {
-		b = &retry.Budget{Clock: r.clock, Seed: uint64(r.clock.Now())}
+		b = &retry.Budget{Seed: uint64(r.clock.Now())}
 		if r.budgets == nil {
 			r.budgets = map[string]*retry.Budget{}
 		}
--- a/entry/send/send_test.go
+++ b/entry/send/send_test.go
@@ -58,18 +58,9 @@
 	scripts map[string][]func(context.Context) (any, error)
 }
 
-// fullBudget returns the retry budget of a process that has served requests for a while.
-func fullBudget(depth float64) *retry.Budget {
-	b := &retry.Budget{Depth: depth, Base: 1, Cap: 1}
-	for range int(depth / retry.DefaultRatio) {
-		b.Succeeded()
-	}
-	return b
-}
-
 func newHarness(t *testing.T, names string, scripts map[string][]func(context.Context) (any, error)) *harness {
 	t.Helper()
-	h := &harness{scripts: scripts, budget: fullBudget(retry.DefaultDepth)}
+	h := &harness{scripts: scripts, budget: &retry.Budget{Base: 1, Cap: 1}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	t.Cleanup(wg.Wait)
@@ -268,7 +259,7 @@
 // retry budget is spent once, after which each request gets one attempt.
 func TestBudget(t *testing.T) {
 	h := newHarness(t, "ab", script{"a": {refuse(magno.KindBusy, magno.RunNo)}, "b": {refuse(magno.KindBusy, magno.RunNo)}})
-	h.budget = fullBudget(3)
+	h.budget.Depth = 3
 	const requests = 20
 	for range requests {
 		if _, refusal := h.do("", testTimeout); refusal == nil || refusal.After == 0 {
--- a/magno/retry/retry.go
+++ b/magno/retry/retry.go
@@ -8,8 +8,7 @@
 // A token bucket limits retries to a fraction of the successes: with a Ratio of 0.1,
 // a pool that fails completely gets a tenth more attempts, not three times as many.
 // The depth of the bucket allows immediate retries of single failures in a pool with
-// little traffic. A new bucket is nearly empty, since processes that are killed again and
-// again while a pool fails would otherwise retry a whole bucket in each life. Waits use exponential backoff with full jitter, so that requests
+// little traffic. Waits use exponential backoff with full jitter, so that requests
 // that failed together are not retried together.
 package retry
 
@@ -24,11 +23,6 @@
 const (
 	DefaultRatio = 0.1
 	DefaultDepth = 10.0
-	// FillTime is how long a new budget takes to fill without any success.
-	FillTime = 10 * magno.Second
-	// InitialTokens is the number of retries in a new budget: a single request right after the
-	// start of a process gets three attempts.
-	InitialTokens = 2.0
 	// DefaultBase is the upper bound of the first wait. It doubles with each attempt.
 	DefaultBase = 20 * magno.Millis(1)
 	// DefaultCap is the largest upper bound of a wait.
@@ -40,9 +34,7 @@
 type Budget struct {
 	// Ratio is the number of retries that each success adds to the budget.
 	Ratio float64
-	// Clock is that of the process. Without one a new budget fills by successes only.
-	Clock *magno.Clock
-	// Depth is the capacity of the bucket in retries, at least InitialTokens.
+	// Depth is the capacity of the bucket in retries. A new budget is full.
 	Depth float64
 	// Base and Cap bound the first and the longest wait.
 	Base magno.Millis
@@ -52,10 +44,6 @@
 	mu     sync.Mutex
 	rand   *rand.Rand
 	tokens float64
-	// grown is the number of tokens that were added because time passed since startedAt, the
-	// first use.
-	grown     float64
-	startedAt magno.Millis
 }
 
 func (b *Budget) setup() {
@@ -75,21 +63,7 @@
 		b.Cap = DefaultCap
 	}
 	b.rand = rand.New(rand.NewPCG(b.Seed, 3))
-	b.tokens = InitialTokens
-	if b.Clock != nil {
-		b.startedAt = b.Clock.Now()
-	}
-}
-
-// grow adds the tokens due since the first use.
-func (b *Budget) grow() {
-	if b.Clock == nil {
-		return
-	}
-	age := min(float64(b.Clock.Now()-b.startedAt)/float64(FillTime), 1)
-	due := age * (b.Depth - InitialTokens)
-	b.tokens = min(b.tokens+due-b.grown, b.Depth)
-	b.grown = due
+	b.tokens = b.Depth
 }
 
 // Succeeded records a successful attempt.
@@ -113,7 +87,6 @@
 	defer b.mu.Unlock()
 	b.setup()
 	span := min(b.Base<<min(max(attempt-1, 0), 20), b.Cap)
-	b.grow()
 	wait := magno.Millis(b.rand.Int64N(int64(span) + 1))
 	if wait+need > left || b.tokens < 1 {
 		return 0, false
