--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -42,6 +42,8 @@
 	maxSeeds = 3
 	// readyTimeout limits the time until the fleet serves its first request.
 	readyTimeout = 20 * time.Second
+	// portTimeout limits the wait for a port that an earlier fleet used.
+	portTimeout = 2 * time.Second
 )
 
 // fleet holds all processes, proxies and upstreams.
@@ -370,6 +372,9 @@
 func serve(ctx context.Context, address string, h http.Handler) error {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
+	for end := time.Now().Add(portTimeout); err != nil && time.Now().Before(end); l, err = lc.Listen(ctx, "tcp", address) {
+		time.Sleep(10 * time.Millisecond) // an earlier fleet may still be closing it
+	}
 	if err != nil {
 		return err
 	}
