crash: a request is held back only once news of a completion has had time to arrive

What callers saw: on the own interface a sound call was refused as a suspect, kind suspect, for 3 s, though it had completed between two ends of upstreams.

Cause: ends come with the calls of entries, completions by gossip, which takes up to a few of its urgent exchanges of 50 ms. An agent that knew two ends and not yet the completion between them held the call back. A call that would be held back now waits until 0.2 s after the second end, at entry and agent, and is judged then. Requests under which no two upstreams ended wait for nothing.

TestHoldWaitsForNewsOfACompletion replays the order of news.

--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -212,6 +212,9 @@
 		// detects a missing one.
 		_ = peer.Notify(ctx, magno.MethodPart, magno.RunPart{Call: call.Call, Seq: parts, Piece: p})
 	}}
+	if wait := s.Suspects.Unsettled(call.Work.Job.Fingerprint); wait > 0 {
+		_ = magno.Sleep(ctx, wait) // if ctx ends, the loop refuses the run
+	}
 	result, err := s.Loop.Do(ctx, call.Work, func(p magno.Piece) {
 		if call.Stream {
 			stream.Add(p)
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -118,6 +118,9 @@
 // there is no agent left to try.
 func (s *Sender) attemptRouted(ctx context.Context, r Request, n int, tried []string, j *joiner) (string, outcome) {
 	job := r.Work.Job
+	if wait := s.Suspects.Unsettled(job.Fingerprint); wait > 0 && !magno.Sleep(ctx, wait) {
+		return "", outcome{refusal: magno.Refuse(magno.KindDeadline, "its time was over before it was known whether it is a suspect")}
+	}
 	if s.Suspects.MustRefuse(job.Fingerprint) {
 		return "", outcome{refusal: magno.Refuse(magno.KindSuspect, "requests like it crashed upstreams")}
 	}
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -44,6 +44,9 @@
 	// holdTime is how long a request is held back after the end that HoldEnds names. Upstreams
 	// are back after it.
 	holdTime = 3 * magno.Second
+	// settleTime is how long news of a completion may take to reach all processes: a few of gossip's
+	// urgent exchanges.
+	settleTime = 200 * magno.Millis(1)
 )
 
 // Record is what is known about one request.
--- a/magno/crash/crash_test.go
+++ b/magno/crash/crash_test.go
@@ -149,6 +149,36 @@
 	}
 }
 
+// Guards against holding back a sound request because the completion between two ends is known later
+// than these.
+func TestHoldWaitsForNewsOfACompletion(t *testing.T) {
+	clock := magno.NewClock(1_000_000)
+	s, other := newSuspects(clock, 4), newSuspects(clock, 4)
+	s.HoldEnds = 2
+	if s.Unsettled(7) != 0 {
+		t.Error("waits without any end")
+	}
+	endAll(s, 1, 7)
+	other.Merge(s.List())
+	clock.Advance(10)
+	other.Clear(7)
+	clock.Advance(10)
+	endAll(s, 2, 7)
+	if wait := s.Unsettled(7); !s.MustRefuse(7) || wait != settleTime {
+		t.Errorf("waits %d ms after two ends, want %d", wait, settleTime)
+	}
+	clock.Advance(50)
+	s.Merge(other.List())
+	if s.MustRefuse(7) || s.Unsettled(7) != 0 {
+		t.Error("held back though it completed between the ends")
+	}
+	endAll(s, 3, 7)
+	clock.Advance(settleTime)
+	if !s.MustRefuse(7) || s.Unsettled(7) != 0 {
+		t.Error("not held back once no completion can be on its way")
+	}
+}
+
 // Guards against a request that takes one upstream after the other before those are back, and against
 // refusing for good what may have been there by chance twice.
 func TestRequestIsHeldBackAfterTheSecondEnd(t *testing.T) {
--- a/magno/crash/judge.go
+++ b/magno/crash/judge.go
@@ -37,6 +37,24 @@
 	return s.otherEnds(rec, pool) < size*(own-refuseEnds+1)
 }
 
+// Unsettled returns how long to wait before a request is held back, zero for no wait.
+//
+// Load pattern: a sound request ends with one upstream, completes on a second and ends with a third,
+// all within moments. Ends come with the calls of entries, and are known before the completion is.
+func (s *Suspects) Unsettled(fingerprint uint64) magno.Millis {
+	n := s.Count(fingerprint)
+	if n == 0 || s.HoldEnds == 0 || n < s.HoldEnds || n >= refuseEnds {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.get(fingerprint)
+	if rec == nil {
+		return 0
+	}
+	return max(rec.lastEnd()+settleTime-s.Clock.Now(), 0)
+}
+
 // ownEnds returns the number of ends under a request that no other request explains as well, and
 // the pool of the last. If two requests always ran together, both are the cause once there are
 // more than refuseEnds. The caller holds mu.
