--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -138,16 +138,7 @@
 func (p *Peers) Processes(window magno.Millis) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n, now := 1, p.Clock.Now()
-	for _, k := range p.known {
-		if k.counts(now, window) {
-			n++
-		}
-	}
-	if !p.hasMet() && now-p.startedAt < discoveryTime {
-		n = max(n, assumedEntries)
-	}
-	return max(n, len(p.Seeds))
+	return max(p.countKnown(window), len(p.Seeds))
 }
 
 // counts reports whether a peer shares a budget that counts over the window: it is alive, may be
@@ -227,25 +218,31 @@
 	return grant.SortHomes(customer, addrs[:min(len(addrs), maxHomes)])
 }
 
-// Count returns how many entries are alive, this one included, and how many may be: those
-// seen within memberTTL that don't refuse connections. An entry that has just started and
-// met no other assumes that there are many: all of them may have started, and none knows
-// yet what the others grant.
+// Count returns how many entries are alive, this one included, and how many may be.
 func (p *Peers) Count() (alive, known int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	alive, known = 1, 1
-	now := p.Clock.Now()
+	alive = 1
 	for _, k := range p.known {
 		if k.alive {
 			alive++
 		}
-		if k.alive || (now-max(k.lostAt, k.learnedAt) < memberTTL && !k.refused) {
-			known++
+	}
+	return alive, p.countKnown(0)
+}
+
+// countKnown returns how many entries share a budget that counts over the window, this one included.
+// An entry that has just started and met no other assumes that there are many: all of them may have
+// started, and none knows yet what the others grant. The caller holds mu.
+func (p *Peers) countKnown(window magno.Millis) int {
+	n, now := 1, p.Clock.Now()
+	for _, k := range p.known {
+		if k.counts(now, window) {
+			n++
 		}
 	}
 	if !p.hasMet() && now-p.startedAt < discoveryTime {
-		known = max(known, assumedEntries)
+		n = max(n, assumedEntries)
 	}
-	return alive, known
+	return n
 }
