--- /dev/null
+++ b/drive/soak/upstream.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"magnoliastall.example/platform/fake"
+)
+
+// upstream is a worker at an address, with its entry in the instance list.
+type upstream struct {
+	worker  *fake.Worker
+	service string
+	// listed is the address in the list, which is that of a proxy; listen is the worker's
+	// own.
+	listed, listen string
+	incarnation    int
+	listState      string
+	handler        *swapHandler
+	proxy          *proxy
+	// stop ends the present incarnation, nil if it has ended.
+	stop context.CancelFunc
+}
+
+// States of an upstream in the list.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
+// swapHandler lets the next incarnation of a worker serve at the same address.
+type swapHandler struct {
+	mu sync.Mutex
+	h  http.Handler
+}
+
+func (s *swapHandler) set(h http.Handler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.h = h
+}
+
+// ServeHTTP passes the request to the current handler.
+func (s *swapHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	h := s.h
+	s.mu.Unlock()
+	h.ServeHTTP(w, r)
+}
+
+// engine starts an engine with its proxies and its agent.
+func (f *fleet) engine(ctx context.Context, n int) error {
+	u := &upstream{service: fake.EngineService, listed: address(3, n, 20), listen: address(2, n, 20), handler: &swapHandler{}}
+	f.engines = append(f.engines, u)
+	if err := f.serve(u); err != nil {
+		return err
+	}
+	if err := f.proxy(ctx, address(3, n, 10), address(2, n, 10)); err != nil {
+		return err
+	}
+	return f.run(ctx, "agent", &fake.Machine{
+		Name: agentName(n - 1), Zone: "z", IP: fmt.Sprintf("127.0.2.%d", n), Worker: u.listen,
+		InternalPort: portBase + 10, Store: address(5, 2, 30),
+	})
+}
+
+func (f *fleet) serve(u *upstream) error {
+	u.proxy = &proxy{listen: u.listed, target: u.listen}
+	f.proxies = append(f.proxies, u.proxy)
+	f.replace(u)
+	return f.listen(u)
+}
+
+// replace starts a new incarnation and lists it under a new name.
+func (f *fleet) replace(u *upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := u.worker
+	u.incarnation++
+	u.worker = &fake.Worker{ID: fmt.Sprintf("%s-%d", u.listed, u.incarnation), Slots: adapterSlots, Events: eventsPerStream}
+	if u.service == fake.EngineService {
+		u.worker.Model, u.worker.StartEmpty = fake.Model, old != nil
+	}
+	w := u.worker
+	w.OnRun = func(_, target string) bool { return f.onRun(u, w, target) }
+	w.Start()
+	u.handler.set(w)
+	f.allWorkers = append(f.allWorkers, u.worker)
+	u.listState = stateReady
+	f.list(u)
+	if old != nil {
+		f.store.Delete("servers/" + old.ID)
+	}
+}
+
+// restart restarts a worker under the same name.
+func (f *fleet) restart(u *upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.worker.StartEmpty = u.service == fake.EngineService
+	u.worker.Start()
+	u.listState = stateReady
+	f.list(u)
+}
+
+// list writes the entry of an upstream. The caller holds mu.
+func (f *fleet) list(u *upstream) {
+	f.store.Put("servers/"+u.worker.ID, u.worker.StoreEntry(u.service, u.listed, "z", u.listState))
+	delete(f.drainedAt, u.worker)
+	if u.listState == stateDraining {
+		f.drainedAt[u.worker] = time.Now()
+	}
+}
+
+// current returns the present worker of an upstream.
+func (f *fleet) current(u *upstream) *fake.Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return u.worker
+}
+
+// upstreams returns all engines and plain services.
+func (f *fleet) upstreams() []*upstream { return slices.Concat(f.engines, f.plains) }
