soak: a statement that an upstream leaves binds an entry from its first answered request on

As with limits: entries that were killed and got only broken connections since hold nothing against an upstream that states that it leaves.

--- a/drive/soak/leave.go
+++ b/drive/soak/leave.go
@@ -24,7 +24,10 @@
 		case !a.Notice.Leaving:
 			delete(told, entry) // a new incarnation under the same name
 		case !known || o.disturbed(entry, w, first, a.At):
-			told[entry] = a.At
+			delete(told, entry)
+			if !a.Unanswered { // else the entry got no response that states it
+				told[entry] = a.At
+			}
 		case sentAt.Sub(first) > drainDelay:
 			broken = append(broken, fmt.Sprintf("upstream %s got request %s from entry %d, sent %d ms after it stated there that it leaves",
 				w.ID, a.ID, entry, sentAt.Sub(first).Milliseconds()))
--- a/drive/soak/leave_test.go
+++ b/drive/soak/leave_test.go
@@ -52,4 +52,16 @@
 	if broken := o.checkLeaving(w); len(broken) != 1 {
 		t.Errorf("got %q, want the request of 3 s after", broken)
 	}
+	w = &fake.Worker{ID: "w"}
+	w.Start()
+	w.SetNotice(fake.Notice{Leaving: true})
+	w.ArriveUnanswered("0", "")
+	w.Arrive("2", "")
+	if broken := o.checkLeaving(w); len(broken) != 0 {
+		t.Errorf("an entry that got no answer before: %q", broken)
+	}
+	w.Arrive("5", "")
+	if broken := o.checkLeaving(w); len(broken) != 1 {
+		t.Errorf("got %q, want the request of 4.5 s after the first answer", broken)
+	}
 }
