soak: the worst load for the retry budget

The check of repeats could not fail in the soak: its bursts came after a few seconds of little traffic, and the requests of both lives of an entry count for the limit. Senders are one function for the soak and its tests.

--- a/drive/soak/retry.go
+++ b/drive/soak/retry.go
@@ -2,14 +2,9 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
-	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"magnoliastall.example/platform/fake"
@@ -126,81 +121,3 @@
 	slices.Sort(broken)
 	return broken
 }
-
-// fail makes all upstreams fail with the status, or by broken connections, until the returned function
-// is called.
-func (f *fleet) fail(status int) func() {
-	for _, u := range f.upstreams() {
-		f.failOne(u, status)
-	}
-	return func() {
-		for _, u := range f.upstreams() {
-			f.current(u).AbortNext(0)
-			f.current(u).FailWith(0)
-		}
-	}
-}
-
-// failOne makes an upstream fail with the status, or by broken connections with 0.
-func (f *fleet) failOne(u *upstream, status int) {
-	if status == 0 {
-		f.current(u).AbortNext(1 << 30)
-		return
-	}
-	f.current(u).FailWith(status)
-}
-
-// kill kills entries, with a pause between two of them. Each starts again after restartDelay.
-func (f *fleet) kill(entries int, pause time.Duration) {
-	for i := range entries {
-		f.process(entryName(i)).signal(syscall.SIGKILL)
-		time.Sleep(pause)
-	}
-}
-
-const (
-	// maxBurst limits how long upstreams fail before entries are killed, burstRest is how long they
-	// fail afterwards. maxKillPause limits the pause between two kills.
-	maxBurst     = 3 * time.Second
-	burstRest    = 4 * time.Second
-	maxKillPause = 600 * time.Millisecond
-	// burstCallers is the number of further callers during a burst, whose requests may be repeated,
-	// and burstPause their pause between two requests.
-	burstCallers = 16
-	burstPause   = 50 * time.Millisecond
-)
-
-// startBurst makes all upstreams fail beside more requests than usual. The returned function lets them
-// fail on, kills entries, all at once or one after the other, and ends the failures.
-func (s *Soak) startBurst(rnd *rand.Rand) func() {
-	f := s.fleet
-	end := f.fail([]int{0, http.StatusInternalServerError, http.StatusServiceUnavailable}[rnd.IntN(3)])
-	burst, killed := time.Duration(rnd.Int64N(int64(maxBurst))), 1+rnd.IntN(len(f.entries))
-	pause := time.Duration(rnd.IntN(2)) * time.Duration(rnd.Int64N(int64(maxKillPause)))
-	path, adapter := fake.PathRepeat, ""
-	if rnd.IntN(2) == 0 {
-		path, adapter = fake.PathResume, "a1"
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	var sending sync.WaitGroup
-	for range burstCallers {
-		sending.Go(func() { s.sendBurst(ctx, path, adapter) })
-	}
-	return func() {
-		time.Sleep(burst)
-		f.kill(killed, pause)
-		time.Sleep(burstRest)
-		stop()
-		sending.Wait()
-		end()
-	}
-}
-
-// sendBurst sends requests to all entries in turn until ctx ends.
-func (s *Soak) sendBurst(ctx context.Context, path, adapter string) {
-	caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, Key: fake.Key}
-	for n := 0; ctx.Err() == nil; n++ {
-		s.sendTo(context.Background(), caller, s.fleet.entries[n%len(s.fleet.entries)], path+"burst", "body", s.newID(), adapter)
-		time.Sleep(burstPause)
-	}
-}
--- a/drive/soak/retry_test.go
+++ b/drive/soak/retry_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,9 +15,8 @@
 const (
 	retryEntries = maxSeeds + 1
 	retryPlains  = 6
-	retryCallers = 16
-	// retryPause limits the pause of a caller between two requests.
-	retryPause = 180 * time.Millisecond
+	// retryPause is the pause of a caller between two requests.
+	retryPause = 90 * time.Millisecond
 )
 
 // startPlainSoak starts entries and upstreams of the plain service, and waits until they serve.
@@ -54,25 +51,6 @@
 	return s
 }
 
-// sendRepeatable has callers send requests that may be repeated to all entries while act runs.
-func (s *Soak) sendRepeatable(act func()) {
-	ctx, stop := context.WithCancel(context.Background())
-	var sending sync.WaitGroup
-	for i := range retryCallers {
-		sending.Go(func() {
-			rnd := rand.New(rand.NewPCG(s.Seed, uint64(i))) //nolint:gosec // not used as a secret
-			caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, Key: fake.Key}
-			for ctx.Err() == nil {
-				s.sendTo(context.Background(), caller, s.fleet.entries[rnd.IntN(len(s.fleet.entries))], fake.PathRepeat+"x", "", s.newID(), "")
-				time.Sleep(time.Duration(rnd.Int64N(int64(retryPause))))
-			}
-		})
-	}
-	act()
-	stop()
-	sending.Wait()
-}
-
 // Guards against entries that are killed after they have used their retries and use them once more:
 // the upstreams get the repeats of both lives within one window.
 func TestRestartedEntriesStayWithinTheRetryBudget(t *testing.T) {
@@ -89,16 +67,16 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := startPlainSoak(t)
-			s.sendRepeatable(func() {
-				time.Sleep(retryWindow)
-				end := s.fleet.fail(c.status)
-				time.Sleep(2 * time.Second)
-				for range c.repeats {
-					s.fleet.kill(c.killed, c.pause)
-				}
-				time.Sleep(retryWindow)
-				end()
-			})
+			stop := s.sendSteadily(retryPause, fake.PathRepeat, "")
+			time.Sleep(retryWindow)
+			end := s.fleet.fail(c.status)
+			time.Sleep(2 * time.Second)
+			for range c.repeats {
+				s.fleet.kill(c.killed, c.pause)
+			}
+			time.Sleep(retryWindow)
+			end()
+			stop()
 			l := s.retryLoads()[fake.PlainService]
 			t.Logf("%d repeats in the worst window, allowed %.0f", l.repeats, l.allowed)
 			if l.repeats == 0 {
@@ -145,15 +123,14 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := startPlainSoak(t)
-			var from time.Time
-			s.sendRepeatable(func() {
-				time.Sleep(time.Second)
-				s.fleet.kill(c.killed, 0)
-				s.fleet.failOne(s.fleet.plains[0], c.status)
-				time.Sleep(startTime)
-				from = time.Now()
-				time.Sleep(period)
-			})
+			stop := s.sendSteadily(retryPause, fake.PathRepeat, "")
+			time.Sleep(time.Second)
+			s.fleet.kill(c.killed, 0)
+			s.fleet.failOne(s.fleet.plains[0], c.status)
+			time.Sleep(startTime)
+			from := time.Now()
+			time.Sleep(period)
+			stop()
 			share, sent := s.servedShare(from, from.Add(period))
 			t.Logf("%.4f of %d requests were served", share, sent)
 			if share < least {
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -107,6 +107,10 @@
 	working.Wait()
 	s.clearFaults()
 	s.checkRecovery(ctx, "the last fault", recoveryLimit)
+	if s.Seed%retrySeeds == 1 {
+		s.playRetries()
+		s.checkRecovery(ctx, "a burst of failures", recoveryLimit)
+	}
 	s.losePower()
 	s.checkRecovery(ctx, "a loss of all power", powerLossLimit)
 	unwatch()
