relay, resume: a stream goes on at the build that began it, or is refused

Cause: platform/ read the version of an upstream's software and dropped it, so no decision could use it: an entry went on with a broken stream at any upstream, and one that a caller took up elsewhere as well. Nothing read Resumes.

Now a replica has a build. Within one answer the first event that the caller gets binds the stream to the build of its upstream; only upstreams of that build are chosen and sent to, checked again after each wait. Each entry records the origin of the streams whose first event it sent, and tells three others, by a hash of the attempt's id, each 20 ms; no event waits for that. An entry to which a caller takes a stream up looks there, then asks five, and refuses at once what nobody knows. A service that has had one build for longer than a stream lasts needs no record. Builds count only for the incarnation that the list names: its agent confirms that, or a list that is up to date.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -32,7 +32,7 @@
 func (testDialect) Read(h http.Header) magno.Call {
 	h.Del("Only")
 	h.Del("Customer")
-	return magno.Call{ID: h.Get("Id"), Left: 2000, Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization")}
+	return magno.Call{ID: h.Get("Id"), Left: 2000, Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization"), From: h.Get("From"), Resumes: h.Get("Resumes")}
 }
 
 func (testDialect) Write(h http.Header, o magno.ForwardInfo) {
@@ -175,8 +175,9 @@
 	// is.
 	declines func(key string) bool
 
-	// down makes all engines count as down.
-	down atomic.Bool
+	// down makes all engines count as down. engineStart is when they started by their agents.
+	down        atomic.Bool
+	engineStart atomic.Int64
 
 	mu      sync.Mutex
 	notices []gate.NoticeCall
@@ -195,7 +196,7 @@
 	if p.full[key] {
 		return &gate.PermitReply{Refusal: magno.Refuse(magno.KindBusy, "full").WithRetryAfter(100)}, nil
 	}
-	return &gate.PermitReply{}, nil
+	return &gate.PermitReply{Status: gate.StatusReply{EngineStart: magno.Millis(p.engineStart.Load())}}, nil
 }
 func (p *fakePermits) Release(string, gate.EndCall) {}
 func (p *fakePermits) ReportNotice(key string, call gate.NoticeCall) {
@@ -283,12 +284,14 @@
 	permits *fakePermits
 	server  *httptest.Server
 	changes []magno.Change
+	// bookClock is that of the list.
+	bookClock *magno.Clock
 }
 
 func newTestProxy(t testing.TB, kind magno.RouteKind, resume bool, ups ...*fakeUpstream) *testProxy {
 	t.Helper()
 	clock := magno.NewMonotonic()
-	s := &testProxy{pools: &fakePools{retries: 10}, permits: &fakePermits{}}
+	s := &testProxy{pools: &fakePools{retries: 10}, permits: &fakePermits{}, bookClock: magno.NewClock(magno.Hour)}
 	plan := &magno.Plan{Version: 1, Routes: []magno.Route{{
 		Name: "r", Host: "h.example", Prefix: "/p/", Kind: kind, Parts: []magno.Part{{Service: "s", Weight: 1}},
 		Attempts: 2, Timeout: 1500, Aim: 200, Gap: 100, Resume: resume,
@@ -302,7 +305,7 @@
 		s.pools.replicas = append(s.pools.replicas, r.Key())
 		s.changes = append(s.changes, magno.Change{Key: r.ID, Revision: 1, Replica: r})
 	}
-	book := &view.Store{Clock: clock}
+	book := &view.Store{Clock: s.bookClock}
 	book.ApplyRead(s.changes, 1, true)
 	s.Handler = &Handler{
 		Name: "e", Clock: clock, Book: book, Dialect: testDialect{}, Conns: &hop.Pool{Clock: clock}, Permits: s.permits,
@@ -320,6 +323,33 @@
 	Close      bool
 }
 
+// setBuilds lists the upstreams with these builds.
+func (s *testProxy) setBuilds(builds ...string) {
+	s.relist(len(builds), func(i int, r *magno.Replica) { r.Build = builds[i] })
+}
+
+// startAt lists the upstreams as started at these times.
+func (s *testProxy) startAt(times ...magno.Millis) {
+	s.relist(len(times), func(i int, r *magno.Replica) {
+		r.StartedAt = times[i]
+		s.pools.replicas[i] = r.Key()
+	})
+}
+
+// relist changes the entries of the first n upstreams in the list.
+func (s *testProxy) relist(n int, change func(i int, r *magno.Replica)) {
+	revision := s.Book.Current().Revision + 1
+	var changes []magno.Change
+	for i := range n {
+		c := &s.changes[1+i]
+		r := *c.Replica
+		change(i, &r)
+		c.Replica, c.Revision = &r, revision
+		changes = append(changes, *c)
+	}
+	s.Book.ApplyRead(changes, revision, false)
+}
+
 // get sends a request and returns the response's header and body. An error means that the
 // response was truncated.
 func (s *testProxy) get(t testing.TB, method, id string) (*responseHead, string, error) {
@@ -329,6 +359,12 @@
 
 // do is get with a path and an Authorization header.
 func (s *testProxy) do(t testing.TB, method, path, id, key string) (*responseHead, string, error) {
+	t.Helper()
+	return s.doWith(t, method, path, http.Header{"Id": {id}, "Authorization": {key}})
+}
+
+// doWith is get with a path and a header.
+func (s *testProxy) doWith(t testing.TB, method, path string, h http.Header) (*responseHead, string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -341,11 +377,11 @@
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
-	req.Header.Set("Id", id)
+	req.Header = h
 	req.Header.Set("Only", "forged")
 	req.Header.Set("Customer", "forged")
-	if key != "" {
-		req.Header.Set("Authorization", key)
+	if h.Get("Authorization") == "" {
+		req.Header.Del("Authorization")
 	}
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -6,6 +6,7 @@
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/origin"
 	"magnoliastall.example/magno/paths"
 	"magnoliastall.example/magno/view"
 )
@@ -95,6 +96,12 @@
 	headSent  bool
 	lastEvent string
 	events    int
+	// began is where the stream began, nil before its first event. buildKnown is false if the build of
+	// the last send's replica isn't certain, and engineStart when that replica started by its agent,
+	// zero if it had no permit.
+	began       *origin.Origin
+	buildKnown  bool
+	engineStart magno.Millis
 	// firstEvent is the time from the request to its first event, lastEventAt when the last
 	// event was sent, and longestPause the longest time between two events.
 	firstEvent, lastEventAt, longestPause magno.Millis
@@ -126,6 +133,10 @@
 	}
 	ctx, cancel := context.WithTimeout(j.r.Context(), (j.deadline - j.Clock.Now()).Duration())
 	defer cancel()
+	if refusal := j.findOrigin(ctx); refusal != nil {
+		j.refuse(refusal)
+		return
+	}
 	if j.Suspects.MustRefuse(j.fingerprint) {
 		j.trial = j.Trials != nil && j.Trials.Ask(ctx, j.fingerprint)
 		if !j.trial {
@@ -161,7 +172,7 @@
 	case resultNotRun:
 		return len(j.tried) < maxReplicasTried && j.reserveRetry()
 	case resultFailed:
-		return j.route.Repeatable() && j.runs < j.route.Attempts && j.reserveRetry()
+		return j.canRetryElsewhere() && j.reserveRetry()
 	}
 	return false
 }
@@ -228,7 +239,7 @@
 }
 
 func (j *job) query() magno.Query {
-	return magno.Query{Ref: j.engineRef(), Prefix: j.call.Prefix, Aim: j.route.Aim, Gap: j.route.Gap, Avoid: j.tried}
+	return magno.Query{Ref: j.engineRef(), Prefix: j.call.Prefix, Aim: j.route.Aim, Gap: j.route.Gap, Avoid: j.tried, Build: j.requiredBuild()}
 }
 
 // engineRef returns what an engine must hold for this request.
@@ -239,13 +250,13 @@
 	return magno.Ref{Adapter: gate.QualifiedName(j.call.Model, j.call.Adapter)}
 }
 
-// findReplicas returns the replicas with the given keys that are listed and accept requests: they
-// leave neither by the list nor by their own answers, and don't turn requests away.
+// findReplicas returns the replicas with the given keys that are listed, fit the request and accept
+// requests: they leave neither by the list nor by their own answers, and don't turn requests away.
 func (j *job) findReplicas(names []string) []*magno.Replica {
 	snap := j.Book.Current()
 	list := make([]*magno.Replica, 0, len(names))
 	for _, name := range names {
-		if r := snap.Find(name); r != nil && !r.Leaving && !j.Notices.Leaving(name) && j.Notices.RestLeft(name) == 0 {
+		if r := snap.Find(name); r != nil && j.fits(r) && !r.Leaving && !j.Notices.Leaving(name) && j.Notices.RestLeft(name) == 0 {
 			list = append(list, r)
 		}
 	}
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -86,7 +86,7 @@
 // is better now, and resultAborted if the caller is gone or the deadline has passed.
 func (j *job) acquirePermit(ctx context.Context, key string, maxWait magno.Millis) (string, result) {
 	start := j.Clock.Now()
-	j.permitLimited, j.grant = false, magno.LimitGrant{}
+	j.permitLimited, j.grant, j.engineStart = false, magno.LimitGrant{}, 0
 	req := j.permitRequest(start)
 	req.DeclineAbove = maxWait
 	reply, err := j.Permits.Acquire(ctx, key, req)
@@ -112,6 +112,7 @@
 		return "", resultRefused
 	}
 	if err == nil {
+		j.engineStart = reply.Status.EngineStart
 		j.permitLimited = reply.Status.Limit != nil && reply.Status.Limit.Limited
 	}
 	if len(j.findReplicas([]string{key})) == 0 {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -114,6 +114,8 @@
 	// Notices holds what upstreams state about themselves.
 	Notices *notice.Board
 	Limits  Limits
+	// Origins is nil where streams aren't taken up.
+	Origins Origins
 	Log     *slog.Logger
 	// Quotas is nil where no customer has a limit.
 	Quotas magno.Quotas
@@ -349,7 +351,7 @@
 	}
 	line := []any{
 		"request", j.id, "route", route, "customer", j.customerName(), "adapter", gate.QualifiedName(j.call.Model, j.call.Adapter), "status", status, "outcome", outcome, "why", why,
-		"replica", j.lastReplica, "tries", j.sends, "waited", j.permitWait, "took", took, "events", j.events, "first", j.firstEvent, "pause", j.longestPause,
+		"replica", j.lastReplica, "tries", j.sends, "waited", j.permitWait, "took", took, "events", j.events, "from", j.call.From, "build", j.requiredBuild(), "first", j.firstEvent, "pause", j.longestPause,
 		"config", j.configVersion(), "age", j.Book.Age(), "sure", j.configAge,
 	}
 	j.Log.Info("request", append(line, j.waitCauses.LogArgs()...)...)
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -43,6 +43,15 @@
 		j.refusal = suspectRefusal()
 		return resultRefused
 	}
+	if now := j.Book.Current().Find(key); now != nil {
+		r = now // it may have another build by now
+	}
+	j.buildKnown = j.isListed(r)
+	if !j.fits(r) || (j.requiredBuild() != "" && !j.buildKnown) {
+		j.deferRefusal(magno.Refuse(magno.KindNoUpstream, "the upstream's build isn't %s", j.requiredBuild()).WithRetryAfter(noReplicaRetryAfter))
+		j.tried = append(j.tried, key)
+		return resultUnsent
+	}
 	conn, err := j.Conns.Get(ctx, key, r.Address)
 	if err != nil {
 		j.logTry("connect", err)
@@ -159,7 +168,7 @@
 
 // canRetryElsewhere reports whether another upstream could be tried after this one.
 func (j *job) canRetryElsewhere() bool {
-	return j.route.Repeatable() && j.runs < j.route.Attempts
+	return j.route.Repeatable() && j.runs < j.route.Attempts && (j.events == 0 || j.began != nil)
 }
 
 // handleResponse handles a response whose header was read.
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -37,7 +37,7 @@
 // forwardStream forwards events as they arrive. It forwards only complete events, so that the
 // stream can be resumed elsewhere after the last of them.
 func (j *job) forwardStream(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
-	err := j.copyEvents(ctx, conn, res)
+	err := j.copyEvents(ctx, r, conn, res)
 	if err == nil {
 		j.Suspects.Clear(j.fingerprint)
 		j.Conns.Put(conn, res)
@@ -55,7 +55,7 @@
 }
 
 // copyEvents forwards events until the end of the stream.
-func (j *job) copyEvents(ctx context.Context, conn *hop.Conn, res *http.Response) error {
+func (j *job) copyEvents(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) error {
 	events := bufio.NewReaderSize(res.Body, streamBufferSize)
 	flush := http.NewResponseController(j.w)
 	for {
@@ -70,6 +70,9 @@
 		if !j.isNewEvent(event) {
 			continue
 		}
+		if j.events == 0 {
+			j.recordOrigin(r)
+		}
 		j.sendHead(res)
 		if _, err := j.w.Write(event); err != nil {
 			return errors.Mark(err, errCallerGone)
--- /dev/null
+++ b/entry/resume/resume.go
@@ -0,0 +1,275 @@
+// Package resume tells a stream's entry at which build it began, when a caller takes it up at another
+// one than before.
+//
+//	first event --> Record --> Table --each flushInterval--> homes of the stream (a few other entries)
+//	taken up --> Find --> Table, or else asked at once: the homes
+//
+// Load pattern: an entry is killed, and within a second the callers of all its streams take them up
+// at others. What it knew must be known elsewhere by then, without a first event waiting for that. Each
+// stream has homes by a hash of its ID, so that none is asked in vain and none has to know all.
+package resume
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/origin"
+	"magnoliastall.example/magno/wire"
+)
+
+// RPC methods between entries.
+const (
+	MethodRecord = "began"  // []batch, a notification
+	MethodFind   = "origin" // call, answered with a reply
+)
+
+const (
+	// recordHomes is the number of entries that are told where a stream began. Homes are chosen among
+	// live entries, and two entries may differ in which these are, so more are asked.
+	recordHomes = 3
+	askHomes    = 5
+	// flushInterval is how often records are passed on: a kill loses those of the streams that began
+	// within it.
+	flushInterval = 20 * magno.Millis(1)
+	// askTimeout bounds the calls to homes, some of which may have just been killed.
+	askTimeout = 200 * magno.Millis(1)
+	// sendTimeout bounds the delivery of records.
+	sendTimeout = 500 * magno.Millis(1)
+	// maxPending bounds the records that wait to be passed on.
+	maxPending = 4096
+)
+
+// batch holds streams with the same origin.
+type batch struct {
+	origin.Origin
+	Streams []uint64 `json:"streams"`
+}
+
+type call struct {
+	Stream  uint64 `json:"stream"`
+	Service string `json:"service"`
+	// Lasts is how long a stream of the service lasts at most, with all tries of its caller.
+	Lasts magno.Millis `json:"lasts"`
+}
+
+type reply struct {
+	// Origin is nil if it isn't known.
+	Origin *origin.Origin `json:"origin,omitempty"`
+}
+
+// Manager records and finds the origins of streams. Exported fields are set before Open.
+type Manager struct {
+	// Self is this entry's address.
+	Self string
+	Mesh *wire.Mesh
+	// Entries lists the addresses of the live entries.
+	Entries func() []string
+	// Current reports whether the list of upstreams is up to date.
+	Current func() bool
+	Table   *origin.Table
+	Log     *slog.Logger
+
+	mu      sync.Mutex
+	pending map[uint64]origin.Origin
+}
+
+// Open registers the methods on the mesh. It must be called before the mesh runs.
+func (m *Manager) Open() {
+	m.pending = map[uint64]origin.Origin{}
+	m.Mesh.Handle(MethodRecord, m.handleRecord)
+	m.Mesh.Handle(MethodFind, m.handleFind)
+}
+
+// Name implements magno.Task.
+func (m *Manager) Name() string { return "resume" }
+
+// Run passes records on until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticks := time.NewTicker(flushInterval.Duration())
+	defer ticks.Stop()
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+		}
+		if !m.Current() {
+			m.Table.Forget()
+		}
+		for addr, batches := range m.takePending() {
+			sending.Go(func() { m.send(ctx, addr, batches) })
+		}
+	}
+}
+
+// Record records where the stream of a caller's attempt began. It doesn't wait for other entries.
+func (m *Manager) Record(attempt string, o origin.Origin) {
+	stream := origin.StreamID(attempt)
+	m.Table.Record(stream, o)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.pending) < maxPending {
+		m.pending[stream] = o
+	}
+}
+
+// takePending returns the records to pass on, by the address of their homes.
+func (m *Manager) takePending() map[string][]batch {
+	m.mu.Lock()
+	pending := m.pending
+	if len(pending) == 0 {
+		m.mu.Unlock()
+		return nil
+	}
+	m.pending = map[uint64]origin.Origin{}
+	m.mu.Unlock()
+	entries := m.others()
+	byHome := map[string][]batch{}
+	for stream, o := range pending {
+		for _, addr := range homesOf(stream, entries, recordHomes) {
+			byHome[addr] = appendRecord(byHome[addr], stream, o)
+		}
+	}
+	return byHome
+}
+
+func appendRecord(list []batch, stream uint64, o origin.Origin) []batch {
+	i := slices.IndexFunc(list, func(b batch) bool { return b.Origin == o })
+	if i < 0 {
+		return append(list, batch{o, []uint64{stream}})
+	}
+	list[i].Streams = append(list[i].Streams, stream)
+	return list
+}
+
+// others returns the addresses of the other live entries.
+func (m *Manager) others() []string {
+	return slices.DeleteFunc(m.Entries(), func(addr string) bool { return addr == m.Self })
+}
+
+// homesOf returns the n homes of a stream among entries by rendezvous hashing: an entry that joins or
+// leaves changes few of them.
+func homesOf(stream uint64, entries []string, n int) []string {
+	type home struct {
+		addr  string
+		score uint64
+	}
+	homes := make([]home, 0, n+1)
+	for _, addr := range entries {
+		score := (xxhash.Sum64String(addr) ^ stream) * scoreFactor
+		score ^= score >> 32
+		at, _ := slices.BinarySearchFunc(homes, score, func(h home, s uint64) int {
+			if h.score > s {
+				return -1
+			}
+			return 1
+		})
+		if at < n {
+			homes = slices.Insert(homes, at, home{addr, score})
+			homes = homes[:min(len(homes), n)]
+		}
+	}
+	addrs := make([]string, 0, len(homes))
+	for _, h := range homes {
+		addrs = append(addrs, h.addr)
+	}
+	return addrs
+}
+
+// scoreFactor is odd and large, so that every bit of a stream's ID counts.
+const scoreFactor = 0x9e3779b97f4a7c15
+
+func (m *Manager) send(ctx context.Context, addr string, batches []batch) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
+	defer cancel()
+	if err := m.Mesh.Notify(ctx, addr, MethodRecord, batches); err != nil {
+		m.Log.Debug("origins not passed on", "addr", addr, "error", err)
+	}
+}
+
+func (m *Manager) handleRecord(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var batches []batch
+	if err := json.Unmarshal(params, &batches); err != nil {
+		m.Log.Warn("malformed origins", "error", err)
+		return nil, err
+	}
+	for _, b := range batches {
+		for _, stream := range b.Streams {
+			m.Table.Record(stream, b.Origin)
+		}
+	}
+	return nil, nil
+}
+
+// Find returns where a stream began that a caller takes up, nil if no entry knows. The stream is that of
+// the attempt, of which the caller may state nothing, and lasts as in call.
+func (m *Manager) Find(ctx context.Context, attempt, service string, lasts magno.Millis) *origin.Origin {
+	c := call{Service: service, Lasts: lasts}
+	if attempt != "" {
+		c.Stream = origin.StreamID(attempt)
+	}
+	o := m.find(&c)
+	how := "here"
+	if o == nil {
+		o, how = m.ask(ctx, &c), "asked"
+	}
+	if o == nil {
+		how = "unknown"
+	}
+	metrics.GetOrCreateCounter(`streams_taken_up_total{origin="` + how + `"}`).Inc()
+	return o
+}
+
+// find returns where a stream began as far as this entry knows.
+func (m *Manager) find(c *call) *origin.Origin {
+	if c.Stream != 0 {
+		if o := m.Table.Find(c.Stream); o != nil {
+			return o
+		}
+	}
+	if !m.Current() {
+		return nil
+	}
+	return m.Table.Sole(c.Service, c.Lasts)
+}
+
+// ask asks the homes of a stream, and returns the first answer that names its origin.
+func (m *Manager) ask(ctx context.Context, c *call) *origin.Origin {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	homes := homesOf(c.Stream, m.others(), askHomes)
+	answers := make(chan *origin.Origin, len(homes))
+	for _, addr := range homes {
+		go func() {
+			var r reply
+			if err := m.Mesh.Call(ctx, addr, MethodFind, c, &r); err != nil {
+				m.Log.Debug("origin not asked", "addr", addr, "error", err)
+			}
+			answers <- r.Origin
+		}()
+	}
+	for range homes {
+		if o := <-answers; o != nil {
+			return o
+		}
+	}
+	return nil
+}
+
+func (m *Manager) handleFind(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+	var c call
+	if err := json.Unmarshal(params, &c); err != nil {
+		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
+	}
+	return reply{m.find(&c)}, nil
+}
--- /dev/null
+++ b/entry/resume/resume_test.go
@@ -0,0 +1,167 @@
+package resume
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/origin"
+	"magnoliastall.example/magno/wire"
+)
+
+const (
+	service = "s"
+	lasts   = 20 * magno.Second
+)
+
+// node is the manager of an entry that a test can end.
+type node struct {
+	*Manager
+	clock *magno.Clock
+	// end ends its process, as far as others can tell.
+	end func()
+}
+
+// startNodes starts entries that take all others for alive.
+func startNodes(t *testing.T, n int) []*node {
+	t.Helper()
+	var nodes []*node
+	var addrs []string
+	for range n {
+		mesh := &wire.Mesh{Listen: "127.0.0.1:0"}
+		if err := mesh.Open(); err != nil {
+			t.Fatal(err)
+		}
+		clock := magno.NewClock(magno.Hour)
+		m := &Manager{
+			Self: mesh.Addr(), Mesh: mesh, Current: func() bool { return true }, Table: &origin.Table{Clock: clock}, Log: slog.New(slog.DiscardHandler),
+			Entries: func() []string { return slices.Clone(addrs) },
+		}
+		m.Open()
+		addrs = append(addrs, mesh.Addr())
+		nodes = append(nodes, &node{Manager: m, clock: clock})
+	}
+	for _, k := range nodes {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 2)
+		go func() { ended <- k.Mesh.Run(ctx) }()
+		go func() { ended <- k.Run(ctx) }()
+		stopped := false
+		k.end = func() {
+			if stopped {
+				return
+			}
+			stopped = true
+			cancel()
+			for range 2 {
+				if err := <-ended; err != nil {
+					t.Error(err)
+				}
+			}
+		}
+		t.Cleanup(k.end)
+	}
+	return nodes
+}
+
+// waitForHomes waits until as many entries as a stream has homes know where it began, or all others.
+func waitForHomes(t *testing.T, nodes []*node, attempt string) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
+		know := 0
+		for _, k := range nodes {
+			if k.Table.Find(origin.StreamID(attempt)) != nil {
+				know++
+			}
+		}
+		if know == min(recordHomes+1, len(nodes)) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d entries know where the stream began", know)
+		}
+	}
+}
+
+// Guards against a stream that no entry can go on with once the one that began it was killed, along with
+// some of those that it told.
+func TestOriginOutlivesTheEntryThatRecordedIt(t *testing.T) {
+	for _, size := range []int{2, 3, 8} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			nodes := startNodes(t, size)
+			const attempt = "began-at-0"
+			nodes[0].Record(attempt, origin.Origin{Service: service, Build: "v1"})
+			waitForHomes(t, nodes, attempt)
+			nodes[0].end()
+			living := nodes[1:]
+			for killed := 0; killed < recordHomes-1 && len(living) > 1; killed++ {
+				living[0].end()
+				living = living[1:]
+			}
+			for i, k := range living {
+				if o := k.Find(context.Background(), attempt, service, lasts); o == nil || o.Build != "v1" {
+					t.Errorf("entry %d of those left finds %v, want v1", i, o)
+				}
+			}
+		})
+	}
+}
+
+// Guards against guessing where a stream began: none knows it, its caller doesn't state it, or the list of
+// the only one that would know has been out of date.
+func TestUnknownOriginIsNotGuessed(t *testing.T) {
+	nodes := startNodes(t, 3)
+	for _, k := range nodes {
+		k.Table.Update(map[string][]string{service: {"v1", "v2"}})
+	}
+	asker, other := nodes[0], nodes[1]
+	find := func(attempt string) *origin.Origin { return asker.Find(context.Background(), attempt, service, lasts) }
+	if o := find("lost"); o != nil {
+		t.Errorf("a lost record is taken for %v", o)
+	}
+	other.Table.Update(map[string][]string{service: {"v1"}})
+	other.clock.Advance(lasts)
+	if o := find("lost"); o == nil || o.Build != "v1" {
+		t.Errorf("an entry has seen one build only for long: got %v, want v1", o)
+	}
+	if o := find(""); o == nil || o.Build != "v1" {
+		t.Errorf("the caller doesn't state where it began, and there was one build only: got %v, want v1", o)
+	}
+	other.Table.Forget()
+	if o := find("lost"); o != nil {
+		t.Errorf("an entry whose list was out of date is believed: %v", o)
+	}
+}
+
+// Guards against homes that move as entries join or leave: those that were told wouldn't be asked.
+func TestHomesStayAsEntriesComeAndGo(t *testing.T) {
+	entries := make([]string, 40)
+	for i := range entries {
+		entries[i] = fmt.Sprintf("10.0.0.%d:7", i)
+	}
+	fewer := entries[:len(entries)-2]
+	load := map[string]int{}
+	for stream := range uint64(2000) {
+		id := origin.StreamID(fmt.Sprint(stream))
+		told, asked := homesOf(id, entries, recordHomes), homesOf(id, fewer, askHomes)
+		if len(told) != recordHomes || len(asked) != askHomes {
+			t.Fatalf("%d homes are told, %d asked", len(told), len(asked))
+		}
+		for _, addr := range told {
+			load[addr]++
+			if slices.Contains(fewer, addr) && !slices.Contains(asked, addr) {
+				t.Fatalf("stream %d: %s was told and isn't asked", stream, addr)
+			}
+		}
+	}
+	mean := 2000 * recordHomes / len(entries)
+	for addr, n := range load {
+		if n < mean/2 || n > 2*mean {
+			t.Errorf("%s is home of %d streams, the mean is %d", addr, n, mean)
+		}
+	}
+}
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -64,7 +64,7 @@
 	var list []magno.Target
 	for _, r := range p.book.Current().Replicas {
 		if r.Service == service {
-			list = append(list, magno.Target{Name: r.Key(), DataCentre: r.DataCentre, Leaving: r.Leaving || p.notices.Leaving(r.Key())})
+			list = append(list, magno.Target{Name: r.Key(), DataCentre: r.DataCentre, Leaving: r.Leaving || p.notices.Leaving(r.Key()), Build: r.Build})
 		}
 	}
 	return list
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,6 +24,7 @@
 	"magnoliastall.example/entry/peers"
 	"magnoliastall.example/entry/reads"
 	"magnoliastall.example/entry/relay"
+	"magnoliastall.example/entry/resume"
 	"magnoliastall.example/entry/trial"
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/admin"
@@ -30,6 +32,7 @@
 	"magnoliastall.example/magno/event"
 	"magnoliastall.example/magno/lines"
 	"magnoliastall.example/magno/notice"
+	"magnoliastall.example/magno/origin"
 	"magnoliastall.example/magno/start"
 	"magnoliastall.example/magno/view"
 	"magnoliastall.example/magno/wire"
@@ -70,6 +73,8 @@
 	desk     *desk.Client
 	lease    *lease.Manager
 	limit    *limit.Manager
+	origins  *origin.Table
+	resume   *resume.Manager
 	front    *front
 	log      *slog.Logger
 }
@@ -107,9 +112,14 @@
 	e.limit.Open()
 	trials := &trial.Manager{Self: settings.PeerAddress, Mesh: e.mesh, Homes: e.peers.Homes, Suspects: suspects, Clock: clock, Log: log}
 	trials.Open()
+	e.origins = &origin.Table{Clock: clock}
+	e.resume = &resume.Manager{
+		Self: settings.PeerAddress, Mesh: e.mesh, Entries: e.peers.Entries, Current: func() bool { return e.book.Age() <= maxListAge }, Table: e.origins, Log: log,
+	}
+	e.resume.Open()
 	handler := &relay.Handler{
 		Name: settings.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Conns: e.conns, Permits: e.desk, Pools: e.pools,
-		Suspects: suspects, Trials: trials, Notices: e.notices, Limits: e.limit, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
+		Suspects: suspects, Trials: trials, Notices: e.notices, Limits: e.limit, Origins: e.resume, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
 		BodyMemory: memoryBudget(settings.MemoryLimit), ResponseMemory: memoryBudget(settings.MemoryLimit),
 	}
 	e.peers.Leaving = handler.Draining
@@ -136,7 +146,7 @@
 
 func (e *entry) tasks() []magno.Task {
 	return []magno.Task{
-		e.mesh, e.reader, e.peers, e.desk, e.lease, e.limit, &follower{e}, e.front, &readiness{e.front}, &lagMonitor{e.front},
+		e.mesh, e.reader, e.peers, e.desk, e.lease, e.limit, e.resume, &follower{e}, e.front, &readiness{e.front}, &lagMonitor{e.front},
 		&admin.Server{
 			Listen: net.JoinHostPort(e.settings.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.AnyAddress},
 			Ready: e.front.ready, Status: func() any { return e.book.Current() }, Events: &event.Ring{Process: e.settings.Name, Size: 1},
@@ -144,6 +154,20 @@
 	}
 }
 
+// maxListAge is the age of the list from which on other builds may serve than those it names.
+const maxListAge = 1500 * magno.Millis(1)
+
+// buildsOf returns the builds of each service, those of upstreams that leave too.
+func buildsOf(listed map[string]*magno.Replica) map[string][]string {
+	builds := map[string][]string{}
+	for _, r := range listed {
+		if !slices.Contains(builds[r.Service], r.Build) {
+			builds[r.Service] = append(builds[r.Service], r.Build)
+		}
+	}
+	return builds
+}
+
 // poolSize returns the number of upstreams of the service with the given magno.PoolID.
 func poolSize(snap *view.Snapshot, pool uint64) int {
 	n := 0
@@ -228,6 +252,7 @@
 		f.conns.Prune(func(key string) bool { return listed[key] != nil })
 		f.notices.Prune(known.update(listed))
 		f.pools.update()
+		f.origins.Update(buildsOf(listed))
 		select {
 		case <-ctx.Done():
 			return nil
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -168,6 +168,8 @@
 	DataCentre string
 	// Leaving targets are sent no new work.
 	Leaving bool
+	// Build is the version of its software, empty if not stated.
+	Build string
 }
 
 // Query describes a request for routing.
@@ -185,10 +187,12 @@
 	Aim, Gap Millis
 	// Avoid lists the targets that were tried already.
 	Avoid []string
+	// Build is the only build that may get the request, empty for any.
+	Build string
 }
 
 // Router selects targets for the requests of one pool. The cost of a query doesn't depend
-// on the size of the pool. Implementations are safe for concurrent use.
+// on the size of the pool, unless it names a build. Implementations are safe for concurrent use.
 type Router interface {
 	// Update replaces the targets.
 	Update(targets []Target)
--- /dev/null
+++ b/magno/origin/origin.go
@@ -0,0 +1,133 @@
+// Package origin remembers which build of an upstream's software began each stream, so that the stream
+// goes on at that build only.
+//
+//	first event --> Record --> Table --> Find <-- the caller takes the stream up
+//	list of upstreams --> Update --> Sole --^
+//
+// Load pattern: builds serve side by side while a service is updated. Upstreams and entries end all the
+// while, and callers take up at another entry what breaks off. What two builds write doesn't fit into one
+// stream, and no upstream checks that.
+//
+// A service that has had only one build for longer than a stream lasts needs no record. Records are soft
+// state: without one, a stream isn't taken up.
+package origin
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"magnoliastall.example/magno"
+)
+
+const (
+	// MaxRecords bounds the records: those of two minutes at a hundred new streams per second.
+	MaxRecords = 12 << 10
+	// maxOrigins bounds the different origins that records share.
+	maxOrigins = 256
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service string `json:"service"`
+	// Build is the version of the upstream's software, empty if it states none.
+	Build string `json:"build,omitempty"`
+}
+
+// StreamID identifies a stream by the ID of the caller's attempt that brought its first event.
+func StreamID(attempt string) uint64 { return xxhash.Sum64String(attempt) }
+
+// Table is the set of records. It is safe for concurrent use; Clock is set before use.
+type Table struct {
+	Clock *magno.Clock
+
+	mu      sync.Mutex
+	records *simplelru.LRU[uint64, *Origin]
+	// origins holds one copy of each origin.
+	origins map[Origin]*Origin
+	sole    map[string]sole
+}
+
+// sole is the only build of a service.
+type sole struct {
+	build string
+	// since is when it was first known to be the only one, zero while there are several.
+	since magno.Millis
+}
+
+// setup creates the tables on first use. The caller holds mu.
+func (t *Table) setup() {
+	if t.records == nil {
+		t.records, _ = simplelru.NewLRU[uint64, *Origin](MaxRecords, nil)
+		t.origins, t.sole = map[Origin]*Origin{}, map[string]sole{}
+	}
+}
+
+// Record records where a stream began.
+func (t *Table) Record(stream uint64, o Origin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setup()
+	shared := t.origins[o]
+	if shared == nil {
+		if len(t.origins) >= maxOrigins {
+			clear(t.origins) // records keep theirs
+		}
+		shared = &o
+		t.origins[o] = shared
+	}
+	t.records.Add(stream, shared)
+}
+
+// Find returns where a stream began, nil if that isn't recorded.
+func (t *Table) Find(stream uint64) *Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setup()
+	o, _ := t.records.Get(stream)
+	return o
+}
+
+// Update takes the builds of each service in the present list of upstreams. A service that isn't in it
+// keeps its only build: all its upstreams may have crashed.
+func (t *Table) Update(builds map[string][]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setup()
+	now := t.Clock.Now()
+	for service, list := range builds {
+		was := t.sole[service]
+		switch {
+		case len(list) > 1:
+			t.sole[service] = sole{}
+		case was.since == 0 || was.build != list[0]:
+			t.sole[service] = sole{build: list[0], since: max(now, 1)}
+		}
+	}
+}
+
+// Forget is called while the list may be out of date: builds may come and go unnoticed.
+func (t *Table) Forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	for service, s := range t.sole {
+		if s.since > 0 {
+			s.since = max(now, 1)
+			t.sole[service] = s
+		}
+	}
+}
+
+// Sole returns the build of a service that was the only one for the given time, nil if there is none.
+func (t *Table) Sole(service string, since magno.Millis) *Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setup()
+	s := t.sole[service]
+	if s.since == 0 || t.Clock.Now()-s.since < since {
+		return nil
+	}
+	return &Origin{Service: service, Build: s.build}
+}
--- /dev/null
+++ b/magno/origin/origin_test.go
@@ -0,0 +1,106 @@
+package origin
+
+import (
+	"testing"
+
+	"magnoliastall.example/magno"
+)
+
+const (
+	service = "s"
+	window  = 20 * magno.Second
+)
+
+// Guards against taking a service for one of a single build while another one may have begun streams
+// that still last: it left a moment ago, was there while the list was out of date, or isn't known to a
+// process that has just started.
+func TestOneBuildCountsOnlyOnceNoOtherCanHaveBegunAStream(t *testing.T) {
+	one, other, both := []string{"v1"}, []string{"v2"}, []string{"v1", "v2"}
+	for _, c := range []struct {
+		name string
+		play func(t *Table, pass func(magno.Millis))
+		want string
+	}{
+		{"just started", func(table *Table, pass func(magno.Millis)) {
+			table.Update(map[string][]string{service: one})
+			pass(window - 1)
+		}, ""},
+		{"one for long", func(table *Table, pass func(magno.Millis)) {
+			table.Update(map[string][]string{service: one})
+			pass(window / 2)
+			table.Update(map[string][]string{service: one})
+			pass(window / 2)
+		}, "v1"},
+		{"one, all of whose upstreams crashed", func(table *Table, pass func(magno.Millis)) {
+			table.Update(map[string][]string{service: one})
+			pass(window / 2)
+			table.Update(map[string][]string{"other": other})
+			pass(window / 2)
+		}, "v1"},
+		{"two side by side", func(table *Table, pass func(magno.Millis)) {
+			table.Update(map[string][]string{service: one})
+			pass(window)
+			table.Update(map[string][]string{service: both})
+			pass(window)
+		}, ""},
+		{"another one left a moment ago", func(table *Table, pass func(magno.Millis)) {
+			table.Update(map[string][]string{service: both})
+			pass(window)
+			table.Update(map[string][]string{service: one})
+			pass(window - 1)
+		}, ""},
+		{"another one left long ago", func(table *Table, pass func(magno.Millis)) {
+			table.Update(map[string][]string{service: both})
+			table.Update(map[string][]string{service: one})
+			pass(window)
+		}, "v1"},
+		{"replaced at once", func(table *Table, pass func(magno.Millis)) {
+			table.Update(map[string][]string{service: one})
+			pass(window)
+			table.Update(map[string][]string{service: other})
+			pass(window - 1)
+		}, ""},
+		{"the list was out of date for a while", func(table *Table, pass func(magno.Millis)) {
+			table.Update(map[string][]string{service: one})
+			pass(window)
+			table.Forget()
+			pass(window - 1)
+		}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := magno.NewClock(magno.Hour)
+			table := &Table{Clock: clock}
+			c.play(table, func(d magno.Millis) { clock.Advance(d) })
+			got := ""
+			if o := table.Sole(service, window); o != nil {
+				got = o.Build
+			}
+			if got != c.want {
+				t.Errorf("the only build is %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against unbounded memory when many streams begin, and against losing the newest.
+func TestRecordsAreBounded(t *testing.T) {
+	table := &Table{Clock: magno.NewClock(1)}
+	for i := range uint64(3 * MaxRecords) {
+		table.Record(i, Origin{service, "v1"})
+	}
+	if n := table.records.Len(); n != MaxRecords {
+		t.Errorf("%d records, want %d", n, MaxRecords)
+	}
+	if o := table.Find(3*MaxRecords - 1); o == nil || o.Build != "v1" {
+		t.Errorf("the newest stream began at %v, want v1", o)
+	}
+	if table.Find(1) != nil {
+		t.Error("the oldest stream is still recorded")
+	}
+	for i := range uint64(3 * maxOrigins) {
+		table.Record(i, Origin{service, string(rune('a' + i))})
+	}
+	if len(table.origins) > maxOrigins {
+		t.Errorf("%d origins, want %d at most", len(table.origins), maxOrigins)
+	}
+}
--- a/magno/plan.go
+++ b/magno/plan.go
@@ -130,6 +130,9 @@
 	Slots int `json:"slots"`
 	// Leaving replicas are sent no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Build is the version of its software, empty if not stated. What two builds write doesn't
+	// fit into one stream.
+	Build string `json:"build,omitempty"`
 	// Since is the revision of the list that created the entry. Of two entries with the
 	// same address, the one with the higher value is current.
 	Since Revision `json:"since"`
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -25,6 +25,11 @@
 	maxLoadWait magno.Millis
 }
 
+// allows reports whether the query admits a target, whatever its state.
+func (q *query) allows(p *peer) bool {
+	return (q.Build == "" || q.Build == p.build) && !slices.Contains(q.Avoid, p.name)
+}
+
 // Route returns at most maxNames target names in order of preference.
 func (r *Router) Route(q magno.Query) []string { return r.Choose(q).Names }
 
@@ -40,15 +45,18 @@
 	}
 	r.candidates = r.candidates[:0]
 	full := query{Query: q, now: r.Clock.Now(), maxLoadWait: magno.Hour}
-	if q.Ref == (magno.Ref{}) {
+	switch {
+	case q.Build != "":
+		r.addAll(&full) // the few holders that are compared otherwise may all be of other builds
+	case q.Ref == (magno.Ref{}):
 		r.addRandom(&full)
-	} else {
+	default:
 		full.hash = q.Ref.Hash()
 		r.addHolders(&full)
 		r.addMemHolders(&full)
 		r.addHashed(&full)
 	}
-	if len(r.candidates) == 0 {
+	if len(r.candidates) == 0 && q.Build == "" {
 		r.addAll(&full)
 	}
 	slices.SortStableFunc(r.candidates, compare)
@@ -80,7 +88,7 @@
 	least := magno.Millis(0)
 	for _, p := range r.peers {
 		left := p.restUntil - q.now
-		if left <= 0 || p.leaving || p.report.Down || slices.Contains(q.Avoid, p.name) {
+		if left <= 0 || p.leaving || p.report.Down || !q.allows(p) {
 			continue
 		}
 		if least == 0 || left < least {
@@ -182,7 +190,7 @@
 // add appends a candidate and reports whether it did. Targets that are unusable,
 // avoided by the query or already listed are left out.
 func (r *Router) add(q *query, p *peer, extra magno.Millis) bool {
-	if p == nil || !p.usable(q.now) || slices.Contains(q.Avoid, p.name) {
+	if p == nil || !p.usable(q.now) || !q.allows(p) {
 		return false
 	}
 	for i := range r.candidates {
--- a/magno/route/peer.go
+++ b/magno/route/peer.go
@@ -43,6 +43,7 @@
 	name    string
 	dc      string
 	leaving bool
+	build   string
 	// restUntil is when p accepts work again.
 	restUntil magno.Millis
 
--- a/magno/route/route.go
+++ b/magno/route/route.go
@@ -146,7 +146,7 @@
 		if p == nil {
 			p = &peer{name: t.Name, weight: 1}
 		}
-		p.dc, p.leaving = t.DataCentre, t.Leaving
+		p.dc, p.leaving, p.build = t.DataCentre, t.Leaving, t.Build
 		r.peers[t.Name] = p
 		if !t.Leaving {
 			active = append(active, p)
--- a/magno/site.go
+++ b/magno/site.go
@@ -104,8 +104,9 @@
 	// its number of tokens.
 	Prefix uint64
 	Shared int
-	// From is the event after which to resume a stream, empty for the whole stream.
-	From string
+	// From is the event after which to resume a stream, empty for the whole stream. Resumes is the
+	// ID of the attempt that brought its first event, empty if not stated.
+	From, Resumes string
 	// Key is the Authorization header, which identifies the caller's customer.
 	Key string
 }
