soak: a failing test of requests that share a part which ends upstreams

In the test callers send requests with one part in common that ends each upstream which begins to answer it, no two alike, beside sound requests with the same caller, route and other parts.

--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -112,15 +112,23 @@
 }
 
 // onRun ends an upstream soon if a fatal request begins to run there.
-func (f *fleet) onRun(u *upstream, w *fake.Worker, target string) bool {
-	after, away, ok := f.fatal.draw(target)
-	if ok {
-		go func() {
-			time.Sleep(after)
-			f.end(u, w, target, away)
-		}()
+func (f *fleet) onRun(u *upstream, w *fake.Worker, target, parts string) fake.Fate {
+	cause, fate := target, fake.FateSilent
+	if part := f.fatal.part(parts); part != "" {
+		cause = part
+		if pathOf(target) == fake.PathResume || pathOf(target) == fake.PathFlow {
+			fate = fake.FateBegun
+		}
+	}
+	after, away, ok := f.fatal.draw(cause)
+	if !ok {
+		return fake.FateServed
 	}
-	return ok
+	go func() {
+		time.Sleep(after)
+		f.end(u, w, cause, away)
+	}()
+	return fate
 }
 
 // end ends a worker without notice, under a request to the target unless that is empty: its connections
--- /dev/null
+++ b/drive/soak/part_test.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastall.example/platform/fake"
+)
+
+const (
+	partCallers = 4
+	// partTime is how long requests with a fatal part are sent.
+	partTime = soundDelay + 8*time.Second
+	// soundTime is how long only sound ones are sent before.
+	soundTime = 4 * time.Second
+)
+
+// partCase is a fatal part and the sound requests beside it.
+type partCase struct {
+	name, path string
+	// prompt returns the parts of a prompt but the last.
+	prompt func(rnd *rand.Rand, fatal bool) []string
+	// part is the fatal part, at the given place of its prompts.
+	part string
+	// keepsFirst is true if sound prompts have the same first part as fatal ones.
+	keepsFirst bool
+}
+
+// begins counts requests sent in a period and those of them that begin.
+type begins struct {
+	from, to    time.Time
+	sent, begun int
+}
+
+// add counts a request.
+func (b *begins) add(at time.Time, begun bool) {
+	if at.Before(b.from) || (!b.to.IsZero() && at.After(b.to)) {
+		return
+	}
+	b.sent++
+	b.begun += count(begun)
+}
+
+// share returns the share of requests that begin.
+func (b *begins) share() float64 { return float64(b.begun) / float64(max(b.sent, 1)) }
+
+// sendParts has callers send requests of a case until ctx ends, and returns when each was sent and whether
+// it began.
+func (s *Soak) sendParts(ctx context.Context, c *partCase, callers int, fatal bool) map[time.Time]bool {
+	var mu sync.Mutex
+	began := map[time.Time]bool{}
+	var sending sync.WaitGroup
+	for n := range callers {
+		sending.Go(func() {
+			rnd := rand.New(rand.NewPCG(s.Seed, uint64(2*n+count(fatal)))) //nolint:gosec // not used as a secret
+			caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, Key: fake.Key}
+			for ctx.Err() == nil {
+				id := s.newID()
+				m := fake.Message{Target: c.path + "parts", Body: "body of " + id, ID: id}
+				if serviceOf(c.path) == fake.EngineService {
+					m.Adapter = "a1"
+				}
+				for _, part := range c.prompt(rnd, fatal) {
+					m.Parts += part + ":100,"
+				}
+				m.Parts += id + ":50"
+				at := time.Now()
+				o := s.sendMessage(ctx, caller, s.fleet.entries[rnd.IntN(len(s.fleet.entries))], m)
+				mu.Lock()
+				began[at] = o.Status == http.StatusOK && o.Body != ""
+				mu.Unlock()
+				time.Sleep(time.Duration(20+rnd.IntN(60)) * time.Millisecond)
+			}
+		})
+	}
+	sending.Wait()
+	return began
+}
+
+// Guards against requests that share a part which ends upstreams, and are sent on since no two of them are
+// alike, and against refusing the sound ones beside them.
+func TestPartThatEndsUpstreamsIsHeldBack(t *testing.T) {
+	second := func(_ *rand.Rand, fatal bool) []string {
+		if fatal {
+			return []string{"aa", "dead"}
+		}
+		return []string{"aa", "bb"}
+	}
+	first := func(_ *rand.Rand, fatal bool) []string {
+		if fatal {
+			return []string{"dead", "bb"}
+		}
+		return []string{"aa", "bb"}
+	}
+	own := func(rnd *rand.Rand, fatal bool) []string {
+		session := fmt.Sprintf("5e%x", rnd.IntN(40))
+		if fatal {
+			return []string{"aa", session, "dead"}
+		}
+		return []string{"aa", session}
+	}
+	for _, c := range []partCase{
+		{"second part, plain service", fake.PathFlow, second, "dead", true},
+		{"first part, plain service", fake.PathFlow, first, "dead", false},
+		{"third part, beside sessions", fake.PathFlow, own, "dead", true},
+		{"second part, engines", fake.PathResume, second, "dead", true},
+		{"second part, no event", fake.PathRepeat, second, "dead", true},
+	} {
+		t.Run(c.name, func(t *testing.T) { testPart(t, &c) })
+	}
+}
+
+func testPart(t *testing.T, c *partCase) {
+	s := startStreamSoak(t, c.path)
+	name := partName(c.part)
+	s.fleet.fatal.set(name, true)
+	sound, stopSound := context.WithCancel(context.Background())
+	var began map[time.Time]bool
+	done := make(chan struct{})
+	started := time.Now()
+	go func() {
+		defer close(done)
+		began = s.sendParts(sound, c, burstCallers, false)
+	}()
+	time.Sleep(soundTime)
+	fatalFrom := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), partTime)
+	defer cancel()
+	s.sendParts(ctx, c, partCallers, true)
+	stopSound()
+	<-done
+	ends := s.fleet.fatal.of(name)
+	broken, fifth := s.observer().checkPart(s.fleet.fatal, name, s.fleet.workers())
+	if broken != "" {
+		t.Error(broken)
+	}
+	if len(ends) == 0 {
+		t.Fatal("no upstream ended")
+	}
+	if fifth.IsZero() {
+		fifth = ends[len(ends)-1].at
+		if quiet := fatalFrom.Add(partTime / 2); fifth.After(quiet) {
+			fifth = quiet
+		}
+	}
+	before, after := begins{from: started, to: fatalFrom}, begins{from: fifth.Add(soundDelay)}
+	for at, ok := range began {
+		before.add(at, ok)
+		after.add(at, ok)
+	}
+	t.Logf("%d upstreams ended; %d of %d sound requests begin before, %d of %d after", len(ends), before.begun, before.sent, after.begun, after.sent)
+	if c.keepsFirst && after.share() < soundShare*before.share() {
+		t.Errorf("%.2f of sound requests begin, %.2f did before", after.share(), before.share())
+	}
+	for _, what := range s.checkRetries() {
+		t.Error(what)
+	}
+}
--- a/drive/soak/stream_test.go
+++ b/drive/soak/stream_test.go
@@ -41,7 +41,7 @@
 		}
 	}
 	must(f.startList(ctx))
-	if path == fake.PathFlow {
+	if serviceOf(path) == fake.PlainService {
 		must(f.startPlains(streamUpstreams))
 	} else {
 		for n := range streamUpstreams {
--- a/drive/soak/upstream.go
+++ b/drive/soak/upstream.go
@@ -89,7 +89,7 @@
 		u.worker.Model, u.worker.StartEmpty = fake.Model, old != nil
 	}
 	w := u.worker
-	w.OnRun = func(_, target string) bool { return f.onRun(u, w, target) }
+	w.OnRun = func(_, target, parts string) fake.Fate { return f.onRun(u, w, target, parts) }
 	w.Start()
 	u.handler.set(w)
 	f.allWorkers = append(f.allWorkers, u.worker)
