crash, relay: requests are refused for a part of their prompts that ends upstreams

Cause: an end of an upstream counted for a whole request only, by a hash of its body. Requests that share one part of their prompts were told apart by all else, so each had one end, and none was ever refused. platform/ read the parts into one hash that can't be taken apart.

Now the parts but the last are read one by one, and an end counts for the request and each of its parts, in the same records, with the same judge, news between entries and trials. What tells the part that ends upstreams from those that sound requests share: a request that completes clears its parts, also of ends soon after, so a part that many share has no record at all; an end that something explains which the request doesn't carry is not held against it; ends within a failure of many upstreams that didn't run the part don't count. News of suspects with several ends go before the others.

--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -15,6 +15,7 @@
 
 	"magnoliastall.example/entry/send"
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
 )
 
 // Request headers.
@@ -207,7 +208,7 @@
 		Prompt:      len(w.Body)/bytesPerToken + 1,
 		Output:      max(w.MaxTokens, 1),
 		Prefix:      xxhash.Sum64String(w.Body[:min(len(w.Body), prefixBytes)]),
-		Fingerprint: xxhash.Sum64String(p.Name + "\x00" + statedCaller(c, user) + "\x00" + w.Path + "\x00" + w.Body),
+		Fingerprint: crash.RequestPrint(xxhash.Sum64String(p.Name + "\x00" + statedCaller(c, user) + "\x00" + w.Path + "\x00" + w.Body)),
 		Arrived:     now,
 		Deadline:    r.Deadline,
 		Idempotent:  p.Idempotent,
--- a/entry/relay/ending.go
+++ b/entry/relay/ending.go
@@ -43,10 +43,10 @@
 
 // brokenRun is a run whose connection broke, or which was cancelled.
 type brokenRun struct {
-	key         string
-	fingerprint uint64
-	id          string
-	at          magno.Millis
+	key    string
+	prints []uint64
+	id     string
+	at     magno.Millis
 }
 
 // endCheck finds out whether an upstream ended when connections to it broke.
@@ -82,7 +82,7 @@
 	if now := j.Book.Current().Find(key); (now != nil && now.Leaving) || j.Notices.Leaving(key) {
 		return
 	}
-	run := brokenRun{key: key, fingerprint: j.fingerprint, id: j.id, at: j.Clock.Now()}
+	run := brokenRun{key: key, prints: j.prints, id: j.id, at: j.Clock.Now()}
 	h := j.Handler
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
@@ -127,7 +127,7 @@
 
 // noteCancelled remembers a run that was cancelled while the upstream ran it.
 func (j *job) noteCancelled(r *magno.Replica) {
-	run := brokenRun{key: r.Key(), fingerprint: j.fingerprint, id: j.id, at: j.Clock.Now()}
+	run := brokenRun{key: r.Key(), prints: j.prints, id: j.id, at: j.Clock.Now()}
 	h := j.Handler
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -57,8 +57,8 @@
 	// configAge is how long ago the configuration had been confirmed when the key was checked,
 	// zero where no key is needed.
 	configAge magno.Millis
-	// fingerprint identifies the request and its caller when it comes again.
-	fingerprint uint64
+	// prints are the request's fingerprint and those of the parts of its prompt.
+	prints []uint64
 	// received is when the request's header was read, deadline when the response is due.
 	received, deadline magno.Millis
 
@@ -137,8 +137,8 @@
 		j.refuse(refusal)
 		return
 	}
-	if j.Suspects.MustRefuse(j.fingerprint) {
-		j.trial = j.Trials != nil && j.Trials.Ask(ctx, j.fingerprint)
+	if cause := j.Suspects.Refused(j.prints...); cause != 0 {
+		j.trial = j.Trials != nil && j.Trials.Ask(ctx, cause)
 		if !j.trial {
 			j.refuse(suspectRefusal())
 			return
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -245,7 +245,7 @@
 	if refusal := j.authorize(); refusal != nil {
 		return refusal
 	}
-	j.fingerprint = j.computeFingerprint()
+	j.prints = j.computePrints()
 	return nil
 }
 
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -38,7 +38,7 @@
 func (j *job) send(ctx context.Context, r *magno.Replica, urgency int) result {
 	key := r.Key()
 	j.lastReplica = key
-	if !j.trial && j.Suspects.MustRefuse(j.fingerprint) {
+	if !j.trial && j.Suspects.Refused(j.prints...) != 0 {
 		// Upstreams ended under it while it waited or was sent before.
 		j.refusal = suspectRefusal()
 		return resultRefused
@@ -201,7 +201,7 @@
 		j.logTry("failed", errors.Newf("status %d", res.StatusCode))
 		return resultFailed
 	}
-	j.Suspects.Clear(j.fingerprint)
+	j.Suspects.Clear(j.prints...)
 	a.forward(j)
 	return resultDone
 }
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -39,7 +39,7 @@
 func (j *job) forwardStream(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
 	err := j.copyEvents(ctx, r, conn, res)
 	if err == nil {
-		j.Suspects.Clear(j.fingerprint)
+		j.Suspects.Clear(j.prints...)
 		j.Conns.Put(conn, res)
 		j.sendHead(res) // a stream without events has a header as well
 		j.logOutcome(http.StatusOK, "served", "")
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -2,19 +2,21 @@
 // it and must not run again.
 //
 // Load pattern: some requests end every upstream that runs them, and their callers send them
-// again. Without this package one such request takes down a whole pool, one upstream after the
-// other, along with all other requests that run there. Upstreams also end by themselves, one or
-// all at once, and the requests that ran there must be served by others.
+// again. Or a part of prompts does, in requests of which no two are alike, beside sound ones that have
+// all other parts in common with them. Without this package one such request or part takes down a whole
+// pool, one upstream after the other, along with all other requests that run there. Upstreams also end
+// by themselves, one or all at once, and the requests that ran there must be served by others.
 //
-//	upstream ends --> RecordEnd for each request that ran there --.
-//	request completes --> Clear ----------------------------------+--> Merge at peers
-//	before each send --> MustRefuse <-- records of all processes -'
+//	upstream ends --> RecordEnd for each request that ran there, and its parts --.
+//	request completes --> Clear, also its parts ---------------------------------+--> Merge at peers
+//	before each send --> Refused <-- records of all processes -------------------'
 //
-// A record is the set of upstreams that ended under a request. Sets are joined, so it doesn't
-// matter which process saw an end, how many did, or in which order they learn of it. A request
-// that completes is cleared of the ends so far. One is refused if refuseEnds upstreams ended
-// under it that no other request explains better, unless the pool was failing anyway. Later it may
-// run once more, alone, which clears it if it was sound.
+// A record is the set of upstreams that ended under a request, or under requests with a part. Sets are
+// joined, so it doesn't matter which process saw an end, how many did, or in which order they learn of
+// it. What completes is cleared of the ends so far; a part also of those soon afterwards, since it runs
+// in many requests at a time. A request is refused if refuseEnds upstreams ended under it or one of its
+// parts that nothing else explains better, unless the pool was failing anyway. Later it may run once
+// more, alone, which clears it if it was sound.
 //
 // Records expire and their number is bounded. They are soft state: losing them costs further ends.
 package crash
@@ -44,14 +46,17 @@
 	// holdTime is how long a request is held back after the end that HoldEnds names. Upstreams
 	// are back after it.
 	holdTime = 3 * magno.Second
+	// partClearTime is how long after a request with it completed a part isn't a suspect. A part that
+	// many sound requests share completes all the while, one that ends its upstreams never does.
+	partClearTime = 3 * magno.Second
 	// settleTime is how long news of a completion may take to reach all processes: a few of gossip's
 	// urgent exchanges.
 	settleTime = 200 * magno.Millis(1)
 )
 
-// Record is what is known about one request.
+// Record is what is known about one request or part of prompts.
 type Record struct {
-	// Fingerprint identifies the request and its caller.
+	// Fingerprint is a RequestPrint or a PartPrint.
 	Fingerprint uint64 `json:"print"`
 	// Ends are the upstreams that ended while they ran the request.
 	Ends []magno.UpstreamEnd `json:"ends"`
@@ -172,12 +177,15 @@
 // join adds an end to the record of a request and reports whether that changed. The caller holds mu.
 func (s *Suspects) join(fingerprint uint64, e end, now magno.Millis) bool {
 	rec := s.get(fingerprint)
+	if s.isCleared(fingerprint, e.at) {
+		if rec == nil && isPart(fingerprint) && !e.cleared {
+			return false // most ends are recorded for a part that all requests share
+		}
+		e.cleared = true
+	}
 	if rec == nil {
 		rec = &record{}
 	}
-	if at, ok := s.completed.Peek(fingerprint); ok && at > e.at {
-		e.cleared = true
-	}
 	if !rec.add(e) {
 		return false
 	}
@@ -187,6 +195,16 @@
 	return true
 }
 
+// isCleared reports whether a completion that is known here clears a request or part of an end. The
+// caller holds mu.
+func (s *Suspects) isCleared(fingerprint uint64, endedAt magno.Millis) bool {
+	at, ok := s.completed.Peek(fingerprint)
+	if isPart(fingerprint) {
+		at += partClearTime
+	}
+	return ok && at > endedAt
+}
+
 // RecordEnd records that an upstream ended while it ran a request. It may be called for the same
 // end any number of times. A zero fingerprint is ignored.
 func (s *Suspects) RecordEnd(fingerprint uint64, e magno.UpstreamEnd) {
@@ -207,17 +225,22 @@
 	s.clear(fingerprint, func(e *end) bool { return e.upstream == upstream })
 }
 
-// Clear clears a request that ran to completion of the ends so far, also of those that become known
-// later.
-func (s *Suspects) Clear(fingerprint uint64) {
-	if s == nil || fingerprint == 0 {
+// Clear clears a request that ran to completion, and its parts, of the ends so far, also of those that
+// become known later.
+func (s *Suspects) Clear(prints ...uint64) {
+	if s == nil {
 		return
 	}
-	s.mu.Lock()
-	s.setup()
-	s.completed.Add(fingerprint, s.Clock.Now())
-	s.mu.Unlock()
-	s.clear(fingerprint, func(*end) bool { return true })
+	for _, print := range prints {
+		if print == 0 {
+			continue
+		}
+		s.mu.Lock()
+		s.setup()
+		s.completed.Add(print, s.Clock.Now())
+		s.mu.Unlock()
+		s.clear(print, func(*end) bool { return true })
+	}
 }
 
 // clear clears a request of the matching ends.
--- a/magno/crash/share.go
+++ b/magno/crash/share.go
@@ -33,9 +33,12 @@
 	return s.list(func(*record) bool { return true }, MaxRecords)
 }
 
-// UpdatedSince returns the last limit records that changed after the given time.
+// UpdatedSince returns limit of the records that changed after the given time: those with several ends,
+// and then the last ones.
 func (s *Suspects) UpdatedSince(since magno.Millis, limit int) []Record {
-	return s.list(func(rec *record) bool { return rec.changedAt > since }, limit)
+	serious := s.list(func(rec *record) bool { return rec.changedAt > since && rec.count() >= seriousEnds }, limit)
+	others := s.list(func(rec *record) bool { return rec.changedAt > since && rec.count() < seriousEnds }, limit-len(serious))
+	return append(others, serious...)
 }
 
 // Serious returns the last limit records of requests under which several upstreams ended.
--- a/magno/site.go
+++ b/magno/site.go
@@ -104,6 +104,8 @@
 	// its number of tokens.
 	Prefix uint64
 	Shared int
+	// Parts are the IDs of the parts of the prompt but the last, which no other request has.
+	Parts []string
 	// From is the event after which to resume a stream, empty for the whole stream. Resumes is the
 	// ID of the attempt that brought its first event, empty if not stated.
 	From, Resumes string
