resume: callers that don't state where their stream began go on at the only build

Cause: the only build counted only once an entry had watched it for as long as a stream lasts, also where no record could ever be found for want of an attempt's id.

Now such a stream goes on at the only build of its service, if none of the entries that are asked has seen another one within that time. A caller that states an attempt which nobody knows is refused as before.

--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -63,6 +63,8 @@
 type reply struct {
 	// Origin is nil if it isn't known.
 	Origin *origin.Origin `json:"origin,omitempty"`
+	// Several is true if the service had several builds while the stream may have begun.
+	Several bool `json:"several,omitempty"`
 }
 
 // Manager records and finds the origins of streams. Exported fields are set before Open.
@@ -212,16 +214,23 @@
 }
 
 // Find returns where a stream began that a caller takes up, nil if no entry knows. The stream is that of
-// the attempt, of which the caller may state nothing, and lasts as in call.
+// the attempt, and lasts as in call.
+//
+// A caller may not state the attempt. Its stream began at the only build of the service if none of the
+// entries that are asked has seen another one.
 func (m *Manager) Find(ctx context.Context, attempt, service string, lasts magno.Millis) *origin.Origin {
 	c := call{Service: service, Lasts: lasts}
 	if attempt != "" {
 		c.Stream = origin.StreamID(attempt)
 	}
-	o := m.find(&c)
-	how := "here"
+	o, how := m.find(&c), "here"
+	several := false
 	if o == nil {
-		o, how = m.ask(ctx, &c), "asked"
+		o, several = m.ask(ctx, &c)
+		how = "asked"
+	}
+	if o == nil && attempt == "" && !several && m.Current() {
+		o, how = m.Table.Present(service, lasts), "present"
 	}
 	if o == nil {
 		how = "unknown"
@@ -243,27 +252,30 @@
 	return m.Table.Sole(c.Service, c.Lasts)
 }
 
-// ask asks the homes of a stream, and returns the first answer that names its origin.
-func (m *Manager) ask(ctx context.Context, c *call) *origin.Origin {
+// ask asks the homes of a stream, and returns the first answer that names its origin, or whether any has
+// seen several builds of its service.
+func (m *Manager) ask(ctx context.Context, c *call) (o *origin.Origin, several bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
 	homes := homesOf(c.Stream, m.others(), askHomes)
-	answers := make(chan *origin.Origin, len(homes))
+	answers := make(chan reply, len(homes))
 	for _, addr := range homes {
 		go func() {
 			var r reply
 			if err := m.Mesh.Call(ctx, addr, MethodFind, c, &r); err != nil {
 				m.Log.Debug("origin not asked", "addr", addr, "error", err)
 			}
-			answers <- r.Origin
+			answers <- r
 		}()
 	}
 	for range homes {
-		if o := <-answers; o != nil {
-			return o
+		r := <-answers
+		if r.Origin != nil {
+			return r.Origin, false
 		}
+		several = several || r.Several
 	}
-	return nil
+	return nil, several
 }
 
 func (m *Manager) handleFind(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
@@ -271,5 +283,5 @@
 	if err := json.Unmarshal(params, &c); err != nil {
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
-	return reply{m.find(&c)}, nil
+	return reply{Origin: m.find(&c), Several: m.Table.Several(c.Service, c.Lasts)}, nil
 }
--- a/entry/resume/resume_test.go
+++ b/entry/resume/resume_test.go
@@ -137,6 +137,36 @@
 	}
 }
 
+// Guards against refusing the streams of callers that don't state where they began, for a while after all
+// entries have started, though the service has one build; and against going on if it has just had two.
+func TestCallersWithoutAnAttemptGoOnAtTheOnlyBuild(t *testing.T) {
+	nodes := startNodes(t, 3)
+	for _, k := range nodes {
+		k.Table.Update(map[string][]string{service: {"v1"}})
+	}
+	find := func() *origin.Origin { return nodes[0].Find(context.Background(), "", service, lasts) }
+	if o := find(); o == nil || o.Build != "v1" {
+		t.Errorf("all have just started and see one build: got %v, want v1", o)
+	}
+	if o := nodes[0].Find(context.Background(), "lost", service, lasts); o != nil {
+		t.Errorf("the caller states an attempt that nobody knows: got %v", o)
+	}
+	nodes[1].Table.Update(map[string][]string{service: {"v1", "v2"}})
+	nodes[1].Table.Update(map[string][]string{service: {"v1"}})
+	if o := find(); o != nil {
+		t.Errorf("one of them has just seen two builds: got %v", o)
+	}
+	nodes[1].clock.Advance(lasts)
+	if o := find(); o == nil {
+		t.Error("refused though that was long ago")
+	}
+	nodes[0].Current = func() bool { return false }
+	nodes[1].Table.Update(map[string][]string{service: {"v1", "v2"}})
+	if o := find(); o != nil {
+		t.Errorf("the list is out of date: got %v", o)
+	}
+}
+
 // Guards against homes that move as entries join or leave: those that were told wouldn't be asked.
 func TestHomesStayAsEntriesComeAndGo(t *testing.T) {
 	entries := make([]string, 40)
--- a/magno/origin/origin.go
+++ b/magno/origin/origin.go
@@ -46,21 +46,24 @@
 	records *simplelru.LRU[uint64, *Origin]
 	// origins holds one copy of each origin.
 	origins map[Origin]*Origin
-	sole    map[string]sole
+	builds  map[string]*builds
 }
 
-// sole is the only build of a service.
-type sole struct {
-	build string
-	// since is when it was first known to be the only one, zero while there are several.
-	since magno.Millis
+// builds are those of a service, as this process has seen them.
+type builds struct {
+	// sole is the only build, meaningless while there are several.
+	sole    string
+	several bool
+	// since is when the present build was first known to be the only one, otherSeenAt when another one
+	// was last seen, zero if none was.
+	since, otherSeenAt magno.Millis
 }
 
 // setup creates the tables on first use. The caller holds mu.
 func (t *Table) setup() {
 	if t.records == nil {
 		t.records, _ = simplelru.NewLRU[uint64, *Origin](MaxRecords, nil)
-		t.origins, t.sole = map[Origin]*Origin{}, map[string]sole{}
+		t.origins, t.builds = map[Origin]*Origin{}, map[string]*builds{}
 	}
 }
 
@@ -91,19 +94,21 @@
 
 // Update takes the builds of each service in the present list of upstreams. A service that isn't in it
 // keeps its only build: all its upstreams may have crashed.
-func (t *Table) Update(builds map[string][]string) {
+func (t *Table) Update(listed map[string][]string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.setup()
 	now := t.Clock.Now()
-	for service, list := range builds {
-		was := t.sole[service]
-		switch {
-		case len(list) > 1:
-			t.sole[service] = sole{}
-		case was.since == 0 || was.build != list[0]:
-			t.sole[service] = sole{build: list[0], since: max(now, 1)}
+	for service, list := range listed {
+		b := t.builds[service]
+		if b == nil {
+			b = &builds{sole: list[0], since: now}
+			t.builds[service] = b
 		}
+		if b.several || b.sole != list[0] {
+			b.since, b.otherSeenAt = now, now
+		}
+		b.sole, b.several = list[0], len(list) > 1
 	}
 }
 
@@ -112,22 +117,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
-	for service, s := range t.sole {
-		if s.since > 0 {
-			s.since = max(now, 1)
-			t.sole[service] = s
-		}
+	for _, b := range t.builds {
+		b.since = now
 	}
 }
 
-// Sole returns the build of a service that was the only one for the given time, nil if there is none.
-func (t *Table) Sole(service string, since magno.Millis) *Origin {
+// Sole returns the build of a service that was the only one for the given time, nil if there is none or
+// this process hasn't watched for as long.
+func (t *Table) Sole(service string, lasts magno.Millis) *Origin {
+	return t.soleIf(service, func(b *builds, now magno.Millis) bool { return now-b.since >= lasts })
+}
+
+// Present returns the only build of a service at present, nil if there is none or this process has seen
+// another one within the given time.
+func (t *Table) Present(service string, lasts magno.Millis) *Origin {
+	return t.soleIf(service, func(b *builds, now magno.Millis) bool { return b.otherSeenAt == 0 || now-b.otherSeenAt >= lasts })
+}
+
+// Several reports whether this process has seen several builds of a service within the given time.
+func (t *Table) Several(service string, lasts magno.Millis) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.setup()
-	s := t.sole[service]
-	if s.since == 0 || t.Clock.Now()-s.since < since {
+	b := t.builds[service]
+	return b != nil && (b.several || (b.otherSeenAt > 0 && t.Clock.Now()-b.otherSeenAt < lasts))
+}
+
+func (t *Table) soleIf(service string, ok func(b *builds, now magno.Millis) bool) *Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.builds[service]
+	if b == nil || b.several || !ok(b, t.Clock.Now()) {
 		return nil
 	}
-	return &Origin{Service: service, Build: s.build}
+	return &Origin{Service: service, Build: b.sole}
 }
--- a/magno/origin/origin_test.go
+++ b/magno/origin/origin_test.go
@@ -19,64 +19,73 @@
 	for _, c := range []struct {
 		name string
 		play func(t *Table, pass func(magno.Millis))
-		want string
+		// want is the build that was the only one for long, present the one that is as far as is known.
+		want, present string
 	}{
 		{"just started", func(table *Table, pass func(magno.Millis)) {
 			table.Update(map[string][]string{service: one})
 			pass(window - 1)
-		}, ""},
+		}, "", "v1"},
 		{"one for long", func(table *Table, pass func(magno.Millis)) {
 			table.Update(map[string][]string{service: one})
 			pass(window / 2)
 			table.Update(map[string][]string{service: one})
 			pass(window / 2)
-		}, "v1"},
+		}, "v1", "v1"},
 		{"one, all of whose upstreams crashed", func(table *Table, pass func(magno.Millis)) {
 			table.Update(map[string][]string{service: one})
 			pass(window / 2)
 			table.Update(map[string][]string{"other": other})
 			pass(window / 2)
-		}, "v1"},
+		}, "v1", "v1"},
 		{"two side by side", func(table *Table, pass func(magno.Millis)) {
 			table.Update(map[string][]string{service: one})
 			pass(window)
 			table.Update(map[string][]string{service: both})
 			pass(window)
-		}, ""},
+		}, "", ""},
 		{"another one left a moment ago", func(table *Table, pass func(magno.Millis)) {
 			table.Update(map[string][]string{service: both})
 			pass(window)
 			table.Update(map[string][]string{service: one})
 			pass(window - 1)
-		}, ""},
+		}, "", ""},
 		{"another one left long ago", func(table *Table, pass func(magno.Millis)) {
 			table.Update(map[string][]string{service: both})
 			table.Update(map[string][]string{service: one})
 			pass(window)
-		}, "v1"},
+		}, "v1", "v1"},
 		{"replaced at once", func(table *Table, pass func(magno.Millis)) {
 			table.Update(map[string][]string{service: one})
 			pass(window)
 			table.Update(map[string][]string{service: other})
 			pass(window - 1)
-		}, ""},
+		}, "", ""},
 		{"the list was out of date for a while", func(table *Table, pass func(magno.Millis)) {
 			table.Update(map[string][]string{service: one})
 			pass(window)
 			table.Forget()
 			pass(window - 1)
-		}, ""},
+		}, "", "v1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			clock := magno.NewClock(magno.Hour)
 			table := &Table{Clock: clock}
 			c.play(table, func(d magno.Millis) { clock.Advance(d) })
-			got := ""
-			if o := table.Sole(service, window); o != nil {
-				got = o.Build
+			build := func(o *Origin) string {
+				if o == nil {
+					return ""
+				}
+				return o.Build
 			}
-			if got != c.want {
-				t.Errorf("the only build is %q, want %q", got, c.want)
+			if got := build(table.Sole(service, window)); got != c.want {
+				t.Errorf("the only build for long is %q, want %q", got, c.want)
+			}
+			if got := build(table.Present(service, window)); got != c.present {
+				t.Errorf("the only build at present is %q, want %q", got, c.present)
+			}
+			if got := table.Several(service, window); got != (c.present == "") {
+				t.Errorf("several within the time: %v", got)
 			}
 		})
 	}
