site: an overloaded entry closes new connections with their requests unread

For some seconds a load balancer may send most new connections to one entry, until its readiness check has failed. An overloaded entry read such requests and refused them; what it reads it must answer, and the refusal costs the caller a try. A connection that is closed unread may be opened again at another entry, whatever the request.

Open connections are served as before.

--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -65,23 +65,24 @@
 
 // Run serves callers until ctx ends.
 func (f *front) Run(ctx context.Context) error {
-	return serve(ctx, f.settings.CallerAddress, &http.Server{
+	overloaded := func() bool { return f.relay.LoadLevel() == strain.Overloaded }
+	return serve(ctx, f.settings.CallerAddress, overloaded, &http.Server{
 		Handler: listen.WithWriteTimeout(f.relay, writeStallTimeout), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}, finalAnswerTimeout)
 }
 
-// serve runs a server until ctx ends. It then accepts no more connections, and closes the
+// serve runs a server until ctx ends, and closes new connections while it is overloaded. It then accepts no more connections, and closes the
 // open ones after drainTimeout. Closing at once cut off requests that a slow machine had
 // read shortly before, and their callers couldn't know that they had not run.
-func serve(ctx context.Context, address string, s *http.Server, drainTimeout magno.Millis) error {
+func serve(ctx context.Context, address string, overloaded func() bool, s *http.Server, drainTimeout magno.Millis) error {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(l) }()
+	go func() { ended <- s.Serve(&shedListener{l, overloaded}) }()
 	select {
 	case err := <-ended:
 		return errors.Wrap(err, "serve")
@@ -156,6 +157,9 @@
 	return n
 }
 
+// never is the overload of a server that is never overloaded.
+func never() bool { return false }
+
 // readiness serves the load balancer's readiness check.
 type readiness struct {
 	*front
@@ -172,5 +176,5 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serve(ctx, r.settings.ReadyAddress, &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}, finalAnswerTimeout)
+	return serve(ctx, r.settings.ReadyAddress, never, &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}, finalAnswerTimeout)
 }
--- a/entry/site/front_test.go
+++ b/entry/site/front_test.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- serve(ctx, addr, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, magno.Minute)
+		ended <- serve(ctx, addr, never, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, magno.Minute)
 	}()
 	answered := make(chan string, 1)
 	go func() { answered <- getStatus("http://" + addr) }()
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- serve(ctx, addr, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, 1)
+		ended <- serve(ctx, addr, never, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, 1)
 	}()
 	go getStatus("http://" + addr)
 	<-reading
