relay: the events before a cut inside an event reach the caller

A stream that its upstream cut inside an event was broken off without the whole events that had come with the same read: they were written, to be flushed with the next event, and lost as the connection was aborted.

Answers and streams with neither a length nor chunks are tested as well: whole, reset, cut inside an event and between two; their connections aren't used again. These held before.

--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -65,6 +65,9 @@
 			if errors.Is(err, io.EOF) && len(event) == 0 {
 				return nil
 			}
+			if j.headSent {
+				_ = flush.Flush() // the events before; if that fails, so does the next write
+			}
 			return errors.Wrap(err, "stream")
 		}
 		if !j.isNewEvent(event) {
