send: an answer of the own interface isn't joined from engines of two builds

An engine may now state its build in its report; its agent names it with each piece and answer, and what two builds wrote ends as interrupted. Engines that state none are joined as before. Two new cases of TestJoin fail without the check.

--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -101,7 +101,7 @@
 	a.openLedger()
 	a.server = &serve.Server{
 		Clock: a.Clock, Loop: a.loop, Ledger: a.ledger, Events: a.Events, Suspects: a.Suspects,
-		ConfigVersion: a.Store.Version, Retired: a.retired, Ready: a.ready,
+		ConfigVersion: a.Store.Version, Retired: a.retired, Ready: a.ready, Build: a.build,
 	}
 	a.server.Register(a.Mesh)
 	a.Fleet.OnChange = a.applyListedState
@@ -116,6 +116,14 @@
 	return a, nil
 }
 
+// build returns the version of the upstream's software by its latest report.
+func (a *agent) build() string {
+	if last := a.probe.Last(); last != nil {
+		return last.Build
+	}
+	return ""
+}
+
 // applyListedState applies the state of this instance in the platform's list. An entry that is
 // cut off from the list would go on sending work to an instance that is about to be removed, so
 // the agent itself refuses it.
--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -46,6 +46,8 @@
 	// Retired reports whether ref is retired for an entry that used the given version of the
 	// configuration.
 	Retired func(ref magno.Ref, version int64) bool
+	// Build returns the version of the upstream's software, empty if it states none. It may be nil.
+	Build func() string
 	// Ready reports whether the upstream and the configuration are known.
 	Ready func() bool
 
@@ -205,12 +207,15 @@
 
 // execute runs work on the upstream and streams the parts of the result.
 func (s *Server) execute(ctx context.Context, peer *wire.Peer, call *magno.RunCall) magno.RunReply {
-	parts := 0
+	parts, build := 0, ""
+	if s.Build != nil {
+		build = s.Build()
+	}
 	stream := &gather.Coalescer{Clock: s.Clock, Send: func(p magno.Piece) {
 		parts++
 		// An error does not stop the run: the reply states the number of parts, so the entry
 		// detects a missing one.
-		_ = peer.Notify(ctx, magno.MethodPart, magno.RunPart{Call: call.Call, Seq: parts, Piece: p})
+		_ = peer.Notify(ctx, magno.MethodPart, magno.RunPart{Call: call.Call, Seq: parts, Piece: p, Build: build})
 	}}
 	if wait := s.Suspects.Unsettled(call.Work.Job.Fingerprint); wait > 0 {
 		_ = magno.Sleep(ctx, wait) // if ctx ends, the loop refuses the run
@@ -225,7 +230,7 @@
 		refusal := asRefusal(err)
 		return magno.RunReply{Refusal: refusal, Ended: refusal.Ended}
 	}
-	return magno.RunReply{Result: &result, Parts: parts, Sum: xxhash.Sum64String(result.Text)}
+	return magno.RunReply{Result: &result, Parts: parts, Sum: xxhash.Sum64String(result.Text), Build: build}
 }
 
 // ticket issues a key for calls that only this process runs.
--- a/entry/send/join.go
+++ b/entry/send/join.go
@@ -12,9 +12,12 @@
 // joiner forwards the pieces of one answer, each once and in order, over several attempts.
 // A second attempt at a deterministic engine repeats what the caller already has. As long
 // as both are identical, the answer continues where it stopped. If they differ, joining
-// them would yield an answer that no engine generated.
+// them would yield an answer that no engine generated. What engines of two builds write isn't joined at
+// all.
 type joiner struct {
 	emit func(magno.Piece)
+	// build is that of the engine which wrote what was delivered.
+	build string
 	// delivered is the text that the caller has received.
 	delivered strings.Builder
 	// text is what the current attempt sent, in partCount pieces.
@@ -44,9 +47,19 @@
 		return
 	}
 	j.partCount++
+	j.checkBuild(p.Build)
 	j.add(p.Piece)
 }
 
+// checkBuild ends the answer if an engine of another build continues it.
+func (j *joiner) checkBuild(build string) {
+	if j.delivered.Len() > 0 && build != j.build {
+		j.diverged = true
+		return
+	}
+	j.build = build
+}
+
 func (j *joiner) add(p magno.Piece) {
 	offset := j.text.Len()
 	j.text.WriteString(p.Text)
@@ -79,6 +92,9 @@
 	if !call.Stream {
 		return nil
 	}
+	if !reply.Replay { // an answer that was made before is that of one run
+		j.checkBuild(reply.Build)
+	}
 	delivered := j.delivered.String()
 	if j.diverged || !strings.HasPrefix(text, delivered) {
 		j.diverged = true
--- a/entry/send/join_test.go
+++ b/entry/send/join_test.go
@@ -17,18 +17,20 @@
 	answer string
 	// cut is true if the attempt ends without an answer.
 	cut bool
+	// build is that of the engine.
+	build string
 }
 
 func (a attempt) play(j *joiner) *magno.Refusal {
 	j.begin()
 	for i, seq := range a.seqs {
-		data, _ := json.Marshal(magno.RunPart{Seq: seq, Piece: magno.Piece{Text: a.texts[i], Tokens: 1}})
+		data, _ := json.Marshal(magno.RunPart{Seq: seq, Piece: magno.Piece{Text: a.texts[i], Tokens: 1}, Build: a.build})
 		j.onPart(magno.MethodPart, data)
 	}
 	if a.cut {
 		return nil
 	}
-	reply := magno.RunReply{Result: &magno.Result{Text: a.answer}, Sum: xxhash.Sum64String(a.answer)}
+	reply := magno.RunReply{Result: &magno.Result{Text: a.answer}, Sum: xxhash.Sum64String(a.answer), Build: a.build}
 	return j.verify(reply, magno.RunCall{Stream: true})
 }
 
@@ -57,6 +59,10 @@
 		{"the second differs", []attempt{half, {seqs: []int{1, 2}, texts: []string{"one ", "too "}, answer: "one too many"}}, "one |two ", true},
 		{"the second differs after what it has", []attempt{half, {seqs: []int{1}, texts: []string{"one two or"}, answer: "one two four"}},
 			"one |two |or", true},
+		{"the second repeats, at another build", []attempt{half, {seqs: []int{1, 2, 3}, texts: []string{"one ", "two ", "three"}, answer: "one two three", build: "v2"}},
+			"one |two ", true},
+		{"the second has it at once, at another build", []attempt{half, {answer: "one two three", build: "v2"}}, "one |two ", true},
+		{"nothing came before, from another build", []attempt{{cut: true}, {seqs: []int{1}, texts: []string{"one"}, answer: "one", build: "v2"}}, "one", false},
 		{"the second is shorter", []attempt{half, {seqs: []int{1}, texts: []string{"one "}, answer: "one "}}, "one |two ", true},
 	}
 	for _, tt := range tests {
--- a/magno/iface.go
+++ b/magno/iface.go
@@ -295,6 +295,8 @@
 	// Boot identifies the run of the upstream: it changes with each restart.
 	Boot   int64 `json:"boot"`
 	Loaded []Ref `json:"loaded"`
+	// Build is the version of the upstream's software, empty if not stated.
+	Build string `json:"build,omitempty"`
 	// Steps counts engine steps since the restart, Capacity and Used the tokens that fit
 	// into them and that they processed. Used/Capacity is the batch efficiency.
 	Steps    int64 `json:"steps"`
--- a/magno/model/model.go
+++ b/magno/model/model.go
@@ -220,6 +220,7 @@
 
 type loadReport struct {
 	Boot     int64    `json:"boot"`
+	Build    string   `json:"build"`
 	Slots    int      `json:"slots"`
 	Batch    int      `json:"batch"`
 	Tokens   int      `json:"tokens"`
@@ -240,7 +241,7 @@
 	probe := magno.Probe{
 		Limits: magno.Limits{Slots: r.Slots, Batch: r.Batch, Tokens: r.Tokens,
 			Step: magno.Millis(r.Step), Load: magno.Millis(r.Load)},
-		Boot: r.Boot, Steps: r.Steps, Capacity: r.Capacity, Used: r.Used,
+		Boot: r.Boot, Build: r.Build, Steps: r.Steps, Capacity: r.Capacity, Used: r.Used,
 	}
 	for _, name := range r.Loaded {
 		probe.Loaded = append(probe.Loaded, ParseRef(name))
--- a/magno/wire.go
+++ b/magno/wire.go
@@ -41,6 +41,8 @@
 	// Seq counts from 1 without gaps.
 	Seq   int   `json:"seq"`
 	Piece Piece `json:"piece"`
+	// Build is the version of the upstream's software, empty if it states none.
+	Build string `json:"build,omitempty"`
 }
 
 // UpstreamEnd is the end of one incarnation of an upstream that was not planned, as a process that
@@ -71,6 +73,8 @@
 	// Parts is the number of RunPart sent, Sum the xxhash of Result.Text.
 	Parts int    `json:"parts,omitempty"`
 	Sum   uint64 `json:"sum,omitempty"`
+	// Build is as in RunPart.
+	Build string `json:"build,omitempty"`
 	// Backlog and Config are the agent's load and configuration version.
 	Backlog Backlog `json:"backlog"`
 	Config  int64   `json:"config"`
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -55,6 +55,8 @@
 	TokenBudget int
 	// AdapterSlots is the number of adapters that can be loaded at once.
 	AdapterSlots int
+	// Build is the version of the software that reports state, empty for none.
+	Build string
 	// QueueLimit is the number of requests that may wait.
 	QueueLimit int
 	// CacheSize is the number of prefixes in the prefix cache. BlockSize is the
--- a/stand/engine/report.go
+++ b/stand/engine/report.go
@@ -8,6 +8,7 @@
 // Report is the state that an engine reports, with a lag of ReportLag.
 type Report struct {
 	Boot   int64        `json:"boot"`
+	Build  string       `json:"build,omitempty"`
 	Slots  int          `json:"slots"`
 	Batch  int          `json:"batch"`
 	Tokens int          `json:"tokens"`
@@ -55,7 +56,7 @@
 
 func (e *Engine) currentReport() Report {
 	return Report{
-		Boot: e.boot, Slots: e.AdapterSlots, Batch: e.BatchSize, Tokens: e.TokenBudget, Step: e.StepTime, Load: e.LoadTime,
+		Boot: e.boot, Build: e.Build, Slots: e.AdapterSlots, Batch: e.BatchSize, Tokens: e.TokenBudget, Step: e.StepTime, Load: e.LoadTime,
 		Loaded: e.loadedNames, Running: len(e.running), Waiting: len(e.waiting),
 		Steps: e.stepsSinceBoot.steps, Capacity: e.stepsSinceBoot.capacity, Used: e.stepsSinceBoot.used,
 	}
