--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -227,7 +227,8 @@
 			s.mu.Lock()
 			r := s.sent[m[1]]
 			s.mu.Unlock()
-			if r == nil || !slices.Contains(fatalTargets, r.target) {
+			isFatal := func(name string) bool { return name == r.target || hasPart(r.parts, name) }
+			if r == nil || !slices.ContainsFunc(fatalTargets, isFatal) {
 				broken = append(broken, "refused though its upstreams ended by themselves: "+line)
 			}
 		}
@@ -287,7 +288,7 @@
 
 // sendMessage sends one request and records its outcome.
 func (s *Soak) sendMessage(ctx context.Context, caller *fake.Caller, address string, m fake.Message) fake.Outcome {
-	r := &request{path: pathOf(m.Target), target: m.Target, entry: address, key: caller.Key, at: time.Now()}
+	r := &request{path: pathOf(m.Target), target: m.Target, parts: m.Parts, entry: address, key: caller.Key, at: time.Now()}
 	_, _ = fmt.Sscan(m.From, &r.from)
 	s.mu.Lock()
 	s.sent[m.ID] = r
--- a/drive/soak/fault.go
+++ b/drive/soak/fault.go
@@ -37,7 +37,7 @@
 	x := f.proxies[rnd.IntN(len(f.proxies))]
 	u := append(f.engines[:len(f.engines):len(f.engines)], f.plains...)[rnd.IntN(engineCount+plainCount)]
 	none := func() {}
-	switch n := rnd.IntN(25); n {
+	switch n := rnd.IntN(26); n {
 	case 0, 1:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.kind, none
@@ -72,6 +72,8 @@
 		return "list restored", f.restoreList(rnd)
 	case 21:
 		return "fatal request", s.startFatal(rnd)
+	case 25:
+		return "fatal part", s.startFatalPart(rnd)
 	case 22:
 		return "failures around kills", s.startBurst(rnd)
 	default:
--- a/drive/soak/part_test.go
+++ b/drive/soak/part_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -61,14 +62,12 @@
 			caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, Key: fake.Key}
 			for ctx.Err() == nil {
 				id := s.newID()
+				prompt := c.prompt(rnd, fatal)
 				m := fake.Message{Target: c.path + "parts", Body: "body of " + id, ID: id}
+				m.Parts = strings.Join(append(prompt, id), ":100,") + ":50"
 				if serviceOf(c.path) == fake.EngineService {
 					m.Adapter = "a1"
 				}
-				for _, part := range c.prompt(rnd, fatal) {
-					m.Parts += part + ":100,"
-				}
-				m.Parts += id + ":50"
 				at := time.Now()
 				o := s.sendMessage(ctx, caller, s.fleet.entries[rnd.IntN(len(s.fleet.entries))], m)
 				mu.Lock()
@@ -161,3 +160,33 @@
 		t.Error(what)
 	}
 }
+
+// Guards against a check that can't fail: requests with a fatal part that reach upstreams late and often.
+func TestPartCheckFindsLateRequests(t *testing.T) {
+	x := newFatal(1)
+	name := partName("dead:100")
+	x.set(name, true)
+	var workers []*fake.Worker
+	for range partEnds {
+		w := &fake.Worker{ID: "w"}
+		w.Start()
+		x.record(name, w)
+		workers = append(workers, w)
+	}
+	o := &observer{
+		entry:     func(string) int { return 0 },
+		disturbed: func(int, *fake.Worker, time.Time, time.Time) bool { return false },
+	}
+	time.Sleep(fatalDelay + 10*time.Millisecond)
+	for n := range fatalSends {
+		workers[n].ArriveWith("1", "/flow/x", promptOf("1", "dead"))
+		workers[n].ArriveWith("2", "/flow/x", promptOf("dead", "other"))
+	}
+	if broken := o.checkParts(x, workers); len(broken) != 0 {
+		t.Errorf("%d late requests are allowed: %q", fatalSends, broken)
+	}
+	workers[0].ArriveWith("3", "/flow/x", promptOf("3", "other", "dead"))
+	if broken := o.checkParts(x, workers); len(broken) != 1 {
+		t.Errorf("got %q, want one too many", broken)
+	}
+}
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -71,6 +71,8 @@
 type request struct {
 	// path is that of its route, target is empty if it is the usual one of the route.
 	path, target string
+	// parts is the list of the parts of its prompt.
+	parts string
 	// from is the number of the event after which a stream is taken up.
 	from    int
 	outcome fake.Outcome
@@ -278,7 +280,7 @@
 // checkNotices checks whether entries went by what upstreams stated.
 func (s *Soak) checkNotices() {
 	o := s.observer()
-	for _, what := range slices.Concat(s.checkKeys(), s.checkSound(), o.checkFatal(s.fleet.fatal, s.fleet.workers()), s.checkRetries(), s.streamed.check()) {
+	for _, what := range slices.Concat(s.checkKeys(), s.checkSound(), o.checkFatal(s.fleet.fatal, s.fleet.workers()), o.checkParts(s.fleet.fatal, s.fleet.workers()), s.checkRetries(), s.streamed.check()) {
 		s.mu.Lock()
 		s.violation("%s", what)
 		s.mu.Unlock()
--- a/drive/soak/stream.go
+++ b/drive/soak/stream.go
@@ -132,6 +132,7 @@
 // sendStream sends a request for what a stream lacks, and reports whether that brought an event.
 func (s *Soak) sendStream(ctx context.Context, caller *fake.Caller, entry string, st *stream) (o fake.Outcome, went bool) {
 	m := fake.Message{Target: st.target, Body: "long", ID: s.newID(), Adapter: st.adapter}
+	m.Parts = promptOf(m.ID)
 	if st.first != "" {
 		m.From, m.Resumes = strconv.Itoa(st.last), st.first
 	}
