resume: origins are told only while builds serve side by side, and asked for before the only build counts

Each entry told three others where each stream began, also while a service had one build, which any entry knows: about 28 streams a second at a busy entry cost it some 16 KB/s, of the 21 that control may take. And an entry that hadn't heard yet of a build that joined a moment ago took the other one for the only one, without asking.

Records now wait while a service has had one build for a minute, and are passed on as soon as another one joins; they go each 50 ms. Of a stream that states its attempt, homes are asked before the only build counts, and one that has seen several builds within the life of a stream has it refused.

--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -1,8 +1,9 @@
 // Package resume tells a stream's entry at which build it began, when a caller takes it up at another
 // one than before.
 //
-//	first event --> Record --> Table --each flushInterval--> homes of the stream (a few other entries)
-//	taken up --> Find --> Table, or else asked at once: the homes
+//	first event --> Record --> Table
+//	                  '--> pending --once builds serve side by side--> homes of the stream (a few entries)
+//	taken up --> Find --> Table, or else asked at once: the homes; or else the only build of the service
 //
 // Load pattern: an entry is killed, and within a second the callers of all its streams take them up
 // at others. What it knew must be known elsewhere by then, without a first event waiting for that. Each
@@ -38,7 +39,10 @@
 	askHomes    = 5
 	// flushInterval is how often records are passed on: a kill loses those of the streams that began
 	// within it.
-	flushInterval = 20 * magno.Millis(1)
+	flushInterval = 50 * magno.Millis(1)
+	// pendingTime is how long a service must have had one build for records not to be passed on, and how
+	// long they are kept for the case that another one joins: longer than a stream lasts.
+	pendingTime = 60 * magno.Second
 	// askTimeout bounds the calls to homes, some of which may have just been killed.
 	askTimeout = 200 * magno.Millis(1)
 	// sendTimeout bounds the delivery of records.
@@ -61,8 +65,9 @@
 }
 
 type reply struct {
-	// Origin is nil if it isn't known.
+	// Origin is nil if it isn't recorded, Sole if the service hasn't had one build for long.
 	Origin *origin.Origin `json:"origin,omitempty"`
+	Sole   *origin.Origin `json:"sole,omitempty"`
 	// Several is true if the service had several builds while the stream may have begun.
 	Several bool `json:"several,omitempty"`
 }
@@ -80,12 +85,18 @@
 	Log     *slog.Logger
 
 	mu      sync.Mutex
-	pending map[uint64]origin.Origin
+	pending map[uint64]record
+}
+
+// record is one that hasn't been passed on.
+type record struct {
+	origin.Origin
+	at magno.Millis
 }
 
 // Open registers the methods on the mesh. It must be called before the mesh runs.
 func (m *Manager) Open() {
-	m.pending = map[uint64]origin.Origin{}
+	m.pending = map[uint64]record{}
 	m.Mesh.Handle(MethodRecord, m.handleRecord)
 	m.Mesh.Handle(MethodFind, m.handleFind)
 }
@@ -121,23 +132,38 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.pending) < maxPending {
-		m.pending[stream] = o
+		m.pending[stream] = record{o, m.Table.Clock.Now()}
 	}
 }
 
-// takePending returns the records to pass on, by the address of their homes.
+// takePending returns the records to pass on, by the address of their homes. Those of services that have
+// had one build for long stay: any entry knows where their streams began.
 func (m *Manager) takePending() map[string][]batch {
 	m.mu.Lock()
-	pending := m.pending
-	if len(pending) == 0 {
-		m.mu.Unlock()
-		return nil
+	taken := map[uint64]origin.Origin{}
+	stays := map[string]bool{}
+	now := m.Table.Clock.Now()
+	for stream, r := range m.pending {
+		stay, known := stays[r.Service]
+		if !known {
+			stay = m.Table.Sole(r.Service, pendingTime) != nil
+			stays[r.Service] = stay
+		}
+		switch {
+		case !stay:
+			taken[stream] = r.Origin
+			delete(m.pending, stream)
+		case now-r.at > pendingTime:
+			delete(m.pending, stream)
+		}
 	}
-	m.pending = map[uint64]origin.Origin{}
 	m.mu.Unlock()
+	if len(taken) == 0 {
+		return nil
+	}
 	entries := m.others()
 	byHome := map[string][]batch{}
-	for stream, o := range pending {
+	for stream, o := range taken {
 		for _, addr := range homesOf(stream, entries, recordHomes) {
 			byHome[addr] = appendRecord(byHome[addr], stream, o)
 		}
@@ -219,19 +245,7 @@
 // A caller may not state the attempt. Its stream began at the only build of the service if none of the
 // entries that are asked has seen another one.
 func (m *Manager) Find(ctx context.Context, attempt, service string, lasts magno.Millis) *origin.Origin {
-	c := call{Service: service, Lasts: lasts}
-	if attempt != "" {
-		c.Stream = origin.StreamID(attempt)
-	}
-	o, how := m.find(&c), "here"
-	several := false
-	if o == nil {
-		o, several = m.ask(ctx, &c)
-		how = "asked"
-	}
-	if o == nil && attempt == "" && !several && m.Current() {
-		o, how = m.Table.Present(service, lasts), "present"
-	}
+	o, how := m.find(ctx, attempt, call{Service: service, Lasts: lasts})
 	if o == nil {
 		how = "unknown"
 	}
@@ -239,22 +253,49 @@
 	return o
 }
 
-// find returns where a stream began as far as this entry knows.
-func (m *Manager) find(c *call) *origin.Origin {
-	if c.Stream != 0 {
+// find is Find, and tells how the origin is known.
+func (m *Manager) find(ctx context.Context, attempt string, c call) (o *origin.Origin, how string) {
+	if attempt != "" {
+		c.Stream = origin.StreamID(attempt)
 		if o := m.Table.Find(c.Stream); o != nil {
-			return o
+			return o, "recorded"
 		}
+	} else if o := m.sole(&c); o != nil {
+		return o, "sole"
+	}
+	// This process may not have heard yet of a build that joined a moment ago, so the homes go before
+	// what it takes for the only one.
+	r := m.ask(ctx, &c)
+	switch {
+	case r.Origin != nil:
+		return r.Origin, "asked"
+	case r.Several, m.Table.Several(c.Service, c.Lasts):
+		return nil, ""
+	}
+	if o := m.sole(&c); o != nil {
+		return o, "sole"
+	}
+	if r.Sole != nil {
+		return r.Sole, "sole"
 	}
+	if attempt == "" && m.Current() {
+		return m.Table.Present(c.Service, c.Lasts), "present"
+	}
+	return nil, ""
+}
+
+// sole returns the build that a service has had alone for as long as a stream lasts, nil if there is none
+// or the list may be out of date.
+func (m *Manager) sole(c *call) *origin.Origin {
 	if !m.Current() {
 		return nil
 	}
 	return m.Table.Sole(c.Service, c.Lasts)
 }
 
-// ask asks the homes of a stream, and returns the first answer that names its origin, or whether any has
-// seen several builds of its service.
-func (m *Manager) ask(ctx context.Context, c *call) (o *origin.Origin, several bool) {
+// ask asks the homes of a stream. It returns the first answer with its origin, or else what all of them
+// say about the builds of its service.
+func (m *Manager) ask(ctx context.Context, c *call) reply {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
 	homes := homesOf(c.Stream, m.others(), askHomes)
@@ -268,14 +309,18 @@
 			answers <- r
 		}()
 	}
+	var all reply
 	for range homes {
 		r := <-answers
 		if r.Origin != nil {
-			return r.Origin, false
+			return r
+		}
+		all.Several = all.Several || r.Several
+		if r.Sole != nil {
+			all.Sole = r.Sole
 		}
-		several = several || r.Several
 	}
-	return nil, several
+	return all
 }
 
 func (m *Manager) handleFind(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
@@ -283,5 +328,9 @@
 	if err := json.Unmarshal(params, &c); err != nil {
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
-	return reply{Origin: m.find(&c), Several: m.Table.Several(c.Service, c.Lasts)}, nil
+	r := reply{Sole: m.sole(&c), Several: m.Table.Several(c.Service, c.Lasts)}
+	if c.Stream != 0 {
+		r.Origin = m.Table.Find(c.Stream)
+	}
+	return r, nil
 }
--- a/entry/resume/resume_test.go
+++ b/entry/resume/resume_test.go
@@ -115,25 +115,73 @@
 // the only one that would know has been out of date.
 func TestUnknownOriginIsNotGuessed(t *testing.T) {
 	nodes := startNodes(t, 3)
-	for _, k := range nodes {
-		k.Table.Update(map[string][]string{service: {"v1", "v2"}})
-	}
-	asker, other := nodes[0], nodes[1]
+	asker, other, third := nodes[0], nodes[1], nodes[2]
+	one, two := map[string][]string{service: {"v1"}}, map[string][]string{service: {"v1", "v2"}}
+	asker.Table.Update(one)
+	other.Table.Update(two)
+	third.Table.Update(two)
 	find := func(attempt string) *origin.Origin { return asker.Find(context.Background(), attempt, service, lasts) }
 	if o := find("lost"); o != nil {
 		t.Errorf("a lost record is taken for %v", o)
 	}
-	other.Table.Update(map[string][]string{service: {"v1"}})
+	other.Table.Update(one)
 	other.clock.Advance(lasts)
+	if o := find("lost"); o != nil {
+		t.Errorf("one of the entries sees two builds: got %v", o)
+	}
+	third.Table.Update(one)
+	third.clock.Advance(lasts)
 	if o := find("lost"); o == nil || o.Build != "v1" {
-		t.Errorf("an entry has seen one build only for long: got %v, want v1", o)
+		t.Errorf("others have seen one build only for long: got %v, want v1", o)
 	}
 	if o := find(""); o == nil || o.Build != "v1" {
 		t.Errorf("the caller doesn't state where it began, and there was one build only: got %v, want v1", o)
 	}
 	other.Table.Forget()
+	third.Table.Forget()
 	if o := find("lost"); o != nil {
-		t.Errorf("an entry whose list was out of date is believed: %v", o)
+		t.Errorf("entries whose list was out of date are believed: %v", o)
+	}
+	asker.clock.Advance(lasts)
+	if o := find("lost"); o == nil {
+		t.Error("an entry doesn't believe what it has seen itself")
+	}
+	other.Record("lost", origin.Origin{Service: service, Build: "v2"})
+	waitForHomes(t, nodes, "lost")
+	if o := find("lost"); o == nil || o.Build != "v2" {
+		t.Errorf("a record of a build that joined a moment ago: got %v, want v2", o)
+	}
+}
+
+// Guards against telling where streams began while a service has one build, which any entry knows, and
+// against losing those that began before another one joins.
+func TestOriginsAreToldOnceBuildsServeSideBySide(t *testing.T) {
+	nodes := startNodes(t, 2)
+	teller, other := nodes[0], nodes[1]
+	teller.Table.Update(map[string][]string{service: {"v1"}})
+	teller.clock.Advance(pendingTime)
+	for n := range 10 {
+		teller.Record(fmt.Sprint(n), origin.Origin{Service: service, Build: "v1"})
+	}
+	if told := teller.takePending(); len(told) != 0 {
+		t.Errorf("told %v while there is one build", told)
+	}
+	teller.Table.Update(map[string][]string{service: {"v1", "v2"}})
+	for n := range 10 {
+		waitForHomes(t, nodes, fmt.Sprint(n))
+	}
+	if o := other.Table.Find(origin.StreamID("3")); o == nil || o.Build != "v1" {
+		t.Errorf("the other entry knows %v, want v1", o)
+	}
+	teller.Table.Update(map[string][]string{service: {"v1"}})
+	teller.clock.Advance(pendingTime)
+	teller.Record("late", origin.Origin{Service: service, Build: "v1"})
+	teller.clock.Advance(pendingTime + 1)
+	teller.takePending()
+	teller.mu.Lock()
+	defer teller.mu.Unlock()
+	if n := len(teller.pending); n != 0 {
+		t.Errorf("%d records are kept for longer than a stream lasts", n)
 	}
 }
 
