view: the sum of what a process knows counts the builds of upstreams

Two entries at the same revision compared equal although they knew an upstream at different builds, as after a restore of the list from an older copy, and neither fetched what it lacked. The sum named each field of an upstream but the new one. TestDigestTellsBuildsApart fails without it.

--- a/magno/view/digest.go
+++ b/magno/view/digest.go
@@ -124,7 +124,7 @@
 	case c.Pin != nil:
 		content = fmt.Sprint("pin ", c.Pin.Number)
 	case r != nil:
-		content = fmt.Sprint("replica ", r.StartedAt, r.Service, r.Address, r.DataCentre, r.Slots, r.Leaving)
+		content = fmt.Sprint("replica ", r.StartedAt, r.Service, r.Address, r.DataCentre, r.Slots, r.Leaving, r.Build)
 	}
 	return xxhash.Sum64String(c.Key + "\x00" + content)
 }
--- a/magno/view/view_test.go
+++ b/magno/view/view_test.go
@@ -304,3 +304,19 @@
 		t.Errorf("revision %d with configuration %d, want 1 with 1", now.Revision, now.Plan.Version)
 	}
 }
+
+// Guards against two processes that take themselves for equal though they know an upstream at different
+// builds: a restored list may name a name's earlier life with another build, at the same revision.
+func TestDigestTellsBuildsApart(t *testing.T) {
+	var digests []Digest
+	for _, build := range []string{"v1", "v2"} {
+		s, _ := newStore()
+		c := replicaChange("a", 1, "10.0.0.1:1")
+		c.Replica.Build = build
+		s.ApplyConsistent([]magno.Change{c}, 1)
+		digests = append(digests, s.Digest())
+	}
+	if digests[0] == digests[1] {
+		t.Errorf("both have %+v", digests[0])
+	}
+}
