resume: each entry tells two others where its streams began, and all are asked

Each stream had homes of its own, by a hash of its attempt's id. At the size planned for, 438 streams a second at an entry, that is a message to most of the 95 others in each flush: some 250 KB a second while builds serve side by side, of the 21 that control may take.

Who wants to know asks all entries; streams are seldom taken up.

--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -2,16 +2,19 @@
 // one than before.
 //
 //	first event --> Record --> Table
-//	                  '--> pending --once builds serve side by side--> homes of the stream (a few entries)
-//	taken up --> Find --> Table, or else asked at once: the homes; or else the only build of the service
+//	                  '--> pending --once builds serve side by side--> a few other entries, each its own
+//	taken up --> Find --> Table, or else asked at once: all entries; or else the only build of the service
 //
 // Load pattern: an entry is killed, and within a second the callers of all its streams take them up
-// at others. What it knew must be known elsewhere by then, without a first event waiting for that. Each
-// stream has homes by a hash of its ID, so that none is asked in vain and none has to know all.
+// at others. What it knew must be known elsewhere by then, without a first event waiting for that. Streams
+// begin all the while and are seldom taken up, so telling is what must cost little: each entry tells the
+// same few, many streams in one message, and who wants to know asks all.
 package resume
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"log/slog"
 	"slices"
@@ -33,17 +36,15 @@
 )
 
 const (
-	// recordHomes is the number of entries that are told where a stream began. Homes are chosen among
-	// live entries, and two entries may differ in which these are, so more are asked.
-	recordHomes = 3
-	askHomes    = 5
+	// keepers is the number of other entries that an entry tells where its streams began.
+	keepers = 2
 	// flushInterval is how often records are passed on: a kill loses those of the streams that began
 	// within it.
-	flushInterval = 50 * magno.Millis(1)
+	flushInterval = 100 * magno.Millis(1)
 	// pendingTime is how long a service must have had one build for records not to be passed on, and how
 	// long they are kept for the case that another one joins: longer than a stream lasts.
 	pendingTime = 60 * magno.Second
-	// askTimeout bounds the calls to homes, some of which may have just been killed.
+	// askTimeout bounds the calls to other entries, some of which may have just been killed.
 	askTimeout = 200 * magno.Millis(1)
 	// sendTimeout bounds the delivery of records.
 	sendTimeout = 500 * magno.Millis(1)
@@ -54,7 +55,25 @@
 // batch holds streams with the same origin.
 type batch struct {
 	origin.Origin
-	Streams []uint64 `json:"streams"`
+	// Streams holds their IDs, of origin.StreamIDBytes each.
+	Streams []byte `json:"streams"`
+}
+
+// add adds a stream.
+func (b *batch) add(stream uint64) {
+	var id [8]byte
+	binary.BigEndian.PutUint64(id[:], stream)
+	b.Streams = append(b.Streams, id[8-origin.StreamIDBytes:]...)
+}
+
+// ids returns the IDs of the streams.
+func (b *batch) ids() (list []uint64) {
+	for rest := b.Streams; len(rest) >= origin.StreamIDBytes; rest = rest[origin.StreamIDBytes:] {
+		var id [8]byte
+		copy(id[8-origin.StreamIDBytes:], rest)
+		list = append(list, binary.BigEndian.Uint64(id[:]))
+	}
+	return list
 }
 
 type call struct {
@@ -119,7 +138,11 @@
 		if !m.Current() {
 			m.Table.Forget()
 		}
-		for addr, batches := range m.takePending() {
+		batches := m.takePending()
+		if len(batches) == 0 {
+			continue
+		}
+		for _, addr := range m.keepers() {
 			sending.Go(func() { m.send(ctx, addr, batches) })
 		}
 	}
@@ -136,11 +159,12 @@
 	}
 }
 
-// takePending returns the records to pass on, by the address of their homes. Those of services that have
-// had one build for long stay: any entry knows where their streams began.
-func (m *Manager) takePending() map[string][]batch {
+// takePending returns the records to pass on. Those of services that have had one build for long stay: any
+// entry knows where their streams began.
+func (m *Manager) takePending() []batch {
 	m.mu.Lock()
-	taken := map[uint64]origin.Origin{}
+	defer m.mu.Unlock()
+	var batches []batch
 	stays := map[string]bool{}
 	now := m.Table.Clock.Now()
 	for stream, r := range m.pending {
@@ -151,32 +175,21 @@
 		}
 		switch {
 		case !stay:
-			taken[stream] = r.Origin
+			batches = appendRecord(batches, stream, r.Origin)
 			delete(m.pending, stream)
 		case now-r.at > pendingTime:
 			delete(m.pending, stream)
 		}
 	}
-	m.mu.Unlock()
-	if len(taken) == 0 {
-		return nil
-	}
-	entries := m.others()
-	byHome := map[string][]batch{}
-	for stream, o := range taken {
-		for _, addr := range homesOf(stream, entries, recordHomes) {
-			byHome[addr] = appendRecord(byHome[addr], stream, o)
-		}
-	}
-	return byHome
+	return batches
 }
 
 func appendRecord(list []batch, stream uint64, o origin.Origin) []batch {
 	i := slices.IndexFunc(list, func(b batch) bool { return b.Origin == o })
 	if i < 0 {
-		return append(list, batch{o, []uint64{stream}})
+		i, list = len(list), append(list, batch{Origin: o})
 	}
-	list[i].Streams = append(list[i].Streams, stream)
+	list[i].add(stream)
 	return list
 }
 
@@ -185,38 +198,15 @@
 	return slices.DeleteFunc(m.Entries(), func(addr string) bool { return addr == m.Self })
 }
 
-// homesOf returns the n homes of a stream among entries by rendezvous hashing: an entry that joins or
-// leaves changes few of them.
-func homesOf(stream uint64, entries []string, n int) []string {
-	type home struct {
-		addr  string
-		score uint64
-	}
-	homes := make([]home, 0, n+1)
-	for _, addr := range entries {
-		score := (xxhash.Sum64String(addr) ^ stream) * scoreFactor
-		score ^= score >> 32
-		at, _ := slices.BinarySearchFunc(homes, score, func(h home, s uint64) int {
-			if h.score > s {
-				return -1
-			}
-			return 1
-		})
-		if at < n {
-			homes = slices.Insert(homes, at, home{addr, score})
-			homes = homes[:min(len(homes), n)]
-		}
-	}
-	addrs := make([]string, 0, len(homes))
-	for _, h := range homes {
-		addrs = append(addrs, h.addr)
-	}
-	return addrs
+// keepers returns the entries that this one tells where its streams began, by rendezvous hashing: they are
+// spread over the data centres, and stay the same as others join or leave.
+func (m *Manager) keepers() []string {
+	entries := m.others()
+	score := func(addr string) uint64 { return xxhash.Sum64String(m.Self + addr) }
+	slices.SortFunc(entries, func(a, b string) int { return cmp.Compare(score(a), score(b)) })
+	return entries[:min(len(entries), keepers)]
 }
 
-// scoreFactor is odd and large, so that every bit of a stream's ID counts.
-const scoreFactor = 0x9e3779b97f4a7c15
-
 func (m *Manager) send(ctx context.Context, addr string, batches []batch) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
 	defer cancel()
@@ -232,7 +222,7 @@
 		return nil, err
 	}
 	for _, b := range batches {
-		for _, stream := range b.Streams {
+		for _, stream := range b.ids() {
 			m.Table.Record(stream, b.Origin)
 		}
 	}
@@ -263,8 +253,8 @@
 	} else if o := m.sole(&c); o != nil {
 		return o, "sole"
 	}
-	// This process may not have heard yet of a build that joined a moment ago, so the homes go before
-	// what it takes for the only one.
+	// This process may not have heard yet of a build that joined a moment ago, so others go before what
+	// it takes for the only one.
 	r := m.ask(ctx, &c)
 	switch {
 	case r.Origin != nil:
@@ -293,14 +283,14 @@
 	return m.Table.Sole(c.Service, c.Lasts)
 }
 
-// ask asks the homes of a stream. It returns the first answer with its origin, or else what all of them
+// ask asks all other entries. It returns the first answer with the origin of the stream, or else what they
 // say about the builds of its service.
 func (m *Manager) ask(ctx context.Context, c *call) reply {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
-	homes := homesOf(c.Stream, m.others(), askHomes)
-	answers := make(chan reply, len(homes))
-	for _, addr := range homes {
+	entries := m.others()
+	answers := make(chan reply, len(entries))
+	for _, addr := range entries {
 		go func() {
 			var r reply
 			if err := m.Mesh.Call(ctx, addr, MethodFind, c, &r); err != nil {
@@ -310,7 +300,7 @@
 		}()
 	}
 	var all reply
-	for range homes {
+	for range entries {
 		r := <-answers
 		if r.Origin != nil {
 			return r
--- a/entry/resume/resume_test.go
+++ b/entry/resume/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -68,8 +69,8 @@
 	return nodes
 }
 
-// waitForHomes waits until as many entries as a stream has homes know where it began, or all others.
-func waitForHomes(t *testing.T, nodes []*node, attempt string) {
+// waitForKeepers waits until the entries that are told where a stream began know it, and no others.
+func waitForKeepers(t *testing.T, nodes []*node, attempt string) {
 	t.Helper()
 	for end := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
 		know := 0
@@ -78,7 +79,7 @@
 				know++
 			}
 		}
-		if know == min(recordHomes+1, len(nodes)) {
+		if know == min(keepers+1, len(nodes)) {
 			return
 		}
 		if time.Now().After(end) {
@@ -95,10 +96,10 @@
 			nodes := startNodes(t, size)
 			const attempt = "began-at-0"
 			nodes[0].Record(attempt, origin.Origin{Service: service, Build: "v1"})
-			waitForHomes(t, nodes, attempt)
+			waitForKeepers(t, nodes, attempt)
 			nodes[0].end()
 			living := nodes[1:]
-			for killed := 0; killed < recordHomes-1 && len(living) > 1; killed++ {
+			for killed := 0; killed < keepers-1 && len(living) > 1; killed++ {
 				living[0].end()
 				living = living[1:]
 			}
@@ -147,7 +148,7 @@
 		t.Error("an entry doesn't believe what it has seen itself")
 	}
 	other.Record("lost", origin.Origin{Service: service, Build: "v2"})
-	waitForHomes(t, nodes, "lost")
+	waitForKeepers(t, nodes, "lost")
 	if o := find("lost"); o == nil || o.Build != "v2" {
 		t.Errorf("a record of a build that joined a moment ago: got %v, want v2", o)
 	}
@@ -168,7 +169,7 @@
 	}
 	teller.Table.Update(map[string][]string{service: {"v1", "v2"}})
 	for n := range 10 {
-		waitForHomes(t, nodes, fmt.Sprint(n))
+		waitForKeepers(t, nodes, fmt.Sprint(n))
 	}
 	if o := other.Table.Find(origin.StreamID("3")); o == nil || o.Build != "v1" {
 		t.Errorf("the other entry knows %v, want v1", o)
@@ -215,31 +216,32 @@
 	}
 }
 
-// Guards against homes that move as entries join or leave: those that were told wouldn't be asked.
-func TestHomesStayAsEntriesComeAndGo(t *testing.T) {
-	entries := make([]string, 40)
-	for i := range entries {
-		entries[i] = fmt.Sprintf("10.0.0.%d:7", i)
-	}
-	fewer := entries[:len(entries)-2]
-	load := map[string]int{}
-	for stream := range uint64(2000) {
-		id := origin.StreamID(fmt.Sprint(stream))
-		told, asked := homesOf(id, entries, recordHomes), homesOf(id, fewer, askHomes)
-		if len(told) != recordHomes || len(asked) != askHomes {
-			t.Fatalf("%d homes are told, %d asked", len(told), len(asked))
+// Guards against telling so much that an entry at the size planned for takes more than its part of the
+// network, 21 KB a second in both directions, while builds serve side by side.
+func TestToldOriginsAreSmall(t *testing.T) {
+	const (
+		// streams is the number of streams that begin at one entry per second, limit the bytes.
+		streams = 438
+		limit   = 21 << 10
+		// envelope is what a message takes beside its content, with the headers of its packet.
+		envelope = 120
+	)
+	m := &Manager{Table: &origin.Table{Clock: magno.NewClock(magno.Hour)}, pending: map[uint64]record{}}
+	m.Table.Update(map[string][]string{"llm-pool": {"v1", "v1.1"}})
+	flushes := int(magno.Second / flushInterval)
+	bytes := 0
+	for flush := range flushes {
+		for n := range streams / flushes {
+			m.Record(fmt.Sprintf("%d-%d", flush, n), origin.Origin{Service: "llm-pool", Build: []string{"v1", "v1.1"}[n%2]})
 		}
-		for _, addr := range told {
-			load[addr]++
-			if slices.Contains(fewer, addr) && !slices.Contains(asked, addr) {
-				t.Fatalf("stream %d: %s was told and isn't asked", stream, addr)
-			}
+		data, err := json.Marshal(m.takePending())
+		if err != nil {
+			t.Fatal(err)
 		}
+		bytes += keepers * (len(data) + envelope)
 	}
-	mean := 2000 * recordHomes / len(entries)
-	for addr, n := range load {
-		if n < mean/2 || n > 2*mean {
-			t.Errorf("%s is home of %d streams, the mean is %d", addr, n, mean)
-		}
+	t.Logf("%d bytes per second sent, and as many received", bytes)
+	if 2*bytes > limit {
+		t.Errorf("%d bytes per second in both directions, at most %d", 2*bytes, limit)
 	}
 }
--- a/magno/origin/origin.go
+++ b/magno/origin/origin.go
@@ -35,8 +35,14 @@
 	Build string `json:"build,omitempty"`
 }
 
-// StreamID identifies a stream by the ID of the caller's attempt that brought its first event.
-func StreamID(attempt string) uint64 { return xxhash.Sum64String(attempt) }
+// StreamIDBytes is the size of a StreamID in messages: small, and enough to tell MaxRecords streams apart.
+const StreamIDBytes = 5
+
+// StreamID identifies a stream by the ID of the caller's attempt that brought its first event. It fits into
+// StreamIDBytes.
+func StreamID(attempt string) uint64 {
+	return xxhash.Sum64String(attempt) >> (64 - 8*StreamIDBytes)
+}
 
 // Table is the set of records. It is safe for concurrent use; Clock is set before use.
 type Table struct {
