--- a/drive/soak/stream.go
+++ b/drive/soak/stream.go
@@ -77,7 +77,7 @@
 
 // stream is a stream over all tries of its caller.
 type stream struct {
-	target, adapter string
+	target, adapter, body string
 	// first is the ID of the request that brought the first event, empty before.
 	first string
 	last  int
@@ -87,7 +87,7 @@
 
 // playStream sends a request for a stream of the route with the path, and takes it up at any entry each time it breaks off.
 func (s *Soak) playStream(ctx context.Context, caller *fake.Caller, path string, rnd *rand.Rand) streamed {
-	st := stream{target: path + longSuffix}
+	st := stream{target: path + longSuffix, body: "body of " + s.newID()}
 	if path == fake.PathResume {
 		st.adapter = fmt.Sprintf("a%d", 1+rnd.IntN(adapters))
 	}
@@ -131,7 +131,7 @@
 
 // sendStream sends a request for what a stream lacks, and reports whether that brought an event.
 func (s *Soak) sendStream(ctx context.Context, caller *fake.Caller, entry string, st *stream) (o fake.Outcome, went bool) {
-	m := fake.Message{Target: st.target, Body: "long", ID: s.newID(), Adapter: st.adapter}
+	m := fake.Message{Target: st.target, Body: st.body, ID: s.newID(), Adapter: st.adapter}
 	m.Parts = promptOf(m.ID)
 	if st.first != "" {
 		m.From, m.Resumes = strconv.Itoa(st.last), st.first
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -14,8 +14,8 @@
 // A record is the set of upstreams that ended under a request, or under requests with a part. Sets are
 // joined, so it doesn't matter which process saw an end, how many did, or in which order they learn of
 // it. What completes is cleared of the ends so far; a part also of those soon afterwards, since it runs
-// in many requests at a time. A request is refused if refuseEnds upstreams ended under it or one of its
-// parts that nothing else explains better, unless the pool was failing anyway. Later it may run once
+// in many requests at a time. A request is refused if refuseEnds upstreams ended under it, or partRefuseEnds
+// under one of its parts, that nothing else explains better, unless the pool was failing anyway. Later it may run once
 // more, alone, which clears it if it was sound.
 //
 // Records expire and their number is bounded. They are soft state: losing them costs further ends.
@@ -43,6 +43,9 @@
 	// refuseEnds is the number of ends from which a request is refused. Two can coincide with
 	// a sound request while upstreams are killed.
 	refuseEnds = 3
+	// partRefuseEnds is the same for a part of prompts: one more, so that a request that ends upstreams
+	// is refused before a sound part that ran beside it each time.
+	partRefuseEnds = 4
 	// holdTime is how long a request is held back after the end that HoldEnds names. Upstreams
 	// are back after it.
 	holdTime = 3 * magno.Second
--- a/magno/crash/trial.go
+++ b/magno/crash/trial.go
@@ -28,7 +28,7 @@
 
 // trialDue is TrialDue for a record. The caller holds mu.
 func (s *Suspects) trialDue(print uint64, rec *record) bool {
-	now, more, wait := s.Clock.Now(), rec.count()-refuseEnds, TrialWait
+	now, more, wait := s.Clock.Now(), rec.count()-enoughEnds(print), TrialWait
 	if isPart(print) && more > 0 {
 		wait <<= min(more, maxTrialDoublings)
 		more = 0
