crash: the ends under a part must come at three moments

Cause: four ends counted, whether they came one after the other or at once. Now they must come at three moments, half a second apart, by which time a completion at any entry has cleared the part.

--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -46,6 +46,10 @@
 	// partRefuseEnds is the same for a part of prompts: one more, so that a request that ends upstreams
 	// is refused before a sound part that ran beside it each time.
 	partRefuseEnds = 4
+	// partMoments is at how many moments, momentGap apart, these ends must have come. Many upstreams that
+	// fail at once end all that ran there, and news of what completes elsewhere needs time to arrive.
+	partMoments = 3
+	momentGap   = 500 * magno.Millis(1)
 	// holdTime is how long a request is held back after the end that HoldEnds names. Upstreams
 	// are back after it.
 	holdTime = 3 * magno.Second
