crash, peers: what entries tell each other of ended upstreams settles

Cause: a record of ends dropped its oldest cleared end at 16, and counted that as a change to pass on. Two processes that dropped different ends brought each other's back for ever; each change started six goroutines. Change: a completion begins the next generation of a record, and the higher generation holds; within one the ends only grow in number, so nothing that gave way is news again. In a full table a peer's single end takes the place of what did not change for long, and only while it is fresh. One message is on its way to a peer at most, and the next one carries what is new by then.

--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -169,7 +169,7 @@
 // mergeEnds merges the ends of upstreams under the request that the entry knows of.
 func (s *Server) mergeEnds(call *magno.RunCall) {
 	if len(call.Ends) > 0 {
-		s.Suspects.Merge([]crash.Record{{Fingerprint: call.Work.Job.Fingerprint, Ends: call.Ends}})
+		s.Suspects.MergeEnds(call.Work.Job.Fingerprint, call.Ends)
 	}
 }
 
--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -19,7 +19,7 @@
 	}
 	p.applyHello(&h)
 	reply := p.newHello(h.MemberHash, h.KnownCount)
-	reply.Ends = append(reply.Ends, p.missingEnds(h.EndDigest)...)
+	reply.EndReport = p.replyEnds(&h)
 	reply.Proof = p.freshnessProof(receivedStamp{stamp: h.Stamp, receivedAt: receivedAt})
 	return reply, nil
 }
--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -12,7 +12,7 @@
 	MethodHello  = "hello" // Hello, answered with a Hello
 	MethodUpdate = "news"  // Update, a notification
 	MethodItems  = "items" // Since, answered with an Update
-	MethodEnds   = "ends"  // []Ending, a notification
+	MethodEnds   = "ends"  // EndReport, a notification
 )
 
 // Hello describes an entry to another one.
@@ -38,10 +38,10 @@
 	// equal: with a hundred entries, the addresses would be most of the message.
 	MemberHash uint64   `json:"crowd"`
 	Peers      []string `json:"peers,omitempty"`
-	// Ends are the unplanned ends of upstreams and the requests that ran there: those of which
-	// the sender heard lately and, in a reply, those that the receiver may lack by its EndDigest.
-	Ends      []Ending `json:"ends,omitempty"`
-	EndDigest uint64   `json:"endsum,omitempty"`
+	// EndReport has the ends of which the sender heard lately and, in a reply, those that the receiver may
+	// lack by its EndDigest.
+	EndReport
+	EndDigest uint64 `json:"endsum,omitempty"`
 	// Stamp is the sender's time. Proof is addressed to the receiver and may be nil.
 	Stamp Stamp  `json:"stamp"`
 	Proof *Proof `json:"proof,omitempty"`
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -127,6 +127,8 @@
 	// spreadChange is the change of the suspects up to which they were spread, at spreadAt.
 	spreadChange int64
 	spreadAt     magno.Millis
+	// deliveries are the messages about ends that are on their way, by address.
+	deliveries map[string]*delivery
 	// compared are the states of this process and a peer for which the last fetch was made.
 	compared [2]view.Digest
 }
@@ -148,12 +150,15 @@
 	askedAt, learnedAt, lostAt magno.Millis
 	// lastStamp is the last stamp received from it.
 	lastStamp receivedStamp
+	// digests are the pair because of which records were last sent to it, at digestsAt.
+	digests   [2]uint64
+	digestsAt magno.Millis
 }
 
 // Open registers the RPC handlers on the mesh. It is called before the mesh or Peers
 // runs.
 func (p *Peers) Open() {
-	p.known = map[string]*peer{}
+	p.known, p.deliveries = map[string]*peer{}, map[string]*delivery{}
 	p.startedAt = p.Clock.Now()
 	p.incarnation = rand.Uint64() | 1
 	p.listReachable = true
@@ -184,7 +189,11 @@
 			}()
 		}
 		p.spreadEnds(ctx, &pending)
-		timer.Reset(p.pollInterval().Duration())
+		wait := p.pollInterval()
+		if delay, news := p.spreadDelay(); news {
+			wait = min(wait, delay)
+		}
+		timer.Reset(wait.Duration())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -279,7 +288,7 @@
 func (p *Peers) newHello(memberHash uint64, knownCount int) Hello {
 	h := Hello{
 		Name: p.Self, Addr: p.Addr, LinkMbps: p.LinkMbps, DataCentre: p.DataCentre, Digest: p.Book.Digest(), Age: p.Book.Age(),
-		Ends: p.recentEnds(), EndDigest: p.Suspects.Digest(),
+		EndReport: newEndReport(p.recentEnds()), EndDigest: p.Suspects.Digest(),
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -327,7 +336,7 @@
 // applyHello updates the state of a peer from its hello.
 func (p *Peers) applyHello(h *Hello) {
 	p.addAddrs(append(h.Peers, h.Addr))
-	p.mergeEnds(h.Ends)
+	p.mergeEnds(&h.EndReport)
 	p.mu.Lock()
 	k := p.known[h.Addr]
 	if k == nil { // it is this entry itself
--- a/entry/peers/suspect.go
+++ b/entry/peers/suspect.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/wire"
@@ -21,84 +23,158 @@
 	// spreadNext of them are the next entries by address, the others are random. Random ones alone
 	// miss some entries of a large fleet.
 	spreadNext = 2
+	// spreadInterval is the least time between two rounds of passing on. Many upstreams that fail within a
+	// second would otherwise cause a round each.
+	spreadInterval = 50 * magno.Millis(1)
+	// repeatInterval is how long records with several ends aren't sent to a peer again while neither process
+	// learns more.
+	repeatInterval = 10 * magno.Second
 )
 
-// Ending is the end of an upstream in a hello, with the requests that ran there. A crash concerns
+var endReportsSent = metrics.GetOrCreateCounter("end_reports_total")
+
+// EndReport tells of unplanned ends of upstreams and the requests that ran there. A crash concerns
 // dozens of requests, and their fingerprints alone take a fifth of what their records would.
+type EndReport struct {
+	Ends []Ending `json:"ends,omitempty"`
+	// Generations are those of the records that were cleared before.
+	Generations []Generation `json:"generations,omitempty"`
+}
+
+// Ending is the end of an upstream, with the fingerprints of what ran there.
 type Ending struct {
 	magno.UpstreamEnd
-	// Ran are the fingerprints of the requests, Completed those that completed afterwards.
-	Ran       []uint64 `json:"ran,omitempty"`
-	Completed []uint64 `json:"whole,omitempty"`
+	Ran []uint64 `json:"ran,omitempty"`
+}
+
+// Generation is that of a crash.Record.
+type Generation struct {
+	Fingerprint uint64       `json:"print"`
+	Number      uint32       `json:"number"`
+	ClearedAge  magno.Millis `json:"age"`
 }
 
-// groupByEnd converts records of requests to the ends in them, in a fixed order.
-func groupByEnd(records []crash.Record) []Ending {
+// newEndReport converts records to a report, in a fixed order of ends.
+func newEndReport(records []crash.Record) EndReport {
+	var report EndReport
 	byUpstream := map[uint64]*Ending{}
-	for _, rec := range records {
+	for i := range records {
+		rec := &records[i]
+		if rec.Generation > 0 {
+			report.Generations = append(report.Generations, Generation{rec.Fingerprint, rec.Generation, rec.ClearedAge})
+		}
 		for _, e := range rec.Ends {
 			g := byUpstream[e.Upstream]
 			if g == nil {
-				g = &Ending{UpstreamEnd: magno.UpstreamEnd{Upstream: e.Upstream, Pool: e.Pool, Age: e.Age}}
+				g = &Ending{UpstreamEnd: e}
 				byUpstream[e.Upstream] = g
 			}
-			if e.Cleared {
-				g.Completed = append(g.Completed, rec.Fingerprint)
-				continue
-			}
 			g.Ran = append(g.Ran, rec.Fingerprint)
 		}
 	}
-	list := make([]Ending, 0, len(byUpstream))
 	for g := range maps.Values(byUpstream) {
-		list = append(list, *g)
+		report.Ends = append(report.Ends, *g)
 	}
-	slices.SortFunc(list, func(a, b Ending) int { return cmp.Compare(a.Upstream, b.Upstream) })
-	return list
+	slices.SortFunc(report.Ends, func(a, b Ending) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return report
 }
 
-// mergeEnds joins the ends in a hello with the records of this process.
-func (p *Peers) mergeEnds(ends []Ending) {
-	var records []crash.Record
-	for i := range ends {
-		e := ends[i].UpstreamEnd
-		for _, print := range ends[i].Ran {
-			records = append(records, crash.Record{Fingerprint: print, Ends: []magno.UpstreamEnd{e}})
+// records is the inverse of newEndReport.
+func (r *EndReport) records() []crash.Record {
+	byPrint := map[uint64]*crash.Record{}
+	find := func(print uint64) *crash.Record {
+		if byPrint[print] == nil {
+			byPrint[print] = &crash.Record{Fingerprint: print}
 		}
-		e.Cleared = true
-		for _, print := range ends[i].Completed {
-			records = append(records, crash.Record{Fingerprint: print, Ends: []magno.UpstreamEnd{e}})
+		return byPrint[print]
+	}
+	for _, g := range r.Generations {
+		rec := find(g.Fingerprint)
+		rec.Generation, rec.ClearedAge = g.Number, g.ClearedAge
+	}
+	for i := range r.Ends {
+		for _, print := range r.Ends[i].Ran {
+			rec := find(print)
+			rec.Ends = append(rec.Ends, r.Ends[i].UpstreamEnd)
 		}
 	}
-	p.Suspects.Merge(records)
+	list := make([]crash.Record, 0, len(byPrint))
+	for _, rec := range byPrint {
+		list = append(list, *rec)
+	}
+	return list
+}
+
+// mergeEnds joins a report with the records of this process.
+func (p *Peers) mergeEnds(r *EndReport) { p.Suspects.Merge(r.records()) }
+
+// recentEnds returns the records that changed lately.
+func (p *Peers) recentEnds() []crash.Record {
+	return p.Suspects.UpdatedSince(p.Suspects.Clock.Now()-suspectMaxAge, maxSuspects)
 }
 
-// recentEnds returns the ends whose records changed lately.
-func (p *Peers) recentEnds() []Ending {
-	return groupByEnd(p.Suspects.UpdatedSince(p.Suspects.Clock.Now()-suspectMaxAge, maxSuspects))
+// replyEnds returns what a peer may lack: what changed lately and, if its digest differs, all records with
+// several ends. An entry that just started, or was cut off, would send such a request to upstreams again. While
+// neither digest changes the latter are sent again only after a while: processes whose tables are full may
+// differ for long.
+func (p *Peers) replyEnds(h *Hello) EndReport {
+	records, mine, now := p.recentEnds(), p.Suspects.Digest(), p.Clock.Now()
+	if h.EndDigest == mine || !p.mayRepeat(h.Addr, [2]uint64{mine, h.EndDigest}, now) {
+		return newEndReport(records)
+	}
+	for _, rec := range p.Suspects.Serious(maxSerious) {
+		if !slices.ContainsFunc(records, func(other crash.Record) bool { return other.Fingerprint == rec.Fingerprint }) {
+			records = append(records, rec)
+		}
+	}
+	return newEndReport(records)
 }
 
-// missingEnds returns the ends that a peer with another digest may lack: an entry that just started,
-// or was cut off, would send such a request to upstreams again.
-func (p *Peers) missingEnds(digest uint64) []Ending {
-	if digest == p.Suspects.Digest() {
-		return nil
+// mayRepeat reports whether records may be sent to a peer because of these digests, and notes that they are.
+func (p *Peers) mayRepeat(addr string, digests [2]uint64, now magno.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.known[addr]
+	if k == nil {
+		return true
 	}
-	return groupByEnd(p.Suspects.Serious(maxSerious))
+	if k.digests == digests && now-k.digestsAt < repeatInterval {
+		return false
+	}
+	k.digests, k.digestsAt = digests, now
+	return true
+}
+
+// delivery is what is to be sent to one peer. While a message is on its way, what becomes known is left to the
+// next one.
+type delivery struct {
+	// since is the time from which on changes are to be sent.
+	since magno.Millis
+	// again is true if there are some that the message on its way lacks.
+	again bool
 }
 
-// endsToSpread returns the ends that became known since the last call, and the addresses of the
-// entries to send them to.
-func (p *Peers) endsToSpread() ([]Ending, []string) {
+// spreadDelay returns the time until what became known may be passed on, zero if it may now. It returns false if
+// nothing did.
+func (p *Peers) spreadDelay() (magno.Millis, bool) {
 	changes, now := p.Suspects.Changes(), p.Suspects.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if changes == p.spreadChange {
-		return nil, nil
+	return max(p.spreadAt+spreadInterval-now, 0), changes != p.spreadChange
+}
+
+// endsToSpread returns the time from which on changes are to be passed on, and the addresses of the entries to
+// which. There are none if nothing became known, or if it was passed on a moment ago.
+func (p *Peers) endsToSpread() (since magno.Millis, targets []string) {
+	if delay, news := p.spreadDelay(); delay > 0 || !news {
+		return 0, nil
 	}
-	ends := groupByEnd(p.Suspects.UpdatedSince(p.spreadAt-1, maxSuspects))
+	changes, now := p.Suspects.Changes(), p.Suspects.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since = p.spreadAt - 1
 	p.spreadChange, p.spreadAt = changes, now
-	targets := p.nextEntries(spreadNext)
+	targets = p.nextEntries(spreadNext)
 	for addr, k := range p.known { // in random order
 		if len(targets) == spreadFanout {
 			break
@@ -107,7 +183,7 @@
 			targets = append(targets, addr)
 		}
 	}
-	return ends, targets
+	return since, targets
 }
 
 // nextEntries returns the n live entries whose addresses follow this one's, in a circle. The caller
@@ -128,31 +204,77 @@
 	return list
 }
 
-// spreadEnds passes on what became known since the last call.
+// spreadEnds passes on what became known since the last call. There is one goroutine a peer at most, whatever
+// becomes known: peers that are slow to read would otherwise let them pile up.
 func (p *Peers) spreadEnds(ctx context.Context, pending *sync.WaitGroup) {
-	ends, targets := p.endsToSpread()
+	since, targets := p.endsToSpread()
 	for _, addr := range targets {
-		pending.Go(func() { p.sendEnds(ctx, addr, ends) })
+		if p.startDelivery(addr, since) {
+			pending.Go(func() { p.deliver(ctx, addr) })
+		}
+	}
+}
+
+// startDelivery adds changes to what is to be sent to a peer. It reports whether no message is on its way, so that
+// one may be sent now.
+func (p *Peers) startDelivery(addr string, since magno.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d := p.deliveries[addr]; d != nil {
+		d.again, d.since = true, min(d.since, since)
+		return false
+	}
+	p.deliveries[addr] = &delivery{since: since}
+	return true
+}
+
+// deliver sends changes to a peer until there are no more.
+func (p *Peers) deliver(ctx context.Context, addr string) {
+	for since, more := p.nextDelivery(addr); more && ctx.Err() == nil; since, more = p.finishDelivery(addr) {
+		p.sendEnds(ctx, addr, newEndReport(p.Suspects.UpdatedSince(since, maxSuspects)))
+	}
+}
+
+// nextDelivery returns the time from which on changes are to be sent.
+func (p *Peers) nextDelivery(addr string) (since magno.Millis, more bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.deliveries[addr].since, true
+}
+
+// finishDelivery ends a message, and returns the time from which on changes are to be sent with the next, if there
+// are any.
+func (p *Peers) finishDelivery(addr string) (since magno.Millis, more bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.deliveries[addr]
+	if !d.again {
+		delete(p.deliveries, addr)
+		return 0, false
 	}
+	since = d.since
+	d.again, d.since = false, p.Suspects.Clock.Now()
+	return since, true
 }
 
-// sendEnds passes on ends of upstreams. One that is lost comes with a hello.
-func (p *Peers) sendEnds(ctx context.Context, addr string, ends []Ending) {
+// sendEnds passes on a report. One that is lost comes with a hello.
+func (p *Peers) sendEnds(ctx context.Context, addr string, report EndReport) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout.Duration())
 	defer cancel()
-	if err := p.Mesh.Notify(ctx, addr, MethodEnds, ends); err != nil {
+	endReportsSent.Inc()
+	if err := p.Mesh.Notify(ctx, addr, MethodEnds, report); err != nil {
 		p.Log.Debug("ends not passed on", "addr", addr, "error", err)
 	}
 }
 
 func (p *Peers) onEnds(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
-	var ends []Ending
-	if err := json.Unmarshal(params, &ends); err != nil {
+	var report EndReport
+	if err := json.Unmarshal(params, &report); err != nil {
 		p.Log.Warn("malformed ends", "error", err)
 		return nil, err
 	}
 	before := p.Suspects.Changes()
-	p.mergeEnds(ends)
+	p.mergeEnds(&report)
 	if p.Suspects.Changes() != before {
 		p.wake()
 	}
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -86,6 +86,9 @@
 				due = true
 			default:
 			}
+			if delay, news := p.spreadDelay(); news && delay == 0 {
+				due = true
+			}
 			if !due {
 				continue
 			}
@@ -101,13 +104,17 @@
 // spread has an entry pass on what it learned of ends.
 func (f *helloFleet) spread(t *testing.T, p *Peers) {
 	t.Helper()
-	ends, targets := p.endsToSpread()
-	params, err := json.Marshal(ends)
+	since, targets := p.endsToSpread()
+	if len(targets) == 0 {
+		return
+	}
+	report := newEndReport(p.Suspects.UpdatedSince(since, maxSuspects))
+	params, err := json.Marshal(report)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, addr := range targets {
-		f.count(t, ends, p, f.byAddr[addr])
+		f.count(t, report, p, f.byAddr[addr])
 		if _, err := f.byAddr[addr].onEnds(context.Background(), nil, params); err != nil {
 			t.Fatal(err)
 		}
@@ -123,23 +130,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.count(t, hello.Ends, from, to)
+	f.count(t, hello.EndReport, from, to)
 	answer, err := to.onHello(context.Background(), nil, params)
 	if err != nil {
 		t.Fatal(err)
 	}
 	reply, _ := answer.(Hello)
-	f.count(t, reply.Ends, from, to)
+	f.count(t, reply.EndReport, from, to)
 	k.pending = false
 	from.applyHello(&reply)
 }
 
-func (f *helloFleet) count(t *testing.T, ends []Ending, between ...*Peers) {
+func (f *helloFleet) count(t *testing.T, report EndReport, between ...*Peers) {
 	t.Helper()
-	if len(ends) == 0 {
+	if len(report.Ends)+len(report.Generations) == 0 {
 		return
 	}
-	data, err := json.Marshal(ends)
+	data, err := json.Marshal(report)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -16,6 +16,19 @@
 // breakOff ends the connection without an answer.
 func breakOff(int, *http.Request, net.Conn) bool { return false }
 
+// startUpstreamThatEnds starts an upstream that breaks off each request and ends with the second.
+func startUpstreamThatEnds(t *testing.T) *fakeUpstream {
+	t.Helper()
+	var u *fakeUpstream
+	u = startUpstream(t, func(n int, _ *http.Request, _ net.Conn) bool {
+		if n == 2 {
+			_ = u.listener.Close()
+		}
+		return false
+	})
+	return u
+}
+
 // send sends a request whose answer doesn't matter, post one to a path.
 func (s *testProxy) send(t *testing.T, method, id string) {
 	t.Helper()
@@ -220,14 +233,7 @@
 
 // Guards against an upstream's end being charged to requests that broke off long before it.
 func TestEarlierBreakIsNoPartOfALaterEnd(t *testing.T) {
-	var u *fakeUpstream
-	u = startUpstream(t, func(n int, _ *http.Request, _ net.Conn) bool {
-		if n == 2 {
-			_ = u.listener.Close()
-		}
-		return false
-	})
-	s := newTestProxy(t, magno.RouteOnce, false, u)
+	s := newTestProxy(t, magno.RouteOnce, false, startUpstreamThatEnds(t))
 	s.post(t, "/p/early")
 	time.Sleep((cancelWindow + 100).Duration())
 	s.post(t, "/p/late")
@@ -322,14 +328,7 @@
 		{"engine", magno.RouteStream},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var u *fakeUpstream
-			u = startUpstream(t, func(n int, _ *http.Request, _ net.Conn) bool {
-				if n == 2 {
-					_ = u.listener.Close()
-				}
-				return false
-			})
-			s := newTestProxy(t, c.kind, false, u)
+			s := newTestProxy(t, c.kind, false, startUpstreamThatEnds(t))
 			s.permits.down.Store(c.kind == magno.RouteStream)
 			s.post(t, "/p/reset")
 			s.post(t, "/p/fatal")
--- a/magno/alert/alert.go
+++ b/magno/alert/alert.go
@@ -63,5 +63,5 @@
 		return
 	}
 	e := magno.UpstreamEnd{Upstream: upstream, Pool: pool, Cleared: m.Seq >= seqCleared, Age: crash.Retention - m.TTL}
-	s.Suspects.Merge([]crash.Record{{Fingerprint: fingerprint, Ends: []magno.UpstreamEnd{e}}})
+	s.Suspects.MergeEnds(fingerprint, []magno.UpstreamEnd{e})
 }
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -13,8 +13,10 @@
 //
 // A record is the set of upstreams that ended under a request, or under requests with a part. Sets are
 // joined, so it doesn't matter which process saw an end, how many did, or in which order they learn of
-// it. What completes is cleared of the ends so far; a part also of those soon afterwards, since it runs
-// in many requests at a time. A request is refused if refuseEnds upstreams ended under it, or partRefuseEnds
+// it. What completes is cleared of the ends so far, which begins the next generation of its record; a part
+// is also cleared of those soon afterwards, since it runs in many requests at a time. Generations only
+// rise, and within one the set only grows until it is full, so what processes tell each other settles.
+// A request is refused if refuseEnds upstreams ended under it, or partRefuseEnds
 // under one of its parts, that nothing else explains better, unless the pool was failing anyway. Later it may run once
 // more, alone, which clears it if it was sound.
 //
@@ -22,6 +24,7 @@
 package crash
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -35,8 +38,15 @@
 	Retention = 30 * magno.Minute
 	// MaxRecords bounds the number of records: 64 full batches of 64 requests.
 	MaxRecords = 4096
-	// maxEnds bounds the ends in a record.
+	// maxEnds bounds the ends in a record, and as many that it was cleared of.
 	maxEnds = 16
+	// freshTime and keepTime are for a table that is full: a single end of a peer is taken while it is
+	// younger than freshTime, in place of a record that did not change for keepTime. What gave way is
+	// older than freshTime by then and isn't taken again.
+	freshTime = 3 * magno.Second
+	keepTime  = 10 * magno.Second
+	// maxEvictionScan bounds the records that are looked at for one to give way.
+	maxEvictionScan = 8
 	// maxCompleted bounds the completions that are remembered. An end is known a few seconds
 	// after it happened, and the request may have completed elsewhere by then.
 	maxCompleted = 8192
@@ -65,7 +75,11 @@
 type Record struct {
 	// Fingerprint is a RequestPrint or a PartPrint.
 	Fingerprint uint64 `json:"print"`
-	// Ends are the upstreams that ended while they ran the request.
+	// Generation counts the completions that cleared it of ends, and ClearedAge is the time since the
+	// last of them.
+	Generation uint32       `json:"gen,omitempty"`
+	ClearedAge magno.Millis `json:"clearedage,omitempty"`
+	// Ends are the upstreams that ended while they ran the request, those of this generation only.
 	Ends []magno.UpstreamEnd `json:"ends"`
 }
 
@@ -88,7 +102,8 @@
 	// completed holds the time of the last completion of requests, also of those without a
 	// record.
 	completed *simplelru.LRU[uint64, magno.Millis]
-	// changes counts the changes of records.
+	// changes counts the changes of records that are news to others: those of the ends of the current
+	// generation. What makes room in a table is none.
 	changes  int64
 	digested digested
 	// startedAt is the time of the first use.
@@ -97,9 +112,14 @@
 
 // record is a Record as this process keeps it.
 type record struct {
+	// generation and clearedAt are as in Record.
+	generation uint32
+	clearedAt  magno.Millis
+	// ends holds at most maxEnds that count and maxEnds that it was cleared of. The latter tell whether a
+	// pool is failing, and aren't told to others.
 	ends []end
-	// changedAt is the time of the last change known here.
-	changedAt magno.Millis
+	// changedAt is the time of the last change known here, tellAt that from which on peers are told.
+	changedAt, tellAt magno.Millis
 	// trials counts the trials that this process granted, the last one at triedAt.
 	trials  int
 	triedAt magno.Millis
@@ -116,8 +136,8 @@
 // count returns the number of ends that the request isn't cleared of.
 func (r *record) count() int {
 	n := 0
-	for _, e := range r.ends {
-		if !e.cleared {
+	for i := range r.ends {
+		if !r.ends[i].cleared {
 			n++
 		}
 	}
@@ -134,29 +154,61 @@
 	return nil
 }
 
-// add adds an end or joins it with the one that is known. It reports whether the record changed.
+// add adds an end or joins it with the one that is known. It reports whether that changed the ends that
+// count.
 func (r *record) add(e end) bool {
 	if old := r.find(e.upstream); old != nil {
 		changed := e.cleared && !old.cleared
 		old.cleared = old.cleared || e.cleared
 		return changed
 	}
-	if len(r.ends) >= maxEnds && !r.dropCleared() {
-		return false
+	last, n := r.last(e.cleared)
+	switch {
+	case n < maxEnds:
+		r.ends = append(r.ends, e)
+		return !e.cleared
+	case e.cleared || e.upstream < r.ends[last].upstream:
+		r.ends[last] = e
 	}
-	r.ends = append(r.ends, e)
-	return true
+	return false
 }
 
-// dropCleared makes room by dropping the oldest end that the request is cleared of.
-func (r *record) dropCleared() bool {
+// last returns which of the ends that count, or of the cleared ones, gives way to another, and their
+// number. Of the cleared ones it is the first that became known. Of the others it is the one with the highest
+// hash, so that all processes keep the same.
+func (r *record) last(cleared bool) (at, n int) {
+	at = -1
 	for i := range r.ends {
-		if r.ends[i].cleared {
-			r.ends = append(r.ends[:i], r.ends[i+1:]...)
-			return true
+		if r.ends[i].cleared != cleared {
+			continue
+		}
+		n++
+		if at < 0 || (!cleared && r.ends[i].upstream > r.ends[at].upstream) {
+			at = i
 		}
 	}
-	return false
+	return at, n
+}
+
+// clear clears the record of the matching ends and returns those that counted.
+func (r *record) clear(match func(*end) bool) []end {
+	var cleared []end
+	for i := range r.ends {
+		if e := &r.ends[i]; !e.cleared && match(e) {
+			e.cleared = true
+			cleared = append(cleared, *e)
+		}
+	}
+	for last, n := r.last(true); n > maxEnds; last, n = r.last(true) {
+		r.ends = slices.Delete(r.ends, last, last+1)
+	}
+	return cleared
+}
+
+// begin begins a generation, with the ends that came after the completion.
+func (r *record) begin(generation uint32, clearedAt magno.Millis) (changed bool) {
+	r.generation, r.clearedAt = generation, clearedAt
+	return len(r.clear(func(e *end) bool { return e.at <= clearedAt })) > 0
 }
 
 // setup creates the tables on first use. The caller holds mu.
@@ -182,7 +234,51 @@
 	return rec
 }
 
-// join adds an end to the record of a request and reports whether that changed. The caller holds mu.
+// put stores a new record, in place of the least recently used one if the table is full. If that is a
+// record with several ends, it looks for another one first. The caller holds mu.
+func (s *Suspects) put(fingerprint uint64, rec *record) {
+	if s.records.Len() >= MaxRecords {
+		if oldest, ok := s.evictable(); ok {
+			s.records.Remove(oldest)
+		}
+	}
+	s.records.Add(fingerprint, rec)
+}
+
+// evictable returns the least recently used of the records without several ends, false if there is none
+// among the first few. The caller holds mu.
+func (s *Suspects) evictable() (uint64, bool) {
+	for range maxEvictionScan {
+		oldest, rec, ok := s.records.GetOldest()
+		if !ok {
+			return 0, false
+		}
+		if rec.count() < seriousEnds {
+			return oldest, true
+		}
+		s.records.Get(oldest) // it is now the most recently used
+	}
+	return 0, false
+}
+
+// admits reports whether there is room for a record of a peer that has none here. The caller holds mu.
+func (s *Suspects) admits(rec *Record, now magno.Millis) bool {
+	if s.records.Len() < MaxRecords {
+		return true
+	}
+	oldest, ok := s.evictable()
+	if !ok || len(rec.Ends) == 0 {
+		return false
+	}
+	if len(rec.Ends) >= seriousEnds {
+		return true
+	}
+	victim, _ := s.records.Peek(oldest)
+	return rec.Ends[0].Age < freshTime && now-victim.changedAt > keepTime
+}
+
+// join adds an end to the record of a request, and reports whether that changed the ends that count. The
+// caller holds mu.
 func (s *Suspects) join(fingerprint uint64, e end, now magno.Millis) bool {
 	rec := s.get(fingerprint)
 	if s.isCleared(fingerprint, e.at) {
@@ -192,25 +288,33 @@
 		e.cleared = true
 	}
 	if rec == nil {
-		rec = &record{}
-	}
-	if !rec.add(e) {
-		return false
+		rec = &record{changedAt: now, tellAt: now}
+		s.put(fingerprint, rec)
 	}
-	rec.changedAt = now
+	return rec.add(e) && s.changed(rec, now)
+}
+
+// changed notes a change that is news to others, and returns true. The caller holds mu.
+func (s *Suspects) changed(rec *record, now magno.Millis) bool {
+	rec.changedAt, rec.tellAt = now, now
 	s.changes++
-	s.records.Add(fingerprint, rec)
 	return true
 }
 
 // isCleared reports whether a completion that is known here clears a request or part of an end. The
 // caller holds mu.
 func (s *Suspects) isCleared(fingerprint uint64, endedAt magno.Millis) bool {
+	return s.clearedUntil(fingerprint) > endedAt
+}
+
+// clearedUntil returns the time up to which the last completion that is known here clears a request or part
+// of ends, zero if none is. The caller holds mu.
+func (s *Suspects) clearedUntil(fingerprint uint64) magno.Millis {
 	at, ok := s.completed.Peek(fingerprint)
-	if isPart(fingerprint) {
+	if ok && isPart(fingerprint) {
 		at += partClearTime
 	}
-	return ok && at > endedAt
+	return at
 }
 
 // RecordEnd records that an upstream ended while it ran a request. It may be called for the same
@@ -273,26 +377,33 @@
 		return nil
 	}
 	now := s.Clock.Now()
-	var cleared []magno.UpstreamEnd
-	for i := range rec.ends {
-		if e := &rec.ends[i]; !e.cleared && match(e) {
-			e.cleared = true
-			cleared = append(cleared, e.export(now))
-		}
+	cleared := rec.clear(match)
+	if len(cleared) == 0 {
+		return nil
 	}
-	if len(cleared) > 0 {
-		rec.changedAt = now
-		s.changes++
+	if rec.count() == 0 {
+		rec.generation, rec.clearedAt = rec.generation+1, now
 	}
-	return cleared
+	s.changed(rec, now)
+	ends := make([]magno.UpstreamEnd, 0, len(cleared))
+	for i := range cleared {
+		ends = append(ends, cleared[i].export(now))
+	}
+	return ends
 }
 
-func (r *record) export(now magno.Millis) []magno.UpstreamEnd {
-	ends := make([]magno.UpstreamEnd, 0, len(r.ends))
+// export returns the record as it is told to others.
+func (r *record) export(fingerprint uint64, now magno.Millis) Record {
+	rec := Record{Fingerprint: fingerprint, Generation: r.generation, Ends: make([]magno.UpstreamEnd, 0, len(r.ends))}
+	if r.generation > 0 {
+		rec.ClearedAge = now - r.clearedAt
+	}
 	for i := range r.ends {
-		ends = append(ends, r.ends[i].export(now))
+		if !r.ends[i].cleared {
+			rec.Ends = append(rec.Ends, r.ends[i].export(now))
+		}
 	}
-	return ends
+	return rec
 }
 
 func (e *end) export(now magno.Millis) magno.UpstreamEnd {
@@ -324,7 +435,12 @@
 	if rec == nil {
 		return nil
 	}
-	return rec.export(s.Clock.Now())
+	now := s.Clock.Now()
+	ends := make([]magno.UpstreamEnd, 0, len(rec.ends))
+	for i := range rec.ends {
+		ends = append(ends, rec.ends[i].export(now))
+	}
+	return ends
 }
 
 // MustRunAlone reports whether an upstream ended under the request since it last completed. Where
--- a/magno/crash/share.go
+++ b/magno/crash/share.go
@@ -10,22 +10,79 @@
 // leaves one end in the record of each request that ran there; those are sent once.
 const seriousEnds = 2
 
-// Merge joins records from a peer with those of this process.
+// Merge joins records from a peer with those of this process. The higher generation of a record holds, with the
+// ends of either that came after its completion.
 func (s *Suspects) Merge(records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setup()
 	now := s.Clock.Now()
-	for _, rec := range records {
-		if rec.Fingerprint == 0 {
-			continue
+	for i := range records {
+		if records[i].Fingerprint != 0 {
+			s.mergeRecord(&records[i], now)
+		}
+	}
+}
+
+// mergeRecord joins one record. The caller holds mu.
+func (s *Suspects) mergeRecord(theirs *Record, now magno.Millis) {
+	ends := importEnds(theirs.Ends, now)
+	rec := s.get(theirs.Fingerprint)
+	if rec == nil {
+		if !s.admits(theirs, now) || s.isCompletedPart(theirs.Fingerprint, ends) {
+			return
 		}
-		for _, e := range rec.Ends {
-			if e.Age > Retention {
-				continue
-			}
-			s.join(rec.Fingerprint, end{upstream: e.Upstream, pool: e.Pool, cleared: e.Cleared, at: now - max(e.Age, 0)}, now)
+		rec = &record{generation: theirs.Generation, clearedAt: now - max(theirs.ClearedAge, 0), changedAt: now}
+		s.put(theirs.Fingerprint, rec)
+	}
+	if theirs.Generation > rec.generation && rec.begin(theirs.Generation, now-max(theirs.ClearedAge, 0)) {
+		s.changed(rec, now)
+	}
+	stale := theirs.Generation < rec.generation
+	for _, e := range ends {
+		switch {
+		case stale && e.at <= rec.clearedAt:
+			rec.tellAt = now // the peer doesn't know of the completion
+		case s.isCleared(theirs.Fingerprint, e.at):
+			e.cleared = true
+			rec.add(e)
+			rec.begin(max(rec.generation, theirs.Generation)+1, s.clearedUntil(theirs.Fingerprint))
+			s.changed(rec, now)
+			stale = true
+		case rec.add(e):
+			s.changed(rec, now)
+		}
+	}
+}
+
+// importEnds converts the ends of a peer's record. Expired ones are left out.
+func importEnds(list []magno.UpstreamEnd, now magno.Millis) []end {
+	ends := make([]end, 0, len(list))
+	for _, e := range list {
+		if e.Age <= Retention {
+			ends = append(ends, end{upstream: e.Upstream, pool: e.Pool, cleared: e.Cleared, at: now - max(e.Age, 0)})
 		}
 	}
+	return ends
+}
+
+// isCompletedPart reports whether a part is cleared of all ends by what completed here. The caller holds mu.
+func (s *Suspects) isCompletedPart(fingerprint uint64, ends []end) bool {
+	return isPart(fingerprint) && !slices.ContainsFunc(ends, func(e end) bool { return !s.isCleared(fingerprint, e.at) })
+}
+
+// MergeEnds joins ends that became known otherwise than by Merge with those of a request. Each bears
+// itself whether the request was cleared of it.
+func (s *Suspects) MergeEnds(fingerprint uint64, ends []magno.UpstreamEnd) {
+	if fingerprint == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	for _, e := range importEnds(ends, now) {
+		s.join(fingerprint, e, now)
+	}
 }
 
 // List returns the records that have not expired, the most recently changed or read last.
@@ -36,8 +93,8 @@
 // UpdatedSince returns limit of the records that changed after the given time: those with several ends,
 // and then the last ones.
 func (s *Suspects) UpdatedSince(since magno.Millis, limit int) []Record {
-	serious := s.list(func(rec *record) bool { return rec.changedAt > since && rec.count() >= seriousEnds }, limit)
-	others := s.list(func(rec *record) bool { return rec.changedAt > since && rec.count() < seriousEnds }, limit-len(serious))
+	serious := s.list(func(rec *record) bool { return rec.tellAt > since && rec.count() >= seriousEnds }, limit)
+	others := s.list(func(rec *record) bool { return rec.tellAt > since && rec.count() < seriousEnds }, limit-len(serious))
 	return append(others, serious...)
 }
 
@@ -62,13 +119,13 @@
 		if now-rec.changedAt > Retention || !include(rec) {
 			continue
 		}
-		list = append(list, Record{Fingerprint: print, Ends: rec.export(now)})
+		list = append(list, rec.export(print, now))
 	}
 	slices.Reverse(list)
 	return list
 }
 
-// Changes counts the changes of records, those by Merge too.
+// Changes counts the changes of records that are news to others, those by Merge too.
 func (s *Suspects) Changes() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
