gate: the queue is ordered and reviewed by expected first events

Cause: a request was evaluated once, at its arrival. More urgent ones overtook it, and it waited until it gave up. A request whose prompt could not be prefilled in time any more was still queued before those that could.

Change: a request that would be late even if it were next, or that would be late behind those before it, is queued behind those that can be on time. At each decision the expected start of each queued request is computed in one pass. Requests that would be late here and on time at another engine, by DeclineAbove and two round trips, are handed back. Those that can't start before they give up are refused with the expected wait as Retry-After.

--- a/magno/gate/ask.go
+++ b/magno/gate/ask.go
@@ -27,6 +27,9 @@
 	// DeclineAbove is the expected wait above which another engine is the better choice, by
 	// what the entry knows; zero for no limit.
 	DeclineAbove magno.Millis `json:"most,omitempty"`
+	// RoundTrip is the time that the entry measured for a call to this agent and back, zero if it
+	// has not.
+	RoundTrip magno.Millis `json:"trip,omitempty"`
 	// MaxGap is the longest allowed pause between two events of the stream, zero for no limit.
 	MaxGap magno.Millis `json:"gap,omitempty"`
 }
@@ -64,6 +67,14 @@
 	cause       Cause
 	accountedAt magno.Millis
 	waits       Waits
+	// expectedOnTime is true if its first event was expected to be on time when it arrived.
+	expectedOnTime bool
+	// tokens is what the engine has to prefill, eta the time until its adapter is ready, cost by
+	// how much it delays those behind it, and late whether it is queued behind the requests that
+	// can be on time. They are as of the last decision.
+	tokens    int
+	eta, cost magno.Millis
+	late      bool
 }
 
 // activeRequest is an admitted request that has not ended.
@@ -95,10 +106,23 @@
 	Refusal *magno.Refusal
 	// Waits is the time in the queue, by cause.
 	Waits Waits
+	// Early is true if it could have waited longer, and capacity is expected too late.
+	Early bool
+}
+
+// Decline hands back a queued request, which has not run, since another engine is the better
+// choice now.
+type Decline struct {
+	ID string
+	// Expected is the wait that it would still have had, StartIn the time until it should start.
+	Expected, StartIn magno.Millis
+	// Waits is the time in the queue, by cause.
+	Waits Waits
 }
 
 // Decisions are the results of one Decide call. Each is returned once.
 type Decisions struct {
 	Grants     []Grant
+	Declines   []Decline
 	Rejections []Rejection
 }
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -2,9 +2,9 @@
 // which wait and which are refused, and which models and adapters the engine loads.
 //
 //	Offer --> queue --(adapter loaded, capacity, pacing)--> admitted --> Done
-//	            |            ^
-//	            v            | ApplyReport
-//	        refused        engine <-- Command (load, unload)
+//	         ^  |            ^
+//	  review |  v            | ApplyReport
+//	 refused, declined     engine <-- Command (load, unload)
 //
 // Load pattern: prompts arrive in bursts. An engine prefills every prompt that it has between
 // the decode steps of its running requests, so ten long prompts at once stall every stream for
@@ -77,6 +77,9 @@
 	restartedAt magno.Millis
 	// meanRunTime is the moving average of run times, in ms.
 	meanRunTime float64
+	// evaluateOnce orders the queue by start time alone and evaluates requests at their arrival
+	// only. Tests compare with it.
+	evaluateOnce bool
 }
 
 func (g *Gate) setup() {
@@ -174,7 +177,7 @@
 		return refuseLeaving()
 	}
 	if len(g.queue) >= maxQueued {
-		return magno.Refuse(magno.KindBusy, "%d requests wait", len(g.queue)).WithRetryAfter(maxRetryAfter)
+		return magno.Refuse(magno.KindBusy, "%d requests wait", len(g.queue)).WithRetryAfter(boundRetryAfter(g.expectedWait(&req, now)))
 	}
 	wait := g.expectedWait(&req, now)
 	if wait > req.MaxWait {
@@ -183,15 +186,24 @@
 			kind = magno.KindLoading
 		}
 		return magno.Refuse(kind, "a wait of %d ms is expected, its patience is %d ms", wait, req.MaxWait).
-			WithRetryAfter(min(max(wait-req.MaxWait, minRetryAfter), maxRetryAfter))
+			WithRetryAfter(boundRetryAfter(wait))
 	}
-	w := &queuedRequest{Request: req, queuedAt: now, startBy: now + req.StartTarget, giveUpAt: now + req.MaxWait, deadline: now + req.TimeLeft, accountedAt: now}
+	w := g.newQueued(&req, now)
+	w.late = now+wait+g.pacer.prefillTime(w.tokens)+g.pacer.engine.EventInterval() > w.startBy
+	w.expectedOnTime = !w.late
 	w.cause = g.cause(&req)
 	g.queue = append(g.queue, w)
 	g.inventory.recordDemand(req.qualifiedName(), now)
 	return nil
 }
 
+func (g *Gate) newQueued(req *Request, now magno.Millis) *queuedRequest {
+	return &queuedRequest{
+		Request: *req, queuedAt: now, startBy: now + req.StartTarget, giveUpAt: now + req.MaxWait, deadline: now + req.TimeLeft, accountedAt: now,
+		tokens: g.prefillTokens(req),
+	}
+}
+
 // Done ends a request; ok is true if it completed.
 func (g *Gate) Done(id string, ok bool) {
 	g.setup()
@@ -221,7 +233,7 @@
 	}
 }
 
-// Decide returns the requests to admit and to reject now. It must be called after each change,
+// Decide returns the requests to admit, to decline and to reject now. It must be called after each change,
 // and about every 20 ms while requests are queued.
 func (g *Gate) Decide() Decisions {
 	g.setup()
@@ -233,9 +245,11 @@
 			delete(g.active, id)
 		}
 	}
-	g.expire(&d, now)
+	f := g.forecast(now)
+	g.expire(&d, &f, now)
 	g.pacer.maxGap = g.minGap()
-	g.sortQueue(now)
+	g.sortQueue(&f, now)
+	g.review(&d, now)
 	g.admit(&d, now)
 	g.accountWaits(now)
 	return d
--- a/magno/gate/machine_test.go
+++ b/magno/gate/machine_test.go
@@ -105,8 +105,10 @@
 	a := Request{
 		ID: fmt.Sprint(m.lastID), Model: model, Adapter: fmt.Sprint("a", rapid.IntRange(0, 4).Draw(t, "adapter")),
 		Prompt: rapid.SampledFrom([]int{1, 1, 50, 50, 300, 2000, 9000}).Draw(t, "prompt"), MaxOutput: 100, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), StartTarget: 500,
-		MaxGap:  rapid.SampledFrom([]magno.Millis{0, 150, 250, 600}).Draw(t, "gap"),
-		MaxWait: magno.Millis(rapid.IntRange(50, 3000).Draw(t, "patience")),
+		MaxGap:       rapid.SampledFrom([]magno.Millis{0, 150, 250, 600}).Draw(t, "gap"),
+		MaxWait:      magno.Millis(rapid.IntRange(50, 3000).Draw(t, "patience")),
+		DeclineAbove: rapid.SampledFrom([]magno.Millis{0, 20, 100, 400}).Draw(t, "most"),
+		RoundTrip:    rapid.SampledFrom([]magno.Millis{0, 2, 40}).Draw(t, "trip"),
 	}
 	a.TimeLeft = a.MaxWait + 4000
 	if r := m.gate.Offer(a); r != nil {
@@ -141,7 +143,14 @@
 			t.Fatalf("%s is refused, but it has an outcome already or was never queued", rejection.ID)
 		}
 		delete(m.open, rejection.ID)
+		if after := rejection.Refusal.After; after <= 0 || after > maxRetryAfter {
+			t.Fatalf("%s is refused with a retry time of %d ms", rejection.ID, after)
+		}
+	}
+	for _, x := range decisions.Declines {
+		m.declined(t, &x, now)
 	}
+	m.checkOrder(t)
 	for id := range m.open {
 		if m.spec.Leaving {
 			t.Fatalf("%s is queued at an engine that is leaving", id)
@@ -153,6 +162,42 @@
 	m.executeCommands(t, now)
 }
 
+// declined checks that a request was handed back only where its entry knows a better engine and
+// its adapter isn't being loaded here.
+func (m *gateMachine) declined(t *rapid.T, x *Decline, now magno.Millis) {
+	a, ok := m.open[x.ID]
+	if !ok {
+		t.Fatalf("%s is handed back, but it has an outcome already or was never queued", x.ID)
+	}
+	delete(m.open, x.ID)
+	switch offered := m.until[x.ID] - a.MaxWait; {
+	case a.DeclineAbove == 0:
+		t.Fatalf("%s is handed back although no other engine is better", x.ID)
+	case x.Expected <= a.DeclineAbove+handBackTrips*a.RoundTrip:
+		t.Fatalf("%s is handed back with a wait of %d ms left, which is no longer than elsewhere", x.ID, x.Expected)
+	case now+handBackTrips*a.RoundTrip+a.DeclineAbove > offered+a.StartTarget:
+		t.Fatalf("%s is handed back although it will be late elsewhere", x.ID)
+	case m.gate.inventory.changing(a.qualifiedName()):
+		t.Fatalf("%s is handed back while its adapter is loaded", x.ID)
+	}
+}
+
+// checkOrder checks that among the queued requests that can be on time a lower rank never
+// precedes a higher one, nor a later start an earlier one of its rank.
+// Late ones may be out of order, since those that would give up go first.
+func (m *gateMachine) checkOrder(t *rapid.T) {
+	var before *queuedRequest
+	for _, w := range m.gate.queue {
+		if w.late {
+			continue
+		}
+		if before != nil && compareQueued(before, w) > 0 {
+			t.Fatalf("%s (rank %d, start by %d) is queued before %s (rank %d, start by %d)", before.ID, before.Rank, before.startBy, w.ID, w.Rank, w.startBy)
+		}
+		before = w
+	}
+}
+
 func (m *gateMachine) granted(t *rapid.T, g Grant, now magno.Millis) {
 	a, ok := m.open[g.ID]
 	switch {
@@ -293,7 +338,10 @@
 //   - the engine is never commanded to exceed its slots, which would crash it, or to unload an adapter in use;
 //   - each request has exactly one outcome, by the end of its MaxWait;
 //   - a request starts only where its adapter is loaded, in a version that may still be used;
-//   - nothing starts or waits at an engine that is leaving.
+//   - nothing starts or waits at an engine that is leaving;
+//   - a request is handed back only if it would be late here and on time at another engine, by what its entry knows;
+//   - a refusal states a time after which to retry;
+//   - requests that can be on time are queued by rank and then by start time.
 func TestGateAgainstEngineModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newGateMachine()
--- /dev/null
+++ b/magno/gate/order.go
@@ -0,0 +1,95 @@
+package gate
+
+import (
+	"cmp"
+	"slices"
+
+	"magnoliastall.example/magno"
+)
+
+// promoteShare is the share of the time by which requests can be delayed that late ones may
+// take. The rest is left for requests that arrive meanwhile and would be on time.
+const promoteShare = 0.5
+
+// sortQueue orders the queue. First come the requests whose first event can be on time, by rank
+// and then by the time at which they should start. The late ones follow in the same order: a
+// saturated engine thereby spends its time on the answers that are worth most.
+//
+// Late are the requests whose first event would be late even if they were the next ones to
+// start, and those that would be late behind the ones before them in the queue. The latter would
+// only delay those behind them.
+func (g *Gate) sortQueue(f *forecast, now magno.Millis) {
+	if g.evaluateOnce {
+		g.sortByStartTime(now)
+		return
+	}
+	s := g.newSchedule(now)
+	for _, w := range g.queue {
+		w.tokens, w.eta = g.prefillTokens(&w.Request), f.eta[w.qualifiedName()]
+		w.cost = s.cost(w)
+		w.late = s.firstEvent(w, s.earliestStart(w)) > w.startBy
+	}
+	slices.SortStableFunc(g.queue, compareQueued)
+	late := slices.IndexFunc(g.queue, func(w *queuedRequest) bool { return w.late })
+	if late < 0 {
+		late = len(g.queue)
+	}
+	slack := s.markLate(g.queue[:late])
+	slices.SortStableFunc(g.queue, compareQueued)
+	g.promoteLate(&s, slack)
+}
+
+func compareQueued(a, b *queuedRequest) int {
+	if a.late != b.late {
+		if a.late {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(a.Rank-b.Rank, cmp.Compare(a.startBy, b.startBy))
+}
+
+// sortByStartTime orders the queue without estimates.
+func (g *Gate) sortByStartTime(now magno.Millis) {
+	for _, w := range g.queue {
+		w.late = now > w.startBy
+	}
+	slices.SortStableFunc(g.queue, compareQueued)
+}
+
+// markLate marks those of the given requests as late that are not on time behind the others. The
+// list must be in queue order. It returns by how much all others could be delayed.
+func (s *schedule) markLate(list []*queuedRequest) (slack magno.Millis) {
+	var ahead position
+	slack = magno.Hour
+	for _, w := range list {
+		left := w.startBy - s.firstEvent(w, s.prefillBehind(w, ahead))
+		if left < 0 {
+			w.late = true
+			continue
+		}
+		slack = min(slack, left)
+		ahead.add(w)
+	}
+	return slack
+}
+
+// promoteLate moves late requests that would give up behind the others to the front, as far as
+// the others stay on time and promoteShare allows. Without it, a late request could wait in vain at an engine that has
+// capacity for it.
+func (g *Gate) promoteLate(s *schedule, slack magno.Millis) {
+	slack = magno.Millis(promoteShare * float64(slack))
+	var ahead position
+	var promoted, rest []*queuedRequest
+	for _, w := range g.queue {
+		start := s.startBehind(w, ahead)
+		if w.late && w.eta == 0 && start >= w.giveUpAt && w.cost <= slack {
+			slack -= w.cost
+			promoted = append(promoted, w)
+			continue
+		}
+		ahead.add(w)
+		rest = append(rest, w)
+	}
+	g.queue = slices.Concat(promoted, rest)
+}
--- a/magno/gate/pace.go
+++ b/magno/gate/pace.go
@@ -169,16 +169,9 @@
 }
 
 // expectedWait estimates when a prompt behind the given number of tokens would be prefilled.
-// Work that the engine already has counts as well: of two engines without a queue, the one that
-// is already prefilling is the worse choice.
 func (p *pacer) expectedWait(tokens int, now magno.Millis) magno.Millis {
-	wait := p.remainingTime(now) + p.prefillTime(tokens)
-	if p.unspaced() {
-		return wait
-	}
-	span, budget := p.window()
-	over := p.spentTime(now) + p.prefillTime(tokens) - budget
-	return max(over*span/budget, wait)
+	l := p.lane(now)
+	return l.wait(tokens)
 }
 
 // prefillTime is how long the given number of tokens takes to prefill.
--- a/magno/gate/queue.go
+++ b/magno/gate/queue.go
@@ -14,8 +14,8 @@
 
 // expire rejects requests that have waited too long, and those that would: if an adapter cannot
 // be ready in time, the request is refused now, while its caller may still be served elsewhere.
-func (g *Gate) expire(d *Decisions, now magno.Millis) {
-	eta, kept := g.forecast(now).eta, 0
+func (g *Gate) expire(d *Decisions, f *forecast, now magno.Millis) {
+	eta, kept := f.eta, 0
 	g.queue = slices.DeleteFunc(g.queue, func(w *queuedRequest) bool {
 		r := g.queueRefusal(w, eta[w.qualifiedName()], now)
 		if r == nil {
@@ -38,9 +38,9 @@
 		return refuseLeaving()
 	case now+eta >= w.giveUpAt && eta > 0:
 		return magno.Refuse(magno.KindLoading, "its adapter is expected in %d ms, and it waited for %d", eta, now-w.queuedAt).
-			WithRetryAfter(min(max(now+eta-w.giveUpAt, minRetryAfter), maxRetryAfter))
+			WithRetryAfter(boundRetryAfter(eta))
 	case now >= w.giveUpAt:
-		return magno.Refuse(magno.KindBusy, "it waited for %d ms", now-w.queuedAt).WithRetryAfter(minRetryAfter)
+		return magno.Refuse(magno.KindBusy, "it waited for %d ms", now-w.queuedAt).WithRetryAfter(boundRetryAfter(max(eta, g.queueWait(now))))
 	}
 	return nil
 }
@@ -53,26 +53,7 @@
 		return nil
 	}
 	return magno.Refuse(magno.KindBusy, "the engine's limit lets it start in %d ms, and it waited for %d", wait, now-w.queuedAt).
-		WithRetryAfter(min(max(now+wait-w.giveUpAt, minRetryAfter), maxRetryAfter))
-}
-
-// sortQueue orders the queue: first the requests that can still start in time, by rank and then
-// by the time at which they should start, then the late ones in the same order. A saturated
-// engine thereby spends its time on the answers that are worth most; a late one is worth about
-// a third.
-func (g *Gate) sortQueue(now magno.Millis) {
-	slices.SortStableFunc(g.queue, func(a, b *queuedRequest) int {
-		if lateA, lateB := now > a.startBy, now > b.startBy; lateA != lateB {
-			if lateA {
-				return 1
-			}
-			return -1
-		}
-		if a.Rank != b.Rank {
-			return a.Rank - b.Rank
-		}
-		return int(a.startBy - b.startBy)
-	})
+		WithRetryAfter(boundRetryAfter(wait))
 }
 
 // admit starts the requests that the engine can take now. A request whose adapter is not loaded
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -9,14 +9,15 @@
 
 // expectedWait estimates how long a request that arrives now would wait.
 func (g *Gate) expectedWait(req *Request, now magno.Millis) magno.Millis {
-	tokens, ahead := 0, 0
-	for _, w := range g.queue {
-		if w.Rank <= req.Rank && now <= w.startBy {
-			tokens += g.prefillTokens(&w.Request)
-			ahead++
-		}
+	s := g.newSchedule(now)
+	w := g.newQueued(req, now)
+	w.late = s.firstEvent(w, s.earliestStart(w)) > w.startBy
+	ahead := g.positionOf(w)
+	if !w.late && !s.onTimeBehind(w, ahead) {
+		w.late = true
+		ahead = g.positionOf(w)
 	}
-	wait := max(g.pacer.expectedWait(tokens, now), g.capacityWait(), g.limiter.Delay(ahead+1, now))
+	_, wait := s.wait(ahead)
 	if g.inventory.ready(req) {
 		return wait
 	}
@@ -30,10 +31,34 @@
 	return max(wait, f.nextLoad-g.inventory.coldLoadTime()+g.inventory.loadTime(req.qualifiedName()))
 }
 
-// capacityWait is the expected wait for capacity in the running batch.
-func (g *Gate) capacityWait() magno.Millis {
+// queueWait estimates how long a request behind the whole queue would wait if its adapter were
+// ready.
+func (g *Gate) queueWait(now magno.Millis) magno.Millis {
+	queued := 0
+	for _, w := range g.queue {
+		queued += w.tokens
+	}
+	return max(g.pacer.expectedWait(queued, now), g.capacityWait(), g.limiter.Delay(len(g.queue)+1, now))
+}
+
+// positionOf returns what precedes a request that is queued now.
+func (g *Gate) positionOf(w *queuedRequest) position {
+	var ahead position
+	for _, other := range g.queue {
+		if compareQueued(other, w) <= 0 {
+			ahead.addAny(other)
+		}
+	}
+	return ahead
+}
+
+// capacityWait is the expected wait for a place in the batch behind the whole queue.
+func (g *Gate) capacityWait() magno.Millis { return g.placeWait(g.runningCount() + len(g.queue)) }
+
+// placeWait is the expected wait for a place in the batch behind the given number of requests.
+func (g *Gate) placeWait(ahead int) magno.Millis {
 	batch := max(g.spec.Engine.Batch, 1)
-	over := g.runningCount() + len(g.queue) - batch
+	over := ahead - batch
 	if over < 0 {
 		return 0
 	}
@@ -60,15 +85,11 @@
 func (g *Gate) Backlog() magno.Backlog {
 	g.setup()
 	now := g.now()
-	queued := 0
-	for _, w := range g.queue {
-		queued += g.prefillTokens(&w.Request)
-	}
 	missing := g.missingNames()
 	next := g.forecast(now).nextLoad
 	return magno.Backlog{
 		Queued: len(g.queue), Running: g.runningCount(), Held: len(g.inventory.adapters),
-		Wait:       max(g.pacer.expectedWait(queued, now), g.capacityWait(), g.limiter.Delay(len(g.queue)+1, now)) + g.congestion(),
+		Wait:       g.queueWait(now) + g.congestion(),
 		LoadWait:   next,
 		BaseWait:   g.inventory.baseModelWait(),
 		Warm:       g.inventory.warmHashes(),
