keep, relay: queued requests are handed back to their entry

Cause: an agent could decline a request at its arrival only, and an entry could ask an engine again that had declined.

Change: the agent answers requests that its gate hands back with Declined, its status and the waits by cause (handed_back_total, log line 'handed back'), and counts queued requests that are refused since they can't start in time (refused_late_total). The entry avoids engines that declined, counts declines per request and no longer per attempt, and sends the round trip that its polls measured. If no other engine is left, the request waits at one that declined it and may not decline again.

TestRequestThatAllDeclineIsTaken expected a single engine to be asked twice with a maximum wait. It now expects one, two and four engines to be asked at most maxDeclines times and never twice, which is stricter.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -16,7 +16,10 @@
 	grants, refusals, orders *metrics.Counter
 	// declined counts requests that were declined because another engine is better suited.
 	declined *metrics.Counter
-	waits    *metrics.Histogram
+	// handedBack counts the requests among them that were queued, refusedLate the queued ones
+	// that were refused since they could not start before they gave up.
+	handedBack, refusedLate *metrics.Counter
+	waits                   *metrics.Histogram
 	// causes has, for each cause, the part of each wait that is due to it.
 	causes map[gate.Cause]*metrics.Histogram
 }
@@ -25,6 +28,8 @@
 	s.grants = metrics.GetOrCreateCounter("permits_granted_total")
 	s.refusals = metrics.GetOrCreateCounter("permits_refused_total")
 	s.declined = metrics.GetOrCreateCounter("permits_declined_total")
+	s.handedBack = metrics.GetOrCreateCounter("handed_back_total")
+	s.refusedLate = metrics.GetOrCreateCounter("refused_late_total")
 	s.orders = metrics.GetOrCreateCounter("orders_total")
 	s.waits = metrics.GetOrCreateHistogram("permit_wait_seconds")
 	s.causes = map[gate.Cause]*metrics.Histogram{}
@@ -86,6 +91,15 @@
 	}
 }
 
+// handBack answers a queued request for which another engine is better by now.
+func (k *Controller) handBack(x *gate.Decline) {
+	k.stats.declined.Inc()
+	k.stats.handedBack.Inc()
+	args := append([]any{"request", x.ID, "why", "late here", "wait", x.Expected, "due", x.StartIn, "age", k.reportAge()}, x.Waits.LogArgs()...)
+	k.Log.Info("handed back", args...)
+	k.reply(x.ID, gate.PermitReply{Declined: true, Waits: x.Waits})
+}
+
 // check refuses a request that this agent cannot admit at present.
 func (k *Controller) check(call *gate.PermitCall) *magno.Refusal {
 	switch {
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -139,9 +139,15 @@
 		k.stats.recordWait(g.Waited, &g.Waits)
 		k.reply(g.ID, gate.PermitReply{Version: g.Version, Waits: g.Waits})
 	}
+	for _, x := range s.Declines {
+		k.handBack(&x)
+	}
 	for _, t := range s.Rejections {
 		k.logRefusal(t.ID, t.Refusal, t.Waits.LogArgs()...)
 		k.stats.refusals.Inc()
+		if t.Early {
+			k.stats.refusedLate.Inc()
+		}
 		k.reply(t.ID, gate.PermitReply{Refusal: t.Refusal, Waits: t.Waits})
 	}
 	k.hasWaiting.Store(len(k.waiting) > 0)
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -61,6 +61,9 @@
 	tickSlack = 20 * magno.Millis(1)
 	// recentUse is how long an agent counts as in use after a permit.
 	recentUse = 5 * magno.Second
+	// roundTripWeight is the weight of a new sample in the moving average of round trips. A
+	// single poll may wait for a process that is busy.
+	roundTripWeight = 0.125
 	// heldRetention is how long the last known state of an engine is used after its agent went
 	// silent: a few restarts of an agent.
 	heldRetention = 10 * magno.Second
@@ -262,7 +265,9 @@
 	c.mu.Unlock()
 	call := gate.StatusCall{Revision: revision, ListsHash: listsHash, Replica: spec.Replica, Limit: c.Notices.State(spec.Replica)}
 	var reply gate.StatusReply
+	sentAt := c.Clock.Now()
 	err := c.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
+	took := c.Clock.Now() - sentAt
 	if err == nil && (reply.Revision < revision || (reply.Replica != spec.Replica && reply.Revision <= revision)) {
 		call.Spec, call.Entry = spec, c.Self
 		err = c.Mesh.Call(ctx, s.addr, gate.MethodStatus, call, &reply)
@@ -270,6 +275,9 @@
 	c.polls.Inc()
 	c.mu.Lock()
 	s.polling = false
+	if err == nil {
+		s.recordTrip(max(took, 1))
+	}
 	c.mu.Unlock()
 	if err != nil {
 		c.fails.Inc()
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -27,7 +27,11 @@
 	specs  int
 	// holdPermits blocks permit calls until their caller gives up, holdStatus blocks polls.
 	holdPermits, holdStatus bool
-	releases                []gate.EndCall
+	// cutPermits fails permit calls once they were decided.
+	cutPermits bool
+	releases   []gate.EndCall
+	// roundTrip is that of the last permit call.
+	roundTrip magno.Millis
 	// replicaAtPermit is the replica that the agent knew at the last permit call.
 	replicaAtPermit string
 }
@@ -58,12 +62,16 @@
 		if call.Spec != nil {
 			a.status.Replica, a.status.Revision = call.Spec.Replica, call.Revision
 		}
-		hold, status := a.holdPermits, a.status
+		hold, status, cut := a.holdPermits, a.status, a.cutPermits
+		a.roundTrip = call.RoundTrip
 		a.replicaAtPermit = status.Replica
 		a.mu.Unlock()
 		if hold {
 			<-ctx.Done()
 		}
+		if cut {
+			return nil, errors.New("the connection is lost")
+		}
 		return gate.PermitReply{Status: status}, nil
 	})
 	m.Handle(gate.MethodEnd, func(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
@@ -258,6 +266,44 @@
 	})
 }
 
+// The agent grants a permit, and its reply is lost with the connection. Guards against a place at
+// the engine that is held until the deadline of a request that never started: the permit must be
+// released, and the caller must not be told that it has one.
+func TestPermitIsReleasedWhenItsReplyIsLost(t *testing.T) {
+	a := &fakeAgent{cutPermits: true}
+	client, _ := startClient(t, a)
+	waitFor(t, "the agent's state", client.hasStatus)
+	if reply, err := client.Acquire(context.Background(), key, gate.Request{ID: "1"}); !errors.Is(err, ErrAgentLost) {
+		t.Fatalf("got %+v, %v, want ErrAgentLost", reply, err)
+	}
+	waitFor(t, "the release notification", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.releases) == 1 && a.releases[0].ID == "1" && !a.releases[0].OK
+	})
+}
+
+// Agents compare the wait for another engine with the time that it takes to go there. Guards
+// against permit calls without the round trip that polls measured.
+func TestPermitCallHasTheRoundTrip(t *testing.T) {
+	a := &fakeAgent{}
+	client, _ := startClient(t, a)
+	waitFor(t, "the agent's state", client.hasStatus)
+	client.mu.Lock()
+	client.agents[key].roundTrip = 0
+	client.agents[key].recordTrip(40)
+	client.agents[key].recordTrip(48)
+	client.mu.Unlock()
+	if _, err := client.Acquire(context.Background(), key, gate.Request{ID: "1"}); err != nil {
+		t.Fatal(err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.roundTrip < 1 || a.roundTrip > 41 {
+		t.Errorf("the round trip of the call is %d ms, want about 41", a.roundTrip)
+	}
+}
+
 func (c *Client) hasStatus() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/desk/permit.go
+++ b/entry/desk/permit.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
 	"magnoliastall.example/magno/wire"
 )
@@ -21,6 +22,7 @@
 	}
 	s.usedAt = c.Clock.Now()
 	lostCh, addr := s.lostCh, s.addr
+	req.RoundTrip = magno.Millis(s.roundTrip)
 	call := gate.PermitCall{Request: req, Replica: key, ListsHash: s.status.ListsHash, Limit: c.Notices.State(key)}
 	if s.status.Replica != key {
 		// The agent's next poll may be a second away; after a power loss of all machines this
--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -28,6 +28,8 @@
 	polling      bool
 	polledAt     magno.Millis
 	sentRevision magno.Revision
+	// roundTrip is the moving average of the time that polls take, in ms, zero before the first.
+	roundTrip float64
 	// lostCh is closed once the agent counts as lost, and replaced when it answers again.
 	lostCh chan struct{}
 	lost   bool
@@ -41,6 +43,15 @@
 	return !s.lost && (s.status.Down || (s.status.EngineStart != 0 && s.status.EngineStart != s.replica.StartedAt))
 }
 
+// recordTrip takes the time that a poll took.
+func (s *agentState) recordTrip(took magno.Millis) {
+	if s.roundTrip == 0 {
+		s.roundTrip = float64(took)
+		return
+	}
+	s.roundTrip += roundTripWeight * (float64(took) - s.roundTrip)
+}
+
 // isCalm reports whether two states of an agent are equivalent for routing: nothing waits at
 // the engine, and it holds the same models and adapters as before.
 func isCalm(before, after *gate.StatusReply) bool {
--- a/entry/relay/decline_test.go
+++ b/entry/relay/decline_test.go
@@ -3,7 +3,9 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
 	"magnoliastall.example/magno"
 )
@@ -35,18 +37,56 @@
 }
 
 // All engines decline, as happens when all are busy and their reports cross. The request must
-// wait at one of them in the end.
+// wait at one of them in the end. It must not circulate: maxDeclines engines may decline it, none
+// of them twice, and one that did is only asked again if there is no other.
 func TestRequestThatAllDeclineIsTaken(t *testing.T) {
+	for engines, want := range map[int]struct{ declines, last int }{1: {1, 0}, 2: {2, 0}, 4: {maxDeclines, 2}} {
+		var upstreams []*fakeUpstream
+		for range engines {
+			upstreams = append(upstreams, startUpstream(t, streamOneEvent))
+		}
+		s := newTestProxy(t, magno.RouteStream, false, upstreams...)
+		s.pools.maxWait = 50
+		var asked []string
+		s.permits.declines = func(key string) bool { asked = append(asked, key); return true }
+		if res, _, err := s.get(t, http.MethodPost, "1"); err != nil || res.StatusCode != 200 {
+			t.Fatalf("%d engines: got %v %v", engines, res, err)
+		}
+		if len(asked) != want.declines || len(slices.Compact(slices.Sorted(slices.Values(asked)))) != len(asked) {
+			t.Errorf("%d engines: permit requests with a maximum wait went to %v, want %d of them to different engines", engines, asked, want.declines)
+		}
+		for i, u := range upstreams {
+			if sent := u.requestCount(); sent > 0 != (i == want.last) {
+				t.Errorf("%d engines: %d requests at engine %d, want one at engine %d", engines, sent, i, want.last)
+			}
+		}
+	}
+}
+
+// An engine hands a request back that waited in its queue. Guards against the request losing its
+// place at the next one: what counts there is the time since it arrived at the entry, and its
+// wait is accounted for.
+func TestRequestHandedBackKeepsItsPlace(t *testing.T) {
 	u := startUpstream(t, streamOneEvent)
-	s := newTestProxy(t, magno.RouteStream, false, u)
+	v := startUpstream(t, streamOneEvent)
+	s := newTestProxy(t, magno.RouteStream, true, u, v)
 	s.pools.maxWait = 50
-	asked := 0
-	s.permits.declines = func(string) bool { asked++; return true }
+	s.permits.handBackAfter = 30 * time.Millisecond
+	first := s.pools.replicas[0]
+	s.permits.declines = func(key string) bool { return key == first }
 	if res, _, err := s.get(t, http.MethodPost, "1"); err != nil || res.StatusCode != 200 {
 		t.Fatalf("got %v %v", res, err)
 	}
-	if asked != maxDeclines {
-		t.Errorf("%d permit requests with a maximum wait, want %d", asked, maxDeclines)
+	asked := s.permits.asked
+	if len(asked) != 2 || len(u.requests) != 0 || len(v.requests) != 1 {
+		t.Fatalf("%d permit requests, %d and %d sends; want two, and one send to the second engine", len(asked), len(u.requests), len(v.requests))
+	}
+	const waited = 30
+	if asked[1].StartTarget > asked[0].StartTarget-waited || asked[1].MaxWait > asked[0].MaxWait-waited || asked[1].TimeLeft > asked[0].TimeLeft-waited {
+		t.Errorf("asked with %+v and then with %+v, want %d ms less", asked[0], asked[1], waited)
+	}
+	if asked[0].ID == asked[1].ID {
+		t.Error("both permit requests have the same ID: the release of one would end the other")
 	}
 }
 
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -174,6 +174,8 @@
 	// declines is called for each permit request that may be declined, and decides whether it
 	// is.
 	declines func(key string) bool
+	// handBackAfter is the time after which requests are declined.
+	handBackAfter time.Duration
 
 	// down makes all engines count as down. engineStart is when they started by their agents.
 	down        atomic.Bool
@@ -181,10 +183,15 @@
 
 	mu      sync.Mutex
 	notices []gate.NoticeCall
+	asked   []gate.Request
 }
 
 func (p *fakePermits) Acquire(_ context.Context, key string, req gate.Request) (*gate.PermitReply, error) {
+	p.mu.Lock()
+	p.asked = append(p.asked, req)
+	p.mu.Unlock()
 	if p.declines != nil && req.DeclineAbove > 0 && p.declines(key) {
+		time.Sleep(p.handBackAfter)
 		return &gate.PermitReply{Declined: true}, nil
 	}
 	if p.agentLost {
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
@@ -25,8 +26,8 @@
 	callerMargin = 500 * magno.Millis(1)
 	// maxReplicasTried bounds the replicas that are tried for a request.
 	maxReplicasTried = 3
-	// maxDeclines bounds how many engines may decline a request because another one is better
-	// now. Each costs a round trip, and brings the current state of one of the few candidates.
+	// maxDeclines bounds how many engines may decline a request, at its arrival there or from
+	// their queue, because another one is better now. Each costs a round trip, and brings the current state of one of the few candidates.
 	maxDeclines = 2
 	// busyRetryAfter is the Retry-After where no agent provides one.
 	busyRetryAfter = 200 * magno.Millis(1)
@@ -66,6 +67,8 @@
 	// sends counts the sends to upstreams. tried lists the replicas that they went to.
 	sends int
 	tried []string
+	// declined lists the replicas whose agents declined the request, at most maxDeclines.
+	declined []string
 	// mayHaveRun is true once an upstream may have started to run the request.
 	mayHaveRun bool
 	// runs counts the upstreams that may have run it.
@@ -239,7 +242,7 @@
 }
 
 func (j *job) query() magno.Query {
-	return magno.Query{Ref: j.engineRef(), Prefix: j.call.Prefix, Aim: j.route.Aim, Gap: j.route.Gap, Avoid: j.tried, Build: j.requiredBuild()}
+	return magno.Query{Ref: j.engineRef(), Prefix: j.call.Prefix, Aim: j.route.Aim, Gap: j.route.Gap, Avoid: slices.Concat(j.tried, j.declined), Build: j.requiredBuild()}
 }
 
 // engineRef returns what an engine must hold for this request.
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -18,22 +18,38 @@
 	retryAfter magno.Millis
 }
 
-// choose asks the router for replicas.
+// choose asks the router for replicas. Those that declined the request are avoided as long as
+// there are others: their agents decided from current state. If there are none, the request waits
+// at one of them, which must not decline it again.
 func (j *job) choose() choice {
-	c := j.Pools.Router(j.service.Name).Choose(j.query())
+	c := j.chooseFor(j.query())
+	if len(c.replicas) > 0 || len(j.declined) == 0 {
+		return c
+	}
+	q := j.query()
+	q.Avoid = j.tried
+	c = j.chooseFor(q)
+	c.maxWait = 0
+	return c
+}
+
+func (j *job) chooseFor(q magno.Query) choice {
+	c := j.Pools.Router(j.service.Name).Choose(q)
 	return choice{replicas: j.findReplicas(c.Names), maxWait: c.MaxWait, retryAfter: c.RetryAfter}
 }
 
-// sendToBest requests a permit for the best replica. Its agent may decline because another one
-// is better now. After that the remaining replicas are tried.
+// sendToBest requests a permit for the best replica. Its agent may decline at once or after a
+// wait, because another one is better now. The request has not been sent then, and keeps its
+// arrival time and its deadline. After maxDeclines the remaining replicas are tried.
 func (j *job) sendToBest(ctx context.Context, choice choice) result {
-	for range maxDeclines {
+	for len(j.declined) < maxDeclines {
 		if len(choice.replicas) == 0 {
 			break // all replicas are leaving by now
 		}
 		res, ok := j.sendWithPermit(ctx, choice.replicas[0], choice.maxWait)
 		switch {
 		case res == resultDeclined:
+			j.declined = append(j.declined, choice.replicas[0].Key())
 			choice = j.choose()
 		case ok:
 			return res
--- a/magno/gate/review_test.go
+++ b/magno/gate/review_test.go
@@ -111,6 +111,19 @@
 	}
 }
 
+// A queued request is overtaken by urgent ones for longer than it may wait. Guards against it
+// waiting in vain until it gives up, where it would make the others late if it went first, and against a Retry-After at which the engine is still full.
+func TestRequestThatCannotStartIsRefusedAtOnce(t *testing.T) {
+	d := overtaken(t, func(a *Request) { a.DeclineAbove, a.MaxWait, a.Prompt = 0, 700, 60_000 })
+	i := slices.IndexFunc(d.Rejections, func(x Rejection) bool { return x.ID == "x" })
+	if i < 0 {
+		t.Fatalf("got %+v, want the request refused that can't start within 700 ms", d)
+	}
+	if x := d.Rejections[i]; !x.Early || x.Refusal.Kind != magno.KindBusy || x.Refusal.After < 875 {
+		t.Errorf("got %+v, want an early refusal with the expected wait, which is 875 ms at least", x)
+	}
+}
+
 // Urgent requests overtake a request whose adapter is being loaded. Guards against it being
 // handed back just before its adapter is ready here: another engine would load it as well.
 func TestRequestIsKeptWhileItsAdapterIsLoaded(t *testing.T) {
