stand: two calls that arrive at once don't count as waiting while places are free

Cause: each call counted as waiting before it took a free place, so of two that arrived in the same moment one was rejected as one too many. Change: a call takes a free place at once, and counts as waiting only if there is none.

--- a/stand/plain/call.go
+++ b/stand/plain/call.go
@@ -55,7 +55,14 @@
 // aborted.
 func (s *Service) acquireSlot(ctx context.Context) (context.Context, error) {
 	s.mu.Lock()
-	processCtx, full := s.processCtx, s.waiting >= s.QueueLimit
+	processCtx := s.processCtx
+	select {
+	case s.slots <- struct{}{}: // it doesn't wait, so it can't be one too many
+		s.mu.Unlock()
+		return processCtx, nil
+	default:
+	}
+	full := s.waiting >= s.QueueLimit
 	if !full {
 		s.waiting++
 	}
