peers: a test of 100 upstreams that end within a second, at 300 entries; single ends of others are passed on sparingly

Cause: after a failure of many upstreams nearly all that entries tell each other are requests with one end, which change no decision. Change: rounds of passing on are 100 ms apart, hellos repeat only what the entry saw itself and records with several ends, and a message takes 16 at most of the single ends that others saw.

--- a/entry/peers/suspect.go
+++ b/entry/peers/suspect.go
@@ -25,7 +25,7 @@
 	spreadNext = 2
 	// spreadInterval is the least time between two rounds of passing on. Many upstreams that fail within a
 	// second would otherwise cause a round each.
-	spreadInterval = 50 * magno.Millis(1)
+	spreadInterval = 100 * magno.Millis(1)
 	// repeatInterval is how long records with several ends aren't sent to a peer again while neither process
 	// learns more.
 	repeatInterval = 10 * magno.Second
@@ -108,9 +108,10 @@
 // mergeEnds joins a report with the records of this process.
 func (p *Peers) mergeEnds(r *EndReport) { p.Suspects.Merge(r.records()) }
 
-// recentEnds returns the records that changed lately.
+// recentEnds returns the records that changed lately. Single ends that others saw are passed on once; in each hello
+// they would be most of what an entry sends after many upstreams ended.
 func (p *Peers) recentEnds() []crash.Record {
-	return p.Suspects.UpdatedSince(p.Suspects.Clock.Now()-suspectMaxAge, maxSuspects)
+	return p.Suspects.WitnessedSince(p.Suspects.Clock.Now()-suspectMaxAge, maxSuspects)
 }
 
 // replyEnds returns what a peer may lack: what changed lately and, if its digest differs, all records with
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -33,12 +33,14 @@
 	byAddr map[string]*Peers
 	// bytes are the bytes of suspects that each entry sent and received.
 	bytes map[*Peers]int
+	// messages counts the messages about ends, hellos left out, that each entry sent.
+	messages map[*Peers]int
 }
 
 // newHelloFleet starts n entries at once. Those of a fleet above maxStarted have met before, which
 // would take most of the time of a test.
 func newHelloFleet(t *testing.T, n int) *helloFleet {
-	f := &helloFleet{clock: magno.NewClock(magno.Hour), byAddr: map[string]*Peers{}, bytes: map[*Peers]int{}}
+	f := &helloFleet{clock: magno.NewClock(magno.Hour), byAddr: map[string]*Peers{}, bytes: map[*Peers]int{}, messages: map[*Peers]int{}}
 	for i := range n {
 		f.peers = append(f.peers, f.newPeer(i, n))
 	}
@@ -113,6 +115,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	f.messages[p] += len(targets)
 	for _, addr := range targets {
 		f.count(t, report, p, f.byAddr[addr])
 		if _, err := f.byAddr[addr].onEnds(context.Background(), nil, params); err != nil {
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -120,6 +120,8 @@
 	ends []end
 	// changedAt is the time of the last change known here, tellAt that from which on peers are told.
 	changedAt, tellAt magno.Millis
+	// witnessed is true if this process itself saw one of the ends or a completion.
+	witnessed bool
 	// trials counts the trials that this process granted, the last one at triedAt.
 	trials  int
 	triedAt magno.Millis
@@ -326,6 +328,9 @@
 	s.mu.Lock()
 	now := s.Clock.Now()
 	changed := s.join(fingerprint, end{upstream: e.Upstream, pool: e.Pool, at: now - e.Age}, now)
+	if rec := s.get(fingerprint); rec != nil {
+		rec.witnessed = true
+	}
 	s.mu.Unlock()
 	if changed && s.OnChange != nil {
 		s.OnChange(fingerprint, e)
@@ -384,6 +389,7 @@
 	if rec.count() == 0 {
 		rec.generation, rec.clearedAt = rec.generation+1, now
 	}
+	rec.witnessed = true
 	s.changed(rec, now)
 	ends := make([]magno.UpstreamEnd, 0, len(cleared))
 	for i := range cleared {
--- a/magno/crash/share.go
+++ b/magno/crash/share.go
@@ -42,13 +42,13 @@
 	for _, e := range ends {
 		switch {
 		case stale && e.at <= rec.clearedAt:
-			rec.tellAt = now // the peer doesn't know of the completion
+			rec.tellAt, rec.witnessed = now, true // the peer doesn't know of the completion
 		case s.isCleared(theirs.Fingerprint, e.at):
 			e.cleared = true
 			rec.add(e)
 			rec.begin(max(rec.generation, theirs.Generation)+1, s.clearedUntil(theirs.Fingerprint))
 			s.changed(rec, now)
-			stale = true
+			rec.witnessed, stale = true, true
 		case rec.add(e):
 			s.changed(rec, now)
 		}
@@ -90,12 +90,27 @@
 	return s.list(func(*record) bool { return true }, MaxRecords)
 }
 
-// UpdatedSince returns limit of the records that changed after the given time: those with several ends,
-// and then the last ones.
+// maxPassedOn bounds the records with one end, or none, that UpdatedSince takes of those that peers told of. After
+// a failure of many upstreams they change no decision, and would be most of what processes send.
+const maxPassedOn = 16
+
+// UpdatedSince returns limit of the records that changed after the given time: those with several ends, then those
+// that this process saw something of itself, and then the last ones.
 func (s *Suspects) UpdatedSince(since magno.Millis, limit int) []Record {
+	own := s.WitnessedSince(since, limit)
+	others := s.list(func(rec *record) bool {
+		return rec.tellAt > since && rec.count() < seriousEnds && !rec.witnessed
+	}, min(limit-len(own), maxPassedOn))
+	return append(others, own...)
+}
+
+// WitnessedSince is UpdatedSince without the last ones.
+func (s *Suspects) WitnessedSince(since magno.Millis, limit int) []Record {
 	serious := s.list(func(rec *record) bool { return rec.tellAt > since && rec.count() >= seriousEnds }, limit)
-	others := s.list(func(rec *record) bool { return rec.tellAt > since && rec.count() < seriousEnds }, limit-len(serious))
-	return append(others, serious...)
+	own := s.list(func(rec *record) bool {
+		return rec.tellAt > since && rec.count() < seriousEnds && rec.witnessed
+	}, limit-len(serious))
+	return append(own, serious...)
 }
 
 // Serious returns the last limit records of requests under which several upstreams ended.
