--- a/magno/wire/call.go
+++ b/magno/wire/call.go
@@ -166,9 +166,22 @@
 		return &Error{Addr: addr, Method: method, Err: err}
 	}
 	defer c.release()
-	if err := c.conn.Notify(ctx, method, params); err != nil {
+	return m.notify(ctx, c, method, func() error { return c.conn.Notify(ctx, method, params) })
+}
+
+// notify writes a notification once none is being written to the same peer. Where ctx ends before that it
+// isn't sent. A peer that doesn't read blocks the one that is being written, and all others would wait for it
+// for as long as the connection lasts.
+func (m *Mesh) notify(ctx context.Context, c *peerConn, method string, write func() error) error {
+	select {
+	case c.notifying <- struct{}{}:
+	case <-ctx.Done():
+		return &Error{Addr: c.addr, Method: method, Err: ctx.Err()}
+	}
+	defer func() { <-c.notifying }()
+	if err := write(); err != nil {
 		m.forget(c)
-		return &Error{Addr: addr, Method: method, Err: err}
+		return &Error{Addr: c.addr, Method: method, Err: err}
 	}
 	return nil
 }
@@ -209,11 +222,7 @@
 		return &Error{Addr: addr, Method: method, Err: err}
 	}
 	defer c.release()
-	if err := c.codec.write(frame); err != nil {
-		m.forget(c)
-		return &Error{Addr: addr, Method: method, Err: err}
-	}
-	return nil
+	return m.notify(ctx, c, method, func() error { return c.codec.write(frame) })
 }
 
 // forEach calls f for all addresses concurrently, each within limit.
--- a/magno/wire/conn.go
+++ b/magno/wire/conn.go
@@ -34,6 +34,8 @@
 	lastUsed atomic.Int64
 	lastRead atomic.Int64
 	seq      atomic.Uint64
+	// notifying holds a token while a notification is being written.
+	notifying chan struct{}
 
 	mu sync.Mutex
 	// streams maps the numbers of calls to their streams.
@@ -58,7 +60,7 @@
 }
 
 func newPeerConn(mesh *Mesh, addr string) *peerConn {
-	c := &peerConn{mesh: mesh, addr: addr, ready: make(chan struct{}), streams: map[uint64]*stream{}}
+	c := &peerConn{mesh: mesh, addr: addr, ready: make(chan struct{}), notifying: make(chan struct{}, 1), streams: map[uint64]*stream{}}
 	c.touch()
 	return c
 }
