--- a/drive/soak/stream_test.go
+++ b/drive/soak/stream_test.go
@@ -24,6 +24,12 @@
 
 // startStreamSoak starts entries and the upstreams of a route, every other one of another build.
 func startStreamSoak(t *testing.T, path string) *Soak {
+	t.Helper()
+	return startStreamSoakOf(t, path, entryCount)
+}
+
+// startStreamSoakOf is startStreamSoak with a number of entries.
+func startStreamSoakOf(t *testing.T, path string, entries int) *Soak {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Soak{Seed: 1, Dir: t.TempDir(), Bin: programDir, Out: io.Discard, sent: map[string]*request{}, reported: map[string]bool{}}
@@ -48,7 +54,7 @@
 			must(f.engine(ctx, n+1))
 		}
 	}
-	must(f.startEntries(ctx, entryCount))
+	must(f.startEntries(ctx, entries))
 	must(f.ready(ctx, path))
 	s.started = time.Now()
 	return s
