--- a/drive/soak/news_test.go
+++ b/drive/soak/news_test.go
@@ -102,7 +102,7 @@
 // readMetrics returns the metrics without labels of a process.
 func readMetrics(t *testing.T, address string) map[string]float64 {
 	t.Helper()
-	res, err := http.Get("http://" + address + "/metrics") //nolint:noctx,gosec // a process of this test
+	res, err := http.Get("http://" + address + "/metrics") //nolint:gosec // a process of this test
 	if err != nil {
 		t.Fatal(err)
 	}
