gate, entry: fair shares among customers in the queue of an engine

Cause: a customer that sends ten times its usual rate delays the requests of all others at the engine. Change: within a class and rank the gate orders requests by their customers' start tags. The expected wait of an arriving request leaves out those that it overtakes, or it would be refused for another customer's queue. Permit requests name the customer and specs have the weights that differ from 1. New counter permits_by_share_total.

--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -137,6 +137,9 @@
 	for _, g := range s.Grants {
 		k.stats.grants.Inc()
 		k.stats.recordWait(g.Waited, &g.Waits)
+		if g.Overtook {
+			k.stats.overtakes.Inc()
+		}
 		k.reply(g.ID, gate.PermitReply{Version: g.Version, Waits: g.Waits})
 	}
 	for _, t := range s.Rejections {
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -169,6 +169,7 @@
 		return
 	}
 	c.snap = snap
+	weights := customerWeights(snap.Plan.Customers)
 	old := c.agents
 	c.agents = make(map[string]*agentState, len(old))
 	for _, r := range snap.Replicas {
@@ -185,7 +186,7 @@
 			}
 		}
 		s.replica = r
-		spec := &gate.Spec{Replica: r.Key(), ID: r.ID, Engine: *service.Engine, Pins: snap.Pins, Leaving: r.Leaving}
+		spec := &gate.Spec{Replica: r.Key(), ID: r.ID, Engine: *service.Engine, Pins: snap.Pins, Leaving: r.Leaving, Weights: weights}
 		if s.spec == nil || !reflect.DeepEqual(s.spec, spec) {
 			s.spec, s.specRevision = spec, snap.Revision
 		}
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -136,7 +136,7 @@
 	}
 	return gate.Request{
 		ID:    j.Name + "/" + strconv.FormatUint(j.permitSeq.Add(1), 10) + "/" + j.id,
-		Model: j.call.Model, Adapter: j.call.Adapter, Prompt: j.call.Prompt, MaxOutput: j.call.Output, ExpectedOutput: j.call.Length,
+		Model: j.call.Model, Adapter: j.call.Adapter, Customer: j.customerName(), Prompt: j.call.Prompt, MaxOutput: j.call.Output, ExpectedOutput: j.call.Length,
 		PrefixTokens: j.call.Shared, PrefixHash: j.call.Prefix, Rank: j.rank(),
 		StartTarget: due - now, MaxWait: patience, TimeLeft: left,
 		MaxGap: j.route.Gap,
--- a/magno/gate/ask.go
+++ b/magno/gate/ask.go
@@ -9,6 +9,9 @@
 	// Model is never empty; Adapter is empty for the base model itself.
 	Model   string `json:"model"`
 	Adapter string `json:"adapter,omitempty"`
+	// Customer is the customer whose share the request counts towards, empty if there is none or
+	// if the entry is of a version that doesn't send it.
+	Customer string `json:"customer,omitempty"`
 	// Prompt and MaxOutput are in tokens. PrefixHash is the hash of the first PrefixTokens
 	// tokens of the prompt.
 	Prompt    int `json:"prompt"`
@@ -50,6 +53,8 @@
 	Engine  magno.Engine `json:"engine"`
 	// Pins maps MODEL/ADAPTER to the newest declared version.
 	Pins map[string]int64 `json:"pins,omitempty"`
+	// Weights maps customers to their weights, without those that weigh 1.
+	Weights map[string]float64 `json:"weights,omitempty"`
 	// Leaving is true for an engine that must not start further requests.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -64,6 +69,10 @@
 	cause       Cause
 	accountedAt magno.Millis
 	waits       Waits
+	// shareTag orders the requests of a rank by fair shares. overtakes is true if the request is
+	// ahead of one that would be first by time.
+	shareTag  float64
+	overtakes bool
 }
 
 // activeRequest is an admitted request that has not ended.
@@ -77,6 +86,8 @@
 	prefillBy     magno.Millis
 	// events is the number of events that the engine has reported for it.
 	events int
+	// shareCost is what was charged to the customer's share.
+	shareCost int
 }
 
 // Grant admits a request.
@@ -87,6 +98,9 @@
 	// Waited is the time in the queue, and Waits that time by cause.
 	Waited magno.Millis
 	Waits  Waits
+	// Overtook is true if the request was ahead of one that would be first by time, because of its
+	// customer's share.
+	Overtook bool
 }
 
 // Rejection refuses a queued request, which has not run.
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -27,6 +27,7 @@
 	"slices"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/fair"
 	"magnoliastall.example/magno/pace"
 )
 
@@ -65,6 +66,7 @@
 	inventory inventory
 	pacer     pacer
 	prefixes  *prefixCache
+	shares    fair.Shares
 	// limiter is the limit that the engine names. reportsLimit is true if its reports have named
 	// one, so that a report without one says that it has ended.
 	limiter      pace.Limiter
@@ -83,6 +85,7 @@
 	if g.active == nil {
 		g.active = map[string]*activeRequest{}
 		g.meanRunTime = float64(initialRunTime)
+		g.shares.Clock = g.Clock
 		g.prefixes = newPrefixCache()
 		g.inventory.setup()
 	}
@@ -102,7 +105,7 @@
 		g.reset()
 	}
 	s.Pins = newestVersions(g.spec.Pins, s.Pins)
-	g.spec = s
+	g.spec, g.shares.Weights = s, s.Weights
 	g.pacer.engine.Stride = s.Engine.Stride
 	g.inventory.setSpec(&g.spec, g.Clock.Now())
 }
@@ -126,6 +129,7 @@
 
 func (g *Gate) reset() {
 	clear(g.active)
+	g.shares.Reset()
 	g.pacer.reset()
 	g.prefixes = newPrefixCache()
 	g.inventory.reset()
@@ -204,6 +208,7 @@
 		return
 	}
 	delete(g.active, id)
+	g.releaseShare(r)
 	if ok {
 		g.pacer.finish(r.prefillTokens)
 		g.meanRunTime += runTimeWeight * (float64(g.Clock.Now()-r.grantedAt) - g.meanRunTime)
@@ -230,12 +235,14 @@
 	for id, r := range g.active {
 		if now > r.expiresAt {
 			g.pacer.discard(r.prefillTokens)
+			g.releaseShare(r)
 			delete(g.active, id)
 		}
 	}
 	g.expire(&d, now)
 	g.pacer.maxGap = g.minGap()
 	g.sortQueue(now)
+	g.orderByShares(now)
 	g.admit(&d, now)
 	g.accountWaits(now)
 	return d
--- a/magno/gate/machine_test.go
+++ b/magno/gate/machine_test.go
@@ -105,8 +105,9 @@
 	a := Request{
 		ID: fmt.Sprint(m.lastID), Model: model, Adapter: fmt.Sprint("a", rapid.IntRange(0, 4).Draw(t, "adapter")),
 		Prompt: rapid.SampledFrom([]int{1, 1, 50, 50, 300, 2000, 9000}).Draw(t, "prompt"), MaxOutput: 100, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), StartTarget: 500,
-		MaxGap:  rapid.SampledFrom([]magno.Millis{0, 150, 250, 600}).Draw(t, "gap"),
-		MaxWait: magno.Millis(rapid.IntRange(50, 3000).Draw(t, "patience")),
+		MaxGap:   rapid.SampledFrom([]magno.Millis{0, 150, 250, 600}).Draw(t, "gap"),
+		Customer: rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "customer"),
+		MaxWait:  magno.Millis(rapid.IntRange(50, 3000).Draw(t, "patience")),
 	}
 	a.TimeLeft = a.MaxWait + 4000
 	if r := m.gate.Offer(a); r != nil {
--- a/magno/gate/queue.go
+++ b/magno/gate/queue.go
@@ -92,9 +92,11 @@
 		g.limiter.Take(1)
 		prefillBy := g.pacer.start(tokens, now)
 		g.prefixes.add(w.qualifiedName(), w.PrefixHash)
-		g.active[w.ID] = &activeRequest{request: w.Request, grantedAt: now, expiresAt: w.deadline + grantExpirySlack, prefillTokens: tokens, prefillBy: prefillBy}
+		r := &activeRequest{request: w.Request, grantedAt: now, expiresAt: w.deadline + grantExpirySlack, prefillTokens: tokens, prefillBy: prefillBy}
+		g.active[w.ID] = r
+		g.chargeShare(r)
 		w.accountWait(now)
-		d.Grants = append(d.Grants, Grant{ID: w.ID, Version: g.inventory.version(&w.Request), Waited: now - w.queuedAt, Waits: w.waits})
+		d.Grants = append(d.Grants, Grant{ID: w.ID, Version: g.inventory.version(&w.Request), Waited: now - w.queuedAt, Waits: w.waits, Overtook: w.overtakes})
 		return true
 	})
 }
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -9,14 +9,19 @@
 
 // expectedWait estimates how long a request that arrives now would wait.
 func (g *Gate) expectedWait(req *Request, now magno.Millis) magno.Millis {
-	tokens, ahead := 0, 0
+	tokens, ahead, behind := 0, 0, 0
+	overtaken := g.overtaken(req)
 	for _, w := range g.queue {
 		if w.Rank <= req.Rank && now <= w.startBy {
+			if overtaken(w) {
+				behind++
+				continue
+			}
 			tokens += g.prefillTokens(&w.Request)
 			ahead++
 		}
 	}
-	wait := max(g.pacer.expectedWait(tokens, now), g.capacityWait(), g.limiter.Delay(ahead+1, now))
+	wait := max(g.pacer.expectedWait(tokens, now), g.capacityWait(len(g.queue)-behind), g.limiter.Delay(ahead+1, now))
 	if g.inventory.ready(req) {
 		return wait
 	}
@@ -30,10 +35,11 @@
 	return max(wait, f.nextLoad-g.inventory.coldLoadTime()+g.inventory.loadTime(req.qualifiedName()))
 }
 
-// capacityWait is the expected wait for capacity in the running batch.
-func (g *Gate) capacityWait() magno.Millis {
+// capacityWait is the expected wait for capacity in the running batch, behind the given number of
+// queued requests.
+func (g *Gate) capacityWait(queued int) magno.Millis {
 	batch := max(g.spec.Engine.Batch, 1)
-	over := g.runningCount() + len(g.queue) - batch
+	over := g.runningCount() + queued - batch
 	if over < 0 {
 		return 0
 	}
@@ -68,7 +74,7 @@
 	next := g.forecast(now).nextLoad
 	return magno.Backlog{
 		Queued: len(g.queue), Running: g.runningCount(), Held: len(g.inventory.adapters),
-		Wait:       max(g.pacer.expectedWait(queued, now), g.capacityWait(), g.limiter.Delay(len(g.queue)+1, now)) + g.congestion(),
+		Wait:       max(g.pacer.expectedWait(queued, now), g.capacityWait(len(g.queue)), g.limiter.Delay(len(g.queue)+1, now)) + g.congestion(),
 		LoadWait:   next,
 		BaseWait:   g.inventory.baseModelWait(),
 		Warm:       g.inventory.warmHashes(),
