relay: refused callers return as there is capacity for them

Cause: Retry-After of busy and loading refusals is the same for all that are refused together. Change: the relay keeps one agenda per service and entry, and takes the Retry-After of these refusals from it.

--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -154,6 +154,9 @@
 	defer j.returnRetry()
 	for {
 		res := j.attempt(ctx)
+		if res == resultDone {
+			j.returns.served(j.service.Name, j.Clock)
+		}
 		if res == resultDone || !j.canRetry(ctx, res) {
 			j.finish(res)
 			return
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -143,6 +143,7 @@
 	// sendCount counts the sends to upstreams. Their order can't be told from times in milliseconds.
 	sendCount atomic.Uint64
 	ends      endChecks
+	returns   returns
 }
 
 // configTables holds the lookup tables of one configuration.
@@ -307,7 +308,7 @@
 	}
 	h := j.w.Header()
 	if again := refusal.Kind.Answer().Retryable; again && !j.mayHaveRun {
-		h.Set("Retry-After", strconv.FormatFloat(float64(refusal.After)/1000, 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(float64(j.returnAfter(refusal))/1000, 'f', 3, 64))
 	}
 	j.setConnectionClose(h)
 	switch refusal.Kind {
--- a/magno/agenda/replay_test.go
+++ b/magno/agenda/replay_test.go
@@ -27,19 +27,21 @@
 
 func (r returned) share() float64 { return float64(r.served) / float64(r.served+r.refused) }
 
-// replayCase is a load: the steady rate per second, the callers' timeout, and the factor by which
-// requests take longer from some time in the burst on.
+// replayCase is a load: the steady rate per second, the callers' timeout, the factor by which
+// requests take longer from some time in the burst on, and whether one of the two entries, each of
+// which has its own agenda, is lost then.
 type replayCase struct {
-	name     string
-	rate     float64
-	timeout  magno.Millis
-	slowdown magno.Millis
+	name      string
+	rate      float64
+	timeout   magno.Millis
+	slowdown  magno.Millis
+	entryDies bool
 }
 
 // replay replays a load, and returns what those that came back found.
 func replay(c replayCase, withAgenda bool) returned {
 	clock := magno.NewClock(magno.Hour)
-	a := &Agenda{Clock: clock}
+	entries := []*Agenda{{Clock: clock}, {Clock: clock}}
 	r := rand.New(rand.NewPCG(5, 2)) //nolint:gosec // no secret
 	began := clock.Now()
 	var ends, returns []magno.Millis
@@ -58,7 +60,7 @@
 		default:
 			at := now + replayRetry
 			if withAgenda {
-				at = a.Promise(0, at, now+c.timeout/3)
+				at = entries[r.IntN(len(entries))].Promise(0, at, now+c.timeout/3)
 			}
 			returns = append(returns, at+magno.Millis(r.IntN(replayJitter)))
 		}
@@ -68,13 +70,16 @@
 		since := now - began
 		ends = slices.DeleteFunc(ends, func(end magno.Millis) bool {
 			if now >= end {
-				a.Served()
+				entries[r.IntN(len(entries))].Served()
 			}
 			return now >= end
 		})
 		runTime := replayRunTime
 		if since > replayBurstAt+replaySlowAfter {
 			runTime *= c.slowdown
+			if c.entryDies {
+				entries = entries[:1]
+			}
 		}
 		for waiting > 0 && len(ends) < replaySlots {
 			waiting--
@@ -99,14 +104,16 @@
 }
 
 // Some hundred callers are refused within a second, and each returns once. With the agenda more
-// of them must find room, also where the pool slows down meanwhile.
+// of them must find room, also where the pool slows down meanwhile, or where one of two entries is
+// lost with its reservations and all callers return to the other one.
 func TestRefusedCallersFindRoom(t *testing.T) {
 	for _, c := range []replayCase{
-		{"quiet", 20, 12 * magno.Second, 1},
-		{"usual load", 100, 12 * magno.Second, 1},
-		{"high load", 180, 12 * magno.Second, 1},
-		{"short timeout", 100, 3 * magno.Second, 1},
-		{"pool slows down", 20, 12 * magno.Second, 2},
+		{"quiet", 20, 12 * magno.Second, 1, false},
+		{"usual load", 100, 12 * magno.Second, 1, false},
+		{"high load", 180, 12 * magno.Second, 1, false},
+		{"short timeout", 100, 3 * magno.Second, 1, false},
+		{"pool slows down", 20, 12 * magno.Second, 2, false},
+		{"an entry dies", 100, 12 * magno.Second, 1, true},
 	} {
 		without, with := replay(c, false), replay(c, true)
 		t.Logf("%s: %d of %d callers that returned are served without the agenda, %d of %d with it", c.name,
