--- a/magno/gate/fair_test.go
+++ b/magno/gate/fair_test.go
@@ -71,8 +71,9 @@
 	})
 }
 
-// burstOutcome is what the requests of a customer got.
-type burstOutcome struct{ onTime, late, refused int }
+// burstOutcome is what the requests of a customer got, and how many of them overtook another
+// customer's.
+type burstOutcome struct{ onTime, late, refused, overtook int }
 
 func (o burstOutcome) all() int { return o.onTime + o.late + o.refused }
 
@@ -134,6 +135,9 @@
 		d := h.gate.Decide()
 		for _, grant := range d.Grants {
 			ends[grant.ID] = now + burstRunTime
+			if grant.Overtook {
+				outcomes[owner[grant.ID]].overtook++
+			}
 			if now-offeredAt[grant.ID] <= 500 {
 				outcomes[owner[grant.ID]].onTime++
 			} else {
@@ -153,7 +157,7 @@
 	var sum burstOutcome
 	for customer, o := range outcomes {
 		if customer != burstCustomer {
-			sum.onTime, sum.late, sum.refused = sum.onTime+o.onTime, sum.late+o.late, sum.refused+o.refused
+			sum.onTime, sum.late, sum.refused, sum.overtook = sum.onTime+o.onTime, sum.late+o.late, sum.refused+o.refused, sum.overtook+o.overtook
 		}
 	}
 	return sum
@@ -185,6 +189,9 @@
 	if half.onTime <= was.onTime {
 		t.Errorf("with half of the entries upgraded %d of the others' requests are on time, without shares %d", half.onTime, was.onTime)
 	}
+	if was.overtook != 0 || is.overtook == 0 {
+		t.Errorf("%d requests of the others are counted as ahead by share, %d without shares", is.overtook, was.overtook)
+	}
 	served := func(o map[string]*burstOutcome) int {
 		sum := othersOutcome(o)
 		return sum.onTime + sum.late + o[burstCustomer].onTime + o[burstCustomer].late
@@ -223,6 +230,26 @@
 	}
 }
 
+// The end of a request is lost with its entry. It must not count as running for its customer for
+// longer than it holds its place, or the customer would be delayed for ever.
+func TestLostEndStopsCountingAtTheDeadline(t *testing.T) {
+	h := newHarness(t, 8)
+	a := h.request("1", "", 400)
+	a.Customer = "a"
+	h.offer(a)
+	h.run(60, nil)
+	if !h.granted["1"] {
+		t.Fatal("the request was not admitted")
+	}
+	h.clock.Advance(a.TimeLeft + grantExpirySlack)
+	h.step(nil)
+	h.clock.Advance(5 * magno.Minute)
+	h.gate.shares.Tag(nil)
+	if n := h.gate.shares.Customers(); n != 0 {
+		t.Errorf("%d customers count as running after the request's deadline", n)
+	}
+}
+
 // Customers' weights change, a customer is removed from the configuration and the engine restarts
 // while requests wait and run. Each request still has exactly one outcome, and nothing counts as
 // running after all have ended, or its customer would be delayed for ever.
@@ -249,3 +276,31 @@
 		}
 	})
 }
+
+// Decisions at an engine whose queue is as long as it may get, of 40 customers, and without
+// customers.
+func BenchmarkDecideWithFullQueue(b *testing.B) {
+	for _, named := range []bool{false, true} {
+		b.Run(fmt.Sprintf("customers=%v", named), func(b *testing.B) {
+			clock := magno.NewClock(magno.Hour)
+			h := &harness{clock: clock, slots: 30, held: map[string]int64{"a": 1}, loading: map[string]magno.Millis{}, gate: &Gate{Clock: clock}}
+			spec := h.spec()
+			spec.Engine.Batch = 1
+			h.gate.SetSpec(spec)
+			h.report()
+			for i := range maxQueued {
+				a := h.request(fmt.Sprint(i), "a", 800)
+				a.MaxWait, a.TimeLeft = magno.Hour, magno.Hour
+				if named {
+					a.Customer = fmt.Sprint("customer-", i%40)
+				}
+				if r := h.gate.Offer(a); r != nil {
+					b.Fatal(r)
+				}
+			}
+			for b.Loop() {
+				h.gate.Decide()
+			}
+		})
+	}
+}
