keep: requests for an incarnation that has ended are refused at once, also those that wait

Cause: a request that waited while its engine was replaced was granted its permit under the new incarnation, and its entry could send it to one that its own list doesn't name. A restarted engine took requests until the list named its new incarnation. An agent without a spec refuses as starting.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -65,8 +65,8 @@
 
 // offer passes a request to the gate. It runs on the gate's goroutine.
 func (k *Controller) offer(call *gate.PermitCall, ch chan gate.PermitReply) {
-	k.waiting[call.ID] = ch
 	k.updateSpec(call.Spec, call.Revision, call.ID)
+	k.waiting[call.ID] = ch
 	r := k.check(call)
 	if r == nil {
 		k.adoptLimit(call.Limit, call.ID)
@@ -93,12 +93,35 @@
 		return magno.Refuse(magno.KindLeaving, "this agent stops")
 	case k.down:
 		return magno.Refuse(magno.KindNoUpstream, "the engine doesn't answer")
+	case k.gate.Spec().Replica == "":
+		return magno.Refuse(magno.KindStarting, "what stands beside this agent isn't known yet")
 	case call.Replica != k.gate.Spec().Replica:
 		return magno.Refuse(magno.KindNoUpstream, "another incarnation is here: %q", k.gate.Spec().Replica)
+	case k.isSuperseded():
+		return magno.Refuse(magno.KindNoUpstream, "a later incarnation is here, started at %d", k.engineStart)
 	}
 	return nil
 }
 
+// isSuperseded reports whether the engine has restarted since the list named the incarnation of the
+// spec. Neither the list nor any entry may know of the later one yet.
+func (k *Controller) isSuperseded() bool {
+	start := magno.KeyStart(k.gate.Spec().Replica)
+	return start > 0 && start < k.engineStart
+}
+
+// refuseWaiting refuses the waiting requests because the incarnation that they wait for has ended. A
+// permit granted now would let a request reach an incarnation that its entry's list doesn't name.
+func (k *Controller) refuseWaiting(format string, args ...any) {
+	for id := range k.waiting {
+		r := magno.Refuse(magno.KindNoUpstream, format, args...)
+		k.gate.Done(id, false)
+		k.logRefusal(id, r)
+		k.stats.refusals.Inc()
+		k.reply(id, gate.PermitReply{Refusal: r})
+	}
+}
+
 // drop ends a request, whether it runs or waits.
 func (k *Controller) drop(id string, ok bool) {
 	k.gate.Done(id, ok)
@@ -216,4 +239,7 @@
 	}
 	k.specRevision = revision
 	k.gate.SetSpec(*spec)
+	if spec.Replica != was {
+		k.refuseWaiting("another incarnation is here: %q", spec.Replica)
+	}
 }
