desk, peers: a later incarnation at an agent has the list's changes fetched at once

Cause: an agent that had the spec of a newer incarnation refused the requests of entries that had not heard of it yet, for up to the time between two hellos. A restarted agent refused the first permit of each entry that believed that it had its spec. A lost agent of a large fleet was polled again after over a second although other entries had its status. A permit refused for want of the spec is asked for again with it. A forwarded status has a lost agent polled at the next tick.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -88,6 +88,12 @@
 	Notices *notice.Board
 	// OnBacklog is called with each reported backlog and the key of the incarnation.
 	OnBacklog func(service, key string, b magno.Backlog)
+	// OnUsable is called, after OnBacklog, when an engine becomes usable: its agent answers for
+	// the first time or again, or it is no longer down. It may be nil.
+	OnUsable func(service string)
+	// FetchRevision is called with the revision at which the list named a later incarnation than
+	// this entry knows. It may be nil and must not block.
+	FetchRevision func(revision magno.Revision)
 
 	// forwardQueue holds the replies of agents to be forwarded to the other entries.
 	forwardQueue chan gate.StatusReply
@@ -300,25 +306,43 @@
 	c.mu.Lock()
 	reply.Restore(listsHash, &s.status)
 	if s.lost {
-		s.lost, s.lostCh = false, make(chan struct{})
+		s.lostCh = make(chan struct{})
 		c.Log.Info("agent back", "replica", s.replica.Key(), "addr", s.addr)
 	}
 	s.calm = isCalm(&s.status, reply)
 	if reply.Down != s.status.Down {
 		c.Log.Info("engine", "replica", s.replica.Key(), "down", reply.Down)
 	}
-	s.misses, s.unreachable, s.heardAt, s.status = 0, false, c.Clock.Now(), *reply
+	wasUsable := s.usable()
+	s.misses, s.unreachable, s.heardAt, s.status, s.lost = 0, false, c.Clock.Now(), *reply, false
 	key, service := s.replica.Key(), s.replica.Service
 	current, b := reply.Replica == key, reply.Backlog
+	superseded, usable := s.superseded(), s.usable() && !wasUsable
 	b.Down = s.down()
 	c.mu.Unlock()
-	if !current {
+	switch {
+	case superseded:
+		// Without this, requests would go on to be refused there until the list changes here.
+		b = magno.Backlog{Down: true}
+		c.fetchRevision(reply.Revision)
+	case !current:
 		return
+	default:
+		c.adoptNotices(key, reply, s.addr)
 	}
-	c.adoptNotices(key, reply, s.addr)
 	if c.OnBacklog != nil {
 		c.OnBacklog(service, key, b)
 	}
+	if usable && c.OnUsable != nil {
+		c.OnUsable(service)
+	}
+}
+
+// fetchRevision has the changes of the list up to a revision fetched, unless they are known.
+func (c *Client) fetchRevision(revision magno.Revision) {
+	if c.FetchRevision != nil && revision > c.Book.Current().Revision {
+		c.FetchRevision(revision)
+	}
 }
 
 // ReportUnreachable records that a connection to an engine failed. If its agent is lost as
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -28,6 +28,8 @@
 	// holdPermits blocks permit calls until their caller gives up, holdStatus blocks polls.
 	holdPermits, holdStatus bool
 	releases                []gate.EndCall
+	// strict refuses permits for another replica than the agent has a spec for.
+	strict bool
 	// replicaAtPermit is the replica that the agent knew at the last permit call.
 	replicaAtPermit string
 }
@@ -60,7 +62,11 @@
 		}
 		hold, status := a.holdPermits, a.status
 		a.replicaAtPermit = status.Replica
+		refuse := a.strict && status.Replica != call.Replica
 		a.mu.Unlock()
+		if refuse {
+			return gate.PermitReply{Status: status, Refusal: magno.Refuse(magno.KindNoUpstream, "another incarnation is here")}, nil
+		}
 		if hold {
 			<-ctx.Done()
 		}
--- a/entry/desk/permit.go
+++ b/entry/desk/permit.go
@@ -10,23 +10,73 @@
 	"magnoliastall.example/magno/wire"
 )
 
+// maxPermitCalls bounds the calls for one permit: one more to an agent that turns out to lack its spec.
+const maxPermitCalls = 2
+
 // Acquire requests a permit for a request to start at a replica, and waits for the decision.
 // ErrAgentLost means that there was none.
 func (c *Client) Acquire(ctx context.Context, key string, req gate.Request) (*gate.PermitReply, error) {
+	var reply *gate.PermitReply
+	for range maxPermitCalls {
+		s, call := c.prepareCall(key, req)
+		if s == nil {
+			return nil, ErrAgentLost
+		}
+		var err error
+		if reply, err = c.callPermit(ctx, s, call); err != nil {
+			return nil, err
+		}
+		// An agent that has just restarted refuses what it has no spec for.
+		if call.Spec != nil || reply.Refusal == nil || !c.lacksSpec(s, &reply.Status) {
+			break
+		}
+	}
+	return reply, nil
+}
+
+// prepareCall returns the agent of a replica and the call to it, or nil if it is unknown or lost.
+func (c *Client) prepareCall(key string, req gate.Request) (*agentState, *gate.PermitCall) {
+	s := c.findAgent(key)
 	c.mu.Lock()
-	s := c.agents[key]
+	defer c.mu.Unlock()
 	if s == nil || s.lost {
-		c.mu.Unlock()
-		return nil, ErrAgentLost
+		return nil, nil
 	}
 	s.usedAt = c.Clock.Now()
-	lostCh, addr := s.lostCh, s.addr
-	call := gate.PermitCall{Request: req, Replica: key, ListsHash: s.status.ListsHash, Limit: c.Notices.State(key)}
+	call := &gate.PermitCall{Request: req, Replica: key, ListsHash: s.status.ListsHash, Limit: c.Notices.State(key)}
 	if s.status.Replica != key {
 		// The agent's next poll may be a second away; after a power loss of all machines this
 		// applies to every agent.
 		call.Spec, call.Revision = s.spec, s.specRevision
 	}
+	return s, call
+}
+
+// findAgent returns the agent of a replica, also of one that was listed a moment ago.
+func (c *Client) findAgent(key string) *agentState {
+	c.mu.Lock()
+	s := c.agents[key]
+	c.mu.Unlock()
+	if s != nil {
+		return s
+	}
+	c.syncAgents(c.Book.Current())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agents[key]
+}
+
+// lacksSpec reports whether an agent replied without the spec that this entry has for it.
+func (c *Client) lacksSpec(s *agentState, status *gate.StatusReply) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return status.Replica != s.replica.Key() && status.Revision < s.specRevision
+}
+
+// callPermit sends one permit call and records the agent's status.
+func (c *Client) callPermit(ctx context.Context, s *agentState, call *gate.PermitCall) (*gate.PermitReply, error) {
+	c.mu.Lock()
+	lostCh := s.lostCh
 	c.mu.Unlock()
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -34,13 +84,13 @@
 	defer close(stop)
 	go c.watchAgent(s, lostCh, stop, cancel)
 	var reply gate.PermitReply
-	err := c.Mesh.Call(waiting, addr, gate.MethodPermit, call, &reply)
+	err := c.Mesh.Call(waiting, s.addr, gate.MethodPermit, call, &reply)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.pollSoon(s, c.Clock.Now())
 		}
 		if !wire.NotSent(err) {
-			c.Release(key, gate.EndCall{ID: req.ID}) // the permit may have been granted meanwhile
+			c.Release(call.Replica, gate.EndCall{ID: call.ID}) // the permit may have been granted meanwhile
 		}
 		return nil, errors.Mark(err, ErrAgentLost)
 	}
--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -38,7 +38,18 @@
 // down reports whether the engine is known to be down, or to have restarted since the list
 // named this incarnation.
 func (s *agentState) down() bool {
-	return !s.lost && (s.status.Down || (s.status.EngineStart != 0 && s.status.EngineStart != s.replica.StartedAt))
+	return !s.lost && (s.status.Down || s.superseded() || (s.status.EngineStart != 0 && s.status.EngineStart != s.replica.StartedAt))
+}
+
+// superseded reports whether the agent has the spec of a later incarnation: a newer list than this
+// entry's names that in place of the replica.
+func (s *agentState) superseded() bool {
+	return s.status.Replica != "" && s.status.Replica != s.replica.Key() && s.status.Revision > s.specRevision
+}
+
+// usable reports whether the agent answers for the replica and its engine isn't down.
+func (s *agentState) usable() bool {
+	return !s.lost && s.status.Replica == s.replica.Key() && !s.down()
 }
 
 // isCalm reports whether two states of an agent are equivalent for routing: nothing waits at
--- a/entry/desk/share.go
+++ b/entry/desk/share.go
@@ -149,6 +149,9 @@
 	c.mu.Lock()
 	s := c.agents[a.Replica]
 	newer := s != nil && !s.lost && s.misses == 0 && c.Clock.Now()-s.heardAt >= forwardDelay
+	if s != nil && s.lost && c.Clock.Now()-s.polledAt >= pollInterval {
+		s.polledAt = 0 // it answers another entry again; the regular poll may be over a second away
+	}
 	c.mu.Unlock()
 	if !newer {
 		return
--- a/entry/peers/calls.go
+++ b/entry/peers/calls.go
@@ -35,7 +35,7 @@
 	p.receivedRevision = max(p.receivedRevision, revision)
 	p.mu.Unlock()
 	if revision > p.Book.Digest().Revision { // earlier updates were lost
-		p.startFetch(u.From, view.AskSince)
+		p.startFetch(u.From, view.AskSince, causeUpdate)
 	}
 	return nil, nil
 }
--- a/entry/peers/news.go
+++ b/entry/peers/news.go
@@ -21,7 +21,7 @@
 	p.mu.Lock()
 	tried := p.compared == pair
 	p.mu.Unlock()
-	if ask == view.AskNothing || (tried && ask != view.AskSince) || !p.startFetch(h.Addr, ask) {
+	if ask == view.AskNothing || (tried && ask != view.AskSince) || !p.startFetch(h.Addr, ask, causeHello) {
 		return
 	}
 	p.mu.Lock()
@@ -34,15 +34,15 @@
 
 // startFetch starts a fetch of what a peer has and this process lacks. It returns false if one is
 // in progress.
-func (p *Peers) startFetch(addr string, ask view.Ask) bool {
-	p.mu.Lock()
-	busy := p.fetching
-	p.fetching = true
-	p.mu.Unlock()
-	if busy {
+func (p *Peers) startFetch(addr string, ask view.Ask, cause fetchCause) bool {
+	if !p.claimFetch() {
 		return false
 	}
-	go p.fetch(addr, Since{Ask: ask, Revision: p.Book.Current().Revision})
+	p.countFetch(cause)
+	go func() {
+		defer p.releaseFetch()
+		p.fetch(context.Background(), addr, Since{Ask: ask, Revision: p.Book.Current().Revision}, p.fetchTimeout())
+	}()
 	return true
 }
 
@@ -53,20 +53,18 @@
 	return min(minFetchTimeout<<p.slowFetches, maxFetchTimeout)
 }
 
-// fetch sends a request for changes to a peer and applies them.
-func (p *Peers) fetch(addr string, req Since) {
-	timeout := p.fetchTimeout()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
+// fetch sends a request for changes to a peer and applies them. The caller has claimed it.
+func (p *Peers) fetch(ctx context.Context, addr string, req Since, timeout magno.Millis) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	var u Update
 	req.Stamp = p.stamp()
 	err := p.Mesh.Call(ctx, addr, MethodItems, req, &u)
 	p.mu.Lock()
-	p.fetching = false
 	switch {
 	case !errors.Is(err, context.DeadlineExceeded):
 		p.slowFetches = 0
-	case timeout < maxFetchTimeout:
+	case timeout >= minFetchTimeout && timeout < maxFetchTimeout:
 		p.slowFetches++
 	}
 	p.mu.Unlock()
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -4,6 +4,7 @@
 //	seeds <--hello--> peers <--hello, every 400 ms--> all other entries
 //	reads --Broadcast--> update --> Book of every other entry
 //	higher revision in a hello --> items request --> Book
+//	later incarnation at an agent --FetchRevision--> items request --> Book
 //
 // The platform doesn't list the system's own processes: a process starts from the seeds
 // in its settings and learns of further entries from their hellos.
@@ -124,6 +125,9 @@
 	// of times that minFetchTimeout is doubled.
 	fetching    bool
 	slowFetches int
+	// wanted is the revision to be fetched next. fetchWakeup holds a token while Run is to fetch it.
+	wanted      wantedRevision
+	fetchWakeup chan struct{}
 	// spreadChange is the change of the suspects up to which they were spread, at spreadAt.
 	spreadChange int64
 	spreadAt     magno.Millis
@@ -164,6 +168,7 @@
 	p.listReachable = true
 	p.updates = make(chan view.Update, updateQueueLen)
 	p.wakeup = make(chan struct{}, 1)
+	p.fetchWakeup = make(chan struct{}, 1)
 	p.addAddrs(p.Seeds)
 	p.Mesh.Handle(MethodHello, p.onHello)
 	p.Mesh.Handle(MethodUpdate, p.onUpdate)
@@ -199,6 +204,12 @@
 			return nil
 		case <-timer.C:
 		case <-p.wakeup:
+		case <-p.fetchWakeup:
+			pending.Add(1)
+			go func() {
+				defer pending.Done()
+				p.fetchWanted(ctx)
+			}()
 		case u := <-p.updates:
 			pending.Add(1)
 			go func() {
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -230,7 +230,7 @@
 	})
 	go func() { ended <- mesh.Run(ctx) }()
 	for _, want := range []magno.Millis{2 * magno.Second, 4 * magno.Second} {
-		if p.fetch(mesh.Addr(), Since{Ask: view.AskSince, Revision: 1}); p.fetchTimeout() != want {
+		if p.fetch(ctx, mesh.Addr(), Since{Ask: view.AskSince, Revision: 1}, p.fetchTimeout()); p.fetchTimeout() != want {
 			t.Errorf("the next fetch has a timeout of %d ms, want %d ms", p.fetchTimeout(), want)
 		}
 	}
