relay: requests wait briefly for the list, an engine or the first configuration

Cause: in the first seconds after a loss of power entries refused requests that a fetch of the list, or the next engine that came up, would have let them serve. Backlogs reported before the first request of a service, or of a replica that the router didn't know yet, were lost. Nothing is sent to an upstream that the list has stopped naming while the connection was made.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -74,10 +74,32 @@
 	rankedLast map[string]bool
 	// resting are the replicas that rest, which these pools never end.
 	resting map[string]magno.Millis
+	// slots is the number of listed request slots.
+	slots  int
+	usable chan struct{}
 }
 
 func (p *fakePools) Router(string) magno.Chooser { return p }
-func (p *fakePools) CountRequest(string)         {}
+
+// Listed returns the slots that are set, and a channel that wake closes.
+func (p *fakePools) Listed(string) (int, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usable == nil {
+		p.usable = make(chan struct{})
+	}
+	return p.slots, p.usable
+}
+
+func (p *fakePools) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usable != nil {
+		close(p.usable)
+	}
+	p.usable = nil
+}
+func (p *fakePools) CountRequest(string) {}
 func (p *fakePools) ReserveRetry(string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -47,6 +47,8 @@
 	id    string
 	route *magno.Route
 	body  []byte
+	// bodyRead is true once body was read.
+	bodyRead bool
 	// bodyMem and responseMem are the memory reserved for the body and for an upstream's
 	// response.
 	bodyMem, responseMem reservation
@@ -109,6 +111,15 @@
 	failure *response
 	// refusal is why the last choice of a replica was refused.
 	refusal *magno.Refusal
+	// answered is true once an agent has decided on a permit in the current attempt, other than that
+	// its engine can't be used yet. newer is the revision of a list that names a later incarnation
+	// than the last agent was asked for, zero if none does.
+	answered bool
+	newer    magno.Revision
+	// renewals counts the waits for such a list, upstreamWait is the total wait for an upstream or
+	// for the list.
+	renewals     int
+	upstreamWait magno.Millis
 }
 
 // result is the result of one attempt to send the request.
@@ -221,6 +232,18 @@
 	if j.service.Engine == nil {
 		return j.sendToPlain(ctx)
 	}
+	for {
+		_, usable := j.Pools.Listed(j.service.Name)
+		res := j.attemptEngine(ctx)
+		if res != resultRefused || j.answered || !j.waitForUpstream(ctx, usable) {
+			return res
+		}
+	}
+}
+
+// attemptEngine chooses an engine, acquires a permit and sends the request once.
+func (j *job) attemptEngine(ctx context.Context) result {
+	j.answered = false
 	choice := j.choose()
 	if len(choice.replicas) == 0 {
 		return j.refuseChoice(&choice)
@@ -231,6 +254,7 @@
 // refuseChoice refuses the request because the choice is empty.
 func (j *job) refuseChoice(c *choice) result {
 	if c.retryAfter > 0 {
+		j.answered = true
 		j.refusal = magno.Refuse(magno.KindBusy, "no upstream of %s accepts requests now", j.service.Name).WithRetryAfter(c.retryAfter)
 		return resultRefused
 	}
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -27,13 +27,16 @@
 // sendToBest requests a permit for the best replica. Its agent may decline because another one
 // is better now. After that the remaining replicas are tried.
 func (j *job) sendToBest(ctx context.Context, choice choice) result {
-	for range maxDeclines {
+	for declines := 0; declines < maxDeclines; {
 		if len(choice.replicas) == 0 {
 			break // all replicas are leaving by now
 		}
 		res, ok := j.sendWithPermit(ctx, choice.replicas[0], choice.maxWait)
 		switch {
 		case res == resultDeclined:
+			declines++
+			choice = j.choose()
+		case res == resultRefused && j.newer > 0 && j.waitForList(ctx, len(choice.replicas) > 1):
 			choice = j.choose()
 		case ok:
 			return res
@@ -86,7 +89,7 @@
 // is better now, and resultAborted if the caller is gone or the deadline has passed.
 func (j *job) acquirePermit(ctx context.Context, key string, maxWait magno.Millis) (string, result) {
 	start := j.Clock.Now()
-	j.permitLimited, j.grant, j.engineStart = false, magno.LimitGrant{}, 0
+	j.permitLimited, j.grant, j.engineStart, j.newer = false, magno.LimitGrant{}, 0, 0
 	req := j.permitRequest(start)
 	req.DeclineAbove = maxWait
 	reply, err := j.Permits.Acquire(ctx, key, req)
@@ -102,15 +105,28 @@
 		return "", resultAborted
 	case err != nil:
 		// The agent is lost. Requests for what the engine held are sent without a permit.
-		if !j.Permits.Holds(key, gate.QualifiedName(j.call.Model, j.call.Adapter)) || !j.takeLimit(ctx, key, agentlessShare) {
+		if !j.Permits.Holds(key, gate.QualifiedName(j.call.Model, j.call.Adapter)) {
+			return "", resultRefused
+		}
+		if !j.takeLimit(ctx, key, agentlessShare) {
+			j.answered = true
 			return "", resultRefused
 		}
 	case reply.Declined:
 		return "", resultDeclined
 	case reply.Refusal != nil:
+		j.recordUnusable(key, reply)
 		j.deferRefusal(magno.Refuse(reply.Refusal.Kind, "%s", reply.Refusal.Detail).WithRetryAfter(max(reply.Refusal.After, busyRetryAfter)))
 		return "", resultRefused
 	}
+	if err == nil && reply.Status.Replica != "" && reply.Status.Replica != key {
+		// The engine was replaced after the permit was granted.
+		j.Permits.Release(key, gate.EndCall{ID: req.ID})
+		j.recordUnusable(key, reply)
+		j.deferRefusal(magno.Refuse(magno.KindNoUpstream, "another incarnation is there: %q", reply.Status.Replica).WithRetryAfter(busyRetryAfter))
+		return "", resultRefused
+	}
+	j.answered = true
 	if err == nil {
 		j.engineStart = reply.Status.EngineStart
 		j.permitLimited = reply.Status.Limit != nil && reply.Status.Limit.Limited
@@ -129,20 +145,26 @@
 // permitRequest returns the request in the form that the agent's gate expects.
 func (j *job) permitRequest(now magno.Millis) gate.Request {
 	left := j.deadline - now
-	due, until := j.eventDeadlines()
-	patience := left - minRunTime
-	if j.route.Kind == magno.RouteStream {
-		patience = min(patience, until-callerMargin-now)
-	}
+	due, _ := j.eventDeadlines()
 	return gate.Request{
 		ID:    j.Name + "/" + strconv.FormatUint(j.permitSeq.Add(1), 10) + "/" + j.id,
 		Model: j.call.Model, Adapter: j.call.Adapter, Prompt: j.call.Prompt, MaxOutput: j.call.Output, ExpectedOutput: j.call.Length,
 		PrefixTokens: j.call.Shared, PrefixHash: j.call.Prefix, Rank: j.rank(),
-		StartTarget: due - now, MaxWait: patience, TimeLeft: left,
+		StartTarget: due - now, MaxWait: j.patience(now), TimeLeft: left,
 		MaxGap: j.route.Gap,
 	}
 }
 
+// patience returns how long the request may wait before it starts.
+func (j *job) patience(now magno.Millis) magno.Millis {
+	patience := j.deadline - now - minRunTime
+	if j.route.Kind == magno.RouteStream {
+		_, until := j.eventDeadlines()
+		patience = min(patience, until-callerMargin-now)
+	}
+	return patience
+}
+
 // eventDeadlines returns when the caller's next event is due, and when the caller of a stream
 // abandons it without one. Both count from the last event that the caller got, so that a stream
 // which broke off after some seconds can be resumed if another engine accepts it at once.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -80,6 +80,9 @@
 	ReserveRetry(service string) bool
 	SpendRetry(service string) bool
 	ReturnRetry(service string)
+	// Listed returns the number of request slots of the listed upstreams of a service that don't
+	// leave, and a channel that is closed when one of them may have become usable.
+	Listed(service string) (slots int, usable <-chan struct{})
 }
 
 // Limits grants the requests to upstreams that name a limit and have no agent to grant them.
@@ -117,6 +120,8 @@
 	// Origins is nil where streams aren't taken up.
 	Origins Origins
 	Log     *slog.Logger
+	// Entries returns how many entries are alive, this one included. It may be nil, for one.
+	Entries func() int
 	// Quotas is nil where no customer has a limit.
 	Quotas magno.Quotas
 	// MaxRevokeDelay is how long a key may still be accepted after its revocation, zero if that
@@ -143,6 +148,10 @@
 	// sendCount counts the sends to upstreams. Their order can't be told from times in milliseconds.
 	sendCount atomic.Uint64
 	ends      endChecks
+	// waiting counts the requests that wait for an upstream by service, configWaiting those that
+	// wait for the first configuration.
+	waiting       waitCounts
+	configWaiting atomic.Int64
 }
 
 // configTables holds the lookup tables of one configuration.
@@ -219,6 +228,9 @@
 
 // prepare finds the route, reads the body and authorizes the caller.
 func (j *job) prepare() *magno.Refusal {
+	if refusal := j.waitForConfig(); refusal != nil {
+		return refusal
+	}
 	if j.snap.Plan == nil {
 		return magno.Refuse(magno.KindStarting, "no configuration yet").WithRetryAfter(j.startRetryAfter())
 	}
@@ -270,10 +282,14 @@
 	}
 }
 
+// readBody reads the body, unless it was read while the request waited for the configuration.
 func (j *job) readBody() *magno.Refusal {
-	limit := j.snap.Plan.Body
-	if limit <= 0 {
-		limit = defaultMaxBody
+	limit := int64(defaultMaxBody)
+	if plan := j.snap.Plan; plan != nil && plan.Body > 0 {
+		limit = plan.Body
+	}
+	if j.bodyRead {
+		return refuseLarge(int64(len(j.body)), limit)
 	}
 	if j.r.ContentLength > limit {
 		return magno.Refuse(magno.KindTooLarge, "a body of %d bytes", j.r.ContentLength)
@@ -285,13 +301,21 @@
 	if err != nil {
 		return magno.Refuse(magno.KindMalformed, "the body ended early: %v", err)
 	}
-	if int64(len(body)) > limit {
-		return magno.Refuse(magno.KindTooLarge, "a body of over %d bytes", limit)
+	if refusal := refuseLarge(int64(len(body)), limit); refusal != nil {
+		return refusal
 	}
-	j.body = body
+	j.body, j.bodyRead = body, true
 	return nil
 }
 
+// refuseLarge returns the refusal of a body of more than limit bytes, nil for a smaller one.
+func refuseLarge(size, limit int64) *magno.Refusal {
+	if size <= limit {
+		return nil
+	}
+	return magno.Refuse(magno.KindTooLarge, "a body of over %d bytes", limit)
+}
+
 // statusMayHaveRun replaces a status that would guarantee that the request has not run, where
 // it may have.
 const statusMayHaveRun = http.StatusBadGateway
@@ -351,7 +375,7 @@
 	}
 	line := []any{
 		"request", j.id, "route", route, "customer", j.customerName(), "adapter", gate.QualifiedName(j.call.Model, j.call.Adapter), "status", status, "outcome", outcome, "why", why,
-		"replica", j.lastReplica, "tries", j.sends, "waited", j.permitWait, "took", took, "events", j.events, "from", j.call.From, "build", j.requiredBuild(), "first", j.firstEvent, "pause", j.longestPause,
+		"replica", j.lastReplica, "tries", j.sends, "waited", j.permitWait, "held", j.upstreamWait, "took", took, "events", j.events, "from", j.call.From, "build", j.requiredBuild(), "first", j.firstEvent, "pause", j.longestPause,
 		"config", j.configVersion(), "age", j.Book.Age(), "sure", j.configAge,
 	}
 	j.Log.Info("request", append(line, j.waitCauses.LogArgs()...)...)
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -64,6 +64,13 @@
 		}
 		return j.abortedOr(ctx, resultUnsent)
 	}
+	if j.Book.Current().Find(key) == nil {
+		// The list names another incarnation there by now, or none.
+		_ = conn.Close()
+		j.deferRefusal(magno.Refuse(magno.KindNoUpstream, "the upstream is no longer listed").WithRetryAfter(noReplicaRetryAfter))
+		j.tried = append(j.tried, key)
+		return resultUnsent
+	}
 	if !j.spendRetry() {
 		_ = conn.Close()
 		return resultRefused
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,11 +30,19 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+	// followed is the channel of the list's next change as of the last update of the routers.
+	followed <-chan struct{}
 }
 
 type pool struct {
 	router  *route.Router
 	retries *allow.Budget
+	// targets are those of the router, by name. slots is the number of request slots of those
+	// that don't leave.
+	targets map[string]magno.Target
+	slots   int
+	// usable is closed, and replaced, when an upstream may have become usable.
+	usable chan struct{}
 }
 
 // get returns a service's pool, creating it on first use. The caller holds mu.
@@ -45,6 +55,7 @@
 			Clock: p.clock, Seed: xxhash.Sum64String(p.settings.Name), DataCentre: p.settings.DataCentre,
 		},
 		retries: &allow.Budget{Clock: p.clock, Ratio: p.settings.RetryRatio, Slack: p.settings.RetrySlack, WindowLength: p.settings.RetryWindow, StartedAt: p.startedAt},
+		usable:  make(chan struct{}),
 	}
 	if s := p.book.Current().Plan.Service(service); s != nil && s.Engine != nil {
 		created.router.Tuning = route.PermitTuning()
@@ -55,47 +66,101 @@
 		p.pools = map[string]*pool{}
 	}
 	p.pools[service] = created
-	created.router.Update(p.targets(service))
+	created.update(p.targets(service))
 	return created
 }
 
-// targets returns the replicas of a service.
-func (p *pools) targets(service string) []magno.Target {
-	var list []magno.Target
+// update passes the targets of a service to its router, unless they are unchanged: building a ring
+// is expensive. The caller holds the mutex of pools.
+func (p *pool) update(targets map[string]magno.Target, slots int) {
+	if maps.Equal(p.targets, targets) && p.slots == slots {
+		return
+	}
+	p.targets, p.slots = targets, slots
+	p.router.Update(slices.Collect(maps.Values(targets)))
+	p.wake()
+}
+
+// wake wakes what waits for an upstream. The caller holds the mutex of pools.
+func (p *pool) wake() {
+	close(p.usable)
+	p.usable = make(chan struct{})
+}
+
+// targets returns the replicas of a service, and the request slots of those that don't leave.
+func (p *pools) targets(service string) (targets map[string]magno.Target, slots int) {
+	targets = map[string]magno.Target{}
 	for _, r := range p.book.Current().Replicas {
-		if r.Service == service {
-			list = append(list, magno.Target{Name: r.Key(), DataCentre: r.DataCentre, Leaving: r.Leaving || p.notices.Leaving(r.Key()), Build: r.Build})
+		if r.Service != service {
+			continue
+		}
+		leaving := r.Leaving || p.notices.Leaving(r.Key())
+		targets[r.Key()] = magno.Target{Name: r.Key(), DataCentre: r.DataCentre, Leaving: leaving, Build: r.Build}
+		if !leaving {
+			slots += r.Slots
 		}
 	}
-	return list
+	return targets, slots
 }
 
 // update passes the current replicas to all routers.
 func (p *pools) update() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.updateAll()
+}
+
+// updateAll does the work of update. The caller holds mu.
+func (p *pools) updateAll() {
+	p.followed = p.book.Changed()
 	for service, pool := range p.pools {
-		pool.router.Update(p.targets(service))
+		pool.update(p.targets(service))
+	}
+}
+
+// follow updates the routers if the list has changed since they were updated. A request or a
+// report may come for an upstream that was listed a moment ago, before update was called: the
+// request would find no upstream, and the report would be lost. The caller holds mu.
+func (p *pools) follow() {
+	if p.followed != p.book.Changed() {
+		p.updateAll()
 	}
 }
 
-// report passes an engine's backlog to its router.
+// report passes an engine's backlog to its router. The router is created if need be: agents are
+// polled before the first request of a service, and a calm one isn't polled again for a while.
 func (p *pools) report(service, key string, b magno.Backlog) {
 	p.mu.Lock()
-	pool := p.pools[service]
+	p.follow()
+	router := p.get(service).router
 	p.mu.Unlock()
-	if pool != nil {
-		pool.router.Report(key, b)
-	}
+	router.Report(key, b)
+}
+
+// wakeWaiting wakes the requests that wait for an upstream of a service.
+func (p *pools) wakeWaiting(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(service).wake()
 }
 
 // Router implements relay.Pools.
 func (p *pools) Router(service string) magno.Chooser {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.follow()
 	return p.get(service).router
 }
 
+// Listed implements relay.Pools.
+func (p *pools) Listed(service string) (slots int, usable <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.follow()
+	pool := p.get(service)
+	return pool.slots, pool.usable
+}
+
 // CountRequest implements relay.Pools.
 func (p *pools) CountRequest(service string) {
 	p.retries(service).RecordRequest()
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -97,7 +97,7 @@
 		List: site.Lister(settings.ListAddress), Book: e.book, ShouldRead: e.peers.ShouldRead, IsReader: e.peers.IsReader, Broadcast: e.peers.Broadcast, ReportReachable: e.peers.SetListReachable, FreshFirst: settings.MaxRevokeDelay > 0, Log: log,
 	}
 	e.desk = &desk.Client{
-		Self: settings.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, AgentPort: settings.InternalPort, OnBacklog: e.pools.report, Notices: e.notices,
+		Self: settings.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, AgentPort: settings.InternalPort, OnBacklog: e.pools.report, OnUsable: e.pools.wakeWaiting, FetchRevision: e.peers.FetchRevision, Notices: e.notices,
 		Addr: settings.PeerAddress, Entries: e.peers.DataCentreEntries,
 	}
 	e.desk.Open()
@@ -119,7 +119,7 @@
 	e.resume.Open()
 	handler := &relay.Handler{
 		Name: settings.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Conns: e.conns, Permits: e.desk, Pools: e.pools,
-		Suspects: suspects, Trials: trials, Notices: e.notices, Limits: e.limit, Origins: e.resume, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
+		Suspects: suspects, Trials: trials, Notices: e.notices, Limits: e.limit, Origins: e.resume, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease, Entries: func() int { alive, _ := e.peers.Count(); return alive },
 		BodyMemory: memoryBudget(settings.MemoryLimit), ResponseMemory: memoryBudget(settings.MemoryLimit),
 	}
 	e.peers.Leaving = handler.Draining
