relay, site: tests of the waits for the list, an engine and the first configuration

Result: go test ./relay ./site passes; the waits are bounded, end when the caller leaves, and a refusal goes out as before where the list names no newer incarnation.

--- /dev/null
+++ b/entry/relay/arrive_test.go
@@ -0,0 +1,360 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+	"magnoliastall.example/magno/view"
+)
+
+// longAim is a latency target of which a quarter is longer than any test waits. The caller's time of
+// two seconds bounds the waits then.
+const longAim = magno.Minute
+
+// newArrivalProxy returns a proxy of an engine pool with a latency target, whose upstreams stream one
+// event.
+func newArrivalProxy(t *testing.T, aim magno.Millis, upstreams int) *testProxy {
+	t.Helper()
+	var ups []*fakeUpstream
+	for range upstreams {
+		ups = append(ups, startUpstream(t, streamOneEvent))
+	}
+	s := newTestProxy(t, magno.RouteStream, false, ups...)
+	s.changes[0].Plan.Routes[0].Aim = aim
+	s.pools.slots = 4 * upstreams
+	s.permits.holdsNothing = true
+	return s
+}
+
+// refuseFor returns the refusal by an agent that has the spec of another incarnation.
+func refuseFor(replica string, revision magno.Revision) *gate.PermitReply {
+	return &gate.PermitReply{
+		Refusal: magno.Refuse(magno.KindNoUpstream, "another incarnation is here"),
+		Status:  gate.StatusReply{Replica: replica, Revision: revision},
+	}
+}
+
+// waiters returns the number of requests that wait for an upstream.
+func (s *testProxy) waiters() int {
+	s.waiting.mu.Lock()
+	defer s.waiting.mu.Unlock()
+	return s.waiting.counts["s"]
+}
+
+// Guards against refusals of requests whose entry knows an older incarnation than the agent. Where the
+// list names a newer one, the request must reach that and no other; where it doesn't, or the list
+// doesn't change, the refusal must go out as before.
+func TestRequestForAnOlderIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lives are the start times of the incarnations that follow each other. The list names each
+		// once a request for its predecessor was refused, but only the first listed ones.
+		lives  []magno.Millis
+		listed int
+		// behind makes agents state a revision that the entry has.
+		behind bool
+		status int
+		asked  []string
+	}{
+		{"one", []magno.Millis{1, 2}, 2, false, 200, []string{"u0@1", "u0@2"}},
+		{"two within a second", []magno.Millis{1, 2, 3}, 3, false, 200, []string{"u0@1", "u0@2", "u0@3"}},
+		{"more than that", []magno.Millis{1, 2, 3, 4}, 4, false, 503, []string{"u0@1", "u0@2", "u0@3"}},
+		{"the list is unreachable", []magno.Millis{1, 2}, 1, false, 503, []string{"u0@1"}},
+		{"no newer list", []magno.Millis{1, 2}, 1, true, 503, []string{"u0@1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newArrivalProxy(t, 0, 1) // without a target no request waits for an upstream
+			s.startAt(c.lives[0])
+			var asked []string
+			var relisted sync.WaitGroup
+			s.permits.decide = func(_ context.Context, key string) *gate.PermitReply {
+				asked = append(asked, key)
+				at := slices.IndexFunc(c.lives, func(l magno.Millis) bool { return key == fmt.Sprintf("u0@%d", l) })
+				if at == len(c.lives)-1 {
+					return nil
+				}
+				known := s.Book.Current().Revision
+				if c.behind {
+					return refuseFor("u0@9", known)
+				}
+				if at+1 < c.listed {
+					relisted.Go(func() { s.startAt(c.lives[at+1]) })
+				}
+				return refuseFor(fmt.Sprintf("u0@%d", c.lives[at+1]), known+1)
+			}
+			res, _, err := s.get(t, http.MethodPost, "1")
+			relisted.Wait()
+			if err != nil || res.StatusCode != c.status {
+				t.Fatalf("got %+v, %v; want %d", res, err, c.status)
+			}
+			if !slices.Equal(asked, c.asked) {
+				t.Errorf("permits were asked of %v, want %v", asked, c.asked)
+			}
+			if c.status != 200 && res.Header.Get("Retry-After") == "" {
+				t.Error("the refusal has no Retry-After")
+			}
+			if n := s.waiters(); n != 0 {
+				t.Errorf("%d requests still count as waiting", n)
+			}
+		})
+	}
+}
+
+// Guards against a request that is sent to an incarnation which its entry's list doesn't name: the
+// engine was replaced after the permit was granted. The permit must be released.
+func TestPermitOfAnotherIncarnationIsNotUsed(t *testing.T) {
+	u := startUpstream(t, streamOneEvent)
+	s := newTestProxy(t, magno.RouteStream, false, u)
+	s.permits.decide = func(context.Context, string) *gate.PermitReply {
+		return &gate.PermitReply{Status: gate.StatusReply{Replica: "u0@7", Revision: 1}}
+	}
+	res, _, err := s.get(t, http.MethodPost, "1")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("got %+v, %v", res, err)
+	}
+	if u.requestCount() != 0 || s.permits.released.Load() != 1 {
+		t.Errorf("%d requests were sent and %d permits released, want 0 and 1", u.requestCount(), s.permits.released.Load())
+	}
+}
+
+// Guards against refusals while engines start: a request that finds none usable must be served by the
+// first that comes up, whatever kept the engines from serving it.
+func TestRequestIsServedByTheFirstEngineThatComesUp(t *testing.T) {
+	for name, block := range map[string]func(s *testProxy) (unblock func()){
+		"engines are down": func(s *testProxy) func() {
+			up := s.pools.replicas
+			s.pools.replicas = nil
+			return func() {
+				s.pools.mu.Lock()
+				defer s.pools.mu.Unlock()
+				s.pools.replicas = up
+			}
+		},
+		"agents don't answer": func(s *testProxy) func() {
+			var mu sync.Mutex
+			kind := magno.KindNoUpstream
+			s.permits.decide = func(context.Context, string) *gate.PermitReply {
+				mu.Lock()
+				defer mu.Unlock()
+				if kind == "" {
+					return nil
+				}
+				return &gate.PermitReply{Refusal: magno.Refuse(kind, "the engine doesn't answer")}
+			}
+			return func() {
+				mu.Lock()
+				defer mu.Unlock()
+				kind = ""
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newArrivalProxy(t, longAim, 1)
+			unblock := block(s)
+			got := make(chan int, 1)
+			go func() {
+				res, _, err := s.get(t, http.MethodPost, "1")
+				if err != nil {
+					t.Error(err)
+					got <- 0
+					return
+				}
+				got <- res.StatusCode
+			}()
+			waitFor(t, "a waiting request", func() bool { return s.waiters() == 1 })
+			unblock()
+			s.pools.wake()
+			if status := <-got; status != http.StatusOK {
+				t.Errorf("got %d", status)
+			}
+			if n := s.waiters(); n != 0 {
+				t.Errorf("%d requests still count as waiting", n)
+			}
+		})
+	}
+}
+
+// Guards against waits without reason, and against waits that never end.
+func TestRequestThatIsRefusedAsBefore(t *testing.T) {
+	busy := func(context.Context, string) *gate.PermitReply {
+		return &gate.PermitReply{Refusal: magno.Refuse(magno.KindBusy, "full").WithRetryAfter(100)}
+	}
+	starting := func(context.Context, string) *gate.PermitReply {
+		return &gate.PermitReply{Refusal: magno.Refuse(magno.KindStarting, "no spec")}
+	}
+	for _, c := range []struct {
+		name   string
+		aim    magno.Millis
+		slots  int
+		decide func(context.Context, string) *gate.PermitReply
+		held   bool
+	}{
+		{"engines are full", longAim, 4, busy, false},
+		{"no engine is listed", longAim, 0, starting, false},
+		{"no latency target", 0, 4, starting, false},
+		{"none comes up", 80, 4, starting, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newArrivalProxy(t, c.aim, 1)
+			s.pools.slots, s.permits.decide = c.slots, c.decide
+			var log logBuffer
+			s.Log = log.logger()
+			res, _, err := s.get(t, http.MethodPost, "1")
+			if err != nil || res.StatusCode != http.StatusServiceUnavailable && res.StatusCode != http.StatusTooManyRequests || res.Header.Get("Retry-After") == "" {
+				t.Fatalf("got %+v, %v", res, err)
+			}
+			waitFor(t, "the log line", func() bool { return strings.Contains(log.String(), "held=") })
+			if held := !strings.Contains(log.String(), "held=0 "); held != c.held {
+				t.Errorf("waited: %t, want %t", held, c.held)
+			}
+		})
+	}
+}
+
+// Guards against waiting requests without a bound: all entries together let as many wait as the engines
+// have request slots, and refuse the others at once.
+func TestWaitingRequestsAreBounded(t *testing.T) {
+	const entries, slots, requests = 2, 8, 20
+	s := newArrivalProxy(t, longAim, 1)
+	s.pools.slots, s.Entries = slots, func() int { return entries }
+	up := s.pools.replicas
+	s.pools.replicas = nil
+	var served, refused sync.WaitGroup
+	statuses := make(chan int, requests)
+	refused.Add(requests - slots/entries)
+	for i := range requests {
+		served.Go(func() {
+			res, _, err := s.get(t, http.MethodPost, fmt.Sprint(i))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			statuses <- res.StatusCode
+			if res.StatusCode != http.StatusOK {
+				refused.Done()
+			}
+		})
+	}
+	refused.Wait()
+	if n := s.waiters(); n != slots/entries {
+		t.Errorf("%d requests wait, want %d", n, slots/entries)
+	}
+	s.pools.mu.Lock()
+	s.pools.replicas = up
+	s.pools.mu.Unlock()
+	s.pools.wake()
+	served.Wait()
+	close(statuses)
+	ok := 0
+	for status := range statuses {
+		if status == http.StatusOK {
+			ok++
+		}
+	}
+	if ok != slots/entries {
+		t.Errorf("%d requests were served, want the %d that waited", ok, slots/entries)
+	}
+}
+
+// Guards against a wait, and a send after it, for a caller that has left.
+func TestWaitEndsWhenTheCallerLeaves(t *testing.T) {
+	for name, prepare := range map[string]func(s *testProxy){
+		"for an upstream": func(s *testProxy) { s.pools.replicas = nil },
+		"for the list": func(s *testProxy) {
+			s.permits.decide = func(context.Context, string) *gate.PermitReply { return refuseFor("u0@9", 9) }
+		},
+		"for the configuration": func(s *testProxy) { s.Book = &view.Store{Clock: s.bookClock} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newArrivalProxy(t, longAim, 1)
+			prepare(s)
+			ctx, leave := context.WithCancel(context.Background())
+			left := make(chan struct{})
+			go func() {
+				defer close(left)
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+"/p/1", strings.NewReader("body"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				req.Host, req.Header = "h.example", http.Header{"Id": {"1"}}
+				if res, err := http.DefaultTransport.RoundTrip(req); err == nil {
+					_ = res.Body.Close()
+				}
+			}()
+			waitFor(t, "a waiting request", func() bool { return s.waiters() == 1 || s.configWaiting.Load() == 1 })
+			leave()
+			<-left
+			waitFor(t, "the end of the wait", func() bool { return s.waiters() == 0 && s.configWaiting.Load() == 0 && s.Active() == 0 })
+		})
+	}
+}
+
+// Guards against refusals by an entry that starts beside others and has its configuration a moment
+// later. One that stays without it must refuse, and so must one where too many wait.
+func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		waiting int64
+		arrives bool
+		status  int
+	}{
+		{"it arrives", 0, true, 200},
+		{"it doesn't", 0, false, 503},
+		{"too many wait", maxConfigWaiting, false, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newArrivalProxy(t, 200, 1)
+			s.Book = &view.Store{Clock: s.bookClock}
+			s.configWaiting.Store(c.waiting)
+			got := make(chan int, 1)
+			go func() {
+				res, _, err := s.get(t, http.MethodPost, "1")
+				if err != nil {
+					t.Error(err)
+					got <- 0
+					return
+				}
+				got <- res.StatusCode
+			}()
+			if c.arrives {
+				waitFor(t, "a waiting request", func() bool { return s.configWaiting.Load() == 1 })
+				s.Book.ApplyRead(s.changes, 1, true)
+			}
+			if status := <-got; status != c.status {
+				t.Fatalf("got %d, want %d", status, c.status)
+			}
+			if n := s.configWaiting.Load(); n != c.waiting {
+				t.Errorf("%d requests count as waiting, want %d", n, c.waiting)
+			}
+		})
+	}
+}
+
+// logBuffer is a log that can be read while it is written.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func (l *logBuffer) logger() *slog.Logger { return slog.New(slog.NewTextHandler(l, nil)) }
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -197,18 +197,31 @@
 	// is.
 	declines func(key string) bool
 
+	// decide returns the decision on a permit, nil to grant it. It may be nil.
+	decide func(ctx context.Context, key string) *gate.PermitReply
+	// holdsNothing makes no engine count as holding anything.
+	holdsNothing bool
+
 	// down makes all engines count as down. engineStart is when they started by their agents.
 	down        atomic.Bool
 	engineStart atomic.Int64
 
+	// released counts the permits that were released.
+	released atomic.Int64
+
 	mu      sync.Mutex
 	notices []gate.NoticeCall
 }
 
-func (p *fakePermits) Acquire(_ context.Context, key string, req gate.Request) (*gate.PermitReply, error) {
+func (p *fakePermits) Acquire(ctx context.Context, key string, req gate.Request) (*gate.PermitReply, error) {
 	if p.declines != nil && req.DeclineAbove > 0 && p.declines(key) {
 		return &gate.PermitReply{Declined: true}, nil
 	}
+	if p.decide != nil {
+		if r := p.decide(ctx, key); r != nil {
+			return r, nil
+		}
+	}
 	if p.agentLost {
 		return nil, desk.ErrAgentLost
 	}
@@ -220,14 +233,14 @@
 	}
 	return &gate.PermitReply{Status: gate.StatusReply{EngineStart: magno.Millis(p.engineStart.Load())}}, nil
 }
-func (p *fakePermits) Release(string, gate.EndCall) {}
+func (p *fakePermits) Release(string, gate.EndCall) { p.released.Add(1) }
 func (p *fakePermits) ReportNotice(key string, call gate.NoticeCall) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	call.Replica = key
 	p.notices = append(p.notices, call)
 }
-func (p *fakePermits) Holds(string, string) bool { return true }
+func (p *fakePermits) Holds(string, string) bool { return !p.holdsNothing }
 func (p *fakePermits) Down(string) bool          { return p.down.Load() }
 func (p *fakePermits) ReportUnreachable(string)  {}
 
