site, desk: the first moment after a loss of power, replayed with real agents

Cause: an agent that was lost a moment ago was polled at the interval of a large fleet, up to a second, and no request is sent to an engine whose agent counts as lost. Change: it is polled at each tick for ten seconds.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -52,6 +52,10 @@
 	// maxMisses is the number of polls that must fail in a row before an agent counts as lost
 	// and permits are no longer waited for.
 	maxMisses = 2
+	// recoveryTime is how long an agent that was lost is polled as often as one that missed a poll:
+	// machines and processes restart within this time, and requests aren't sent to an engine whose
+	// agent counts as lost.
+	recoveryTime = 10 * magno.Second
 	// releaseTimeout bounds the notification that a request ended.
 	releaseTimeout = magno.Second
 	// maxPolledPerTick bounds the agents that one entry polls in each tick. With more agents,
--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -61,10 +61,11 @@
 
 // interval returns the time until the next poll. An agent that missed a poll is polled again
 // without delay: at the usual interval of a large fleet it would take seconds to detect a lost
-// machine, and the callers that wait for it would be held up for as long.
-func (s *agentState) interval(p pollIntervals) magno.Millis {
+// machine, and the callers that wait for it would be held up for as long. The same holds for one
+// that was lost a short time ago, and may be back at any moment.
+func (s *agentState) interval(now magno.Millis, p pollIntervals) magno.Millis {
 	switch {
-	case s.misses > 0 && !s.lost:
+	case s.misses > 0 && (!s.lost || now-s.silentSince < recoveryTime):
 		return min(p.busy, pollInterval)
 	case s.down():
 		return min(p.busy, maxDownInterval)
@@ -78,7 +79,7 @@
 // the agent on behalf of its data centre. The other entries receive the replies from the owner,
 // and poll the agent themselves only if none arrives for longer than usual.
 func (s *agentState) isFresh(now magno.Millis, p pollIntervals, owned bool) bool {
-	interval := s.interval(p) - tickSlack
+	interval := s.interval(now, p) - tickSlack
 	if !owned {
 		return now-s.polledAt < interval+max(forwardSlack, interval/2)
 	}
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -64,16 +64,9 @@
 		}
 		return j.abortedOr(ctx, resultUnsent)
 	}
-	if j.Book.Current().Find(key) == nil {
-		// The list names another incarnation there by now, or none.
+	if res := j.maySend(key); res != resultDone {
 		_ = conn.Close()
-		j.deferRefusal(magno.Refuse(magno.KindNoUpstream, "the upstream is no longer listed").WithRetryAfter(noReplicaRetryAfter))
-		j.tried = append(j.tried, key)
-		return resultUnsent
-	}
-	if !j.spendRetry() {
-		_ = conn.Close()
-		return resultRefused
+		return res
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
 	defer stop()
@@ -99,6 +92,20 @@
 	return j.handleResponse(ctx, r, conn, res)
 }
 
+// maySend is called right before the request is sent. The result is resultDone if it may be.
+func (j *job) maySend(key string) result {
+	if j.Book.Current().Find(key) == nil {
+		// The list names another incarnation there by now, or none.
+		j.deferRefusal(magno.Refuse(magno.KindNoUpstream, "the upstream is no longer listed").WithRetryAfter(noReplicaRetryAfter))
+		j.tried = append(j.tried, key)
+		return resultUnsent
+	}
+	if !j.spendRetry() {
+		return resultRefused
+	}
+	return resultDone
+}
+
 // recordArrival records that the upstream may have received the request, and may run it.
 func (j *job) recordArrival() {
 	j.arrived = true
--- /dev/null
+++ b/entry/site/help_test.go
@@ -0,0 +1,212 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastall.example/agent/keep"
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/wire"
+)
+
+// machine is a machine with an engine, which answers over HTTP, and its agent.
+type machine struct {
+	ip, address string
+	// wrong counts the requests that were meant for another incarnation.
+	wrong int
+
+	mu     sync.Mutex
+	life   int
+	loaded map[string]bool
+	model  bool
+	orders int64
+
+	stopAgent func()
+}
+
+// startMachine starts a machine in its first life. agentPort is the same on all machines.
+func startMachine(t *testing.T, n, agentPort int) *machine {
+	t.Helper()
+	m := &machine{ip: fmt.Sprintf("127.0.0.%d", 10+n), life: 1, loaded: map[string]bool{}}
+	l, err := net.Listen("tcp", m.ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.address = l.Addr().String()
+	server := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	m.startAgent(t, agentPort)
+	t.Cleanup(func() { m.stopAgent() })
+	return m
+}
+
+// startAgent starts the agent, which knows nothing.
+func (m *machine) startAgent(t *testing.T, port int) {
+	t.Helper()
+	clock := magno.NewMonotonic()
+	mesh := &wire.Mesh{Listen: net.JoinHostPort(m.ip, strconv.Itoa(port)), Clock: clock}
+	for end := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
+		err := mesh.Open()
+		if err == nil {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	k := &keep.Controller{Self: "agent", Engine: m, Mesh: mesh, Clock: clock, Log: slog.New(slog.DiscardHandler), Fence: 1}
+	k.Open()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- mesh.Run(ctx) }()
+	go func() { done <- k.Run(ctx) }()
+	m.stopAgent = sync.OnceFunc(func() {
+		cancel()
+		for range 2 {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// restart begins the next life of the engine, with nothing loaded.
+func (m *machine) restart() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.life++
+	m.loaded, m.model, m.orders = map[string]bool{}, false, 0
+}
+
+func (m *machine) id(life int) string { return fmt.Sprintf("%s-%d", m.ip, life) }
+
+// replica is the entry of the present life in the platform's list.
+func (m *machine) replica() *magno.Replica {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &magno.Replica{ID: m.id(m.life), StartedAt: magno.Millis(m.life), Service: "s", Address: m.address, DataCentre: "x", Slots: 16, Since: magno.Revision(m.life)}
+}
+
+// Report implements magno.EngineClient.
+func (m *machine) Report(context.Context) (*magno.Report, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := &magno.Report{StartedAt: magno.Millis(m.life), Orders: m.orders, Loaded: map[string]map[string]int64{}}
+	if m.model {
+		r.Loaded["m"] = map[string]int64{}
+		for name := range m.loaded {
+			r.Loaded["m"][name] = 1
+		}
+	}
+	return r, nil
+}
+
+// Order implements magno.EngineClient.
+func (m *machine) Order(_ context.Context, c magno.Command) (magno.Outcome, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.orders++
+	switch {
+	case c.Adapter == "":
+		m.model = c.Load
+	case c.Load:
+		m.loaded[c.Adapter] = true
+	default:
+		delete(m.loaded, c.Adapter)
+	}
+	return magno.OrderDone, nil
+}
+
+// ServeHTTP streams one event, to a request for the present life only.
+func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	wrong := r.Header.Get("Only") != m.id(m.life)
+	if wrong {
+		m.wrong++
+	}
+	m.mu.Unlock()
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Signed", "1")
+	if wrong {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = w.Write([]byte("id: 1\ndata: x\n\n"))
+}
+
+// plainDialect is a dialect with short header names.
+type plainDialect struct{}
+
+func (plainDialect) Read(h http.Header) magno.Call {
+	return magno.Call{ID: h.Get("Id"), Left: callerTime, Model: "m", Adapter: h.Get("Adapter"), Prompt: 100, Output: 50}
+}
+
+func (plainDialect) Write(h http.Header, o magno.ForwardInfo) { h.Set("Only", o.Replica) }
+
+func (plainDialect) Reply(status int, h http.Header) magno.Reply {
+	return magno.Reply{ID: h.Get("Id"), Signed: h.Get("Signed") != "", Misrouted: status == http.StatusMisdirectedRequest}
+}
+
+// fakeSite is a platform without a list: tests change the books of entries themselves.
+type fakeSite struct{}
+
+func (fakeSite) Settings() (*magno.SiteSettings, error) { return &magno.SiteSettings{}, nil }
+func (fakeSite) Lister(string) magno.Lister             { return nil }
+func (fakeSite) Engine(string) magno.EngineClient       { return nil }
+func (fakeSite) Dialect() magno.Dialect                 { return plainDialect{} }
+func (fakeSite) ReadyPath() string                      { return "/ready" }
+
+// startEntry starts an entry without its tasks that read the list and listen for callers.
+func startEntry(t *testing.T, name, address string, agentPort int, seeds ...string) *entry {
+	t.Helper()
+	e := assemble(fakeSite{}, &magno.SiteSettings{
+		Name: name, DataCentre: name, PeerAddress: address, InternalPort: agentPort, Seeds: seeds, RetryRatio: 1, RetrySlack: 100, RetryWindow: magno.Second,
+	}, slog.New(slog.DiscardHandler))
+	if err := e.mesh.Open(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	tasks := []magno.Task{e.mesh, e.peers, e.desk, e.lease, e.limit, e.resume, &follower{e}}
+	done := make(chan error, len(tasks))
+	for _, task := range tasks {
+		go func() { done <- task.Run(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range tasks {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return e
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("timed out waiting for " + what)
+		}
+	}
+}
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -2,8 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,10 +35,10 @@
 type pool struct {
 	router  *route.Router
 	retries *allow.Budget
-	// targets are those of the router, by name. slots is the number of request slots of those
-	// that don't leave.
-	targets map[string]magno.Target
-	slots   int
+	// targetsHash identifies the targets of the router, slots is the number of request slots of
+	// those that don't leave.
+	targetsHash uint64
+	slots       int
 	// usable is closed, and replaced, when an upstream may have become usable.
 	usable chan struct{}
 }
@@ -72,15 +70,34 @@
 
 // update passes the targets of a service to its router, unless they are unchanged: building a ring
 // is expensive. The caller holds the mutex of pools.
-func (p *pool) update(targets map[string]magno.Target, slots int) {
-	if maps.Equal(p.targets, targets) && p.slots == slots {
+func (p *pool) update(targets []magno.Target, slots int) {
+	// Summed up, since the order is random.
+	hash := uint64(len(targets))
+	for i := range targets {
+		hash += hashTarget(&targets[i])
+	}
+	if p.targetsHash == hash && p.slots == slots {
 		return
 	}
-	p.targets, p.slots = targets, slots
-	p.router.Update(slices.Collect(maps.Values(targets)))
+	p.targetsHash, p.slots = hash, slots
+	p.router.Update(targets)
 	p.wake()
 }
 
+// hashTarget returns a hash of all that a router is told of a target.
+func hashTarget(t *magno.Target) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, text := range []string{t.Name, t.DataCentre, t.Build} {
+		_, _ = d.WriteString(text) // never fails
+		_, _ = d.WriteString("\x00")
+	}
+	if t.Leaving {
+		return ^d.Sum64()
+	}
+	return d.Sum64()
+}
+
 // wake wakes what waits for an upstream. The caller holds the mutex of pools.
 func (p *pool) wake() {
 	close(p.usable)
@@ -88,19 +105,19 @@
 }
 
 // targets returns the replicas of a service, and the request slots of those that don't leave.
-func (p *pools) targets(service string) (targets map[string]magno.Target, slots int) {
-	targets = map[string]magno.Target{}
+func (p *pools) targets(service string) (list []magno.Target, slots int) {
 	for _, r := range p.book.Current().Replicas {
 		if r.Service != service {
 			continue
 		}
-		leaving := r.Leaving || p.notices.Leaving(r.Key())
-		targets[r.Key()] = magno.Target{Name: r.Key(), DataCentre: r.DataCentre, Leaving: leaving, Build: r.Build}
+		key := r.Key()
+		leaving := r.Leaving || p.notices.Leaving(key)
+		list = append(list, magno.Target{Name: key, DataCentre: r.DataCentre, Leaving: leaving, Build: r.Build})
 		if !leaving {
 			slots += r.Slots
 		}
 	}
-	return targets, slots
+	return list, slots
 }
 
 // update passes the current replicas to all routers.
