wire, desk: machines that lost power are found again sooner

Cause: a connection of the mesh to a machine that lost power was reset only at the kernel's next retransmission after its return, up to as much later as the outage lasted; a dial that had begun before the return waited for the retransmission of its first packet. An engine that was down was polled every half second in a large fleet. Change: outgoing connections have TCP_USER_TIMEOUT of 1.5 s, as those to upstreams, and a dial ends after 0.8 s. An agent whose engine went down within the last ten seconds is polled at each tick. Result: go test ./wire and ./desk pass; the effect of the timeout on a real outage was not measured, for packets can't be dropped on loopback without privileges.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -52,9 +52,9 @@
 	// maxMisses is the number of polls that must fail in a row before an agent counts as lost
 	// and permits are no longer waited for.
 	maxMisses = 2
-	// recoveryTime is how long an agent that was lost is polled as often as one that missed a poll:
-	// machines and processes restart within this time, and requests aren't sent to an engine whose
-	// agent counts as lost.
+	// recoveryTime is how long an agent that was lost, or whose engine is down, is polled as often
+	// as one that missed a poll: machines and processes restart within this time, and no request is
+	// sent there until a poll shows it.
 	recoveryTime = 10 * magno.Second
 	// releaseTimeout bounds the notification that a request ended.
 	releaseTimeout = magno.Second
@@ -317,12 +317,15 @@
 	if reply.Down != s.status.Down {
 		c.Log.Info("engine", "replica", s.replica.Key(), "down", reply.Down)
 	}
-	wasUsable := s.usable()
+	wasUsable, wasDown := s.usable(), s.down()
 	s.misses, s.unreachable, s.heardAt, s.status, s.lost = 0, false, c.Clock.Now(), *reply, false
 	key, service := s.replica.Key(), s.replica.Service
 	current, b := reply.Replica == key, reply.Backlog
 	superseded, usable := s.superseded(), s.usable() && !wasUsable
 	b.Down = s.down()
+	if b.Down && !wasDown {
+		s.downSince = s.heardAt
+	}
 	c.mu.Unlock()
 	switch {
 	case superseded:
--- a/entry/desk/incarnation_test.go
+++ b/entry/desk/incarnation_test.go
@@ -157,6 +157,26 @@
 	}
 }
 
+// Guards against an engine of a large fleet that is back for half a second before a request is sent to
+// it: while it may come back soon, its agent must be polled at each tick.
+func TestEngineThatWentDownJustNowIsPolledAtEachTick(t *testing.T) {
+	client, clock := newFleet(120)
+	const key = "7@0"
+	s := client.agents[key]
+	client.recordStatus(s, &gate.StatusReply{Replica: key, Down: true}, 0)
+	for range 5 {
+		if !polledNextTick(client, clock, key) {
+			t.Fatal("the agent isn't polled")
+		}
+	}
+	clock.Advance(recoveryTime)
+	client.recordStatus(s, &gate.StatusReply{Replica: key, Down: true}, 0)
+	s.polledAt = clock.Now()
+	if polledNextTick(client, clock, key) {
+		t.Error("the agent of an engine that is down for long is polled at each tick")
+	}
+}
+
 // Guards against an agent that counts as lost for over a second after it is back: another entry
 // forwards its status, so it must be polled at the next tick.
 func TestLostAgentThatAnswersAnotherEntryIsPolledAtOnce(t *testing.T) {
--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -28,6 +28,8 @@
 	polling      bool
 	polledAt     magno.Millis
 	sentRevision magno.Revision
+	// downSince is when the engine was first reported as down, or as restarted, in a row.
+	downSince magno.Millis
 	// lostCh is closed once the agent counts as lost, and replaced when it answers again.
 	lostCh chan struct{}
 	lost   bool
@@ -67,6 +69,8 @@
 	switch {
 	case s.misses > 0 && (!s.lost || now-s.silentSince < recoveryTime):
 		return min(p.busy, pollInterval)
+	case s.down() && now-s.downSince < recoveryTime:
+		return min(p.busy, pollInterval)
 	case s.down():
 		return min(p.busy, maxDownInterval)
 	case s.calm && !s.lost:
--- a/magno/wire/call.go
+++ b/magno/wire/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -298,10 +297,7 @@
 // dial connects c. It does not use the context of the first caller, since others
 // wait for the same connection.
 func (m *Mesh) dial(c *peerConn) {
-	d := net.Dialer{Timeout: dialTimeout.Duration(), KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: keepAliveCount,
-	}}
-	conn, err := d.DialContext(context.Background(), "tcp", c.addr)
+	conn, err := newDialer().DialContext(context.Background(), "tcp", c.addr)
 	if err != nil {
 		c.err = err
 		m.forget(c)
--- /dev/null
+++ b/magno/wire/dialer.go
@@ -0,0 +1,30 @@
+package wire
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// newDialer returns the dialer of outgoing connections.
+//
+// Load pattern: a machine or a data centre loses power and sends no more packets. Calls to it go on
+// over the open connections, and the kernel sends their data again in growing intervals. Once the
+// machine is back, it resets such a connection only at the next of these, up to as much later as
+// the outage lasted. Until then every call to it times out. With userTimeout the kernel closes the
+// connection instead, and the next call opens another one.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout.Duration(),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				// Without the option the kernel only detects broken paths later.
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout))
+			})
+		},
+	}
+}
--- a/magno/wire/mesh.go
+++ b/magno/wire/mesh.go
@@ -30,22 +30,23 @@
 
 // Limits of a mesh, which bound the resources that a faulty or hostile peer can use.
 const (
-	maxMessageSize     = 4 << 20          // bytes of one message
-	maxConns           = 512              // outgoing connections kept
-	maxIncoming        = 4096             // incoming connections of allowed peers
-	maxDenied          = 32               // incoming connections of others
-	maxConcurrentCalls = 4096             // incoming calls that run at once
-	maxBufferedParts   = 1024             // parts of one stream buffered for the caller
-	dialTimeout        = 2 * magno.Second // connect
-	sendTimeout        = 5 * magno.Second // write of one message
-	outgoingTimeout    = 5 * magno.Second // idle timeout of outgoing connections
-	incomingTimeout    = 5 * magno.Minute // idle timeout of incoming connections
-	deniedTimeout      = 5 * magno.Second // idle timeout of denied connections
-	sweepInterval      = magno.Second     // how often idle connections are closed
-	keepAliveIdle      = 5 * magno.Second // TCP keepalive: idle time before the first probe
-	keepAliveInterval  = 2 * magno.Second // TCP keepalive: time between probes
-	keepAliveCount     = 3                // TCP keepalive: lost probes before the connection fails
-	acceptRetryDelay   = magno.Millis(50) // after a failed accept
+	maxMessageSize     = 4 << 20            // bytes of one message
+	maxConns           = 512                // outgoing connections kept
+	maxIncoming        = 4096               // incoming connections of allowed peers
+	maxDenied          = 32                 // incoming connections of others
+	maxConcurrentCalls = 4096               // incoming calls that run at once
+	maxBufferedParts   = 1024               // parts of one stream buffered for the caller
+	dialTimeout        = magno.Millis(800)  // connect; a lost SYN is sent again only after a second
+	userTimeout        = magno.Millis(1500) // sent data without an acknowledgement
+	sendTimeout        = 5 * magno.Second   // write of one message
+	outgoingTimeout    = 5 * magno.Second   // idle timeout of outgoing connections
+	incomingTimeout    = 5 * magno.Minute   // idle timeout of incoming connections
+	deniedTimeout      = 5 * magno.Second   // idle timeout of denied connections
+	sweepInterval      = magno.Second       // how often idle connections are closed
+	keepAliveIdle      = 5 * magno.Second   // TCP keepalive: idle time before the first probe
+	keepAliveInterval  = 2 * magno.Second   // TCP keepalive: time between probes
+	keepAliveCount     = 3                  // TCP keepalive: lost probes before the connection fails
+	acceptRetryDelay   = magno.Millis(50)   // after a failed accept
 )
 
 // Handler handles one method. Its result is encoded as JSON. A *magno.Refusal is
