relay, site: requests wait for machines that come back one after the other

Cause: a request whose engines refused connections was refused after three of them, although the next machine was about to come back. Change: it waits like one that finds no engine, as long as it has reached none.

--- a/entry/relay/arrive.go
+++ b/entry/relay/arrive.go
@@ -66,11 +66,13 @@
 
 // enterWaiting counts the request among those that wait. All entries together let as many wait as
 // the listed engines have request slots: more would only be refused by agents when they come back.
-// Engines that were tried don't count, since the request isn't sent to them again.
+// Engines that the request may have reached don't count, since it isn't sent to them again.
 func (j *job) enterWaiting() bool {
 	slots, _ := j.Pools.Listed(j.service.Name)
-	for _, r := range j.findReplicas(j.tried) {
-		slots -= r.Slots
+	if j.arrived {
+		for _, r := range j.findReplicas(j.tried) {
+			slots -= r.Slots
+		}
 	}
 	if slots <= 0 {
 		return false
@@ -102,6 +104,18 @@
 	}
 }
 
+// findsNone reports whether an attempt ended because no engine can be used at present: none was chosen,
+// no agent decided on the request, or as many engines as are tried refuse connections.
+func (j *job) findsNone(res result) bool {
+	switch res {
+	case resultRefused:
+		return !j.answered
+	case resultUnsent:
+		return !j.arrived && len(j.tried) >= maxReplicasTried
+	}
+	return false
+}
+
 // waitForList waits for the entry's list to reach the revision that names a later incarnation, which
 // the permit client has fetched. It returns false if the request is to go on without it. With other
 // replicas left to ask, it waits no longer than for an upstream.
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -235,9 +235,12 @@
 	for {
 		_, usable := j.Pools.Listed(j.service.Name)
 		res := j.attemptEngine(ctx)
-		if res != resultRefused || j.answered || !j.waitForUpstream(ctx, usable) {
+		if !j.findsNone(res) || !j.waitForUpstream(ctx, usable) {
 			return res
 		}
+		if !j.arrived {
+			j.tried = nil // they refused connections, and may be back
+		}
 	}
 }
 
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -79,6 +79,7 @@
 	sent := j.Clock.Now()
 	j.permitID = id
 	res = j.send(ctx, r, j.rank())
+	j.answered = j.answered || res == resultRefused // by this entry
 	router.Ended(key, work, j.Clock.Now()-sent, res != resultUnsent && res != resultFailed)
 	j.Permits.Release(key, gate.EndCall{ID: id, OK: res == resultDone, MaxPause: j.longestPause})
 	return res, true
@@ -126,8 +127,8 @@
 		j.deferRefusal(magno.Refuse(magno.KindNoUpstream, "another incarnation is there: %q", reply.Status.Replica).WithRetryAfter(busyRetryAfter))
 		return "", resultRefused
 	}
-	j.answered = true
 	if err == nil {
+		j.answered = true
 		j.engineStart = reply.Status.EngineStart
 		j.permitLimited = reply.Status.Limit != nil && reply.Status.Limit.Limited
 	}
--- a/entry/site/arrival_test.go
+++ b/entry/site/arrival_test.go
@@ -28,6 +28,8 @@
 	machines = 6
 	rounds   = 4
 	requests = 40
+	// liftInterval is the time from the return of one machine to that of the next.
+	liftInterval = 60 * time.Millisecond
 )
 
 // site is a pool of machines with two entries, of which one hears of each change of the list first.
@@ -124,18 +126,33 @@
 	return err == nil && reply.Replica == m.replica().Key()
 }
 
+// lift brings a machine back that lost power, and has the entry that is ahead hear of it.
+func (s *site) lift(t *testing.T, m *machine) {
+	t.Helper()
+	before := m.replica()
+	m.restart()
+	m.startEngine(t)
+	m.startAgent(t, s.agentPort)
+	s.revision++
+	after := m.replica()
+	after.Since = s.revision
+	s.ahead.book.ApplyRead([]magno.Change{
+		{Key: before.ID, Revision: s.revision, Deleted: true}, {Key: after.ID, Revision: s.revision, Replica: after},
+	}, s.revision, false)
+}
+
 // outcome is the result of the requests of all rounds.
 type outcome struct {
+	mu     sync.Mutex
 	served int
 	took   []time.Duration
 }
 
-// load sends requests to the entry that is behind, all at the same time.
-func (s *site) load(t *testing.T, server *httptest.Server, round int, o *outcome) {
+// load sends n requests to the entry that is behind, all at the same time.
+func (s *site) load(t *testing.T, server *httptest.Server, round, n int, o *outcome) {
 	t.Helper()
-	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for i := range requests {
+	for i := range n {
 		wg.Go(func() {
 			begin := time.Now()
 			req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, server.URL+"/p/1", nil)
@@ -150,8 +167,8 @@
 				return
 			}
 			_ = res.Body.Close()
-			mu.Lock()
-			defer mu.Unlock()
+			o.mu.Lock()
+			defer o.mu.Unlock()
 			if res.StatusCode == http.StatusOK {
 				o.served++
 				o.took = append(o.took, time.Since(begin))
@@ -180,22 +197,27 @@
 	return 0, usable
 }
 
-// replay runs all rounds and returns the outcome. Without the waits and the fetches, entries behave as
-// those before this code.
-func replay(t *testing.T, with, agents bool, restarted int) outcome {
+// disableWaits makes the entry that is behind neither wait nor fetch, as entries before this code.
+func (s *site) disableWaits() {
+	h := s.behind.front.relay
+	s.behind.desk.FetchRevision = nil
+	h.Permits, h.Pools = oldPermits{h.Permits}, oldPools{h.Pools}
+}
+
+// replay runs all rounds and returns the outcome.
+func replay(t *testing.T, with, agents bool, restarted int) *outcome {
 	t.Helper()
 	s := startSite(t)
 	handler := s.behind.front.relay
 	if !with {
-		s.behind.desk.FetchRevision = nil
-		handler.Permits, handler.Pools = oldPermits{handler.Permits}, oldPools{handler.Pools}
+		s.disableWaits()
 	}
 	server := httptest.NewServer(handler)
 	defer server.Close()
-	var o outcome
+	o := &outcome{}
 	for round := range rounds {
 		s.restart(t, s.machines[:restarted], agents)
-		s.load(t, server, round, &o)
+		s.load(t, server, round, requests, o)
 		s.settle(t)
 	}
 	for _, m := range s.machines {
@@ -208,6 +230,49 @@
 	return o
 }
 
+// replayOutage runs one outage in which all machines lose power and come back one after the other, with
+// requests all the time.
+func replayOutage(t *testing.T, with bool) (o *outcome, sent int) {
+	t.Helper()
+	s := startSite(t)
+	handler := s.behind.front.relay
+	if !with {
+		s.disableWaits()
+	}
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	o = &outcome{}
+	for round := range 2 {
+		s.load(t, server, round, requests, o) // engines hold adapters now
+	}
+	o = &outcome{}
+	for _, m := range s.machines {
+		m.stopAgent()
+		m.stopEngine()
+	}
+	var loads sync.WaitGroup
+	for i, m := range s.machines {
+		loads.Go(func() { s.load(t, server, 10+i, requests/machines, o) }) // fewer in total than may wait
+		sent += requests / machines
+		time.Sleep(liftInterval)
+		s.lift(t, m)
+	}
+	loads.Wait()
+	s.settle(t)
+	return o, sent
+}
+
+// Replays the return of machines one after the other after a loss of power. Guards against refusals of
+// requests that the next engine could serve.
+func TestMachinesThatComeBackOneAfterTheOther(t *testing.T) {
+	with, sent := replayOutage(t, true)
+	without, _ := replayOutage(t, false)
+	t.Logf("%d of %d served, and %d without", with.served, sent, without.served)
+	if with.served != sent || without.served >= with.served {
+		t.Errorf("%d of %d served, and %d without", with.served, sent, without.served)
+	}
+}
+
 // Replays the first moment after a loss of power: engines are back as new incarnations, and the entry
 // that requests come to hasn't heard of them yet. Guards against refusals that a fetch of the list, or a
 // short wait, makes needless, and against sends to an incarnation that the entry's list doesn't name.
@@ -227,7 +292,7 @@
 			with := replay(t, true, c.agents, c.restarted)
 			fetched := fetches.Get() - before
 			without := replay(t, false, c.agents, c.restarted)
-			for name, o := range map[string]outcome{"with": with, "without": without} {
+			for name, o := range map[string]*outcome{"with": with, "without": without} {
 				slices.Sort(o.took)
 				slowest := time.Duration(0)
 				if len(o.took) > 0 {
--- a/entry/site/help_test.go
+++ b/entry/site/help_test.go
@@ -28,24 +28,35 @@
 	model  bool
 	orders int64
 
-	stopAgent func()
+	stopEngine, stopAgent func()
 }
 
 // startMachine starts a machine in its first life. agentPort is the same on all machines.
 func startMachine(t *testing.T, n, agentPort int) *machine {
 	t.Helper()
 	m := &machine{ip: fmt.Sprintf("127.0.0.%d", 10+n), life: 1, loaded: map[string]bool{}}
-	l, err := net.Listen("tcp", m.ip+":0")
+	m.address = freeAddress(t, m.ip)
+	m.startEngine(t)
+	t.Cleanup(func() { m.stopEngine() })
+	m.startAgent(t, agentPort)
+	t.Cleanup(func() { m.stopAgent() })
+	return m
+}
+
+// startEngine makes the engine accept connections.
+func (m *machine) startEngine(t *testing.T) {
+	t.Helper()
+	l, err := net.Listen("tcp", m.address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.address = l.Addr().String()
 	server := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = server.Close() })
-	m.startAgent(t, agentPort)
-	t.Cleanup(func() { m.stopAgent() })
-	return m
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l) }()
+	m.stopEngine = sync.OnceFunc(func() {
+		_ = server.Close()
+		<-done
+	})
 }
 
 // startAgent starts the agent, which knows nothing.
