reads: new incarnations are read sooner after each other

Cause: a reader of the list pauses for 500 ms after an answer with changes. After a loss of power the engines register one after the other, and entries learned of all but the first up to 500 ms late. Change: after an answer that names a new incarnation the pause is 100 ms, at most ten times in ten seconds, for the platform charges each call.

--- a/entry/reads/reads.go
+++ b/entry/reads/reads.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,13 @@
 	// watchPause is the pause between two watches. While upstreams load adapters the list
 	// changes several times a second, and one answer then holds all changes of the pause.
 	watchPause = 500 * magno.Millis(1)
+	// restartPause is that pause after an answer that names new incarnations, up to maxRestartPauses
+	// times in each restartWindow. After a loss of power all engines register within a second or
+	// two, one after the other, and requests are refused until entries know them. The bound is for
+	// fleets that replace upstreams all the time, since the platform charges each call.
+	restartPause     = 100 * magno.Millis(1)
+	maxRestartPauses = 10
+	restartWindow    = 10 * magno.Second
 	// minBackoff is the pause after a failed call; it doubles up to maxBackoff. The
 	// platform counts refused calls as well, and an outage lasts for seconds.
 	minBackoff      = 100 * magno.Millis(1)
@@ -74,6 +82,10 @@
 	gapAfter magno.Revision
 	gaps     int
 
+	// restartPauses counts the short pauses since restartsAt.
+	restartPauses int
+	restartsAt    magno.Millis
+
 	callCount     *metrics.Counter
 	failureCount  *metrics.Counter
 	listingCount  *metrics.Counter
@@ -150,6 +162,7 @@
 		return r.recordGap(magno.ErrRestored, since) // it may be older than the restore
 	}
 	r.readAll, r.readFresh = false, false
+	restarts := namesIncarnation(r.Book.Current(), changes)
 	var update view.Update
 	if readFresh {
 		update = r.Book.ApplyConsistent(changes, revision)
@@ -172,9 +185,31 @@
 	if len(changes) == 0 || readAll {
 		return 0
 	}
+	if restarts && r.takeRestartPause() {
+		return restartPause
+	}
 	return watchPause
 }
 
+// namesIncarnation reports whether changes name an upstream, or an incarnation of one, that isn't known.
+func namesIncarnation(known *view.Snapshot, changes []magno.Change) bool {
+	return slices.ContainsFunc(changes, func(c magno.Change) bool {
+		return c.Replica != nil && !c.Replica.Leaving && known.Find(c.Replica.Key()) == nil
+	})
+}
+
+// takeRestartPause returns false if no more short pauses are left in the present window.
+func (r *Reader) takeRestartPause() bool {
+	if now := r.Book.Clock.Now(); r.restartPauses == 0 || now-r.restartsAt >= restartWindow {
+		r.restartPauses, r.restartsAt = 0, now
+	}
+	if r.restartPauses == maxRestartPauses {
+		return false
+	}
+	r.restartPauses++
+	return true
+}
+
 // watchLength returns the length of the next watch.
 func (r *Reader) watchLength() magno.Millis {
 	if r.Book.Staleness() > shortWatchAfter {
--- a/entry/site/arrival_test.go
+++ b/entry/site/arrival_test.go
@@ -54,16 +54,10 @@
 		s.machines = append(s.machines, startMachine(t, n, s.agentPort))
 	}
 	first, second := freeAddress(t, "127.0.0.2"), freeAddress(t, "127.0.0.3")
-	s.ahead = startEntry(t, "ahead", first, s.agentPort, first, second)
-	s.behind = startEntry(t, "behind", second, s.agentPort, first, second)
-	plan := &magno.Plan{Version: 1, Routes: []magno.Route{{
-		Name: "r", Host: "h.example", Prefix: "/p/", Kind: magno.RouteStream, Parts: []magno.Part{{Service: "s", Weight: 1}},
-		Attempts: 2, Timeout: callerTime, Aim: callerAim, Gap: magno.Second,
-	}}, Services: []magno.Service{{Name: "s", Engine: &magno.Engine{
-		Models: []magno.Model{{Name: "m", Size: 10, Adapter: 1}}, Slots: 8, Memory: 1000, Tokens: 100000, Batch: 16,
-	}}}}
+	s.ahead = startEntry(t, nil, "ahead", first, s.agentPort, first, second)
+	s.behind = startEntry(t, nil, "behind", second, s.agentPort, first, second)
 	s.revision = 1
-	changes := []magno.Change{{Key: "plan", Revision: 1, Plan: plan}}
+	changes := []magno.Change{{Key: "plan", Revision: 1, Plan: testPlan()}}
 	for _, m := range s.machines {
 		r := m.replica()
 		changes = append(changes, magno.Change{Key: r.ID, Revision: 1, Replica: r})
--- a/entry/site/help_test.go
+++ b/entry/site/help_test.go
@@ -34,7 +34,7 @@
 // startMachine starts a machine in its first life. agentPort is the same on all machines.
 func startMachine(t *testing.T, n, agentPort int) *machine {
 	t.Helper()
-	m := &machine{ip: fmt.Sprintf("127.0.0.%d", 10+n), life: 1, loaded: map[string]bool{}}
+	m := &machine{ip: machineIP(n), life: 1, loaded: map[string]bool{}}
 	m.address = freeAddress(t, m.ip)
 	m.startEngine(t)
 	t.Cleanup(func() { m.stopEngine() })
@@ -97,13 +97,17 @@
 	m.loaded, m.model, m.orders = map[string]bool{}, false, 0
 }
 
-func (m *machine) id(life int) string { return fmt.Sprintf("%s-%d", m.ip, life) }
+// machineIP is the address of the nth machine.
+func machineIP(n int) string { return fmt.Sprintf("127.0.0.%d", 10+n) }
+
+// machineID is the ID of an incarnation of the engine of a machine.
+func machineID(ip string, life int) string { return fmt.Sprintf("%s-%d", ip, life) }
 
 // replica is the entry of the present life in the platform's list.
 func (m *machine) replica() *magno.Replica {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return &magno.Replica{ID: m.id(m.life), StartedAt: magno.Millis(m.life), Service: "s", Address: m.address, DataCentre: "x", Slots: 16, Since: magno.Revision(m.life)}
+	return &magno.Replica{ID: machineID(m.ip, m.life), StartedAt: magno.Millis(m.life), Service: "s", Address: m.address, DataCentre: "x", Slots: 16, Since: magno.Revision(m.life)}
 }
 
 // Report implements magno.EngineClient.
@@ -139,7 +143,7 @@
 // ServeHTTP streams one event, to a request for the present life only.
 func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
-	wrong := r.Header.Get("Only") != m.id(m.life)
+	wrong := r.Header.Get("Only") != machineID(m.ip, m.life)
 	if wrong {
 		m.wrong++
 	}
@@ -167,19 +171,30 @@
 	return magno.Reply{ID: h.Get("Id"), Signed: h.Get("Signed") != "", Misrouted: status == http.StatusMisdirectedRequest}
 }
 
-// fakeSite is a platform without a list: tests change the books of entries themselves.
-type fakeSite struct{}
+// fakeSite is a platform. Without a list, tests change the books of entries themselves.
+type fakeSite struct{ list magno.Lister }
 
 func (fakeSite) Settings() (*magno.SiteSettings, error) { return &magno.SiteSettings{}, nil }
-func (fakeSite) Lister(string) magno.Lister             { return nil }
+func (s fakeSite) Lister(string) magno.Lister           { return s.list }
 func (fakeSite) Engine(string) magno.EngineClient       { return nil }
 func (fakeSite) Dialect() magno.Dialect                 { return plainDialect{} }
 func (fakeSite) ReadyPath() string                      { return "/ready" }
 
-// startEntry starts an entry without its tasks that read the list and listen for callers.
-func startEntry(t *testing.T, name, address string, agentPort int, seeds ...string) *entry {
+// testPlan is a configuration with one route to one pool.
+func testPlan() *magno.Plan {
+	return &magno.Plan{Version: 1, Routes: []magno.Route{{
+		Name: "r", Host: "h.example", Prefix: "/p/", Kind: magno.RouteStream, Parts: []magno.Part{{Service: "s", Weight: 1}},
+		Attempts: 2, Timeout: callerTime, Aim: callerAim, Gap: magno.Second,
+	}}, Services: []magno.Service{{Name: "s", Engine: &magno.Engine{
+		Models: []magno.Model{{Name: "m", Size: 10, Adapter: 1}}, Slots: 8, Memory: 1000, Tokens: 100000, Batch: 16,
+	}}}}
+}
+
+// startEntry starts an entry without the task that listens for callers, and without the one that reads
+// the list if that is nil.
+func startEntry(t *testing.T, list magno.Lister, name, address string, agentPort int, seeds ...string) *entry {
 	t.Helper()
-	e := assemble(fakeSite{}, &magno.SiteSettings{
+	e := assemble(fakeSite{list}, &magno.SiteSettings{
 		Name: name, DataCentre: name, PeerAddress: address, InternalPort: agentPort, Seeds: seeds, RetryRatio: 1, RetrySlack: 100, RetryWindow: magno.Second,
 	}, slog.New(slog.DiscardHandler))
 	if err := e.mesh.Open(); err != nil {
@@ -187,6 +202,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	tasks := []magno.Task{e.mesh, e.peers, e.desk, e.lease, e.limit, e.resume, &follower{e}}
+	if list != nil {
+		tasks = append(tasks, e.reader)
+	}
 	done := make(chan error, len(tasks))
 	for _, task := range tasks {
 		go func() { done <- task.Run(ctx) }()
