hop, relay: nothing is sent without a permit to an engine that ended

Cause: while an agent is lost, requests for what its engine held are sent without a permit. Change: an upstream that closed a connection which it had promised to keep, or refused a request as meant for another incarnation, counts as ended until it serves again; such requests then wait as for an engine. The engines of the test close their connections when they restart.

--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -13,6 +13,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -56,8 +57,10 @@
 type Pool struct {
 	Clock *magno.Clock
 
-	mu    sync.Mutex
-	idle  map[string][]*Conn
+	mu   sync.Mutex
+	idle map[string][]*Conn
+	// ended holds the keys of upstreams that have most likely ended, see Ended.
+	ended map[string]bool
 	dials *metrics.Counter
 }
 
@@ -80,11 +83,45 @@
 			c.Reused = true
 			return c, nil
 		}
-		_ = c.Close()
+		p.discard(c)
 	}
 	return p.dial(ctx, key, addr)
 }
 
+// discard closes an idle connection that can't be used any more.
+func (p *Pool) discard(c *Conn) {
+	if p.Clock.Now() < c.expires {
+		p.SetEnded(c.key)
+	}
+	_ = c.Close()
+}
+
+// Ended reports whether an upstream has most likely ended: it closed a connection that it had
+// promised to keep, or SetEnded was called, and there is no sign of it since. A new connection to
+// its address may reach its successor.
+func (p *Pool) Ended(key string) bool {
+	for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
+		if p.Clock.Now() < c.expires && reusable(c.Conn) {
+			p.keep(c)
+			return false
+		}
+		p.discard(c)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended[key]
+}
+
+// SetEnded records that an upstream has ended.
+func (p *Pool) SetEnded(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended == nil {
+		p.ended = map[string]bool{}
+	}
+	p.ended[key] = true
+}
+
 func (p *Pool) dial(ctx context.Context, key, addr string) (*Conn, error) {
 	p.dialCounter().Inc()
 	d := net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
@@ -164,6 +201,9 @@
 		return
 	}
 	c.expires = p.Clock.Now() + idleTimeFor(res.Header.Get("Keep-Alive"))
+	p.mu.Lock()
+	delete(p.ended, c.key)
+	p.mu.Unlock()
 	p.keep(c)
 }
 
@@ -200,6 +240,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
+	maps.DeleteFunc(p.ended, func(key string, _ bool) bool { return !keep(key) })
 	for key, list := range p.idle {
 		open := list[:0]
 		for _, c := range list {
--- a/entry/relay/arrive_test.go
+++ b/entry/relay/arrive_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -367,3 +368,23 @@
 		t.Errorf("got %d, %v for one that restarted", res, j.refusal)
 	}
 }
+
+// Guards against a request that reaches an incarnation which its entry's list doesn't name, while the
+// agent is lost: without a permit only the engine itself can tell. Once it has refused a request as meant
+// for another incarnation, or has closed its connections, nothing more may be sent without a permit.
+func TestNothingIsSentWithoutAPermitToAnEngineThatEnded(t *testing.T) {
+	u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		writeResponse(c, r.Header.Get("Id"), http.StatusMisdirectedRequest, "")
+		return true
+	})
+	s := newTestProxy(t, magno.RouteStream, false, u)
+	s.permits.agentLost = true
+	for i := range 5 {
+		if _, _, err := s.get(t, http.MethodPost, fmt.Sprint(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := u.requestCount(); n != 1 {
+		t.Errorf("%d requests reached another incarnation, want one", n)
+	}
+}
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -105,8 +105,9 @@
 		}
 		return "", resultAborted
 	case err != nil:
-		// The agent is lost. Requests for what the engine held are sent without a permit.
-		if !j.Permits.Holds(key, gate.QualifiedName(j.call.Model, j.call.Adapter)) {
+		// The agent is lost. Requests for what the engine held are sent without a permit, unless the
+		// engine seems to have ended as well: its successor would get them.
+		if !j.Permits.Holds(key, gate.QualifiedName(j.call.Model, j.call.Adapter)) || j.Conns.Ended(key) {
 			return "", resultRefused
 		}
 		if !j.takeLimit(ctx, key, agentlessShare) {
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -200,7 +200,12 @@
 		_ = conn.Close()
 		return j.connectionFailed(ctx, r, err)
 	}
-	j.Conns.Put(conn, res)
+	if reply.Misrouted { // another incarnation is there
+		_ = conn.Close()
+		j.Conns.SetEnded(r.Key())
+	} else {
+		j.Conns.Put(conn, res)
+	}
 	switch {
 	case reply.NotRun:
 		j.retractRun()
--- a/entry/site/arrival_test.go
+++ b/entry/site/arrival_test.go
@@ -93,7 +93,7 @@
 		if agents {
 			m.stopAgent()
 		}
-		m.restart()
+		m.restart(t)
 		after := m.replica()
 		after.Since = s.revision
 		changes = append(changes, magno.Change{Key: before.ID, Revision: s.revision, Deleted: true}, magno.Change{Key: after.ID, Revision: s.revision, Replica: after})
@@ -124,8 +124,7 @@
 func (s *site) lift(t *testing.T, m *machine) {
 	t.Helper()
 	before := m.replica()
-	m.restart()
-	m.startEngine(t)
+	m.restart(t)
 	m.startAgent(t, s.agentPort)
 	s.revision++
 	after := m.replica()
--- a/entry/site/help_test.go
+++ b/entry/site/help_test.go
@@ -89,12 +89,15 @@
 	})
 }
 
-// restart begins the next life of the engine, with nothing loaded.
-func (m *machine) restart() {
+// restart begins the next life of the engine, with nothing loaded. Its connections are closed.
+func (m *machine) restart(t *testing.T) {
+	t.Helper()
+	m.stopEngine()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.life++
 	m.loaded, m.model, m.orders = map[string]bool{}, false, 0
+	m.mu.Unlock()
+	m.startEngine(t)
 }
 
 // machineIP is the address of the nth machine.
@@ -168,7 +171,7 @@
 func (plainDialect) Write(h http.Header, o magno.ForwardInfo) { h.Set("Only", o.Replica) }
 
 func (plainDialect) Reply(status int, h http.Header) magno.Reply {
-	return magno.Reply{ID: h.Get("Id"), Signed: h.Get("Signed") != "", Misrouted: status == http.StatusMisdirectedRequest}
+	return magno.Reply{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: status == http.StatusMisdirectedRequest, Misrouted: status == http.StatusMisdirectedRequest}
 }
 
 // fakeSite is a platform. Without a list, tests change the books of entries themselves.
--- a/entry/site/start_test.go
+++ b/entry/site/start_test.go
@@ -126,7 +126,7 @@
 		send()
 		time.Sleep(liftInterval)
 		m := startMachine(t, n, agentPort)
-		m.restart()
+		m.restart(t)
 		list.add(magno.Change{Key: machineID(m.ip, 1), Deleted: true})
 		list.add(magno.Change{Key: m.replica().ID, Replica: m.replica()})
 	}
