--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -52,6 +52,10 @@
 	// maxMisses is the number of polls that must fail in a row before an agent counts as lost
 	// and permits are no longer waited for.
 	maxMisses = 2
+	// recoveryTime is how long an agent that was lost, or whose engine is down, is polled as often
+	// as one that missed a poll: machines and processes restart within this time, and no request is
+	// sent there until a poll shows it.
+	recoveryTime = 10 * magno.Second
 	// releaseTimeout bounds the notification that a request ended.
 	releaseTimeout = magno.Second
 	// maxPolledPerTick bounds the agents that one entry polls in each tick. With more agents,
@@ -91,6 +95,12 @@
 	Notices *notice.Board
 	// OnBacklog is called with each reported backlog and the key of the incarnation.
 	OnBacklog func(service, key string, b magno.Backlog)
+	// OnUsable is called, after OnBacklog, when an engine becomes usable: its agent answers for
+	// the first time or again, or it is no longer down. It may be nil.
+	OnUsable func(service string)
+	// FetchRevision is called with the revision at which the list named a later incarnation than
+	// this entry knows. It may be nil and must not block.
+	FetchRevision func(revision magno.Revision)
 
 	// forwardQueue holds the replies of agents to be forwarded to the other entries.
 	forwardQueue chan gate.StatusReply
@@ -172,6 +182,7 @@
 		return
 	}
 	c.snap = snap
+	weights := customerWeights(snap.Plan.Customers)
 	old := c.agents
 	c.agents = make(map[string]*agentState, len(old))
 	for _, r := range snap.Replicas {
@@ -188,7 +199,7 @@
 			}
 		}
 		s.replica = r
-		spec := &gate.Spec{Replica: r.Key(), ID: r.ID, Engine: *service.Engine, Pins: snap.Pins, Leaving: r.Leaving}
+		spec := &gate.Spec{Replica: r.Key(), ID: r.ID, Engine: *service.Engine, Pins: snap.Pins, Leaving: r.Leaving, Weights: weights}
 		if s.spec == nil || !reflect.DeepEqual(s.spec, spec) {
 			s.spec, s.specRevision = spec, snap.Revision
 		}
@@ -308,25 +319,46 @@
 	c.mu.Lock()
 	reply.Restore(listsHash, &s.status)
 	if s.lost {
-		s.lost, s.lostCh = false, make(chan struct{})
+		s.lostCh = make(chan struct{})
 		c.Log.Info("agent back", "replica", s.replica.Key(), "addr", s.addr)
 	}
 	s.calm = isCalm(&s.status, reply)
 	if reply.Down != s.status.Down {
 		c.Log.Info("engine", "replica", s.replica.Key(), "down", reply.Down)
 	}
-	s.misses, s.unreachable, s.heardAt, s.status = 0, false, c.Clock.Now(), *reply
+	wasUsable, wasDown := s.usable(), s.down()
+	s.misses, s.unreachable, s.heardAt, s.status, s.lost = 0, false, c.Clock.Now(), *reply, false
 	key, service := s.replica.Key(), s.replica.Service
 	current, b := reply.Replica == key, reply.Backlog
+	superseded, usable := s.superseded(), s.usable() && !wasUsable
 	b.Down = s.down()
+	if b.Down && !wasDown {
+		s.downSince = s.heardAt
+	}
 	c.mu.Unlock()
-	if !current {
+	switch {
+	case superseded:
+		// Without this, requests would go on to be refused there until the list changes here.
+		b = magno.Backlog{Down: true}
+		c.fetchRevision(reply.Revision)
+	case !current:
 		return
+	default:
+		c.adoptNotices(key, reply, s.addr)
 	}
-	c.adoptNotices(key, reply, s.addr)
 	if c.OnBacklog != nil {
 		c.OnBacklog(service, key, b)
 	}
+	if usable && c.OnUsable != nil {
+		c.OnUsable(service)
+	}
+}
+
+// fetchRevision has the changes of the list up to a revision fetched, unless they are known.
+func (c *Client) fetchRevision(revision magno.Revision) {
+	if c.FetchRevision != nil && revision > c.Book.Current().Revision {
+		c.FetchRevision(revision)
+	}
 }
 
 // ReportUnreachable records that a connection to an engine failed. If its agent is lost as
--- a/entry/desk/desk_test.go
+++ b/entry/desk/desk_test.go
@@ -32,6 +32,8 @@
 	releases   []gate.EndCall
 	// roundTrip is that of the last permit call.
 	roundTrip magno.Millis
+	// strict refuses permits for another replica than the agent has a spec for.
+	strict bool
 	// replicaAtPermit is the replica that the agent knew at the last permit call.
 	replicaAtPermit string
 }
@@ -65,7 +67,11 @@
 		hold, status, cut := a.holdPermits, a.status, a.cutPermits
 		a.roundTrip = call.RoundTrip
 		a.replicaAtPermit = status.Replica
+		refuse := a.strict && status.Replica != call.Replica
 		a.mu.Unlock()
+		if refuse {
+			return gate.PermitReply{Status: status, Refusal: magno.Refuse(magno.KindNoUpstream, "another incarnation is here")}, nil
+		}
 		if hold {
 			<-ctx.Done()
 		}
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -11,11 +11,12 @@
 func (g *Gate) expectedWait(req *Request, now magno.Millis) magno.Millis {
 	s := g.newSchedule(now)
 	w := g.newQueued(req, now)
+	overtaken := g.overtaken(req)
 	w.late = s.firstEvent(w, s.earliestStart(w)) > w.startBy
-	ahead := g.positionOf(w)
+	ahead := g.positionOf(w, overtaken)
 	if !w.late && !s.onTimeBehind(w, ahead) {
 		w.late = true
-		ahead = g.positionOf(w)
+		ahead = g.positionOf(w, overtaken)
 	}
 	_, wait := s.wait(ahead)
 	if g.inventory.ready(req) {
@@ -41,11 +42,12 @@
 	return max(g.pacer.expectedWait(queued, now), g.capacityWait(), g.limiter.Delay(len(g.queue)+1, now))
 }
 
-// positionOf returns what precedes a request that is queued now.
-func (g *Gate) positionOf(w *queuedRequest) position {
+// positionOf returns what precedes a request that is queued now, except for requests of its class
+// that it would overtake by fair shares.
+func (g *Gate) positionOf(w *queuedRequest, overtaken func(*queuedRequest) bool) position {
 	var ahead position
 	for _, other := range g.queue {
-		if compareQueued(other, w) <= 0 {
+		if compareQueued(other, w) <= 0 && !(sameClass(other, w) && overtaken(other)) {
 			ahead.addAny(other)
 		}
 	}
