entry: requests to a plain service that many entries share wait in a queue

Cause: sendToPlain chose a replica and sent at once. Change: entry/queues owns a queue.Queue for each plain service with at most as many request slots as live entries; relay sends when a turn comes, and checks the upstream then. Hellos carry the demand.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -101,8 +101,10 @@
 	Suspects   *crash.Suspects
 	// Leaving reports whether this entry is shutting down. May be nil, for never.
 	Leaving func() bool
-	Clock   *magno.Clock
-	Log     *slog.Logger
+	// Demand returns this entry's own Hello.Demand. May be nil.
+	Demand func() map[string]float64
+	Clock  *magno.Clock
+	Log    *slog.Logger
 
 	// startedAt is the start time of this process.
 	startedAt magno.Millis
@@ -290,6 +292,9 @@
 		Name: p.Self, Addr: p.Addr, LinkMbps: p.LinkMbps, DataCentre: p.DataCentre, Digest: p.Book.Digest(), Age: p.Book.Age(),
 		EndReport: newEndReport(p.recentEnds()), EndDigest: p.Suspects.Digest(),
 	}
+	if p.Demand != nil {
+		h.Demand = p.Demand()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h.ListReachable, h.Leaving = p.listReachable, p.leaving()
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"magnoliastall.example/entry/queues"
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
 	"magnoliastall.example/magno/origin"
@@ -86,6 +87,10 @@
 	permitLimited bool
 	// grant is that of the last send to an upstream that names a limit and has no agent.
 	grant magno.LimitGrant
+	// turn is that of the last send to a service that is queued, taken at turnAt. It is nil once the
+	// upstream answered.
+	turn   *queues.Turn
+	turnAt magno.Millis
 	// lastReplica is the replica of the last send. permitWait is the total wait for permits,
 	// and waitCauses its causes as reported by agents.
 	lastReplica string
@@ -263,8 +268,12 @@
 	return list
 }
 
-// sendToPlain sends the request to the best replica of a plain service whose limit allows it.
+// sendToPlain sends the request to a replica of a plain service: by its queue if it has one, else to
+// the best replica whose limit allows it.
 func (j *job) sendToPlain(ctx context.Context) result {
+	if res, queued := j.sendQueued(ctx); queued {
+		return res
+	}
 	router := j.Pools.Router(j.service.Name)
 	for range maxReplicasTried {
 		choice := j.choose()
--- a/entry/relay/notice.go
+++ b/entry/relay/notice.go
@@ -29,6 +29,9 @@
 	}
 	if n.RetryAfter > 0 {
 		j.Pools.Router(j.service.Name).Rest(key, j.Clock.Now()+n.RetryAfter)
+		if j.Queues != nil {
+			j.Queues.Rest(j.service.Name, key, j.Clock.Now()+n.RetryAfter)
+		}
 	}
 	switch {
 	case j.service.Engine != nil:
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -107,6 +107,8 @@
 	Conns   *hop.Pool
 	Permits Permits
 	Pools   Pools
+	// Queues is nil where requests to plain services are sent at once.
+	Queues Queues
 	// Suspects records the requests under which upstreams ended.
 	Suspects *crash.Suspects
 	// Trials is nil where refused requests aren't tried.
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -12,6 +12,7 @@
 
 	"magnoliastall.example/entry/hop"
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/queue"
 )
 
 const (
@@ -202,6 +203,7 @@
 		return resultFailed
 	}
 	j.Suspects.Clear(j.prints...)
+	j.endTurn(queue.Result{OK: true})
 	a.forward(j)
 	return resultDone
 }
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -22,6 +22,7 @@
 	"magnoliastall.example/entry/lease"
 	"magnoliastall.example/entry/limit"
 	"magnoliastall.example/entry/peers"
+	"magnoliastall.example/entry/queues"
 	"magnoliastall.example/entry/reads"
 	"magnoliastall.example/entry/relay"
 	"magnoliastall.example/entry/resume"
@@ -71,6 +72,7 @@
 	pools    *pools
 	reader   *reads.Reader
 	desk     *desk.Client
+	queues   *queues.Manager
 	lease    *lease.Manager
 	limit    *limit.Manager
 	origins  *origin.Table
@@ -117,8 +119,12 @@
 		Self: settings.PeerAddress, Mesh: e.mesh, Entries: e.peers.Entries, Current: func() bool { return e.book.Age() <= maxListAge }, Table: e.origins, Log: log,
 	}
 	e.resume.Open()
+	e.queues = &queues.Manager{
+		Clock: clock, Book: e.book, Leaving: e.notices.Leaving, Count: e.peers.Count, DemandShare: e.peers.DemandShare, Seed: settings.Name, Log: log,
+	}
+	e.peers.Demand = e.queues.Demand
 	handler := &relay.Handler{
-		Name: settings.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Conns: e.conns, Permits: e.desk, Pools: e.pools,
+		Name: settings.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Conns: e.conns, Permits: e.desk, Pools: e.pools, Queues: e.queues,
 		Suspects: suspects, Trials: trials, Notices: e.notices, Limits: e.limit, Origins: e.resume, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease,
 		BodyMemory: memoryBudget(settings.MemoryLimit), ResponseMemory: memoryBudget(settings.MemoryLimit),
 	}
@@ -146,7 +152,7 @@
 
 func (e *entry) tasks() []magno.Task {
 	return []magno.Task{
-		e.mesh, e.reader, e.peers, e.desk, e.lease, e.limit, e.resume, &follower{e}, e.front, &readiness{e.front}, &lagMonitor{e.front},
+		e.mesh, e.reader, e.peers, e.desk, e.lease, e.limit, e.resume, e.queues, &follower{e}, e.front, &readiness{e.front}, &lagMonitor{e.front},
 		&admin.Server{
 			Listen: net.JoinHostPort(e.settings.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.AnyAddress},
 			Ready: e.front.ready, Status: func() any { return e.book.Current() }, Events: &event.Ring{Process: e.settings.Name, Size: 1},
@@ -252,6 +258,7 @@
 		f.conns.Prune(func(key string) bool { return listed[key] != nil })
 		f.notices.Prune(known.update(listed))
 		f.pools.update()
+		f.queues.Update()
 		f.origins.Update(buildsOf(listed))
 		select {
 		case <-ctx.Done():
--- a/magno/queue/queue.go
+++ b/magno/queue/queue.go
@@ -99,8 +99,6 @@
 	Usual magno.Millis
 	// Demand is the number of requests offered per second, without those offered again.
 	Demand float64
-	// Changes are the upstreams whose window changed by half or more since the last call.
-	Changes []WindowChange
 }
 
 // WindowChange is a change of an upstream's window.
@@ -281,12 +279,20 @@
 		if !u.Leaving {
 			s.Window += u.window
 		}
+	}
+	return s
+}
+
+// Changes returns the upstreams whose window has halved or doubled since it was last returned.
+func (q *Queue) Changes() []WindowChange {
+	var list []WindowChange
+	for _, u := range q.upstreams {
 		if u.window >= reportedChange*u.reported || u.window*reportedChange <= u.reported {
-			s.Changes = append(s.Changes, WindowChange{Upstream: u.Name, Was: u.reported, Now: u.window})
+			list = append(list, WindowChange{Upstream: u.Name, Was: u.reported, Now: u.window})
 			u.reported = u.window
 		}
 	}
-	return s
+	return list
 }
 
 func (q *Queue) remove(i int) {
