queue: one window for the service instead of one for each upstream

Cause: with 96 entries an entry has less than one answer a second from each upstream, and learned too slowly; while late requests waited, an entry with most of the demand was held to its old part though slots were free. Change: one window over all upstreams, learned from every answer, with a tighter tolerance while late requests wait; upstreams are drawn by their answer time. A request whose answer is overdue takes no part of the window, and its upstream gets no more. The first second refuses nothing because of the window.

--- a/entry/queues/queues.go
+++ b/entry/queues/queues.go
@@ -304,8 +304,8 @@
 	s.queue.SetPeers(alive, m.share(s.name, alive, stats.Demand))
 	metrics.GetOrCreateGauge(`queue_waiting{service="`+s.name+`"}`, nil).Set(float64(stats.Waiting))
 	metrics.GetOrCreateGauge(`queue_window{service="`+s.name+`"}`, nil).Set(stats.Window)
-	for _, c := range s.queue.Changes() {
-		m.Log.Info("queue window", "service", s.name, "replica", c.Upstream, "window", c.Now, "was", c.Was, "waiting", stats.Waiting, "usual", stats.Usual, "entries", alive)
+	if was, changed := s.queue.Changed(); changed {
+		m.Log.Info("queue window", "service", s.name, "window", stats.Window, "was", was, "waiting", stats.Waiting, "usual", stats.Usual, "entries", alive)
 	}
 }
 
--- a/magno/queue/estimate.go
+++ b/magno/queue/estimate.go
@@ -70,19 +70,11 @@
 func (q *Queue) capacity(now magno.Millis) (perMilli float64, from magno.Millis, ok bool) {
 	for _, u := range q.upstreams {
 		at, usable := u.usableAt()
-		if !usable {
-			continue
-		}
-		if !ok || at < from {
-			from = at
-		}
-		ok = true
-		t := u.expected(now)
-		if u.base == 0 {
-			t = max(q.usual.get(), minUsual)
+		if usable && (!ok || at < from) {
+			from, ok = at, true
 		}
-		perMilli += max(u.window, minWindow) / t
 	}
+	perMilli = q.window.reachable(now) / q.expectedTime(now)
 	return perMilli * rateMargin, max(from, now), ok
 }
 
@@ -141,14 +133,8 @@
 		return 0
 	}
 	wake := now + reviewInterval
-	for _, u := range q.upstreams {
-		at, ok := u.usableAt()
-		if limit := u.limit(false, q.pressed); limit < 1 {
-			at = max(at, u.spacedUntil(false, limit, now))
-		}
-		if ok && at > now {
-			wake = min(wake, at)
-		}
+	if at := q.window.spacedUntil(false, q.window.size, q.expectedTime(now)); at > now {
+		wake = min(wake, at)
 	}
 	return wake
 }
--- a/magno/queue/failure_test.go
+++ b/magno/queue/failure_test.go
@@ -40,6 +40,11 @@
 				s.at(at+300, func() { s.restart(0) })
 			}
 		}, notWorse},
+		// Requests that never get an answer must not take the whole window.
+		{"an upstream hangs", 0.5, func(s *scene) {
+			s.at(3000, func() { s.ups[2].hung = true })
+			s.at(7000, func() { s.ups[2].hung = false })
+		}, better},
 		{"an upstream restarts", 0.8, func(s *scene) {
 			s.at(3000, func() { s.stop(1, true) })
 			s.at(6000, func() { s.restart(1) })
@@ -159,6 +164,7 @@
 	q.Next()
 	clock.Advance(100)
 	q.Done("first", Result{Took: 100, OK: true})
+	clock.Advance(learnTime)
 	refused := 0
 	for i := range 100 {
 		if refusal := q.Offer(Item{ID: string(rune('A' + i)), StartBy: clock.Now(), Deadline: clock.Now() + 1000}); refusal != nil {
--- a/magno/queue/load_test.go
+++ b/magno/queue/load_test.go
@@ -42,36 +42,43 @@
 // fill by chance, and under overload every answer waits for a whole upstream queue.
 func TestLoad(t *testing.T) {
 	for _, l := range []struct {
-		name  string
-		level func(magno.Millis) float64
-		slow  func(int, magno.Millis) bool
+		name         string
+		entries, ups int
+		level        func(magno.Millis) float64
+		slow         func(int, magno.Millis) bool
 		// burst is the number of requests that each entry has at its start.
 		burst int
-		end   magno.Millis
-		want  expectation
+		// hot is true if one entry has as many requests as 100 others, and another one from the
+		// middle on.
+		hot  bool
+		end  magno.Millis
+		want expectation
 	}{
-		{"calm", steady(0.5), nil, 0, 20000, notWorse},
-		{"calm with slow upstreams", steady(0.5), slowTurns, 0, 20000, notWorse},
-		{"waves", wave, nil, 0, 34000, notWorse},
-		{"waves with slow upstreams", wave, slowTurns, 0, 34000, better},
-		{"peak", steady(0.95), nil, 0, 20000, notWorse},
-		{"peak with slow upstreams", steady(0.95), slowTurns, 0, 20000, better},
-		{"overload", overload, nil, 0, 15000, better},
-		{"overload with slow upstreams", overload, slowTurns, 0, 15000, better},
-		{"long overload", steady(1.3), nil, 0, 30000, better},
-		{"start with a backlog", steady(0.6), nil, 12, 6000, moreValue},
+		{"calm", 30, 3, steady(0.5), nil, 0, false, 20000, notWorse},
+		{"calm with slow upstreams", 30, 3, steady(0.5), slowTurns, 0, false, 20000, notWorse},
+		{"waves", 30, 3, wave, nil, 0, false, 34000, notWorse},
+		{"waves with slow upstreams", 30, 3, wave, slowTurns, 0, false, 34000, better},
+		{"peak", 30, 3, steady(0.95), nil, 0, false, 20000, notWorse},
+		{"peak with slow upstreams", 30, 3, steady(0.95), slowTurns, 0, false, 20000, better},
+		{"overload", 30, 3, overload, nil, 0, false, 15000, better},
+		{"overload with slow upstreams", 30, 3, overload, slowTurns, 0, false, 15000, better},
+		{"long overload", 30, 3, steady(1.3), nil, 0, false, 30000, better},
+		{"start with a backlog", 30, 3, steady(0.6), nil, 12, false, 6000, moreValue},
+		{"one entry with most requests", 30, 3, steady(0.7), nil, 0, true, 10000, notWorse},
+		{"96 entries with one with most requests", 96, 15, steady(0.7), nil, 0, true, 10000, notWorse},
+		{"96 entries with an overload", 96, 15, overload, nil, 0, false, 10000, better},
 	} {
 		t.Run(l.name, func(t *testing.T) {
 			play := func(direct bool) (sum outcome) {
 				for seed := range uint64(sceneSeeds) {
-					s := newScene(seed+1, 30, 3, direct)
+					s := newScene(seed+1, l.entries, l.ups, direct)
 					s.slow = l.slow
 					for _, f := range s.fronts {
 						for range l.burst {
 							s.arrive(magno.Millis(s.rand.IntN(100)), f)
 						}
 					}
-					s.load(0, l.end, l.level)
+					s.loadHalves(l.end, l.level, l.hot)
 					s.run(l.end + 2*scenePatient)
 					sum.add(s.outcome(0, l.end))
 				}
--- a/magno/queue/order.go
+++ b/magno/queue/order.go
@@ -35,7 +35,7 @@
 // pick returns the index of the request that starts next and its upstream, -1 if none can start.
 func (q *Queue) pick(now magno.Millis) (int, *upstream) {
 	turn := q.starts%lateTurn == lateTurn-1
-	best := -1
+	best, expected := -1, q.expectedTime(now)
 	var at *upstream
 	for i, e := range q.waiting {
 		switch {
@@ -47,6 +47,9 @@
 		case !turn && !q.before(e, q.waiting[best]):
 			continue
 		}
+		if !q.window.hasRoom(now, e.late, expected) {
+			continue
+		}
 		if u := q.choose(e, now); u != nil {
 			best, at = i, u
 		}
@@ -54,8 +57,9 @@
 	return best, at
 }
 
-// choose returns an upstream with room for a request, nil if there is none. It draws one at random,
-// the likelier the shorter its answer time: if all entries preferred the same one, it would be full.
+// choose returns an upstream with room for a request, nil if there is none. It draws one at random, by
+// the fourth power of its answer time: one that takes 2.5 times as long gets a fortieth. If all
+// entries preferred the same one, it would be full.
 func (q *Queue) choose(e *entry, now magno.Millis) *upstream {
 	avoid := len(e.Avoid) > 0 && slices.ContainsFunc(q.upstreams, func(u *upstream) bool {
 		at, ok := u.usableAt()
@@ -64,11 +68,11 @@
 	var best *upstream
 	sum := 0.0
 	for _, u := range q.upstreams {
-		if !u.hasRoom(now, e.late, q.pressed) || (avoid && slices.Contains(e.Avoid, u.Name)) {
+		if !u.hasRoom(now) || (avoid && slices.Contains(e.Avoid, u.Name)) {
 			continue
 		}
 		t := u.expected(now) * float64(1+u.inFlight)
-		weight := 1 / (t * t)
+		weight := 1 / (t * t * t * t)
 		sum += weight
 		if q.rand.Float64()*sum < weight {
 			best = u
@@ -84,7 +88,7 @@
 	if q.usual.get() == 0 && len(q.started) >= q.firstSends() {
 		return false
 	}
-	return slices.ContainsFunc(q.upstreams, func(u *upstream) bool { return u.hasRoom(now, false, q.pressed) })
+	return q.window.hasRoom(now, false, q.expectedTime(now)) && slices.ContainsFunc(q.upstreams, func(u *upstream) bool { return u.hasRoom(now) })
 }
 
 // shares are start-time fair shares of customers.
@@ -118,10 +122,4 @@
 }
 
 // firstSends returns how many requests may be in flight before the first answer.
-func (q *Queue) firstSends() int {
-	sum := 0.0
-	for _, u := range q.upstreams {
-		sum += u.tight
-	}
-	return max(int(sum+0.5), 1)
-}
+func (q *Queue) firstSends() int { return max(int(q.window.tight+0.5), 1) }
--- a/magno/queue/queue.go
+++ b/magno/queue/queue.go
@@ -93,7 +93,7 @@
 // Stats describe the state of a queue.
 type Stats struct {
 	Waiting, InFlight int
-	// Window is the sum of the windows of the usable upstreams.
+	// Window is how many requests may be in flight at all upstreams.
 	Window float64
 	// Usual is the time within which nine of ten answers come.
 	Usual magno.Millis
@@ -101,12 +101,6 @@
 	Demand float64
 }
 
-// WindowChange is a change of an upstream's window.
-type WindowChange struct {
-	Upstream string
-	Was, Now float64
-}
-
 // Queue is the queue of one service at one entry. It isn't safe for concurrent use. Exported fields
 // are set before use.
 type Queue struct {
@@ -118,10 +112,11 @@
 
 	rand      *rand.Rand
 	upstreams []*upstream
+	window    window
 	// waiting holds the requests that wait, in the order of their arrival.
 	waiting []*entry
 	// started maps the requests in flight to their upstream.
-	started map[string]flight
+	started map[string]*flight
 	entries int
 	share   float64
 	usual   usualTime
@@ -145,12 +140,14 @@
 type flight struct {
 	up     *upstream
 	sentAt magno.Millis
+	// overdue is true once its answer is overdue.
+	overdue bool
 }
 
 func (q *Queue) setup() {
 	if q.rand == nil {
 		q.rand = rand.New(rand.NewPCG(q.Seed, 1))
-		q.started = map[string]flight{}
+		q.started = map[string]*flight{}
 	}
 }
 
@@ -175,6 +172,7 @@
 	q.setup()
 	now := q.Clock.Now()
 	var d Decisions
+	q.noteOverdue(now)
 	q.pressed = false
 	for _, e := range q.waiting {
 		e.late = e.StartBy < now
@@ -189,8 +187,9 @@
 		q.remove(i)
 		q.fair.start(e.Customer, q.Weight)
 		q.starts++
-		up.sent(now, e.late)
-		q.started[e.ID] = flight{up: up, sentAt: now}
+		up.inFlight++
+		q.window.sent(now, e.late)
+		q.started[e.ID] = &flight{up: up, sentAt: now}
 		d.Starts = append(d.Starts, Start{ID: e.ID, Upstream: up.Name})
 	}
 	if len(q.waiting) > 0 && now-q.reviewedAt >= reviewInterval {
@@ -208,10 +207,42 @@
 		return
 	}
 	delete(q.started, id)
+	f.up.inFlight--
+	if !f.overdue {
+		q.window.inFlight--
+	}
 	now := q.Clock.Now()
-	f.up.ended(f.sentAt, now, res, q.knownBase())
-	if res.OK && !res.Shed && !res.Void {
-		q.usual.add(float64(res.Took))
+	switch {
+	case res.Void:
+		q.window.void(f.sentAt)
+	case res.Shed:
+		q.window.shed(f.sentAt, now)
+		f.up.shed(now)
+	case !res.OK:
+		f.up.failed(now)
+	default:
+		took := max(float64(res.Took), minUsual)
+		f.up.learn(took, now, q.knownBase())
+		q.window.learn(took-f.up.base, f.up.base, now, q.pressed)
+		q.usual.add(took)
+	}
+}
+
+// noteOverdue finds the requests whose answer is overdue.
+func (q *Queue) noteOverdue(now magno.Millis) {
+	for _, u := range q.upstreams {
+		u.overdue = false
+	}
+	limit := magno.Millis(overdueFactor * q.usual.get())
+	for _, f := range q.started {
+		if limit == 0 || now-f.sentAt < limit {
+			continue
+		}
+		f.up.overdue = true
+		if !f.overdue {
+			f.overdue = true
+			q.window.inFlight--
+		}
 	}
 }
 
@@ -249,50 +280,36 @@
 			u = &upstream{}
 		}
 		u.Upstream = l
-		q.setParts(u)
-		if u.window == 0 {
-			u.window, u.reported = u.fair, u.fair
-		}
 		next = append(next, u)
 	}
 	q.upstreams = next
+	q.setParts()
 }
 
 // SetPeers sets how many entries share the service, this one included, and this one's share of their
 // demand, zero if unknown. With one entry or none the queue goes by its own observation alone.
 func (q *Queue) SetPeers(entries int, share float64) {
 	q.entries, q.share = entries, share
-	for _, u := range q.upstreams {
-		q.setParts(u)
-		if u.base == 0 && u.shrunkAt == 0 {
-			u.window, u.reported = u.fair, u.fair // nothing is learned yet
-		}
-		u.window = max(u.window, u.slots)
-	}
+	q.setParts()
 }
 
 // Stats returns the state of the queue.
 func (q *Queue) Stats() Stats {
 	now := q.Clock.Now()
-	s := Stats{Waiting: len(q.waiting), InFlight: len(q.started), Usual: magno.Millis(q.usual.get()), Demand: q.demand.get(now)}
-	for _, u := range q.upstreams {
-		if !u.Leaving {
-			s.Window += u.window
-		}
+	return Stats{
+		Waiting: len(q.waiting), InFlight: len(q.started), Window: q.window.size, Usual: magno.Millis(q.usual.get()), Demand: q.demand.get(now),
 	}
-	return s
 }
 
-// Changes returns the upstreams whose window has halved or doubled since it was last returned.
-func (q *Queue) Changes() []WindowChange {
-	var list []WindowChange
-	for _, u := range q.upstreams {
-		if u.window >= reportedChange*u.reported || u.window*reportedChange <= u.reported {
-			list = append(list, WindowChange{Upstream: u.Name, Was: u.reported, Now: u.window})
-			u.reported = u.window
-		}
+// Changed returns the window before, if it has halved or doubled since Changed last did.
+func (q *Queue) Changed() (before float64, changed bool) {
+	w := &q.window
+	before = w.reported
+	if w.size < reportedChange*before && w.size*reportedChange > before {
+		return 0, false
 	}
-	return list
+	w.reported = w.size
+	return before, true
 }
 
 func (q *Queue) remove(i int) {
--- a/magno/queue/scene_test.go
+++ b/magno/queue/scene_test.go
@@ -53,6 +53,8 @@
 	queued   []sceneWork
 	// down is true while it refuses connections, gone while the list doesn't name it.
 	down, gone bool
+	// hung is true while it accepts requests and answers none.
+	hung bool
 	// life counts the restarts.
 	life, sheds int
 }
@@ -190,6 +192,22 @@
 	}
 }
 
+// loadHalves makes requests until end. Hot is true if one entry has 100 times as many as the others
+// have, and another one in the second half.
+func (s *scene) loadHalves(end magno.Millis, level func(at magno.Millis) float64, hot bool) {
+	if !hot {
+		s.load(0, end, level)
+		return
+	}
+	for i := range 2 {
+		for _, f := range s.fronts {
+			f.weight = 1
+		}
+		s.fronts[i].weight = 100
+		s.load(magno.Millis(i)*end/2, magno.Millis(i+1)*end/2, level)
+	}
+}
+
 // arrive makes one request at a time since the start.
 func (s *scene) arrive(at magno.Millis, f *sceneFront) {
 	r := &sceneReq{id: fmt.Sprint("r", len(s.reqs)), front: f, at: magno.Hour + at, aim: sceneAim}
@@ -330,6 +348,8 @@
 		switch {
 		case u.down || s.name(up) != name:
 			finish(endUnsent)
+		case u.hung:
+			s.at(scenePatient, func() { finish(endBroken) })
 		case u.busy < sceneSlots:
 			s.work(u, sceneWork{r, finish})
 		case len(u.queued) < sceneQueue:
