--- a/magno/queue/failure_test.go
+++ b/magno/queue/failure_test.go
@@ -182,3 +182,16 @@
 		t.Errorf("%d requests still wait for an upstream that rests past their deadline", q.Stats().Waiting)
 	}
 }
+
+// TestHangsAtStart guards against an upstream that hangs as the entry starts, and stops all requests.
+func TestHangsAtStart(t *testing.T) {
+	q, clock := newQueue(Upstream{Name: "a", Slots: 1}, Upstream{Name: "b", Slots: 1})
+	q.SetPeers(30, 0)
+	offer(t, q, item(clock, "1"), item(clock, "2"))
+	first := q.Next()
+	clock.Advance(firstOverdue)
+	second := q.Next()
+	if len(first.Starts) != 1 || len(second.Starts) != 1 || first.Starts[0].Upstream == second.Starts[0].Upstream {
+		t.Errorf("started %v, then %v, want one at each upstream", first.Starts, second.Starts)
+	}
+}
--- a/magno/queue/order.go
+++ b/magno/queue/order.go
@@ -85,7 +85,7 @@
 // of how long they take, so that the windows below one can't space requests out. All entries may have
 // started at the same time with many requests waiting.
 func (q *Queue) anyRoom(now magno.Millis) bool {
-	if q.usual.get() == 0 && len(q.started) >= q.firstSends() {
+	if q.usual.get() == 0 && q.window.inFlight >= q.firstSends() {
 		return false
 	}
 	return q.window.hasRoom(now, false, q.expectedTime(now)) && slices.ContainsFunc(q.upstreams, func(u *upstream) bool { return u.hasRoom(now) })
--- a/magno/queue/queue.go
+++ b/magno/queue/queue.go
@@ -233,9 +233,12 @@
 	for _, u := range q.upstreams {
 		u.overdue = false
 	}
-	limit := magno.Millis(overdueFactor * q.usual.get())
+	limit := firstOverdue
+	if usual := q.usual.get(); usual > 0 {
+		limit = magno.Millis(overdueFactor * usual)
+	}
 	for _, f := range q.started {
-		if limit == 0 || now-f.sentAt < limit {
+		if now-f.sentAt < limit {
 			continue
 		}
 		f.up.overdue = true
--- a/magno/queue/upstream.go
+++ b/magno/queue/upstream.go
@@ -28,6 +28,8 @@
 	// usual answer time. Its upstream may hang, so it no longer takes part of the window, and the
 	// upstream gets no more.
 	overdueFactor = 4
+	// firstOverdue is from when on a request is overdue before the first answer of any upstream.
+	firstOverdue = 500 * magno.Millis(1)
 )
 
 // upstream is an upstream with what was learned about it.
