--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -42,8 +42,8 @@
 	// lack by its EndDigest.
 	EndReport
 	EndDigest uint64 `json:"endsum,omitempty"`
-	// Demand is how many requests per second callers send to the sender for each service that may
-	// be queued, nil if unknown.
+	// Demand is how many requests per second callers send to the sender for each service that is
+	// queued, nil if unknown.
 	Demand map[string]float64 `json:"demand"`
 	// Stamp is the sender's time. Proof is addressed to the receiver and may be nil.
 	Stamp Stamp  `json:"stamp"`
--- a/entry/queues/queues.go
+++ b/entry/queues/queues.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	keepFactor = 1.25
 	// minDemand is the least demand that is reported, in requests per second.
 	minDemand = 0.05
+	// demandScale rounds what is reported to tenths, which keeps hellos short.
+	demandScale = 10
 )
 
 // ErrNotQueued is returned for a service whose requests are sent at once.
@@ -43,7 +46,8 @@
 	Book  *view.Store
 	// Leaving reports whether an upstream states that it leaves.
 	Leaving func(key string) bool
-	// Count returns how many entries are alive and how many may be, this one included.
+	// Count returns how many entries are alive and how many may be, this one included. Until it has
+	// met others an entry may know their number from its seeds.
 	Count func() (alive, known int)
 	// DemandShare returns this entry's share of the demand of all entries, given its own.
 	DemandShare func(service string, own float64) float64
@@ -190,7 +194,7 @@
 	demand := map[string]float64{}
 	for name, s := range m.services {
 		if d := s.queue.Stats().Demand; d >= minDemand {
-			demand[name] = d
+			demand[name] = math.Round(d*demandScale) / demandScale
 		}
 	}
 	return demand
@@ -328,6 +332,9 @@
 	case s.active:
 		return float64(s.slots) <= keepFactor*float64(max(alive, known))
 	}
+	if alive == 1 {
+		return known > 1 && s.slots <= known // none was heard yet
+	}
 	return s.slots <= alive
 }
 
--- a/entry/queues/queues_test.go
+++ b/entry/queues/queues_test.go
@@ -63,6 +63,8 @@
 		{"cut off", true, 24, 1, 20, true},
 		{"cut off for long", true, 24, 1, 1, true},
 		{"one entry", false, 24, 1, 1, false},
+		{"one entry, one slot", false, 1, 1, 1, false},
+		{"none heard yet", false, 24, 1, 24, true},
 		{"no upstreams", true, 0, 24, 24, true},
 	} {
 		s := &service{active: c.active, slots: c.slots}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -120,7 +120,7 @@
 	}
 	e.resume.Open()
 	e.queues = &queues.Manager{
-		Clock: clock, Book: e.book, Leaving: e.notices.Leaving, Count: e.peers.Count, DemandShare: e.peers.DemandShare, Seed: settings.Name, Log: log,
+		Clock: clock, Book: e.book, Leaving: e.notices.Leaving, Count: e.entryCount, DemandShare: e.peers.DemandShare, Seed: settings.Name, Log: log,
 	}
 	e.peers.Demand = e.queues.Demand
 	handler := &relay.Handler{
@@ -133,6 +133,12 @@
 	return e
 }
 
+// entryCount returns how many entries are alive and how many may be, at least as many as there are seeds.
+func (e *entry) entryCount() (alive, known int) {
+	alive, _ = e.peers.Count()
+	return alive, e.peers.Processes(0)
+}
+
 const (
 	// memoryShare is the divisor of the memory limit that gives the budget for bodies, and
 	// as much for answers: an eighth each.
