queue: requests that wait count as demand

Cause: at a load of 0.95 an entry whose demand rose for a moment tightened its window to its part by the mean demand, while the others kept larger ones, and refused late requests. Change: Stats.Demand, which hellos carry, includes the requests that wait.

--- a/magno/queue/queue.go
+++ b/magno/queue/queue.go
@@ -97,7 +97,8 @@
 	Window float64
 	// Usual is the time within which nine of ten answers come.
 	Usual magno.Millis
-	// Demand is the number of requests offered per second, without those offered again.
+	// Demand is the number of requests offered per second, without those offered again. Those that
+	// wait count twice: they are still to be served.
 	Demand float64
 }
 
@@ -300,7 +301,7 @@
 func (q *Queue) Stats() Stats {
 	now := q.Clock.Now()
 	return Stats{
-		Waiting: len(q.waiting), InFlight: len(q.started), Window: q.window.size, Usual: magno.Millis(q.usual.get()), Demand: q.demand.get(now),
+		Waiting: len(q.waiting), InFlight: len(q.started), Window: q.window.size, Usual: magno.Millis(q.usual.get()), Demand: q.demand.get(now) + float64(len(q.waiting))*float64(magno.Second)/float64(demandWindow),
 	}
 }
 
