--- a/magno/queue/queue.go
+++ b/magno/queue/queue.go
@@ -9,9 +9,12 @@
 // others are idle, under overload every answer waits for a whole upstream queue and is late, and what
 // is shed twice is refused within milliseconds.
 //
-// Each entry bounds what it has in flight at each upstream by a window that it learns from the
-// answers. The bounds of all entries together keep the upstreams' request slots full and their queues
-// short, so requests wait here, where those that can be on time are sent first.
+// Each entry bounds what it has in flight at the service by a window that it learns from the answers:
+// their time against a low quantile, sheds, and this entry's part of the demand. The windows of all
+// entries together keep the upstreams' request slots full. While some requests can't be on time they
+// also keep the upstreams' queues short, so that requests wait here, where those that can be on time
+// are sent first. An upstream is drawn by its answer time, and gets none while it leaves, rests, failed
+// a moment ago or doesn't answer.
 //
 // The package does no I/O and takes the time from a magno.Clock.
 package queue
