--- a/magno/queue/load_test.go
+++ b/magno/queue/load_test.go
@@ -10,6 +10,9 @@
 // sceneSeeds is the number of seeds over which outcomes are added up.
 const sceneSeeds = 4
 
+// peakSeeds replaces sceneSeeds near capacity, where single seeds differ by percents.
+const peakSeeds = 24
+
 // steady is a constant level.
 func steady(level float64) func(magno.Millis) float64 {
 	return func(magno.Millis) float64 { return level }
@@ -70,7 +73,11 @@
 	} {
 		t.Run(l.name, func(t *testing.T) {
 			play := func(direct bool) (sum outcome) {
-				for seed := range uint64(sceneSeeds) {
+				seeds := uint64(sceneSeeds)
+				if l.name == "peak" {
+					seeds = peakSeeds
+				}
+				for seed := range seeds {
 					s := newScene(seed+1, l.entries, l.ups, direct)
 					s.slow = l.slow
 					for _, f := range s.fronts {
