relay: a request whose replica was replaced while its permit was asked for chooses anew

Cause: where the list reached the newer revision before the refusal, or before the permit, arrived, the request was refused although its list named the successor. A run of the tests under -race showed it. Change: it chooses anew at once, within the same bound of two.

--- a/entry/relay/arrive.go
+++ b/entry/relay/arrive.go
@@ -87,9 +87,12 @@
 // recordUnusable records whether a refusal only says that the engine can't be used yet, and whether
 // a newer list names another incarnation.
 func (j *job) recordUnusable(key string, reply *gate.PermitReply) {
-	status := &reply.Status
+	status, snap := &reply.Status, j.Book.Current()
 	superseded := status.Replica != "" && status.Replica != key
-	if superseded && status.Revision > j.Book.Current().Revision {
+	switch {
+	case snap.Find(key) == nil:
+		j.newer = snap.Revision // the list has changed while the request was asked for
+	case superseded && status.Revision > snap.Revision:
 		j.newer = status.Revision
 	}
 	if reply.Refusal == nil {
--- a/entry/relay/arrive_test.go
+++ b/entry/relay/arrive_test.go
@@ -58,14 +58,18 @@
 		listed int
 		// behind makes agents state a revision that the entry has.
 		behind bool
-		status int
-		asked  []string
+		// early makes the list change before the refusal arrives, granted makes that a permit.
+		early, granted bool
+		status         int
+		asked          []string
 	}{
-		{"one", []magno.Millis{1, 2}, 2, false, 200, []string{"u0@1", "u0@2"}},
-		{"two within a second", []magno.Millis{1, 2, 3}, 3, false, 200, []string{"u0@1", "u0@2", "u0@3"}},
-		{"more than that", []magno.Millis{1, 2, 3, 4}, 4, false, 503, []string{"u0@1", "u0@2", "u0@3"}},
-		{"the list is unreachable", []magno.Millis{1, 2}, 1, false, 503, []string{"u0@1"}},
-		{"no newer list", []magno.Millis{1, 2}, 1, true, 503, []string{"u0@1"}},
+		{name: "one", lives: []magno.Millis{1, 2}, listed: 2, status: 200, asked: []string{"u0@1", "u0@2"}},
+		{name: "the list changes before the refusal", lives: []magno.Millis{1, 2}, listed: 2, early: true, status: 200, asked: []string{"u0@1", "u0@2"}},
+		{name: "the list changes before the permit", lives: []magno.Millis{1, 2}, listed: 2, early: true, granted: true, status: 200, asked: []string{"u0@1", "u0@2"}},
+		{name: "two within a second", lives: []magno.Millis{1, 2, 3}, listed: 3, status: 200, asked: []string{"u0@1", "u0@2", "u0@3"}},
+		{name: "more than that", lives: []magno.Millis{1, 2, 3, 4}, listed: 4, status: 503, asked: []string{"u0@1", "u0@2", "u0@3"}},
+		{name: "the list is unreachable", lives: []magno.Millis{1, 2}, listed: 1, status: 503, asked: []string{"u0@1"}},
+		{name: "no newer list", lives: []magno.Millis{1, 2}, listed: 1, behind: true, status: 503, asked: []string{"u0@1"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newArrivalProxy(t, 0) // without a target no request waits for an upstream
@@ -82,9 +86,15 @@
 				if c.behind {
 					return refuseFor("u0@9", known)
 				}
-				if at+1 < c.listed {
+				switch {
+				case c.early:
+					s.startAt(c.lives[at+1])
+				case at+1 < c.listed:
 					relisted.Go(func() { s.startAt(c.lives[at+1]) })
 				}
+				if c.granted {
+					return nil
+				}
 				return refuseFor(fmt.Sprintf("u0@%d", c.lives[at+1]), known+1)
 			}
 			res, _, err := s.get(t, http.MethodPost, "1")
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -139,6 +139,9 @@
 		if left := j.Notices.RestLeft(key); left > 0 {
 			j.deferRefusal(magno.Refuse(magno.KindBusy, "the upstream turns requests away").WithRetryAfter(left))
 		}
+		if snap := j.Book.Current(); snap.Find(key) == nil {
+			j.newer, j.answered = snap.Revision, false // its successor may be listed
+		}
 		return "", resultRefused
 	}
 	return req.ID, resultDone
