relay: a connection goes back to the pool only once nothing can abort it any more

Cause: the end of a request's context sets the deadline of its connection in the past. Change: the abort is stopped before; if it has begun, the connection is closed. Deadlines are cleared.

--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -80,6 +80,9 @@
 	// sentAt is when the last send began, sendNumber its number among those of the process.
 	sentAt     magno.Millis
 	sendNumber uint64
+	// stopAbort ends the abort of the last send's connection by the end of the request's context, and
+	// returns false if that has begun.
+	stopAbort func() bool
 	// newConn is true if the last send went over a connection opened for it.
 	newConn bool
 	// permitID is the permit of the last send, empty if it had none. permitLimited is true if it
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -68,8 +68,8 @@
 		_ = conn.Close()
 		return res
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
-	defer stop()
+	j.stopAbort = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
+	defer j.stopAbort()
 	j.trial, j.newConn = false, !conn.Reused
 	j.tried = append(j.tried, key)
 	j.sends++
@@ -106,6 +106,17 @@
 	return resultDone
 }
 
+// putConn returns a connection to the pool after its response was read. If the end of the request's
+// context has begun to abort it, it is closed instead: the deadline that this sets in the past would
+// break the answer of the next request.
+func (j *job) putConn(conn *hop.Conn, res *http.Response) {
+	if !j.stopAbort() || conn.SetDeadline(time.Time{}) != nil {
+		_ = conn.Close()
+		return
+	}
+	j.Conns.Put(conn, res)
+}
+
 // recordArrival records that the upstream may have received the request, and may run it.
 func (j *job) recordArrival() {
 	j.arrived = true
@@ -204,7 +215,7 @@
 		_ = conn.Close()
 		j.Conns.SetEnded(r.Key())
 	} else {
-		j.Conns.Put(conn, res)
+		j.putConn(conn, res)
 	}
 	switch {
 	case reply.NotRun:
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -40,7 +40,7 @@
 	err := j.copyEvents(ctx, r, conn, res)
 	if err == nil {
 		j.Suspects.Clear(j.prints...)
-		j.Conns.Put(conn, res)
+		j.putConn(conn, res)
 		j.sendHead(res) // a stream without events has a header as well
 		j.logOutcome(http.StatusOK, "served", "")
 		return resultDone
--- a/entry/site/help_test.go
+++ b/entry/site/help_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -199,7 +200,7 @@
 	t.Helper()
 	e := assemble(fakeSite{list}, &magno.SiteSettings{
 		Name: name, DataCentre: name, PeerAddress: address, InternalPort: agentPort, Seeds: seeds, RetryRatio: 1, RetrySlack: 100, RetryWindow: magno.Second,
-	}, slog.New(slog.DiscardHandler))
+	}, slog.New(slog.NewTextHandler(&failures{t: t}, nil)))
 	if err := e.mesh.Open(); err != nil {
 		t.Fatal(err)
 	}
@@ -223,6 +224,17 @@
 	return e
 }
 
+// failures writes the lines of requests that were not served, and of sends without an answer, to the
+// log of the test.
+type failures struct{ t *testing.T }
+
+func (f *failures) Write(p []byte) (int, error) {
+	if line := string(p); strings.Contains(line, "msg=try ") || strings.Contains(line, "msg=request ") && !strings.Contains(line, "status=200") {
+		f.t.Log(strings.TrimSpace(line))
+	}
+	return len(p), nil
+}
+
 // freeAddress returns an address that was free a moment ago.
 func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
