desk: an engine whose agent never answered is reported as down

Cause: routers went on to choose listed engines whose agents were lost, before usable ones: requests for one adapter, with all its candidates lost, waited in vain. Change: an agent that is lost before it answered for its replica is reported as down. Result: go test ./desk ./site passes.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -290,18 +290,27 @@
 	c.recordStatus(s, &reply, listsHash)
 }
 
+// recordMiss records that an agent didn't answer. One that is lost before it answered for its replica
+// is reported as down: nothing is known to be held there, so no request can be sent, and routers would
+// go on to choose it before engines that are usable.
 func (c *Client) recordMiss(s *agentState, err error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	s.misses++
 	if s.misses == 1 {
 		s.silentSince = c.Clock.Now()
 	}
-	if s.misses == maxMisses {
+	lost := s.misses == maxMisses
+	if lost {
 		s.lost = true
 		close(s.lostCh)
 		c.Log.Warn("agent lost", "replica", s.replica.Key(), "addr", s.addr, "error", err)
 	}
+	key, service := s.replica.Key(), s.replica.Service
+	unknown := s.status.Replica != key
+	c.mu.Unlock()
+	if lost && unknown && c.OnBacklog != nil {
+		c.OnBacklog(service, key, magno.Backlog{Down: true})
+	}
 }
 
 // recordStatus records the state that an agent reported. listsHash is the one that was sent with
--- a/entry/desk/incarnation_test.go
+++ b/entry/desk/incarnation_test.go
@@ -124,6 +124,29 @@
 	}
 }
 
+// Guards against routers that choose engines whose agents never answered before usable ones. An engine
+// whose agent answered before may still serve what it holds.
+func TestAgentThatNeverAnsweredIsReportedAsDown(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		client, _ := newListedClient(t)
+		got := record(client)
+		s := client.agents[key]
+		if answered {
+			client.recordStatus(s, status(key, 1), 0)
+		}
+		for range maxMisses {
+			client.recordMiss(s, errors.New("no answer"))
+		}
+		if got.down[key] == answered {
+			t.Errorf("answered before: %t, reported as down: %t", answered, got.down[key])
+		}
+		client.recordStatus(s, status(key, 1), 0)
+		if got.down[key] {
+			t.Error("reported as down although it answers")
+		}
+	}
+}
+
 // Guards against a replica that was listed a moment ago and counts as unknown until the next poll:
 // requests for it would be refused.
 func TestPermitForReplicaListedJustNow(t *testing.T) {
