learn: an engine's prefill rate follows a change within a few prompts

Cause: the rate was a line through about a hundred prompts. Ten seconds after an engine became 2.4 times as slow its agent still took it for nearly twice as fast as it was, left its prompts unspaced, and its streams paused for too long.

Change: samples that differ from the line by the same factor, one after the other, scale the whole line, and earlier samples then count a fifth.

--- /dev/null
+++ b/magno/learn/fit_test.go
@@ -0,0 +1,50 @@
+package learn
+
+import (
+	"math"
+	"testing"
+)
+
+// An engine slows down to 40% in the middle of the day and recovers. With a rate that follows
+// over a hundred prompts, which takes ten to twenty seconds, its prompts are not spaced while
+// its streams pause for too long, and it counts as fast as before.
+func TestRateFollowsAChangeWithinAFewPrompts(t *testing.T) {
+	tests := []struct {
+		name    string
+		rates   []float64 // one after the other, 200 prompts each
+		want    float64   // after prompts more
+		prompts int
+	}{
+		{"slows down", []float64{37}, 15, 25},
+		{"slows down to half", []float64{37}, 18, 25},
+		{"recovers", []float64{37, 15}, 37, 30},
+		{"slows down twice", []float64{37, 15, 37}, 15, 25},
+	}
+	for _, tt := range tests {
+		var e Estimator
+		for _, rate := range tt.rates {
+			simulate(&e, rate, 200)
+		}
+		simulate(&e, tt.want, tt.prompts)
+		if got := e.PrefillRate(); got < 0.75*tt.want || got > 1.33*tt.want {
+			t.Errorf("%s: estimated %.1f tokens/ms after %d prompts, the engine reads %.1f", tt.name, got, tt.prompts, tt.want)
+		}
+	}
+}
+
+// Prefills are measured by reports that are 30 ms apart, so that short ones look longer or
+// shorter than they are. The rate of an engine that doesn't change must stay near its own.
+func TestRateIsSteady(t *testing.T) {
+	for _, rate := range []float64{8, 15, 25, 37, 80} {
+		var e Estimator
+		least, most, n := math.Inf(1), 0.0, 0
+		simulateEach(&e, rate, 2000, func() {
+			if n++; n > 100 {
+				least, most = min(least, e.PrefillRate()), max(most, e.PrefillRate())
+			}
+		})
+		if least < 0.85*rate || most > 1.15*rate {
+			t.Errorf("estimates from %.1f to %.1f tokens/ms, the engine reads %.1f", least, most, rate)
+		}
+	}
+}
--- a/magno/learn/learn.go
+++ b/magno/learn/learn.go
@@ -147,7 +147,7 @@
 	if s.Unread > 0 && s.At-e.prefillStart < maxPrefillSpan {
 		return
 	}
-	e.prefill.add(float64(e.prefillTokens), float64(s.At-e.prefillStart))
+	e.prefill.add(float64(e.prefillTokens), float64(s.At-e.prefillStart), 1/PriorPrefillRate)
 	e.prefillStart, e.prefillTokens = 0, 0
 	if s.Unread > 0 {
 		e.prefillStart = s.At
--- a/magno/learn/learn_test.go
+++ b/magno/learn/learn_test.go
@@ -10,6 +10,11 @@
 // simulate shows e an engine that reads so many tokens in a millisecond, with 30 ms of
 // transit and reporting around each reading.
 func simulate(e *Estimator, rate float64, readings int) {
+	simulateEach(e, rate, readings, func() {})
+}
+
+// simulateEach calls read after each reading.
+func simulateEach(e *Estimator, rate float64, readings int, read func()) {
 	rng := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // no secret
 	now := magno.Hour
 	for range readings {
@@ -22,6 +27,7 @@
 		}
 		e.Observe(Sample{At: now, Read: tokens, ReadStart: from})
 		now += 30
+		read()
 	}
 }
 
