--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -19,6 +19,8 @@
 	waits    *metrics.Histogram
 	// causes has, for each cause, the part of each wait that is due to it.
 	causes map[gate.Cause]*metrics.Histogram
+	// rate is the engine's estimated prefill rate, in tokens per millisecond.
+	rate *metrics.Gauge
 }
 
 func (s *stats) open() {
@@ -27,6 +29,7 @@
 	s.declined = metrics.GetOrCreateCounter("permits_declined_total")
 	s.orders = metrics.GetOrCreateCounter("orders_total")
 	s.waits = metrics.GetOrCreateHistogram("permit_wait_seconds")
+	s.rate = metrics.GetOrCreateGauge("engine_prefill_rate", nil)
 	s.causes = map[gate.Cause]*metrics.Histogram{}
 	for _, c := range gate.Causes() {
 		s.causes[c] = metrics.GetOrCreateHistogram(`permit_wait_cause_seconds{cause="` + c.String() + `"}`)
--- a/agent/keep/engine.go
+++ b/agent/keep/engine.go
@@ -92,6 +92,7 @@
 	k.engineStart, k.reportAskedAt, k.down = r.StartedAt, requestedAt, false
 	was := k.gate.Limit()
 	k.gate.ApplyReport(r, requestedAt)
+	k.recordRate(k.gate.PrefillRate())
 	if is := k.gate.Limit(); is != nil && (was == nil || was.Limited != is.Limited || was.Rate != is.Rate) {
 		k.logLimit("")
 	}
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -61,6 +61,8 @@
 	// hasWaiting is true while requests wait.
 	hasWaiting atomic.Bool
 	stats      stats
+	// rate is the engine's prefill rate that was last logged.
+	rate float64
 	// listHistory has the lists that entries may know already and that replies then omit.
 	listHistory gate.ListHistory
 }
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -80,6 +80,9 @@
 	}
 }
 
+// PrefillRate returns how many prompt tokens the engine is estimated to read in a millisecond.
+func (g *Gate) PrefillRate() float64 { return g.pacer.engine.PrefillRate() }
+
 // pendingHashes lists the hashes of what is being loaded or waited for, in ascending order.
 func (g *Gate) pendingHashes(missing []string) []uint32 {
 	list := make([]uint32, 0, len(missing)+len(g.inventory.loading))
--- a/magno/learn/fit_test.go
+++ b/magno/learn/fit_test.go
@@ -48,3 +48,16 @@
 		}
 	}
 }
+
+// A slow engine restarts. It is of the same kind as before: if its rate were learned anew, its
+// streams would pause for too long again.
+func TestRestartKeepsTheRate(t *testing.T) {
+	var e Estimator
+	simulate(&e, 37, 200)
+	simulate(&e, 15, 60)
+	before := e.PrefillRate()
+	e.Reset()
+	if got := e.PrefillRate(); got != before || got > 18 {
+		t.Errorf("estimated %.1f tokens/ms after a restart, %.1f before; the engine reads 15", got, before)
+	}
+}
