--- a/agent/keep/engine.go
+++ b/agent/keep/engine.go
@@ -95,6 +95,7 @@
 	if k.isSuperseded() {
 		k.refuseWaiting("a later incarnation is here, started at %d", k.engineStart)
 	}
+	k.recordRate(k.gate.PrefillRate())
 	if is := k.gate.Limit(); is != nil && (was == nil || was.Limited != is.Limited || was.Rate != is.Rate) {
 		k.logLimit("")
 	}
