--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -24,6 +24,8 @@
 	causes map[gate.Cause]*metrics.Histogram
 	// overtakes counts the permits of requests that were ahead of an earlier one by fair shares.
 	overtakes *metrics.Counter
+	// rate is the engine's estimated prefill rate, in tokens per millisecond.
+	rate *metrics.Gauge
 }
 
 func (s *stats) open() {
@@ -35,6 +37,7 @@
 	s.orders = metrics.GetOrCreateCounter("orders_total")
 	s.waits = metrics.GetOrCreateHistogram("permit_wait_seconds")
 	s.overtakes = metrics.GetOrCreateCounter("permits_by_share_total")
+	s.rate = metrics.GetOrCreateGauge("engine_prefill_rate", nil)
 	s.causes = map[gate.Cause]*metrics.Histogram{}
 	for _, c := range gate.Causes() {
 		s.causes[c] = metrics.GetOrCreateHistogram(`permit_wait_cause_seconds{cause="` + c.String() + `"}`)
