--- a/magno/gate/order.go
+++ b/magno/gate/order.go
@@ -18,8 +18,11 @@
 // Late are the requests whose first event would be late even if they were the next ones to
 // start, and those that would be late behind the ones before them in the queue. The latter would
 // only delay those behind them.
+//
+// Where customers share the engine, shares decide instead of estimates: with both, fewer of the
+// requests of customers within their share were on time.
 func (g *Gate) sortQueue(f *forecast, now magno.Millis) {
-	if g.evaluateOnce {
+	if g.evaluateOnce || g.namesCustomer(nil) {
 		g.sortByStartTime(now)
 		return
 	}
@@ -59,7 +62,7 @@
 // sortByStartTime orders the queue without estimates.
 func (g *Gate) sortByStartTime(now magno.Millis) {
 	for _, w := range g.queue {
-		w.late = now > w.startBy
+		w.late, w.promoted = now > w.startBy, false
 	}
 	slices.SortStableFunc(g.queue, compareQueued)
 }
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -12,9 +12,10 @@
 	s := g.newSchedule(now)
 	w := g.newQueued(req, now)
 	overtaken := g.overtaken(req)
-	w.late = s.firstEvent(w, s.earliestStart(w)) > w.startBy
+	byShares := g.namesCustomer(req)
+	w.late = !byShares && s.firstEvent(w, s.earliestStart(w)) > w.startBy
 	ahead := g.positionOf(w, overtaken)
-	if !w.late && !s.onTimeBehind(w, ahead) {
+	if !byShares && !w.late && !s.onTimeBehind(w, ahead) {
 		w.late = true
 		ahead = g.positionOf(w, overtaken)
 	}
