--- a/entry/desk/permit.go
+++ b/entry/desk/permit.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
 	"magnoliastall.example/magno/wire"
 )
@@ -43,6 +44,7 @@
 		return nil, nil
 	}
 	s.usedAt = c.Clock.Now()
+	req.RoundTrip = magno.Millis(s.roundTrip)
 	call := &gate.PermitCall{Request: req, Replica: key, ListsHash: s.status.ListsHash, Limit: c.Notices.State(key)}
 	if s.status.Replica != key {
 		// The agent's next poll may be a second away; after a power loss of all machines this
