--- a/entry/queues/queues.go
+++ b/entry/queues/queues.go
@@ -3,7 +3,7 @@
 //	relay --Acquire--> queue.Queue --Turn--> relay: send --Turn.End--> queue.Queue
 //	list, notices --Update--^    ^--Run: timed decisions, peers' demand, metrics
 //
-// A service is queued if it has at most as many request slots as there are live entries. Requests to
+// Where the settings ask for it, a service is queued if it has at most as many request slots as there are live entries. Requests to
 // others are sent at once: with several request slots for each entry, every entry's own count of
 // outstanding requests is enough to spread them.
 package queues
@@ -42,8 +42,10 @@
 
 // Manager holds the queues. Exported fields are set before use.
 type Manager struct {
-	Clock *magno.Clock
-	Book  *view.Store
+	// Enabled is false if no service is queued.
+	Enabled bool
+	Clock   *magno.Clock
+	Book    *view.Store
 	// Leaving reports whether an upstream states that it leaves.
 	Leaving func(key string) bool
 	// Count returns how many entries are alive and how many may be, this one included. Until it has
@@ -104,6 +106,9 @@
 // Acquire waits until the request is to be sent. It returns ErrNotQueued, a *magno.Refusal, or the
 // error of ctx otherwise.
 func (m *Manager) Acquire(ctx context.Context, name string, r Request) (*Turn, error) {
+	if !m.Enabled {
+		return nil, ErrNotQueued
+	}
 	m.mu.Lock()
 	s := m.get(name)
 	if !s.active {
@@ -187,8 +192,11 @@
 	}
 }
 
-// Demand returns the requests per second that callers send to each service.
+// Demand returns the requests per second that callers send to each service, nil if none is queued.
 func (m *Manager) Demand() map[string]float64 {
+	if !m.Enabled {
+		return nil
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	demand := map[string]float64{}
--- a/entry/queues/queues_test.go
+++ b/entry/queues/queues_test.go
@@ -26,7 +26,7 @@
 	book := &view.Store{Clock: magno.NewClock(magno.Hour)}
 	book.ApplyRead(changes, 1, true)
 	m := &Manager{
-		Clock: magno.NewMonotonic(), Book: book, Leaving: func(string) bool { return false },
+		Enabled: true, Clock: magno.NewMonotonic(), Book: book, Leaving: func(string) bool { return false },
 		Count:       func() (int, int) { return entries, entries },
 		DemandShare: func(string, float64) float64 { return 1 / float64(entries) }, Log: slog.New(slog.DiscardHandler),
 	}
--- a/entry/relay/queued_test.go
+++ b/entry/relay/queued_test.go
@@ -18,7 +18,7 @@
 func (s *testProxy) withQueues(t *testing.T) {
 	t.Helper()
 	m := &queues.Manager{
-		Clock: s.Clock, Book: s.Book, Leaving: s.Notices.Leaving, Count: func() (int, int) { return 16, 16 },
+		Enabled: true, Clock: s.Clock, Book: s.Book, Leaving: s.Notices.Leaving, Count: func() (int, int) { return 16, 16 },
 		DemandShare: func(string, float64) float64 { return 1.0 / 16 }, Log: s.Log,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -120,7 +120,7 @@
 	}
 	e.resume.Open()
 	e.queues = &queues.Manager{
-		Clock: clock, Book: e.book, Leaving: e.notices.Leaving, Count: e.entryCount, DemandShare: e.peers.DemandShare, Seed: settings.Name, Log: log,
+		Enabled: settings.QueuePlain, Clock: clock, Book: e.book, Leaving: e.notices.Leaving, Count: e.entryCount, DemandShare: e.peers.DemandShare, Seed: settings.Name, Log: log,
 	}
 	e.peers.Demand = e.queues.Demand
 	handler := &relay.Handler{
--- a/magno/site.go
+++ b/magno/site.go
@@ -46,6 +46,8 @@
 	Seeds []string
 	// ListAddress is the address of the platform's list.
 	ListAddress string
+	// QueuePlain has requests to small plain services wait at the entries.
+	QueuePlain bool
 	// Grace is the time between the stop signal and a forced kill.
 	Grace Millis
 	// Heartbeat is how often upstreams renew their entries in the list, zero if unknown.
