--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -48,7 +48,8 @@
 func (g *Gate) positionOf(w *queuedRequest, overtaken func(*queuedRequest) bool) position {
 	var ahead position
 	for _, other := range g.queue {
-		if compareQueued(other, w) <= 0 && !(sameClass(other, w) && overtaken(other)) {
+		isOvertaken := sameClass(other, w) && overtaken(other)
+		if compareQueued(other, w) <= 0 && !isOvertaken {
 			ahead.addAny(other)
 		}
 	}
