--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -24,7 +24,6 @@
 package crash
 
 import (
-	"slices"
 	"sync"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -110,109 +109,6 @@
 	startedAt magno.Millis
 }
 
-// record is a Record as this process keeps it.
-type record struct {
-	// generation and clearedAt are as in Record.
-	generation uint32
-	clearedAt  magno.Millis
-	// ends holds at most maxEnds that count and maxEnds that it was cleared of. The latter tell whether a
-	// pool is failing, and aren't told to others.
-	ends []end
-	// changedAt is the time of the last change known here, tellAt that from which on peers are told.
-	changedAt, tellAt magno.Millis
-	// witnessed is true if this process itself saw one of the ends or a completion.
-	witnessed bool
-	// trials counts the trials that this process granted, the last one at triedAt.
-	trials  int
-	triedAt magno.Millis
-	verdict verdict
-}
-
-// end is a magno.UpstreamEnd whose age is counted from at.
-type end struct {
-	upstream, pool uint64
-	cleared        bool
-	at             magno.Millis
-}
-
-// count returns the number of ends that the request isn't cleared of.
-func (r *record) count() int {
-	n := 0
-	for i := range r.ends {
-		if !r.ends[i].cleared {
-			n++
-		}
-	}
-	return n
-}
-
-// find returns the end of an upstream, or nil.
-func (r *record) find(upstream uint64) *end {
-	for i := range r.ends {
-		if r.ends[i].upstream == upstream {
-			return &r.ends[i]
-		}
-	}
-	return nil
-}
-
-// add adds an end or joins it with the one that is known. It reports whether that changed the ends that
-// count.
-func (r *record) add(e end) bool {
-	if old := r.find(e.upstream); old != nil {
-		changed := e.cleared && !old.cleared
-		old.cleared = old.cleared || e.cleared
-		return changed
-	}
-	last, n := r.last(e.cleared)
-	switch {
-	case n < maxEnds:
-		r.ends = append(r.ends, e)
-		return !e.cleared
-	case e.cleared || e.upstream < r.ends[last].upstream:
-		r.ends[last] = e
-	}
-	return false
-}
-
-// last returns which of the ends that count, or of the cleared ones, gives way to another, and their
-// number. Of the cleared ones it is the first that became known. Of the others it is the one with the highest
-// hash, so that all processes keep the same.
-func (r *record) last(cleared bool) (at, n int) {
-	at = -1
-	for i := range r.ends {
-		if r.ends[i].cleared != cleared {
-			continue
-		}
-		n++
-		if at < 0 || (!cleared && r.ends[i].upstream > r.ends[at].upstream) {
-			at = i
-		}
-	}
-	return at, n
-}
-
-// clear clears the record of the matching ends and returns those that counted.
-func (r *record) clear(match func(*end) bool) []end {
-	var cleared []end
-	for i := range r.ends {
-		if e := &r.ends[i]; !e.cleared && match(e) {
-			e.cleared = true
-			cleared = append(cleared, *e)
-		}
-	}
-	for last, n := r.last(true); n > maxEnds; last, n = r.last(true) {
-		r.ends = slices.Delete(r.ends, last, last+1)
-	}
-	return cleared
-}
-
-// begin begins a generation, with the ends that came after the completion.
-func (r *record) begin(generation uint32, clearedAt magno.Millis) (changed bool) {
-	r.generation, r.clearedAt = generation, clearedAt
-	return len(r.clear(func(e *end) bool { return e.at <= clearedAt })) > 0
-}
-
 // setup creates the tables on first use. The caller holds mu.
 func (s *Suspects) setup() {
 	if s.records == nil {
@@ -398,24 +294,6 @@
 	return ends
 }
 
-// export returns the record as it is told to others.
-func (r *record) export(fingerprint uint64, now magno.Millis) Record {
-	rec := Record{Fingerprint: fingerprint, Generation: r.generation, Ends: make([]magno.UpstreamEnd, 0, len(r.ends))}
-	if r.generation > 0 {
-		rec.ClearedAge = now - r.clearedAt
-	}
-	for i := range r.ends {
-		if !r.ends[i].cleared {
-			rec.Ends = append(rec.Ends, r.ends[i].export(now))
-		}
-	}
-	return rec
-}
-
-func (e *end) export(now magno.Millis) magno.UpstreamEnd {
-	return magno.UpstreamEnd{Upstream: e.upstream, Pool: e.pool, Cleared: e.cleared, Age: now - e.at}
-}
-
 // Count returns the number of upstreams that ended under a request since it last completed.
 func (s *Suspects) Count(fingerprint uint64) int {
 	if s == nil || fingerprint == 0 {
