gate: the order by expected first events is a setting, off by default

Cause: the order by expected first events puts those behind that can't be on time, also where loads of adapters decide when anything starts.

--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -40,6 +40,8 @@
 	Mesh   *wire.Mesh
 	Clock  *magno.Clock
 	Log    *slog.Logger
+	// OrderByEstimate is that of the gate.
+	OrderByEstimate bool
 	// Fence is the initial fencing token. It should be higher than that of any earlier start.
 	Fence int64
 
@@ -69,7 +71,7 @@
 
 // Open registers the handlers on the mesh. It must be called before either runs.
 func (k *Controller) Open() {
-	k.gate.Clock = k.Clock
+	k.gate.Clock, k.gate.OrderByEstimate = k.Clock, k.OrderByEstimate
 	k.inbox = make(chan func(), inboxSize)
 	k.commands = make(chan []magno.Command, 1)
 	k.waiting = map[string]chan gate.PermitReply{}
--- a/agent/site/site.go
+++ b/agent/site/site.go
@@ -36,6 +36,7 @@
 	}
 	k := &keep.Controller{
 		Self: set.Name, Engine: site.Engine(set.UpstreamAddress), Mesh: mesh, Clock: clock, Log: log, Fence: int64(clock.Now()),
+		OrderByEstimate: set.OrderByEstimate,
 	}
 	k.Open()
 	log.Info("start", "dc", set.DataCentre, "peers", mesh.Addr(), "upstream", set.UpstreamAddress, "service", set.Service)
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -59,6 +59,9 @@
 // before the first call.
 type Gate struct {
 	Clock *magno.Clock
+	// OrderByEstimate orders the queue by whether first events can be on time, instead of by start
+	// times alone.
+	OrderByEstimate bool
 
 	spec      Spec
 	queue     []*queuedRequest
--- a/magno/gate/order.go
+++ b/magno/gate/order.go
@@ -22,14 +22,16 @@
 // Where customers share the engine, shares decide instead of estimates: with both, fewer of the
 // requests of customers within their share were on time.
 func (g *Gate) sortQueue(f *forecast, now magno.Millis) {
-	if g.evaluateOnce || g.namesCustomer(nil) {
+	s := g.newSchedule(now)
+	for _, w := range g.queue {
+		w.tokens, w.eta, w.cost = g.prefillTokens(&w.Request), f.eta[w.qualifiedName()], s.cost(w)
+	}
+	if !g.OrderByEstimate || g.evaluateOnce || g.namesCustomer(nil) {
 		g.sortByStartTime(now)
 		return
 	}
-	s := g.newSchedule(now)
 	for _, w := range g.queue {
-		w.tokens, w.eta = g.prefillTokens(&w.Request), f.eta[w.qualifiedName()]
-		w.cost, w.promoted = s.cost(w), false
+		w.promoted = false
 		w.late = s.firstEvent(w, s.earliestStart(w)) > w.startBy
 	}
 	slices.SortStableFunc(g.queue, compareQueued)
--- a/magno/gate/replay_test.go
+++ b/magno/gate/replay_test.go
@@ -107,7 +107,7 @@
 	r.result = replayResult{all: make([]int, n), onTime: make([]int, n), late: make([]int, n), refused: make([]int, n)}
 	r.carry = make([]float64, n)
 	for i, speed := range load.speeds {
-		g := &Gate{Clock: r.clock, evaluateOnce: once}
+		g := &Gate{Clock: r.clock, OrderByEstimate: true, evaluateOnce: once}
 		g.SetSpec(Spec{Replica: fmt.Sprintf("r%d@1", i), ID: fmt.Sprint("r", i), Engine: magno.Engine{
 			Models: []magno.Model{{Name: model, Size: 1000, Adapter: 10, Load: 3200, Disk: 1300}},
 			Slots:  8, Memory: 2000, Tokens: 126_376, Batch: replayBatch, Stride: replayStride,
--- a/magno/gate/review_test.go
+++ b/magno/gate/review_test.go
@@ -183,7 +183,7 @@
 	for name, once := range map[string]bool{"review": false, "once": true} {
 		b.Run(name, func(b *testing.B) {
 			clock := magno.NewClock(magno.Hour)
-			h := &harness{clock: clock, slots: 20, held: map[string]int64{}, loading: map[string]magno.Millis{}, gate: &Gate{Clock: clock, evaluateOnce: once}}
+			h := &harness{clock: clock, slots: 20, held: map[string]int64{}, loading: map[string]magno.Millis{}, gate: &Gate{Clock: clock, OrderByEstimate: true, evaluateOnce: once}}
 			h.gate.SetSpec(h.spec())
 			for i := range 20 {
 				h.held[fmt.Sprint("a", i)] = 1
--- a/magno/site.go
+++ b/magno/site.go
@@ -48,6 +48,8 @@
 	ListAddress string
 	// QueuePlain has requests to small plain services wait at the entries.
 	QueuePlain bool
+	// OrderByEstimate has agents order waiting requests by whether their first events can be on time.
+	OrderByEstimate bool
 	// Grace is the time between the stop signal and a forced kill.
 	Grace Millis
 	// Heartbeat is how often upstreams renew their entries in the list, zero if unknown.
