--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -28,6 +28,8 @@
 	polling      bool
 	polledAt     magno.Millis
 	sentRevision magno.Revision
+	// downSince is when the engine was first reported as down, or as restarted, in a row.
+	downSince magno.Millis
 	// lostCh is closed once the agent counts as lost, and replaced when it answers again.
 	lostCh chan struct{}
 	lost   bool
@@ -38,7 +40,18 @@
 // down reports whether the engine is known to be down, or to have restarted since the list
 // named this incarnation.
 func (s *agentState) down() bool {
-	return !s.lost && (s.status.Down || (s.status.EngineStart != 0 && s.status.EngineStart != s.replica.StartedAt))
+	return !s.lost && (s.status.Down || s.superseded() || (s.status.EngineStart != 0 && s.status.EngineStart != s.replica.StartedAt))
+}
+
+// superseded reports whether the agent has the spec of a later incarnation: a newer list than this
+// entry's names that in place of the replica.
+func (s *agentState) superseded() bool {
+	return s.status.Replica != "" && s.status.Replica != s.replica.Key() && s.status.Revision > s.specRevision
+}
+
+// usable reports whether the agent answers for the replica and its engine isn't down.
+func (s *agentState) usable() bool {
+	return !s.lost && s.status.Replica == s.replica.Key() && !s.down()
 }
 
 // isCalm reports whether two states of an agent are equivalent for routing: nothing waits at
@@ -50,10 +63,13 @@
 
 // interval returns the time until the next poll. An agent that missed a poll is polled again
 // without delay: at the usual interval of a large fleet it would take seconds to detect a lost
-// machine, and the callers that wait for it would be held up for as long.
-func (s *agentState) interval(p pollIntervals) magno.Millis {
+// machine, and the callers that wait for it would be held up for as long. The same holds for one
+// that was lost a short time ago, and may be back at any moment.
+func (s *agentState) interval(now magno.Millis, p pollIntervals) magno.Millis {
 	switch {
-	case s.misses > 0 && !s.lost:
+	case s.misses > 0 && (!s.lost || now-s.silentSince < recoveryTime):
+		return min(p.busy, pollInterval)
+	case s.down() && now-s.downSince < recoveryTime:
 		return min(p.busy, pollInterval)
 	case s.down():
 		return min(p.busy, maxDownInterval)
@@ -67,7 +83,7 @@
 // the agent on behalf of its data centre. The other entries receive the replies from the owner,
 // and poll the agent themselves only if none arrives for longer than usual.
 func (s *agentState) isFresh(now magno.Millis, p pollIntervals, owned bool) bool {
-	interval := s.interval(p) - tickSlack
+	interval := s.interval(now, p) - tickSlack
 	if !owned {
 		return now-s.polledAt < interval+max(forwardSlack, interval/2)
 	}
