--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -61,6 +61,8 @@
 	// hasWaiting is true while requests wait.
 	hasWaiting atomic.Bool
 	stats      stats
+	// rate is the engine's prefill rate that was last logged.
+	rate float64
 	// listHistory has the lists that entries may know already and that replies then omit.
 	listHistory gate.ListHistory
 }
@@ -142,9 +144,15 @@
 		}
 		k.reply(g.ID, gate.PermitReply{Version: g.Version, Waits: g.Waits})
 	}
+	for _, x := range s.Declines {
+		k.handBack(&x)
+	}
 	for _, t := range s.Rejections {
 		k.logRefusal(t.ID, t.Refusal, t.Waits.LogArgs()...)
 		k.stats.refusals.Inc()
+		if t.Early {
+			k.stats.refusedLate.Inc()
+		}
 		k.reply(t.ID, gate.PermitReply{Refusal: t.Refusal, Waits: t.Waits})
 	}
 	k.hasWaiting.Store(len(k.waiting) > 0)
--- a/magno/gate/fair.go
+++ b/magno/gate/fair.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/fair"
 )
 
@@ -20,14 +19,14 @@
 // orderByShares reorders the sorted queue by fair shares among customers: the requests of each
 // rank, separately for those in time and late ones. Requests of one customer keep their order, and
 // so does a queue in which no request names a customer.
-func (g *Gate) orderByShares(now magno.Millis) {
+func (g *Gate) orderByShares() {
 	if !g.namesCustomer(nil) {
 		return
 	}
 	g.tagQueue(nil)
 	for from := 0; from < len(g.queue); {
 		to := from + 1
-		for to < len(g.queue) && sameClass(g.queue[from], g.queue[to], now) {
+		for to < len(g.queue) && sameClass(g.queue[from], g.queue[to]) {
 			to++
 		}
 		sortByTag(g.queue[from:to])
@@ -36,8 +35,8 @@
 }
 
 // sameClass reports whether only shares and times order two requests.
-func sameClass(a, b *queuedRequest, now magno.Millis) bool {
-	return a.Rank == b.Rank && (now > a.startBy) == (now > b.startBy)
+func sameClass(a, b *queuedRequest) bool {
+	return a.Rank == b.Rank && a.late == b.late && a.promoted == b.promoted
 }
 
 // sortByTag sorts requests by their tags, and notes which ones overtake an earlier one.
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -9,19 +9,17 @@
 
 // expectedWait estimates how long a request that arrives now would wait.
 func (g *Gate) expectedWait(req *Request, now magno.Millis) magno.Millis {
-	tokens, ahead, behind := 0, 0, 0
+	s := g.newSchedule(now)
+	w := g.newQueued(req, now)
 	overtaken := g.overtaken(req)
-	for _, w := range g.queue {
-		if w.Rank <= req.Rank && now <= w.startBy {
-			if overtaken(w) {
-				behind++
-				continue
-			}
-			tokens += g.prefillTokens(&w.Request)
-			ahead++
-		}
+	byShares := g.namesCustomer(req)
+	w.late = !byShares && s.firstEvent(w, s.earliestStart(w)) > w.startBy
+	ahead := g.positionOf(w, overtaken)
+	if !byShares && !w.late && !s.onTimeBehind(w, ahead) {
+		w.late = true
+		ahead = g.positionOf(w, overtaken)
 	}
-	wait := max(g.pacer.expectedWait(tokens, now), g.capacityWait(len(g.queue)-behind), g.limiter.Delay(ahead+1, now))
+	_, wait := s.wait(ahead)
 	if g.inventory.ready(req) {
 		return wait
 	}
@@ -35,11 +33,35 @@
 	return max(wait, f.nextLoad-g.inventory.coldLoadTime()+g.inventory.loadTime(req.qualifiedName()))
 }
 
-// capacityWait is the expected wait for capacity in the running batch, behind the given number of
-// queued requests.
-func (g *Gate) capacityWait(queued int) magno.Millis {
+// queueWait estimates how long a request behind the whole queue would wait if its adapter were
+// ready.
+func (g *Gate) queueWait(now magno.Millis) magno.Millis {
+	queued := 0
+	for _, w := range g.queue {
+		queued += w.tokens
+	}
+	return max(g.pacer.expectedWait(queued, now), g.capacityWait(), g.limiter.Delay(len(g.queue)+1, now))
+}
+
+// positionOf returns what precedes a request that is queued now, except for requests of its class
+// that it would overtake by fair shares.
+func (g *Gate) positionOf(w *queuedRequest, overtaken func(*queuedRequest) bool) position {
+	var ahead position
+	for _, other := range g.queue {
+		if compareQueued(other, w) <= 0 && !(sameClass(other, w) && overtaken(other)) {
+			ahead.addAny(other)
+		}
+	}
+	return ahead
+}
+
+// capacityWait is the expected wait for a place in the batch behind the whole queue.
+func (g *Gate) capacityWait() magno.Millis { return g.placeWait(g.runningCount() + len(g.queue)) }
+
+// placeWait is the expected wait for a place in the batch behind the given number of requests.
+func (g *Gate) placeWait(ahead int) magno.Millis {
 	batch := max(g.spec.Engine.Batch, 1)
-	over := g.runningCount() + queued - batch
+	over := ahead - batch
 	if over < 0 {
 		return 0
 	}
@@ -66,15 +88,11 @@
 func (g *Gate) Backlog() magno.Backlog {
 	g.setup()
 	now := g.now()
-	queued := 0
-	for _, w := range g.queue {
-		queued += g.prefillTokens(&w.Request)
-	}
 	missing := g.missingNames()
 	next := g.forecast(now).nextLoad
 	return magno.Backlog{
 		Queued: len(g.queue), Running: g.runningCount(), Held: len(g.inventory.adapters),
-		Wait:       max(g.pacer.expectedWait(queued, now), g.capacityWait(len(g.queue)), g.limiter.Delay(len(g.queue)+1, now)) + g.congestion(),
+		Wait:       g.queueWait(now) + g.congestion(),
 		LoadWait:   next,
 		BaseWait:   g.inventory.baseModelWait(),
 		Warm:       g.inventory.warmHashes(),
@@ -86,6 +104,9 @@
 	}
 }
 
+// PrefillRate returns how many prompt tokens the engine is estimated to read in a millisecond.
+func (g *Gate) PrefillRate() float64 { return g.pacer.engine.PrefillRate() }
+
 // pendingHashes lists the hashes of what is being loaded or waited for, in ascending order.
 func (g *Gate) pendingHashes(missing []string) []uint32 {
 	list := make([]uint32, 0, len(missing)+len(g.inventory.loading))
