--- a/entry/desk/seat.go
+++ b/entry/desk/seat.go
@@ -28,6 +28,8 @@
 	polling      bool
 	polledAt     magno.Millis
 	sentRevision magno.Revision
+	// roundTrip is the moving average of the time that polls take, in ms, zero before the first.
+	roundTrip float64
 	// downSince is when the engine was first reported as down, or as restarted, in a row.
 	downSince magno.Millis
 	// lostCh is closed once the agent counts as lost, and replaced when it answers again.
@@ -54,6 +56,15 @@
 	return !s.lost && s.status.Replica == s.replica.Key() && !s.down()
 }
 
+// recordTrip takes the time that a poll took.
+func (s *agentState) recordTrip(took magno.Millis) {
+	if s.roundTrip == 0 {
+		s.roundTrip = float64(took)
+		return
+	}
+	s.roundTrip += roundTripWeight * (float64(took) - s.roundTrip)
+}
+
 // isCalm reports whether two states of an agent are equivalent for routing: nothing waits at
 // the engine, and it holds the same models and adapters as before.
 func isCalm(before, after *gate.StatusReply) bool {
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -196,6 +196,8 @@
 	// declines is called for each permit request that may be declined, and decides whether it
 	// is.
 	declines func(key string) bool
+	// handBackAfter is the time after which requests are declined.
+	handBackAfter time.Duration
 
 	// decide returns the decision on a permit, nil to grant it. It may be nil.
 	decide func(ctx context.Context, key string) *gate.PermitReply
@@ -211,10 +213,15 @@
 
 	mu      sync.Mutex
 	notices []gate.NoticeCall
+	asked   []gate.Request
 }
 
 func (p *fakePermits) Acquire(ctx context.Context, key string, req gate.Request) (*gate.PermitReply, error) {
+	p.mu.Lock()
+	p.asked = append(p.asked, req)
+	p.mu.Unlock()
 	if p.declines != nil && req.DeclineAbove > 0 && p.declines(key) {
+		time.Sleep(p.handBackAfter)
 		return &gate.PermitReply{Declined: true}, nil
 	}
 	if p.decide != nil {
