--- a/magno/queue/window.go
+++ b/magno/queue/window.go
@@ -158,7 +158,7 @@
 	w.size = min(max(w.size, w.slots), w.most)
 }
 
-// setParts sets this entry's parts: by demand if the peers' is known, at least equal ones.
+// setParts sets this entry's parts: by demand if the peers' is known, else equal ones.
 func (q *Queue) setParts() {
 	slots, n := 0, 0
 	for _, u := range q.upstreams {
@@ -167,11 +167,12 @@
 			n++
 		}
 	}
-	// Demand moves faster than the news of it. An entry whose demand has just risen gets an equal part at
-	// least; the upstreams' own queues hold what this adds up to.
-	part := min(q.share, 1)
-	if q.entries > 1 {
-		part = max(part, 1/float64(q.entries))
+	part := 0.0
+	switch {
+	case q.share > 0:
+		part = min(q.share, 1)
+	case q.entries > 1:
+		part = 1 / float64(q.entries)
 	}
 	w := &q.window
 	before := w.most
