--- a/magno/gate/order.go
+++ b/magno/gate/order.go
@@ -11,7 +11,7 @@
 // take. The rest is left for requests that arrive meanwhile and would be on time.
 const promoteShare = 0.5
 
-// sortQueue orders the queue. First come the requests whose first event can be on time, by rank
+// sortQueue orders the queue: by start times, or with OrderByEstimate as follows. First come the requests whose first event can be on time, by rank
 // and then by the time at which they should start. The late ones follow in the same order: a
 // saturated engine thereby spends its time on the answers that are worth most.
 //
@@ -19,8 +19,8 @@
 // start, and those that would be late behind the ones before them in the queue. The latter would
 // only delay those behind them.
 //
-// Where customers share the engine, shares decide instead of estimates: with both, fewer of the
-// requests of customers within their share were on time.
+// Where customers share the engine, the order is by start times and then by shares. With estimates, fewer
+// requests of customers within their share are on time.
 func (g *Gate) sortQueue(f *forecast, now magno.Millis) {
 	s := g.newSchedule(now)
 	for _, w := range g.queue {
@@ -61,7 +61,8 @@
 	return -1
 }
 
-// sortByStartTime orders the queue without estimates.
+// sortByStartTime orders the queue without estimates: first the requests that may still start in time, by rank
+// and then by start time, then the late ones in the same order.
 func (g *Gate) sortByStartTime(now magno.Millis) {
 	for _, w := range g.queue {
 		w.late, w.promoted = now > w.startBy, false
