peers: records of ended upstreams are sent again to an entry that restarted

By the digests alone an entry that starts twice within repeatInterval looked the same both times, so the second process got no records with several ends for up to ten seconds and could send such a request to upstreams again.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -365,6 +365,9 @@
 	}
 	k.hello, k.rank = *h, h.rank()
 	k.misses, k.alive, k.refused, k.seenAt = 0, true, false, p.Clock.Now()
+	if h.Stamp.Incarnation != k.lastStamp.stamp.Incarnation {
+		k.digests = [2]uint64{} // what its earlier process was sent is lost
+	}
 	k.lastStamp = receivedStamp{stamp: h.Stamp, receivedAt: p.Book.Clock.Now()}
 	p.mu.Unlock()
 	if mine := p.Book.Current().Revision; h.Revision == mine && h.Revision > 0 {
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -205,6 +205,34 @@
 	}
 }
 
+// Guards against an entry that starts twice within repeatInterval and doesn't learn of suspects the second time: by
+// the digests both incarnations are the same, but what the first one was sent is lost.
+func TestEntryThatRestartsTwiceLearnsSuspects(t *testing.T) {
+	f := newHelloFleet(t, 2)
+	p := f.peers[0]
+	for i := range uint64(3) {
+		endUnder(p.Suspects, 77, i+1)
+	}
+	f.clock.Advance(suspectMaxAge + magno.Second) // the ends are no longer in each hello
+	hello := Hello{Addr: addr(1)}
+	for _, step := range []struct {
+		name        string
+		incarnation uint64
+		sent        bool
+	}{
+		{"first incarnation", 1, true},
+		{"the same again", 1, false},
+		{"second incarnation", 2, true},
+		{"the same again", 2, false},
+	} {
+		hello.Stamp.Incarnation = step.incarnation
+		p.applyHello(&hello)
+		if report := p.replyEnds(&hello); (len(report.Ends) > 0) != step.sent {
+			t.Errorf("%s: got %+v, want ends: %t", step.name, report, step.sent)
+		}
+	}
+}
+
 // restart replaces an entry, which must learn the suspect as soon as it hears of others.
 func (f *helloFleet) restart(t *testing.T, n int) {
 	t.Helper()
