hop: idle connections of an upstream that has ended are closed

After an answer by another incarnation the idle connections to the earlier one were kept. They are half-open or lead to the successor, so Ended reported that the upstream lives, and the next request was sent over one of them.

--- a/entry/hop/ended_test.go
+++ b/entry/hop/ended_test.go
@@ -40,3 +40,21 @@
 		t.Error("the upstream counts as ended")
 	}
 }
+
+// Guards against a request that is sent over an idle connection to an upstream that has ended: the connection is
+// half-open, or leads to the successor.
+func TestIdleConnectionsOfAnEndedUpstreamAreClosed(t *testing.T) {
+	p, c, _, addr := newIdleConn(t, "timeout=60")
+	p.SetEnded(c.key)
+	if !p.Ended(c.key) {
+		t.Error("the upstream doesn't count as ended")
+	}
+	next, err := p.Get(t.Context(), c.key, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = next.Close() }()
+	if next.Reused {
+		t.Error("the idle connection is used again")
+	}
+}
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -91,7 +91,9 @@
 // discard closes an idle connection that can't be used any more.
 func (p *Pool) discard(c *Conn) {
 	if p.Clock.Now() < c.expires {
-		p.SetEnded(c.key)
+		p.mu.Lock()
+		p.markEnded(c.key)
+		p.mu.Unlock()
 	}
 	_ = c.Close()
 }
@@ -112,10 +114,20 @@
 	return p.ended[key]
 }
 
-// SetEnded records that an upstream has ended.
+// SetEnded records that an upstream has ended, and closes its idle connections: they are half-open, or lead to
+// its successor.
 func (p *Pool) SetEnded(key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.markEnded(key)
+	for _, c := range p.idle[key] {
+		_ = c.Close()
+	}
+	delete(p.idle, key)
+}
+
+// markEnded records that an upstream has ended. The caller holds mu.
+func (p *Pool) markEnded(key string) {
 	if p.ended == nil {
 		p.ended = map[string]bool{}
 	}
