desk: tasks that follow the list at once no longer drop agents

Since permits follow the list as well as the polls, a task with an older copy could restore the agents of that copy. The state of later incarnations was dropped, and a permit that ended meanwhile was not released.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -163,7 +163,7 @@
 
 // pollDue polls the agents that are due.
 func (c *Client) pollDue(ctx context.Context, wg *sync.WaitGroup) {
-	c.syncAgents(c.Book.Current())
+	c.syncAgents()
 	for _, s := range c.due() {
 		wg.Add(1)
 		go func() {
@@ -175,9 +175,10 @@
 
 // syncAgents updates the agents from the list. It does so only when the list has changed:
 // comparing the specs of all agents is too expensive for each tick.
-func (c *Client) syncAgents(snap *view.Snapshot) {
+func (c *Client) syncAgents() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	snap := c.Book.Current() // read with mu held, since several tasks call this
 	if snap.Plan == nil || snap == c.snap {
 		return
 	}
--- a/entry/desk/incarnation_test.go
+++ b/entry/desk/incarnation_test.go
@@ -161,6 +161,44 @@
 	}
 }
 
+// Guards against agents that are dropped with their state because two tasks follow the list at once, and the one with
+// the older copy comes last: a permit of such an agent would not be released.
+func TestAgentsFollowTheListFromSeveralTasks(t *testing.T) {
+	client, _ := newListedClient(t)
+	const incarnations = 2000
+	var tasks sync.WaitGroup
+	done := make(chan struct{})
+	for range 4 {
+		tasks.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					client.findAgent("unknown")
+				}
+			}
+		})
+	}
+	dropped := 0
+	for i := range magno.Millis(incarnations) {
+		next := &magno.Replica{ID: "r", StartedAt: i + 1, Service: "s", Address: "127.0.0.1:1", DataCentre: "x", Slots: 1}
+		client.Book.ApplyRead([]magno.Change{{Key: "r", Revision: magno.Revision(i + 2), Replica: next}}, magno.Revision(i+2), false)
+		first := client.findAgent(next.Key())
+		for range 20 {
+			if client.findAgent(next.Key()) != first {
+				dropped++
+				break
+			}
+		}
+	}
+	close(done)
+	tasks.Wait()
+	if dropped > 0 {
+		t.Errorf("the agents of %d of %d incarnations were dropped", dropped, incarnations)
+	}
+}
+
 // Guards against an agent that counts as lost for over half a second after its machine is back, and as
 // long requests aren't sent there: it must be polled at each tick for a while.
 func TestAgentThatWasLostJustNowIsPolledAtEachTick(t *testing.T) {
@@ -233,6 +271,6 @@
 		{Key: "r", Revision: 1, Replica: &magno.Replica{ID: "r", Service: "s", Address: "127.0.0.1:1", DataCentre: "x", Slots: 1}},
 	}, 1, true)
 	client := &Client{Notices: &notice.Board{Clock: clock}, Book: book, Clock: clock, Log: slog.New(slog.DiscardHandler), AgentPort: 1}
-	client.syncAgents(book.Current())
+	client.syncAgents()
 	return client, clock
 }
--- a/entry/desk/lost_test.go
+++ b/entry/desk/lost_test.go
@@ -117,7 +117,7 @@
 			{Key: "plan", Revision: revision, Plan: &magno.Plan{Version: 1, Services: []magno.Service{{Name: "s", Engine: &magno.Engine{Batch: 1}}}}},
 			{Key: "servers/r", Revision: revision, Replica: r},
 		}, revision, true)
-		client.syncAgents(client.Book.Current())
+		client.syncAgents()
 		return r.Key()
 	}
 	before := list(1, 100)
--- a/entry/desk/permit.go
+++ b/entry/desk/permit.go
@@ -62,7 +62,7 @@
 	if s != nil {
 		return s
 	}
-	c.syncAgents(c.Book.Current())
+	c.syncAgents()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.agents[key]
--- a/entry/desk/weights_test.go
+++ b/entry/desk/weights_test.go
@@ -32,7 +32,7 @@
 		revision := magno.Revision(i + 1)
 		plan := &magno.Plan{Version: int64(i + 1), Services: []magno.Service{{Name: "s", Engine: &magno.Engine{Batch: 1}}}, Customers: step.customers}
 		book.ApplyRead(append(changes, magno.Change{Key: "plan", Revision: revision, Plan: plan}), revision, true)
-		client.syncAgents(book.Current())
+		client.syncAgents()
 		s := client.agents["r@0"]
 		if s == nil {
 			t.Fatalf("no agent among %v", client.agents)
