peers: a message about ended upstreams no longer repeats the one before

The time from which on changes are sent was not advanced when the first message to a peer began, so the next one had all records of the first one once more.

--- a/entry/peers/suspect.go
+++ b/entry/peers/suspect.go
@@ -236,11 +236,18 @@
 	}
 }
 
-// nextDelivery returns the time from which on changes are to be sent.
+// nextDelivery begins a message, and returns the time from which on changes are to be sent with it.
 func (p *Peers) nextDelivery(addr string) (since magno.Millis, more bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.deliveries[addr].since, true
+	return p.deliveries[addr].begin(p.Suspects.Clock.Now()), true
+}
+
+// begin begins a message. Changes from now on are left to the next one.
+func (d *delivery) begin(now magno.Millis) (since magno.Millis) {
+	since = d.since
+	d.again, d.since = false, now
+	return since
 }
 
 // finishDelivery ends a message, and returns the time from which on changes are to be sent with the next, if there
@@ -253,9 +260,7 @@
 		delete(p.deliveries, addr)
 		return 0, false
 	}
-	since = d.since
-	d.again, d.since = false, p.Suspects.Clock.Now()
-	return since, true
+	return d.begin(p.Suspects.Clock.Now()), true
 }
 
 // sendEnds passes on a report. One that is lost comes with a hello.
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -244,3 +244,30 @@
 	}
 	t.Logf("refused by an entry that starts after %d ms", took)
 }
+
+// Guards against changes that are sent to a slow peer once more, with the next message, and against changes that are
+// in none.
+func TestDeliveryHasEachChangeOnce(t *testing.T) {
+	f := newHelloFleet(t, 2)
+	p, to := f.peers[0], addr(1)
+	begin := f.clock.Now()
+	if !p.startDelivery(to, begin-spreadInterval) {
+		t.Fatal("a message is on its way already")
+	}
+	if since, _ := p.nextDelivery(to); since != begin-spreadInterval {
+		t.Errorf("the first message has changes since %d, want %d", since, begin-spreadInterval)
+	}
+	f.clock.Advance(spreadInterval)
+	if p.startDelivery(to, begin-1) {
+		t.Error("a second message is sent beside the first one")
+	}
+	if since, more := p.finishDelivery(to); !more || since != begin-1 {
+		t.Errorf("the second message has changes since %d, %t; want %d", since, more, begin-1)
+	}
+	if _, more := p.finishDelivery(to); more {
+		t.Error("a third message is sent without a change")
+	}
+	if !p.startDelivery(to, f.clock.Now()) {
+		t.Error("the peer gets no further message")
+	}
+}
