--- a/magno/crash/settle_test.go
+++ b/magno/crash/converge_test.go
@@ -8,12 +8,12 @@
 	"magnoliastall.example/magno"
 )
 
-// exchange is a number of processes that tell each other of their records, in random pairs.
+// exchange is a number of processes that send each other their records, in random pairs.
 type exchange struct {
 	rand      *rand.Rand
 	clock     *magno.Clock
 	processes []*Suspects
-	// messages counts those that were news to their receiver.
+	// messages counts those that changed the receiver's records.
 	messages int
 }
 
@@ -25,8 +25,8 @@
 	return x
 }
 
-// tell sends the records of one process to another, and reports whether they were news there.
-func (x *exchange) tell(from, to int) bool {
+// send sends the records of one process to another, and reports whether they changed any there.
+func (x *exchange) send(from, to int) bool {
 	s := x.processes[to]
 	before := s.Changes()
 	s.Merge(x.processes[from].UpdatedSince(0, MaxRecords))
@@ -37,27 +37,27 @@
 	return true
 }
 
-// settle exchanges records in rounds of all pairs, each in random order, until a round brings no news or
-// the limit of messages is exceeded. It reports whether all is quiet.
-func (x *exchange) settle(limit int) bool {
+// converge exchanges records in rounds of all pairs, each in random order, until a round changes none or
+// the limit of messages is exceeded. It reports whether the last round changed none.
+func (x *exchange) converge(limit int) bool {
 	n := len(x.processes)
 	for x.messages <= limit {
-		quiet := true
+		unchanged := true
 		for _, pair := range x.rand.Perm(n * n) {
-			if from, to := pair/n, pair%n; from != to && x.tell(from, to) {
-				quiet = false
+			if from, to := pair/n, pair%n; from != to && x.send(from, to) {
+				unchanged = false
 			}
 		}
-		if quiet {
+		if unchanged {
 			return true
 		}
 	}
 	return false
 }
 
-// Guards against news that never settles: processes that dropped different ends of a full record told each
-// other of them for ever, which filled the memory of all.
-func TestNewsOfEndsSettles(t *testing.T) {
+// Guards against updates without an end: processes that evicted different ends of a full record sent them to
+// each other for ever, which filled the memory of all.
+func TestRecordsOfEndsConverge(t *testing.T) {
 	for _, c := range []struct {
 		ends, records, processes int
 		cleared                  bool
@@ -85,13 +85,13 @@
 						}
 					}
 				}
-				// Each end is news to a process once at most, and so is each generation, of which there is
-				// one at most for each end and process.
+				// Each end changes a process's record once at most, and so does each generation, of which
+				// there is one at most for each end and process.
 				limit := c.processes * c.records * c.ends * (c.processes + 1)
-				if !x.settle(limit) {
-					t.Fatalf("seed %d: still news after %d messages", seed, x.messages)
+				if !x.converge(limit) {
+					t.Fatalf("seed %d: still changes after %d messages", seed, x.messages)
 				}
-				t.Logf("seed %d: quiet after %d messages", seed, x.messages)
+				t.Logf("seed %d: no more changes after %d messages", seed, x.messages)
 			}
 		})
 	}
@@ -106,7 +106,7 @@
 		endAll(x.processes[e%8], uint64(1000+e), fatal)
 		x.clock.Advance(momentGap)
 	}
-	x.settle(100_000)
+	x.converge(100_000)
 	for i, s := range x.processes {
 		if !s.MustRefuse(7) || s.Refused(request(1, fatal)...) != fatal {
 			t.Errorf("process %d sends it: %d and %d ends", i, s.Count(7), s.Count(fatal))
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -15,10 +15,10 @@
 // joined, so it doesn't matter which process saw an end, how many did, or in which order they learn of
 // it. What completes is cleared of the ends so far, which begins the next generation of its record; a part
 // is also cleared of those soon afterwards, since it runs in many requests at a time. Generations only
-// rise, and within one the set only grows until it is full, so what processes tell each other settles.
-// A request is refused if refuseEnds upstreams ended under it, or partRefuseEnds
-// under one of its parts, that nothing else explains better, unless the pool was failing anyway. Later it may run once
-// more, alone, which clears it if it was sound.
+// rise, and within one the set only grows until it is full, so the records of all processes converge.
+// A request is refused if refuseEnds upstreams ended under it, or partRefuseEnds under one of its parts, that
+// nothing else explains better, unless the pool was failing anyway. Later it may run once more, alone, which
+// clears it if it was sound.
 //
 // Records expire and their number is bounded. They are soft state: losing them costs further ends.
 package crash
@@ -56,7 +56,7 @@
 	// is refused before a sound part that ran beside it each time.
 	partRefuseEnds = 4
 	// partMoments is at how many moments, momentGap apart, these ends must have come. Many upstreams that
-	// fail at once end all that ran there, and news of what completes elsewhere needs time to arrive.
+	// fail at once end all that ran there, and completions elsewhere become known here only later.
 	partMoments = 3
 	momentGap   = 500 * magno.Millis(1)
 	// holdTime is how long a request is held back after the end that HoldEnds names. Upstreams
@@ -65,7 +65,7 @@
 	// partClearTime is how long after a request with it completed a part isn't a suspect. A part that
 	// many sound requests share completes all the while, one that ends its upstreams never does.
 	partClearTime = 3 * magno.Second
-	// settleTime is how long news of a completion may take to reach all processes: a few of gossip's
+	// settleTime is how long it may take until a completion is known to all processes: a few of gossip's
 	// urgent exchanges.
 	settleTime = 200 * magno.Millis(1)
 )
@@ -101,8 +101,8 @@
 	// completed holds the time of the last completion of requests, also of those without a
 	// record.
 	completed *simplelru.LRU[uint64, magno.Millis]
-	// changes counts the changes of records that are news to others: those of the ends of the current
-	// generation. What makes room in a table is none.
+	// changes counts the changes of records that are sent to others: those of the ends of the current
+	// generation. Evictions don't count.
 	changes  int64
 	digested digested
 	// startedAt is the time of the first use.
@@ -186,15 +186,15 @@
 		e.cleared = true
 	}
 	if rec == nil {
-		rec = &record{changedAt: now, tellAt: now}
+		rec = &record{changedAt: now, announcedAt: now}
 		s.put(fingerprint, rec)
 	}
 	return rec.add(e) && s.changed(rec, now)
 }
 
-// changed notes a change that is news to others, and returns true. The caller holds mu.
+// changed records a change that is to be sent to others, and returns true. The caller holds mu.
 func (s *Suspects) changed(rec *record, now magno.Millis) bool {
-	rec.changedAt, rec.tellAt = now, now
+	rec.changedAt, rec.announcedAt = now, now
 	s.changes++
 	return true
 }
--- a/magno/crash/record.go
+++ b/magno/crash/record.go
@@ -12,10 +12,11 @@
 	generation uint32
 	clearedAt  magno.Millis
 	// ends holds at most maxEnds that count and maxEnds that it was cleared of. The latter tell whether a
-	// pool is failing, and aren't told to others.
+	// pool is failing, and aren't sent to others.
 	ends []end
-	// changedAt is the time of the last change known here, tellAt that from which on peers are told.
-	changedAt, tellAt magno.Millis
+	// changedAt is the time of the last change known here, announcedAt that of the last one to be sent to
+	// peers.
+	changedAt, announcedAt magno.Millis
 	// witnessed is true if this process itself saw one of the ends or a completion.
 	witnessed bool
 	// trials counts the trials that this process granted, the last one at triedAt.
@@ -60,7 +61,7 @@
 		old.cleared = old.cleared || e.cleared
 		return changed
 	}
-	last, n := r.last(e.cleared)
+	last, n := r.evictionIndex(e.cleared)
 	switch {
 	case n < maxEnds:
 		r.ends = append(r.ends, e)
@@ -71,10 +72,10 @@
 	return false
 }
 
-// last returns which of the ends that count, or of the cleared ones, gives way to another, and their
+// evictionIndex returns which of the ends that count, or of the cleared ones, gives way to another, and their
 // number. Of the cleared ones it is the first that became known. Of the others it is the one with the highest
 // hash, so that all processes keep the same.
-func (r *record) last(cleared bool) (at, n int) {
+func (r *record) evictionIndex(cleared bool) (at, n int) {
 	at = -1
 	for i := range r.ends {
 		if r.ends[i].cleared != cleared {
@@ -97,19 +98,20 @@
 			cleared = append(cleared, *e)
 		}
 	}
-	for last, n := r.last(true); n > maxEnds; last, n = r.last(true) {
+	for last, n := r.evictionIndex(true); n > maxEnds; last, n = r.evictionIndex(true) {
 		r.ends = slices.Delete(r.ends, last, last+1)
 	}
 	return cleared
 }
 
-// begin begins a generation, with the ends that came after the completion.
-func (r *record) begin(generation uint32, clearedAt magno.Millis) (changed bool) {
+// beginGeneration begins a generation, with the ends that came after the completion. It reports whether that cleared
+// any.
+func (r *record) beginGeneration(generation uint32, clearedAt magno.Millis) (changed bool) {
 	r.generation, r.clearedAt = generation, clearedAt
 	return len(r.clear(func(e *end) bool { return e.at <= clearedAt })) > 0
 }
 
-// export returns the record as it is told to others.
+// export returns the record as it is sent to others.
 func (r *record) export(fingerprint uint64, now magno.Millis) Record {
 	rec := Record{Fingerprint: fingerprint, Generation: r.generation, Ends: make([]magno.UpstreamEnd, 0, len(r.ends))}
 	if r.generation > 0 {
--- a/magno/crash/share.go
+++ b/magno/crash/share.go
@@ -35,18 +35,18 @@
 		rec = &record{generation: theirs.Generation, clearedAt: now - max(theirs.ClearedAge, 0), changedAt: now}
 		s.put(theirs.Fingerprint, rec)
 	}
-	if theirs.Generation > rec.generation && rec.begin(theirs.Generation, now-max(theirs.ClearedAge, 0)) {
+	if theirs.Generation > rec.generation && rec.beginGeneration(theirs.Generation, now-max(theirs.ClearedAge, 0)) {
 		s.changed(rec, now)
 	}
 	stale := theirs.Generation < rec.generation
 	for _, e := range ends {
 		switch {
 		case stale && e.at <= rec.clearedAt:
-			rec.tellAt, rec.witnessed = now, true // the peer doesn't know of the completion
+			rec.announcedAt, rec.witnessed = now, true // the peer doesn't know of the completion
 		case s.isCleared(theirs.Fingerprint, e.at):
 			e.cleared = true
 			rec.add(e)
-			rec.begin(max(rec.generation, theirs.Generation)+1, s.clearedUntil(theirs.Fingerprint))
+			rec.beginGeneration(max(rec.generation, theirs.Generation)+1, s.clearedUntil(theirs.Fingerprint))
 			s.changed(rec, now)
 			rec.witnessed, stale = true, true
 		case rec.add(e):
@@ -90,25 +90,25 @@
 	return s.list(func(*record) bool { return true }, MaxRecords)
 }
 
-// maxPassedOn bounds the records with one end, or none, that UpdatedSince takes of those that peers told of. After
-// a failure of many upstreams they change no decision, and would be most of what processes send.
+// maxPassedOn bounds the records with one end, or none, that UpdatedSince takes of those received from peers. After a
+// failure of many upstreams they change no decision, and would be most of what processes send.
 const maxPassedOn = 16
 
-// UpdatedSince returns limit of the records that changed after the given time: those with several ends, then those
-// that this process saw something of itself, and then the last ones.
+// UpdatedSince returns up to limit of the records that changed after the given time: those with several ends, then those
+// those that this process saw a part of itself, and then maxPassedOn of the others.
 func (s *Suspects) UpdatedSince(since magno.Millis, limit int) []Record {
 	own := s.WitnessedSince(since, limit)
 	others := s.list(func(rec *record) bool {
-		return rec.tellAt > since && rec.count() < seriousEnds && !rec.witnessed
+		return rec.announcedAt > since && rec.count() < seriousEnds && !rec.witnessed
 	}, min(limit-len(own), maxPassedOn))
 	return append(others, own...)
 }
 
-// WitnessedSince is UpdatedSince without the last ones.
+// WitnessedSince is UpdatedSince without the others.
 func (s *Suspects) WitnessedSince(since magno.Millis, limit int) []Record {
-	serious := s.list(func(rec *record) bool { return rec.tellAt > since && rec.count() >= seriousEnds }, limit)
+	serious := s.list(func(rec *record) bool { return rec.announcedAt > since && rec.count() >= seriousEnds }, limit)
 	own := s.list(func(rec *record) bool {
-		return rec.tellAt > since && rec.count() < seriousEnds && rec.witnessed
+		return rec.announcedAt > since && rec.count() < seriousEnds && rec.witnessed
 	}, limit-len(serious))
 	return append(own, serious...)
 }
@@ -140,7 +140,7 @@
 	return list
 }
 
-// Changes counts the changes of records that are news to others, those by Merge too.
+// Changes counts the changes of records that are to be sent to others, those by Merge too.
 func (s *Suspects) Changes() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
