--- a/magno/agenda/agenda.go
+++ b/magno/agenda/agenda.go
@@ -10,8 +10,8 @@
 // have used up their retry, while the capacity of the following seconds is idle.
 //
 // Each entry plans with the rate of its own completions, its share of the pool, less those of its
-// usual demand, so entries need no messages. Reservations are soft: whoever returns is served if there is capacity, and
-// a caller that doesn't return leaves its reservation to others.
+// usual demand, so entries need no messages. Reservations are soft: a caller that returns is served if
+// there is capacity, and one that doesn't leaves its reservation to others.
 package agenda
 
 import "magnoliastall.example/magno"
@@ -27,7 +27,7 @@
 	refusalSlots = 20
 	// minRefusals is the number of refusals in that time up to which callers may return together.
 	minRefusals = 3
-	// rankCount is the number of ranks that are told apart; lower priorities share the last one.
+	// rankCount is the number of ranks that are distinguished; lower priorities share the last one.
 	rankCount = 8
 	// capacityError is the tolerance for the rounding of capacities that aren't whole numbers.
 	capacityError = 1e-9
@@ -112,7 +112,7 @@
 		}
 		carried = max(loads[i]-perSlot, 0)
 	}
-	// room is how much more the time slots from i on can take at their begin.
+	// room is how many more callers the time slots from i on can take, if they return in slot i.
 	free, found, room := int64(0), false, 1.0
 	for i := slotCount - 1; int64(i) >= first-a.slot; i-- {
 		room = min(max(perSlot+1-loads[i], 0), room+max(perSlot-loads[i], 0))
--- a/magno/agenda/capacity.go
+++ b/magno/agenda/capacity.go
@@ -17,8 +17,9 @@
 	minReturnShare = 0.25
 )
 
-// capacity forecasts the capacity for callers that return. It learns the rate at which requests are completed. While many callers are refused, that is
-// the capacity. Otherwise it is only the demand, and the capacity is at least as much.
+// capacity forecasts the capacity for callers that return. It learns the rate at which requests are
+// completed. While many callers are refused, that is the capacity. Otherwise it is only the demand, and
+// the capacity is at least as much.
 type capacity struct {
 	// served counts the completions of the current window, which began at windowStart. overloaded
 	// is true if many callers were refused in it.
--- a/magno/agenda/replay_test.go
+++ b/magno/agenda/replay_test.go
@@ -27,88 +27,111 @@
 
 func (r returned) share() float64 { return float64(r.served) / float64(r.served+r.refused) }
 
-// replayCase is a load: the steady rate per second, the callers' timeout, the factor by which
-// requests take longer from some time in the burst on, and whether one of the two entries, each of
-// which has its own agenda, is lost then.
+// replayCase is a load on a pool with two entries, each of which has its own agenda.
 type replayCase struct {
-	name      string
-	rate      float64
-	timeout   magno.Millis
-	slowdown  magno.Millis
+	name string
+	// rate is the steady rate of requests per second.
+	rate float64
+	// timeout is that of the callers.
+	timeout magno.Millis
+	// slowdown is the factor by which requests take longer from replaySlowAfter on.
+	slowdown magno.Millis
+	// entryDies is true if one of the entries is lost then.
 	entryDies bool
 }
 
-// replay replays a load, and returns what those that came back found.
+// replayPool is the state of a replay.
+type replayPool struct {
+	replayCase
+	withAgenda bool
+	clock      *magno.Clock
+	rand       *rand.Rand
+	entries    []*Agenda
+	// ends are the times at which running requests end, and returns those at which refused callers return.
+	ends, returns []magno.Millis
+	waiting       int
+	result        returned
+}
+
+// replay replays a load, and returns what callers that came back got.
 func replay(c replayCase, withAgenda bool) returned {
 	clock := magno.NewClock(magno.Hour)
-	entries := []*Agenda{{Clock: clock}, {Clock: clock}}
-	r := rand.New(rand.NewPCG(5, 2)) //nolint:gosec // no secret
-	began := clock.Now()
-	var ends, returns []magno.Millis
-	var waiting int
-	var result returned
-	arrive := func(again bool) {
-		now := clock.Now()
-		switch {
-		case len(ends)+waiting < replaySlots+replayQueue:
-			waiting++
-			if again {
-				result.served++
-			}
-		case again:
-			result.refused++
-		default:
-			at := now + replayRetry
-			if withAgenda {
-				at = entries[r.IntN(len(entries))].Promise(0, at, now+c.timeout/3)
-			}
-			returns = append(returns, at+magno.Millis(r.IntN(replayJitter)))
-		}
+	p := &replayPool{
+		replayCase: c, withAgenda: withAgenda, clock: clock, entries: []*Agenda{{Clock: clock}, {Clock: clock}},
+		rand: rand.New(rand.NewPCG(5, 2)), //nolint:gosec // no secret
 	}
+	began := clock.Now()
 	for clock.Now() < began+replayEnd {
-		now := clock.Now()
-		since := now - began
-		ends = slices.DeleteFunc(ends, func(end magno.Millis) bool {
-			if now >= end {
-				entries[r.IntN(len(entries))].Served()
-			}
-			return now >= end
-		})
-		runTime := replayRunTime
-		if since > replayBurstAt+replaySlowAfter {
-			runTime *= c.slowdown
-			if c.entryDies {
-				entries = entries[:1]
-			}
+		p.step(clock.Now() - began)
+		clock.Advance(1)
+	}
+	return p.result
+}
+
+// arrive has a caller arrive, for the first time or again.
+func (p *replayPool) arrive(again bool) {
+	now := p.clock.Now()
+	switch {
+	case len(p.ends)+p.waiting < replaySlots+replayQueue:
+		p.waiting++
+		if again {
+			p.result.served++
 		}
-		for waiting > 0 && len(ends) < replaySlots {
-			waiting--
-			ends = append(ends, now+runTime/2+magno.Millis(r.Int64N(int64(runTime))))
+	case again:
+		p.result.refused++
+	default:
+		at := now + replayRetry
+		if p.withAgenda {
+			at = p.entry().Promise(0, at, now+p.timeout/3)
 		}
-		rate := c.rate
-		if since >= replayBurstAt && since < replayBurstAt+magno.Second {
-			rate += replayBurst
+		p.returns = append(p.returns, at+magno.Millis(p.rand.IntN(replayJitter)))
+	}
+}
+
+// entry draws the entry of a caller.
+func (p *replayPool) entry() *Agenda { return p.entries[p.rand.IntN(len(p.entries))] }
+
+// step replays one millisecond, at a time since the begin.
+func (p *replayPool) step(since magno.Millis) {
+	now := p.clock.Now()
+	p.ends = slices.DeleteFunc(p.ends, func(end magno.Millis) bool {
+		if now >= end {
+			p.entry().Served()
 		}
-		if r.Float64() < rate/1000 {
-			arrive(false)
+		return now >= end
+	})
+	runTime := replayRunTime
+	if since > replayBurstAt+replaySlowAfter {
+		runTime *= p.slowdown
+		if p.entryDies {
+			p.entries = p.entries[:1]
 		}
-		returns = slices.DeleteFunc(returns, func(at magno.Millis) bool {
-			if now >= at {
-				arrive(true)
-			}
-			return now >= at
-		})
-		clock.Advance(1)
 	}
-	return result
+	for p.waiting > 0 && len(p.ends) < replaySlots {
+		p.waiting--
+		p.ends = append(p.ends, now+runTime/2+magno.Millis(p.rand.Int64N(int64(runTime))))
+	}
+	rate := p.rate
+	if since >= replayBurstAt && since < replayBurstAt+magno.Second {
+		rate += replayBurst
+	}
+	if p.rand.Float64() < rate/1000 {
+		p.arrive(false)
+	}
+	p.returns = slices.DeleteFunc(p.returns, func(at magno.Millis) bool {
+		if now >= at {
+			p.arrive(true)
+		}
+		return now >= at
+	})
 }
 
-// Some hundred callers are refused within a second, and each returns once. With the agenda more
-// of them must find room, also where the pool slows down meanwhile, or where one of two entries is
-// lost with its reservations and all callers return to the other one.
+// Some hundred callers are refused within a second, and each returns once. Guards against an agenda
+// with which fewer of them find room than without, also where the pool slows down meanwhile, or
+// where one of two entries is lost with its reservations and all callers return to the other one.
 func TestRefusedCallersFindRoom(t *testing.T) {
 	for _, c := range []replayCase{
-		{"quiet", 20, 12 * magno.Second, 1, false},
+		{"low load", 20, 12 * magno.Second, 1, false},
 		{"usual load", 100, 12 * magno.Second, 1, false},
 		{"high load", 180, 12 * magno.Second, 1, false},
 		{"short timeout", 100, 3 * magno.Second, 1, false},
