--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -20,9 +20,8 @@
 package gate
 
 import (
-	"maps"
-
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
--- a/magno/gate/order.go
+++ b/magno/gate/order.go
@@ -11,16 +11,17 @@
 // take. The rest is left for requests that arrive meanwhile and would be on time.
 const promoteShare = 0.5
 
-// sortQueue orders the queue: by start times, or with OrderByEstimate as follows. First come the requests whose first event can be on time, by rank
-// and then by the time at which they should start. The late ones follow in the same order: a
-// saturated engine thereby spends its time on the answers that are worth most.
+// sortQueue orders the queue: by start times, or with OrderByEstimate as follows. First come the
+// requests whose first event can be on time, by rank and then by the time at which they should start.
+// The late ones follow in the same order: a saturated engine thereby spends its time on the answers
+// that are worth most.
 //
 // Late are the requests whose first event would be late even if they were the next ones to
 // start, and those that would be late behind the ones before them in the queue. The latter would
 // only delay those behind them.
 //
-// Where customers share the engine, the order is by start times and then by shares. With estimates, fewer
-// requests of customers within their share are on time.
+// Where customers share the engine, the order is by start times and then by shares. With estimates,
+// fewer requests of customers within their share are on time.
 func (g *Gate) sortQueue(f *forecast, now magno.Millis) {
 	s := g.newSchedule(now)
 	for _, w := range g.queue {
@@ -61,8 +62,8 @@
 	return -1
 }
 
-// sortByStartTime orders the queue without estimates: first the requests that may still start in time, by rank
-// and then by start time, then the late ones in the same order.
+// sortByStartTime orders the queue without estimates: first the requests that may still start in time,
+// by rank and then by start time, then the late ones in the same order.
 func (g *Gate) sortByStartTime(now magno.Millis) {
 	for _, w := range g.queue {
 		w.late, w.promoted = now > w.startBy, false
@@ -88,8 +89,8 @@
 }
 
 // promoteLate moves late requests that would give up behind the others to the front of those of
-// their rank, as far as the others stay on time and promoteShare allows. Without it, a late request could wait in vain at an engine that has
-// capacity for it.
+// their rank, as far as the others stay on time and promoteShare allows. Without it, a late request
+// could wait in vain at an engine that has capacity for it.
 func (g *Gate) promoteLate(s *schedule, slack magno.Millis) {
 	slack = magno.Millis(promoteShare * float64(slack))
 	var ahead position
--- a/magno/gate/replay_test.go
+++ b/magno/gate/replay_test.go
@@ -52,25 +52,29 @@
 // replayEngine is a model of an engine: it prefills prompts in the order of their arrival, and
 // running streams make events meanwhile at half the speed.
 type replayEngine struct {
-	gate    *Gate
+	gate *Gate
+	// speed is in prompt tokens per ms.
 	speed   float64
 	prefill []*replayRequest
 	decode  []*replayRequest
-	// reported is the wait that entries know.
+	// reported is the wait that entries know, sent the prompt tokens that they have sent since.
 	reported magno.Millis
 	sent     int
-	waiting  map[string]*replayRequest
+	// waiting has the requests that wait for a permit, by ID.
+	waiting map[string]*replayRequest
 }
 
 type replayRequest struct {
 	replayKind
-	kind               int
-	id                 string
-	arrived, deadline  magno.Millis
-	unread, made       float64
-	first              magno.Millis
-	declines, refusals int
-	asks               int
+	// kind is the index of its kind in the load.
+	kind              int
+	id                string
+	arrived, deadline magno.Millis
+	// unread is the prompt tokens that are not prefilled, made the events so far, the first one at first.
+	unread, made float64
+	first        magno.Millis
+	// declines and refusals count those answers, asks the engines that were asked.
+	declines, refusals, asks int
 	// avoid lists the engines that declined or refused it.
 	avoid   []int
 	refused bool
@@ -94,9 +98,10 @@
 	clock   *magno.Clock
 	engines []*replayEngine
 	rng     *rand.Rand
-	due     map[magno.Millis][]func()
-	result  replayResult
-	lastID  int
+	// due has the messages that arrive, by time.
+	due    map[magno.Millis][]func()
+	result replayResult
+	lastID int
 	// carry is the part of a request of each kind that is yet to arrive.
 	carry []float64
 }
@@ -117,6 +122,7 @@
 	return r
 }
 
+// after calls f once d has passed, rounded up to a tick.
 func (r *replay) after(d magno.Millis, f func()) {
 	at := r.clock.Now() + max(d, replayTick)
 	at = (at + replayTick - 1) / replayTick * replayTick
--- a/magno/gate/review.go
+++ b/magno/gate/review.go
@@ -14,7 +14,7 @@
 	// one here, and one to the engine that it goes to instead.
 	handBackTrips = 2
 	// refusalMargin is the factor by which the expected wait must exceed the time until a queued
-	// request gives up for it to be refused. It is estimated anew at each decision, and without a
+	// request gives up for it to be refused. It is estimated again at each decision, and without a
 	// margin the highest of many estimates would decide.
 	refusalMargin = 1.25
 )
--- a/magno/gate/review_test.go
+++ b/magno/gate/review_test.go
@@ -112,7 +112,8 @@
 }
 
 // A queued request is overtaken by urgent ones for longer than it may wait. Guards against it
-// waiting in vain until it gives up, where it would make the others late if it went first, and against a Retry-After at which the engine is still full.
+// waiting in vain until it gives up, where it would make the others late if it went first, and against
+// a Retry-After at which the engine is still full.
 func TestRequestThatCannotStartIsRefusedAtOnce(t *testing.T) {
 	d := overtaken(t, func(a *Request) { a.DeclineAbove, a.MaxWait, a.Prompt = 0, 700, 60_000 })
 	i := slices.IndexFunc(d.Rejections, func(x Rejection) bool { return x.ID == "x" })
--- a/magno/gate/waits.go
+++ b/magno/gate/waits.go
@@ -7,8 +7,8 @@
 	"magnoliastall.example/magno"
 )
 
-// expectedWait estimates how long a request that arrives now would wait. Unless shares order the queue, one that
-// would be late is expected to wait for all that are on time.
+// expectedWait estimates how long a request that arrives now would wait. Unless shares order the queue,
+// one that would be late is expected to wait for all that are on time.
 func (g *Gate) expectedWait(req *Request, now magno.Millis) magno.Millis {
 	s := g.newSchedule(now)
 	w := g.newQueued(req, now)
