--- a/entry/desk/incarnation_test.go
+++ b/entry/desk/incarnation_test.go
@@ -49,6 +49,23 @@
 	return &gate.StatusReply{Replica: replica, Revision: revision}
 }
 
+// lose makes an agent count as lost.
+func lose(client *Client, s *agentState) {
+	for range maxMisses {
+		client.recordMiss(s, errors.New("no answer"))
+	}
+}
+
+// expectPolls fails unless an agent is polled at each of the next ticks.
+func expectPolls(t *testing.T, client *Client, clock *magno.Clock, key string) {
+	t.Helper()
+	for range 5 {
+		if !polledNextTick(client, clock, key) {
+			t.Fatal("the agent isn't polled")
+		}
+	}
+}
+
 // Guards against refusals by an agent that restarted since it was last polled: it has no spec, and the
 // entry believes that it has. The same request must be asked for again with the spec.
 func TestPermitOfRestartedAgentIsAskedForAgainWithItsSpec(t *testing.T) {
@@ -66,8 +83,8 @@
 	}
 }
 
-// Guards against requests that go on to be sent to an agent which has the spec of a later incarnation:
-// the changes must be fetched, and the router told that the replica is down, until the list changes.
+// Guards against requests that are still sent to an agent which has the spec of a later incarnation: the
+// changes must be fetched, and the replica reported as down to the router, until the list changes.
 func TestLaterIncarnationIsReported(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -92,7 +109,7 @@
 	}
 }
 
-// Guards against waits that go on although an engine is usable again.
+// Guards against requests that keep waiting although an engine is usable again.
 func TestUsableEngineIsReportedOnce(t *testing.T) {
 	client, clock := newListedClient(t)
 	got := record(client)
@@ -115,9 +132,7 @@
 			t.Errorf("%s: reported %d times, want %d", step.name, got.usable, step.usable)
 		}
 	}
-	for range maxMisses {
-		client.recordMiss(s, errors.New("no answer"))
-	}
+	lose(client, s)
 	client.recordStatus(s, status(key, 1), 0)
 	if got.usable != 4 {
 		t.Errorf("an agent that is back was reported %d times in total, want 4", got.usable)
@@ -134,9 +149,7 @@
 		if answered {
 			client.recordStatus(s, status(key, 1), 0)
 		}
-		for range maxMisses {
-			client.recordMiss(s, errors.New("no answer"))
-		}
+		lose(client, s)
 		if got.down[key] == answered {
 			t.Errorf("answered before: %t, reported as down: %t", answered, got.down[key])
 		}
@@ -161,8 +174,8 @@
 	}
 }
 
-// Guards against agents that are dropped with their state because two tasks follow the list at once, and the one with
-// the older copy comes last: a permit of such an agent would not be released.
+// Guards against agents that are dropped with their state because two tasks follow the list at once, and
+// the one with the older copy comes last: a permit of such an agent would not be released.
 func TestAgentsFollowTheListFromSeveralTasks(t *testing.T) {
 	client, _ := newListedClient(t)
 	const incarnations = 2000
@@ -205,14 +218,8 @@
 	client, clock := newFleet(120)
 	const key = "7@0"
 	s := client.agents[key]
-	for range maxMisses {
-		client.recordMiss(s, errors.New("no answer"))
-	}
-	for range 5 {
-		if !polledNextTick(client, clock, key) {
-			t.Fatal("the agent isn't polled")
-		}
-	}
+	lose(client, s)
+	expectPolls(t, client, clock, key)
 	if !s.lost {
 		t.Error("the agent doesn't count as lost")
 	}
@@ -225,11 +232,7 @@
 	const key = "7@0"
 	s := client.agents[key]
 	client.recordStatus(s, &gate.StatusReply{Replica: key, Down: true}, 0)
-	for range 5 {
-		if !polledNextTick(client, clock, key) {
-			t.Fatal("the agent isn't polled")
-		}
-	}
+	expectPolls(t, client, clock, key)
 	clock.Advance(recoveryTime)
 	client.recordStatus(s, &gate.StatusReply{Replica: key, Down: true}, 0)
 	s.polledAt = clock.Now()
@@ -244,9 +247,7 @@
 	client, clock := newFleet(120)
 	const key = "7@0"
 	s := client.agents[key]
-	for range maxMisses {
-		client.recordMiss(s, errors.New("no answer"))
-	}
+	lose(client, s)
 	clock.Advance(recoveryTime)
 	s.polledAt = clock.Now()
 	if polledNextTick(client, clock, key) {
