--- a/entry/peers/demand.go
+++ b/entry/peers/demand.go
@@ -5,22 +5,22 @@
 const idleDemand = 1
 
 // DemandShare returns this entry's share of the demand for a service, given its own. A peer that
-// doesn't tell its demand counts as the average of those that do.
+// doesn't state its demand counts as the average of those that do.
 func (p *Peers) DemandShare(service string, own float64) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	own += idleDemand
-	sum, told, silent := own, 1, 0
+	sum, stated, unknown := own, 1, 0
 	for _, k := range p.known {
 		switch {
 		case !k.alive:
 		case k.hello.Demand == nil:
-			silent++
+			unknown++
 		default:
 			sum += max(k.hello.Demand[service], 0) + idleDemand
-			told++
+			stated++
 		}
 	}
-	sum += sum / float64(told) * float64(silent)
+	sum += sum / float64(stated) * float64(unknown)
 	return own / sum
 }
--- a/entry/peers/demand_test.go
+++ b/entry/peers/demand_test.go
@@ -9,7 +9,7 @@
 
 // TestDemandShare guards against entries whose shares of a service add up to much more than one.
 func TestDemandShare(t *testing.T) {
-	tell := func(d float64) map[string]float64 { return map[string]float64{"s": d} }
+	demand := func(d float64) map[string]float64 { return map[string]float64{"s": d} }
 	for _, c := range []struct {
 		name  string
 		own   float64
@@ -17,17 +17,17 @@
 		want  float64
 	}{
 		{"no peers", 5, nil, 1},
-		{"equal demand", 9, []map[string]float64{tell(9), tell(9), tell(9)}, 0.25},
+		{"equal demand", 9, []map[string]float64{demand(9), demand(9), demand(9)}, 0.25},
 		{"nobody has measured any", 0, []map[string]float64{{}, {}, {}}, 0.25},
-		{"most of the demand", 79, []map[string]float64{tell(9), tell(9)}, 0.8},
-		{"an older version doesn't tell", 9, []map[string]float64{nil, nil, tell(29)}, 0.125},
-		{"a negative demand", 9, []map[string]float64{tell(-50)}, 10.0 / 11},
+		{"most of the demand", 79, []map[string]float64{demand(9), demand(9)}, 0.8},
+		{"an older version doesn't state it", 9, []map[string]float64{nil, nil, demand(29)}, 0.125},
+		{"a negative demand", 9, []map[string]float64{demand(-50)}, 10.0 / 11},
 	} {
 		p := &Peers{Clock: magno.NewClock(magno.Hour), known: map[string]*peer{}}
 		for i, d := range c.peers {
 			p.known[string(rune('a'+i))] = &peer{alive: true, hello: Hello{Demand: d}}
 		}
-		p.known["lost"] = &peer{hello: Hello{Demand: tell(1000)}}
+		p.known["lost"] = &peer{hello: Hello{Demand: demand(1000)}}
 		if got := p.DemandShare("s", c.own); math.Abs(got-c.want) > 1e-9 {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
--- a/entry/peers/many_test.go
+++ b/entry/peers/many_test.go
@@ -16,13 +16,13 @@
 	manyEnds    = 100
 	// ranPerEnd are the requests that ran at each of them, at as many entries.
 	ranPerEnd = 16
-	// maxManyMessages bounds what an entry sends about them: each round of passing on has spreadFanout messages,
+	// maxManyMessages bounds what an entry sends about them: each round of forwarding has spreadFanout messages,
 	// and there are rounds until all is known, a few after the last end.
 	maxManyMessages = spreadFanout * int(3*magno.Second/spreadInterval)
 )
 
-// Guards against news of ended upstreams that costs more than a process may spend, and against news that goes on
-// when nothing more happens: many upstreams end within a second, under requests that share a part, some of which
+// Guards against messages about ended upstreams that cost more than a process may spend, and against such messages
+// after nothing more happens: many upstreams end within a second, under requests that share a part, some of which
 // complete.
 func TestManyEndsWithinASecond(t *testing.T) {
 	f := newHelloFleet(t, manyEntries)
@@ -61,6 +61,6 @@
 	clear(f.messages)
 	f.run(t, 5*magno.Second, func() bool { return false })
 	if len(f.messages) > 0 {
-		t.Errorf("%d entries still pass on what all know", len(f.messages))
+		t.Errorf("%d entries still forward what all know", len(f.messages))
 	}
 }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -197,7 +197,7 @@
 		}
 		p.spreadEnds(ctx, &pending)
 		wait := p.pollInterval()
-		if delay, news := p.spreadDelay(); news {
+		if delay, changed := p.spreadDelay(); changed {
 			wait = min(wait, delay)
 		}
 		timer.Reset(wait.Duration())
--- a/entry/peers/revision.go
+++ b/entry/peers/revision.go
@@ -100,7 +100,7 @@
 
 // likelyHolders returns the addresses of a few live peers: first those that have the revision by
 // their last hello, in random order, so that a fleet that learns of it at once doesn't ask the same
-// one; then the others in the order of readers, who have it before their hellos tell so.
+// one; then the others in the order of readers, who have it before their hellos say so.
 func (p *Peers) likelyHolders(revision magno.Revision) []string {
 	type candidate struct {
 		rank   rank
--- a/entry/peers/revision_test.go
+++ b/entry/peers/revision_test.go
@@ -77,7 +77,7 @@
 
 // startFetcher starts an entry at revision 1 whose clock is driven by the test, so that it sends no
 // hellos. It has met the sources, which had the given revisions by their last hellos.
-func startFetcher(t *testing.T, sources []*source, told []magno.Revision) (*Peers, *magno.Clock) {
+func startFetcher(t *testing.T, sources []*source, revisions []magno.Revision) (*Peers, *magno.Clock) {
 	t.Helper()
 	clock := magno.NewClock(magno.Hour)
 	p := &Peers{
@@ -88,7 +88,7 @@
 	p.Open()
 	for i, s := range sources {
 		// The reader's order is that of the sources.
-		h := Hello{Name: s.addr, Addr: s.addr, LinkMbps: float64(100 - i), Digest: view.Digest{Revision: told[i]}}
+		h := Hello{Name: s.addr, Addr: s.addr, LinkMbps: float64(100 - i), Digest: view.Digest{Revision: revisions[i]}}
 		p.known[s.addr] = &peer{hello: h, rank: h.rank(), alive: true, seenAt: clock.Now(), askedAt: clock.Now()}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -146,7 +146,7 @@
 // Guards against a fetch that ends with the peer it asked: the peer is gone, or hangs, or hasn't
 // heard of the revision yet. Another one must be asked in time.
 func TestRevisionIsFetchedFromAnotherPeer(t *testing.T) {
-	for name, spoil := range map[string]func(*source){
+	for name, disable := range map[string]func(*source){
 		"gone":   func(s *source) { s.stop() },
 		"hangs":  func(s *source) { s.mute = true },
 		"behind": func(*source) {},
@@ -157,7 +157,7 @@
 				revision = 1
 			}
 			bad, good := startSource(t, revision), startSource(t, 9)
-			spoil(bad)
+			disable(bad)
 			p, _ := startFetcher(t, []*source{bad, good}, []magno.Revision{1, 1})
 			p.FetchRevision(9)
 			waitFor(t, "the revision", current(p))
@@ -202,7 +202,7 @@
 	p.FetchRevision(9)
 	waitFor(t, "the second round", func() bool { return rounds() == 2 })
 	waitFor(t, "the end of fetches", idle(p))
-	// A higher revision is news.
+	// A higher revision is asked for at once.
 	p.FetchRevision(10)
 	waitFor(t, "the third round", func() bool { return rounds() == 3 })
 }
--- a/entry/peers/suspect.go
+++ b/entry/peers/suspect.go
@@ -16,14 +16,14 @@
 )
 
 const (
-	// spreadFanout is the number of entries to which an entry passes on what it just learned of ends
-	// of upstreams. Each of them does the same if it is news there, so all of a fleet hear of it within
-	// a few steps. Hellos alone take too long: the time between two of a pair grows with the fleet.
+	// spreadFanout is the number of entries to which an entry forwards records of ended upstreams that
+	// changed. Each of them does the same if that changes its own, so all of a fleet have them after a few
+	// steps. Hellos alone take too long: the time between two of a pair grows with the fleet.
 	spreadFanout = 6
 	// spreadNext of them are the next entries by address, the others are random. Random ones alone
 	// miss some entries of a large fleet.
 	spreadNext = 2
-	// spreadInterval is the least time between two rounds of passing on. Many upstreams that fail within a
+	// spreadInterval is the least time between two rounds of forwarding. Many upstreams that fail within a
 	// second would otherwise cause a round each.
 	spreadInterval = 100 * magno.Millis(1)
 	// repeatInterval is how long records with several ends aren't sent to a peer again while neither process
@@ -33,7 +33,7 @@
 
 var endReportsSent = metrics.GetOrCreateCounter("end_reports_total")
 
-// EndReport tells of unplanned ends of upstreams and the requests that ran there. A crash concerns
+// EndReport lists unplanned ends of upstreams and the requests that ran there. A crash concerns
 // dozens of requests, and their fingerprints alone take a fifth of what their records would.
 type EndReport struct {
 	Ends []Ending `json:"ends,omitempty"`
@@ -108,7 +108,7 @@
 // mergeEnds joins a report with the records of this process.
 func (p *Peers) mergeEnds(r *EndReport) { p.Suspects.Merge(r.records()) }
 
-// recentEnds returns the records that changed lately. Single ends that others saw are passed on once; in each hello
+// recentEnds returns the records that changed lately. Single ends that others saw are forwarded once; in each hello
 // they would be most of what an entry sends after many upstreams ended.
 func (p *Peers) recentEnds() []crash.Record {
 	return p.Suspects.WitnessedSince(p.Suspects.Clock.Now()-suspectMaxAge, maxSuspects)
@@ -146,28 +146,28 @@
 	return true
 }
 
-// delivery is what is to be sent to one peer. While a message is on its way, what becomes known is left to the
-// next one.
+// delivery is the state of the messages about ends to one peer. While one is on its way, further changes are left
+// to the next one.
 type delivery struct {
 	// since is the time from which on changes are to be sent.
 	since magno.Millis
-	// again is true if there are some that the message on its way lacks.
-	again bool
+	// pending is true if there are some that the message on its way lacks.
+	pending bool
 }
 
-// spreadDelay returns the time until what became known may be passed on, zero if it may now. It returns false if
-// nothing did.
-func (p *Peers) spreadDelay() (magno.Millis, bool) {
+// spreadDelay returns the time until changed records may be forwarded, zero if they may now. It returns false if
+// none changed.
+func (p *Peers) spreadDelay() (delay magno.Millis, changed bool) {
 	changes, now := p.Suspects.Changes(), p.Suspects.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return max(p.spreadAt+spreadInterval-now, 0), changes != p.spreadChange
 }
 
-// endsToSpread returns the time from which on changes are to be passed on, and the addresses of the entries to
-// which. There are none if nothing became known, or if it was passed on a moment ago.
+// endsToSpread returns the time from which on changes are to be forwarded, and the addresses of the entries to
+// which. There are none if no record changed, or if the last round was a moment ago.
 func (p *Peers) endsToSpread() (since magno.Millis, targets []string) {
-	if delay, news := p.spreadDelay(); delay > 0 || !news {
+	if delay, changed := p.spreadDelay(); delay > 0 || !changed {
 		return 0, nil
 	}
 	changes, now := p.Suspects.Changes(), p.Suspects.Clock.Now()
@@ -205,8 +205,8 @@
 	return list
 }
 
-// spreadEnds passes on what became known since the last call. There is one goroutine a peer at most, whatever
-// becomes known: peers that are slow to read would otherwise let them pile up.
+// spreadEnds forwards the records that changed since the last call. There is one goroutine per peer at most: with
+// one per message, they would pile up for peers that are slow to read.
 func (p *Peers) spreadEnds(ctx context.Context, pending *sync.WaitGroup) {
 	since, targets := p.endsToSpread()
 	for _, addr := range targets {
@@ -222,7 +222,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if d := p.deliveries[addr]; d != nil {
-		d.again, d.since = true, min(d.since, since)
+		d.pending, d.since = true, min(d.since, since)
 		return false
 	}
 	p.deliveries[addr] = &delivery{since: since}
@@ -246,7 +246,7 @@
 // begin begins a message. Changes from now on are left to the next one.
 func (d *delivery) begin(now magno.Millis) (since magno.Millis) {
 	since = d.since
-	d.again, d.since = false, now
+	d.pending, d.since = false, now
 	return since
 }
 
@@ -256,14 +256,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := p.deliveries[addr]
-	if !d.again {
+	if !d.pending {
 		delete(p.deliveries, addr)
 		return 0, false
 	}
 	return d.begin(p.Suspects.Clock.Now()), true
 }
 
-// sendEnds passes on a report. One that is lost comes with a hello.
+// sendEnds sends a report. The records of one that is lost come with a hello.
 func (p *Peers) sendEnds(ctx context.Context, addr string, report EndReport) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout.Duration())
 	defer cancel()
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -88,7 +88,7 @@
 				due = true
 			default:
 			}
-			if delay, news := p.spreadDelay(); news && delay == 0 {
+			if delay, changed := p.spreadDelay(); changed && delay == 0 {
 				due = true
 			}
 			if !due {
@@ -103,7 +103,7 @@
 	return f.clock.Now() - begin
 }
 
-// spread has an entry pass on what it learned of ends.
+// spread has an entry forward the records of ends that changed.
 func (f *helloFleet) spread(t *testing.T, p *Peers) {
 	t.Helper()
 	since, targets := p.endsToSpread()
