--- a/entry/relay/arrive.go
+++ b/entry/relay/arrive.go
@@ -13,7 +13,7 @@
 
 // The waits of the first seconds after a loss of power. Engines come back one after the other as new
 // incarnations, and each entry learns of them up to a second later. A request that is refused meanwhile
-// takes part in the storm of retries that follows, and most of its time is still left.
+// returns together with all others, though most of its time is still left.
 //
 //	permit refused: later incarnation --> waitForList: the list changes here --> choose again
 //	no engine is usable, some are listed --> waitForUpstream: one is usable --> attempt again
@@ -120,7 +120,7 @@
 }
 
 // waitForList waits for the entry's list to reach the revision that names a later incarnation, which
-// the permit client has fetched. It returns false if the request is to go on without it. With other
+// the permit client has fetched. It returns false if the request is to continue without it. With other
 // replicas left to ask, it waits no longer than for an upstream.
 func (j *job) waitForList(ctx context.Context, others bool) bool {
 	if j.renewals == maxRenewals {
--- a/entry/relay/arrive_test.go
+++ b/entry/relay/arrive_test.go
@@ -39,6 +39,22 @@
 	}
 }
 
+// getStatus sends a request. The channel receives the status of its response, zero if there was none.
+func (s *testProxy) getStatus(t *testing.T) <-chan int {
+	t.Helper()
+	got := make(chan int, 1)
+	go func() {
+		res, _, err := s.get(t, http.MethodPost, "1")
+		if err != nil {
+			t.Error(err)
+			got <- 0
+			return
+		}
+		got <- res.StatusCode
+	}()
+	return got
+}
+
 // waiters returns the number of requests that wait for an upstream.
 func (s *testProxy) waiters() int {
 	s.waiting.mu.Lock()
@@ -46,56 +62,65 @@
 	return s.waiting.counts["s"]
 }
 
+// incarnationCase is a sequence of incarnations of an engine, and what a request gets meanwhile.
+type incarnationCase struct {
+	name string
+	// starts are the start times of the incarnations that follow each other. The list names each
+	// once a request for its predecessor was refused, but only the first listed ones.
+	starts []magno.Millis
+	listed int
+	// behind makes agents state a revision that the entry has.
+	behind bool
+	// early makes the list change before the refusal arrives, granted makes that a permit.
+	early, granted bool
+	status         int
+	asked          []string
+}
+
+// decide answers a request for a permit of an incarnation. Where the list is to change after the answer, it does so
+// in the background.
+func (c *incarnationCase) decide(s *testProxy, key string, relisted *sync.WaitGroup) *gate.PermitReply {
+	at := slices.IndexFunc(c.starts, func(start magno.Millis) bool { return key == fmt.Sprintf("u0@%d", start) })
+	if at == len(c.starts)-1 {
+		return nil
+	}
+	known := s.Book.Current().Revision
+	if c.behind {
+		return refuseFor("u0@9", known)
+	}
+	switch {
+	case c.early:
+		s.startAt(c.starts[at+1])
+	case at+1 < c.listed:
+		relisted.Go(func() { s.startAt(c.starts[at+1]) })
+	}
+	if c.granted {
+		return nil
+	}
+	return refuseFor(fmt.Sprintf("u0@%d", c.starts[at+1]), known+1)
+}
+
 // Guards against refusals of requests whose entry knows an older incarnation than the agent. Where the
 // list names a newer one, the request must reach that and no other; where it doesn't, or the list
 // doesn't change, the refusal must go out as before.
 func TestRequestForAnOlderIncarnation(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		// lives are the start times of the incarnations that follow each other. The list names each
-		// once a request for its predecessor was refused, but only the first listed ones.
-		lives  []magno.Millis
-		listed int
-		// behind makes agents state a revision that the entry has.
-		behind bool
-		// early makes the list change before the refusal arrives, granted makes that a permit.
-		early, granted bool
-		status         int
-		asked          []string
-	}{
-		{name: "one", lives: []magno.Millis{1, 2}, listed: 2, status: 200, asked: []string{"u0@1", "u0@2"}},
-		{name: "the list changes before the refusal", lives: []magno.Millis{1, 2}, listed: 2, early: true, status: 200, asked: []string{"u0@1", "u0@2"}},
-		{name: "the list changes before the permit", lives: []magno.Millis{1, 2}, listed: 2, early: true, granted: true, status: 200, asked: []string{"u0@1", "u0@2"}},
-		{name: "two within a second", lives: []magno.Millis{1, 2, 3}, listed: 3, status: 200, asked: []string{"u0@1", "u0@2", "u0@3"}},
-		{name: "more than that", lives: []magno.Millis{1, 2, 3, 4}, listed: 4, status: 503, asked: []string{"u0@1", "u0@2", "u0@3"}},
-		{name: "the list is unreachable", lives: []magno.Millis{1, 2}, listed: 1, status: 503, asked: []string{"u0@1"}},
-		{name: "no newer list", lives: []magno.Millis{1, 2}, listed: 1, behind: true, status: 503, asked: []string{"u0@1"}},
+	for _, c := range []incarnationCase{
+		{name: "one", starts: []magno.Millis{1, 2}, listed: 2, status: 200, asked: []string{"u0@1", "u0@2"}},
+		{name: "the list changes before the refusal", starts: []magno.Millis{1, 2}, listed: 2, early: true, status: 200, asked: []string{"u0@1", "u0@2"}},
+		{name: "the list changes before the permit", starts: []magno.Millis{1, 2}, listed: 2, early: true, granted: true, status: 200, asked: []string{"u0@1", "u0@2"}},
+		{name: "two within a second", starts: []magno.Millis{1, 2, 3}, listed: 3, status: 200, asked: []string{"u0@1", "u0@2", "u0@3"}},
+		{name: "more than that", starts: []magno.Millis{1, 2, 3, 4}, listed: 4, status: 503, asked: []string{"u0@1", "u0@2", "u0@3"}},
+		{name: "the list is unreachable", starts: []magno.Millis{1, 2}, listed: 1, status: 503, asked: []string{"u0@1"}},
+		{name: "no newer list", starts: []magno.Millis{1, 2}, listed: 1, behind: true, status: 503, asked: []string{"u0@1"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newArrivalProxy(t, 0) // without a target no request waits for an upstream
-			s.startAt(c.lives[0])
+			s.startAt(c.starts[0])
 			var asked []string
 			var relisted sync.WaitGroup
 			s.permits.decide = func(_ context.Context, key string) *gate.PermitReply {
 				asked = append(asked, key)
-				at := slices.IndexFunc(c.lives, func(l magno.Millis) bool { return key == fmt.Sprintf("u0@%d", l) })
-				if at == len(c.lives)-1 {
-					return nil
-				}
-				known := s.Book.Current().Revision
-				if c.behind {
-					return refuseFor("u0@9", known)
-				}
-				switch {
-				case c.early:
-					s.startAt(c.lives[at+1])
-				case at+1 < c.listed:
-					relisted.Go(func() { s.startAt(c.lives[at+1]) })
-				}
-				if c.granted {
-					return nil
-				}
-				return refuseFor(fmt.Sprintf("u0@%d", c.lives[at+1]), known+1)
+				return c.decide(s, key, &relisted)
 			}
 			res, _, err := s.get(t, http.MethodPost, "1")
 			relisted.Wait()
@@ -166,16 +191,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newArrivalProxy(t, longAim)
 			unblock := block(s)
-			got := make(chan int, 1)
-			go func() {
-				res, _, err := s.get(t, http.MethodPost, "1")
-				if err != nil {
-					t.Error(err)
-					got <- 0
-					return
-				}
-				got <- res.StatusCode
-			}()
+			got := s.getStatus(t)
 			waitFor(t, "a waiting request", func() bool { return s.waiters() == 1 })
 			unblock()
 			s.pools.wake()
@@ -322,16 +338,7 @@
 			s := newArrivalProxy(t, 200)
 			s.Book = &view.Store{Clock: s.bookClock}
 			s.configWaiting.Store(c.waiting)
-			got := make(chan int, 1)
-			go func() {
-				res, _, err := s.get(t, http.MethodPost, "1")
-				if err != nil {
-					t.Error(err)
-					got <- 0
-					return
-				}
-				got <- res.StatusCode
-			}()
+			got := s.getStatus(t)
 			if c.arrives {
 				waitFor(t, "a waiting request", func() bool { return s.configWaiting.Load() == 1 })
 				s.Book.ApplyRead(s.changes, 1, true)
--- a/entry/relay/returns.go
+++ b/entry/relay/returns.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// returnPatience is the divisor of the time that a caller has left which gives how long it
+	// returnTimeDivisor is the divisor of the time that a caller has left which gives how long it
 	// waits before it returns.
-	returnPatience = 3
-	// poolChange is the divisor of a pool's request slots which gives the change from which on
+	returnTimeDivisor = 3
+	// poolChangeDivisor is the divisor of a pool's request slots which gives the change from which on
 	// what was planned for it is void.
-	poolChange = 4
+	poolChangeDivisor = 4
 	// poolCountInterval is how often the request slots of all pools are counted at most, which
 	// takes a pass over the list.
 	poolCountInterval = magno.Second
@@ -29,7 +29,7 @@
 type returns struct {
 	mu       sync.Mutex
 	services map[string]*serviceReturns
-	// slots is the number of request slots of each service, counted from snap at countedAt.
+	// slots is the number of request slots of each service, counted from the list snap at countedAt.
 	slots     map[string]int
 	snap      *view.Snapshot
 	countedAt magno.Millis
@@ -39,10 +39,12 @@
 type serviceReturns struct {
 	agenda agenda.Agenda
 	// slots is the pool's number of request slots for which the agenda plans.
-	slots     int
+	slots int
+	// plannedAt is when the agenda last changed the Retry-After of a refusal.
 	plannedAt magno.Millis
 }
 
+// service returns the plan of a service, created on first use. The caller holds mu.
 func (r *returns) service(name string, clock *magno.Clock) *serviceReturns {
 	s := r.services[name]
 	if s == nil {
@@ -63,7 +65,7 @@
 }
 
 // countSlots counts the request slots of each pool if the list has changed. The plan of a pool
-// that changed by a quarter is void, as is that of a service without upstreams.
+// that changed by a quarter is void, as is that of a service without upstreams. The caller holds mu.
 func (r *returns) countSlots(snap *view.Snapshot, now magno.Millis) {
 	if snap == r.snap || (r.snap != nil && now-r.countedAt < poolCountInterval) {
 		return
@@ -81,7 +83,7 @@
 			s.slots = r.slots[name]
 		}
 		n := r.slots[name]
-		if change := max(n-s.slots, s.slots-n); change*poolChange >= s.slots && s.slots != 0 {
+		if change := max(n-s.slots, s.slots-n); change*poolChangeDivisor >= s.slots && s.slots != 0 {
 			s.agenda.Reset()
 			s.slots = n
 		}
@@ -100,7 +102,7 @@
 	defer j.returns.mu.Unlock()
 	j.returns.countSlots(j.Book.Current(), now)
 	s := j.returns.service(j.service.Name, j.Clock)
-	at := s.agenda.Promise(j.rank(), own, now+(j.deadline-now)/returnPatience)
+	at := s.agenda.Promise(j.rank(), own, now+(j.deadline-now)/returnTimeDivisor)
 	if at == own {
 		return refusal.After
 	}
--- a/entry/relay/returns_test.go
+++ b/entry/relay/returns_test.go
@@ -75,9 +75,9 @@
 	return last
 }
 
-// 100 callers are refused at once by a service of 100 requests a second. They must not return
-// together if it is capacity that they were refused for, and all within the third of their time
-// for which callers wait. Another refusal's time is not a forecast of capacity and must hold.
+// Guards against 100 callers, refused at once by a service of 100 requests a second, that return
+// together or after the third of their time for which callers wait. A refusal that isn't due to a
+// lack of capacity must keep its time.
 func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
 	for _, tt := range []struct {
 		kind     magno.Kind
@@ -97,7 +97,7 @@
 	}
 }
 
-// A single refused caller must not be told to wait longer than before.
+// Guards against a longer Retry-After of a single refusal.
 func TestSingleRefusalKeepsItsTime(t *testing.T) {
 	f := newReturnsFixture(8)
 	f.overload(t)
@@ -106,9 +106,8 @@
 	}
 }
 
-// The pool changes while callers are planned for. From a quarter on, the plan and the learned
-// capacity are void: callers kept away by them would miss new capacity. Without upstreams, none
-// is left.
+// Guards against a plan and a learned capacity that outlive a change of the pool by a quarter or more:
+// callers kept away by them would miss new capacity.
 func TestPlanOfAChangedPoolIsVoid(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
