--- a/entry/site/arrival_test.go
+++ b/entry/site/arrival_test.go
@@ -28,11 +28,11 @@
 	machines = 6
 	rounds   = 4
 	requests = 40
-	// liftInterval is the time from the return of one machine to that of the next.
-	liftInterval = 60 * time.Millisecond
+	// powerUpInterval is the time from the return of one machine to that of the next.
+	powerUpInterval = 60 * time.Millisecond
 )
 
-// site is a pool of machines with two entries, of which one hears of each change of the list first.
+// site is a pool of machines with two entries, of which one has each change of the list first.
 type site struct {
 	machines      []*machine
 	ahead, behind *entry
@@ -82,8 +82,8 @@
 	}
 }
 
-// restart restarts engines, and has the entry that is ahead hear of it. If agents is true, their agents
-// restart as well.
+// restart restarts engines, and updates the list of the entry that is ahead. If agents is true, their
+// agents restart as well.
 func (s *site) restart(t *testing.T, list []*machine, agents bool) {
 	t.Helper()
 	s.revision++
@@ -110,7 +110,7 @@
 	}
 }
 
-// hasSpec reports whether the agent of a machine has the spec of the present life.
+// hasSpec reports whether the agent of a machine has the spec of the current incarnation.
 func (s *site) hasSpec(t *testing.T, m *machine) bool {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -120,8 +120,8 @@
 	return err == nil && reply.Replica == m.replica().Key()
 }
 
-// lift brings a machine back that lost power, and has the entry that is ahead hear of it.
-func (s *site) lift(t *testing.T, m *machine) {
+// powerUp starts a machine that lost power, and updates the list of the entry that is ahead.
+func (s *site) powerUp(t *testing.T, m *machine) {
 	t.Helper()
 	before := m.replica()
 	m.restart(t)
@@ -190,23 +190,30 @@
 	return 0, usable
 }
 
-// disableWaits makes the entry that is behind neither wait nor fetch, as entries before this code.
+// disableWaits makes the entry that is behind neither wait nor fetch, to compare with.
 func (s *site) disableWaits() {
 	h := s.behind.front.relay
 	s.behind.desk.FetchRevision = nil
 	h.Permits, h.Pools = oldPermits{h.Permits}, oldPools{h.Pools}
 }
 
-// replay runs all rounds and returns the outcome.
-func replay(t *testing.T, with, agents bool, restarted int) *outcome {
+// startServer starts a site, with or without waits, and a server of the entry that is behind.
+func startServer(t *testing.T, withWaits bool) (*site, *httptest.Server) {
 	t.Helper()
 	s := startSite(t)
 	handler := s.behind.front.relay
-	if !with {
+	if !withWaits {
 		s.disableWaits()
 	}
 	server := httptest.NewServer(handler)
-	defer server.Close()
+	t.Cleanup(server.Close)
+	return s, server
+}
+
+// replay restarts the first machines in each round, sends requests meanwhile, and returns the outcome.
+func replay(t *testing.T, withWaits, agents bool, restarted int) *outcome {
+	t.Helper()
+	s, server := startServer(t, withWaits)
 	o := &outcome{}
 	for round := range rounds {
 		s.restart(t, s.machines[:restarted], agents)
@@ -225,18 +232,11 @@
 
 // replayOutage runs one outage in which all machines lose power and come back one after the other, with
 // requests all the time.
-func replayOutage(t *testing.T, with bool) (o *outcome, sent int) {
+func replayOutage(t *testing.T, withWaits bool) (o *outcome, sent int) {
 	t.Helper()
-	s := startSite(t)
-	handler := s.behind.front.relay
-	if !with {
-		s.disableWaits()
-	}
-	server := httptest.NewServer(handler)
-	defer server.Close()
-	o = &outcome{}
+	s, server := startServer(t, withWaits)
 	for round := range 2 {
-		s.load(t, server, round, requests, o) // engines hold adapters now
+		s.load(t, server, round, requests, &outcome{}) // engines hold adapters now
 	}
 	o = &outcome{}
 	for _, m := range s.machines {
@@ -247,8 +247,8 @@
 	for i, m := range s.machines {
 		loads.Go(func() { s.load(t, server, 10+i, requests/machines, o) }) // fewer in total than may wait
 		sent += requests / machines
-		time.Sleep(liftInterval)
-		s.lift(t, m)
+		time.Sleep(powerUpInterval)
+		s.powerUp(t, m)
 	}
 	loads.Wait()
 	s.settle(t)
--- a/entry/site/help_test.go
+++ b/entry/site/help_test.go
@@ -23,19 +23,20 @@
 	// wrong counts the requests that were meant for another incarnation.
 	wrong int
 
-	mu     sync.Mutex
-	life   int
-	loaded map[string]bool
-	model  bool
-	orders int64
+	mu sync.Mutex
+	// incarnation is the number of the engine's current one, from 1 on.
+	incarnation int
+	loaded      map[string]bool
+	model       bool
+	orders      int64
 
 	stopEngine, stopAgent func()
 }
 
-// startMachine starts a machine in its first life. agentPort is the same on all machines.
+// startMachine starts a machine with the first incarnation of its engine. agentPort is the same on all machines.
 func startMachine(t *testing.T, n, agentPort int) *machine {
 	t.Helper()
-	m := &machine{ip: machineIP(n), life: 1, loaded: map[string]bool{}}
+	m := &machine{ip: machineIP(n), incarnation: 1, loaded: map[string]bool{}}
 	m.address = freeAddress(t, m.ip)
 	m.startEngine(t)
 	t.Cleanup(func() { m.stopEngine() })
@@ -60,7 +61,7 @@
 	})
 }
 
-// startAgent starts the agent, which knows nothing.
+// startAgent starts the agent without a spec.
 func (m *machine) startAgent(t *testing.T, port int) {
 	t.Helper()
 	clock := magno.NewMonotonic()
@@ -90,12 +91,12 @@
 	})
 }
 
-// restart begins the next life of the engine, with nothing loaded. Its connections are closed.
+// restart starts the next incarnation of the engine, with nothing loaded. Its connections are closed.
 func (m *machine) restart(t *testing.T) {
 	t.Helper()
 	m.stopEngine()
 	m.mu.Lock()
-	m.life++
+	m.incarnation++
 	m.loaded, m.model, m.orders = map[string]bool{}, false, 0
 	m.mu.Unlock()
 	m.startEngine(t)
@@ -105,20 +106,20 @@
 func machineIP(n int) string { return fmt.Sprintf("127.0.0.%d", 10+n) }
 
 // machineID is the ID of an incarnation of the engine of a machine.
-func machineID(ip string, life int) string { return fmt.Sprintf("%s-%d", ip, life) }
+func machineID(ip string, incarnation int) string { return fmt.Sprintf("%s-%d", ip, incarnation) }
 
-// replica is the entry of the present life in the platform's list.
+// replica is the engine's current incarnation in the platform's list.
 func (m *machine) replica() *magno.Replica {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return &magno.Replica{ID: machineID(m.ip, m.life), StartedAt: magno.Millis(m.life), Service: "s", Address: m.address, DataCentre: "x", Slots: 16, Since: magno.Revision(m.life)}
+	return &magno.Replica{ID: machineID(m.ip, m.incarnation), StartedAt: magno.Millis(m.incarnation), Service: "s", Address: m.address, DataCentre: "x", Slots: 16, Since: magno.Revision(m.incarnation)}
 }
 
 // Report implements magno.EngineClient.
 func (m *machine) Report(context.Context) (*magno.Report, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := &magno.Report{StartedAt: magno.Millis(m.life), Orders: m.orders, Loaded: map[string]map[string]int64{}}
+	r := &magno.Report{StartedAt: magno.Millis(m.incarnation), Orders: m.orders, Loaded: map[string]map[string]int64{}}
 	if m.model {
 		r.Loaded["m"] = map[string]int64{}
 		for name := range m.loaded {
@@ -144,10 +145,10 @@
 	return magno.OrderDone, nil
 }
 
-// ServeHTTP streams one event, to a request for the present life only.
+// ServeHTTP streams one event, to a request for the current incarnation only.
 func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
-	wrong := r.Header.Get("Only") != machineID(m.ip, m.life)
+	wrong := r.Header.Get("Only") != machineID(m.ip, m.incarnation)
 	if wrong {
 		m.wrong++
 	}
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -84,7 +84,7 @@
 	p.wake()
 }
 
-// hashTarget returns a hash of all that a router is told of a target.
+// hashTarget returns a hash of all that a router uses of a target.
 func hashTarget(t *magno.Target) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -125,7 +125,7 @@
 	e.peers.Demand = e.queues.Demand
 	handler := &relay.Handler{
 		Name: settings.Name, Clock: clock, Book: e.book, Dialect: site.Dialect(), Conns: e.conns, Permits: e.desk, Pools: e.pools, Queues: e.queues,
-		Suspects: suspects, Trials: trials, Notices: e.notices, Limits: e.limit, Origins: e.resume, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease, Entries: func() int { alive, _ := e.peers.Count(); return alive },
+		Suspects: suspects, Trials: trials, Notices: e.notices, Limits: e.limit, Origins: e.resume, Log: log, Started: clock.Now(), MaxRevokeDelay: settings.MaxRevokeDelay, Quotas: e.lease, Entries: e.aliveCount,
 		BodyMemory: memoryBudget(settings.MemoryLimit), ResponseMemory: memoryBudget(settings.MemoryLimit),
 	}
 	e.peers.Leaving = handler.Draining
@@ -133,12 +133,15 @@
 	return e
 }
 
-// entryCount returns how many entries are alive and how many may be, at least as many as there are seeds.
-func (e *entry) entryCount() (alive, known int) {
-	alive, _ = e.peers.Count()
-	return alive, e.peers.Processes(0)
+// aliveCount returns how many entries are alive, this one included.
+func (e *entry) aliveCount() int {
+	alive, _ := e.peers.Count()
+	return alive
 }
 
+// entryCount returns how many entries are alive and how many may be, at least as many as there are seeds.
+func (e *entry) entryCount() (alive, known int) { return e.aliveCount(), e.peers.Processes(0) }
+
 const (
 	// memoryShare is the divisor of the memory limit that gives the budget for bodies, and
 	// as much for answers: an eighth each.
--- a/entry/site/start_test.go
+++ b/entry/site/start_test.go
@@ -119,7 +119,7 @@
 			sent += 4
 		}
 	}
-	time.Sleep(liftInterval)
+	time.Sleep(powerUpInterval)
 	list.start()
 	for _, e := range entries {
 		// The wait for the configuration ends after 300 ms, in which a busy machine may not bring it.
@@ -127,7 +127,7 @@
 	}
 	for n := range machines {
 		send()
-		time.Sleep(liftInterval)
+		time.Sleep(powerUpInterval)
 		m := startMachine(t, n, agentPort)
 		m.restart(t)
 		list.add(magno.Change{Key: machineID(m.ip, 1), Deleted: true})
