--- a/magno/fair/fair_test.go
+++ b/magno/fair/fair_test.go
@@ -133,9 +133,9 @@
 	}
 }
 
-// Customers send bursts of any size, at any weight, and idle between them. A customer with requests
-// waiting must not fall behind its share by more than the stated bound; otherwise the bursts of one
-// customer would delay the requests of the others without limit.
+// Guards against bursts of one customer that delay the requests of the others without limit. Customers
+// send bursts of any size, at any weight, and idle between them. A customer with requests waiting must
+// not fall behind its share by more than the bound of checkBounds.
 func TestWaitingCustomerStaysWithinBoundOfItsShare(t *testing.T) {
 	for _, slots := range []int{1, 4} {
 		t.Run(fmt.Sprint(slots, " slots"), func(t *testing.T) {
@@ -152,7 +152,8 @@
 	}
 	s := newServer(slots, weights)
 	since := map[string]backlog{}
-	note := func() {
+	// recordWaiting records what each customer that begins to wait finds served.
+	recordWaiting := func() {
 		for _, name := range names {
 			switch {
 			case !s.waiting(name):
@@ -177,13 +178,13 @@
 				s.offer(name, rapid.IntRange(1, 500).Draw(t, "tokens"))
 			}
 			s.shares.Tag(s.queue) // the gate decides after each arrival
-			note()
+			recordWaiting()
 		},
 		"serve": func(t *rapid.T) {
 			for range rapid.IntRange(1, 12).Draw(t, "starts") {
 				finish()
 				s.start()
-				note()
+				recordWaiting()
 			}
 		},
 		"end": func(t *rapid.T) {
@@ -200,7 +201,7 @@
 }
 
 // serve runs a server until n requests have started, with requests that end in the order of their
-// starts, and returns the share of tokens of each customer.
+// starts.
 func (s *server) serve(n int) {
 	for range n {
 		for len(s.running) >= s.slots {
@@ -233,7 +234,7 @@
 	}
 }
 
-// A customer that idled must not overtake the others by the time that it didn't use.
+// Guards against a customer that overtakes the others by the time that it didn't use.
 func TestIdleTimeIsNoCredit(t *testing.T) {
 	s := newServer(1, nil)
 	for range 200 {
@@ -251,9 +252,8 @@
 	}
 }
 
-// A weight changes and a customer is removed from the configuration while requests wait. What is
-// served from then on follows the new weights, and the removed customer's requests are still
-// served, with a weight of one.
+// Guards against weights that are kept after a change of the configuration while requests wait. A
+// customer that is removed from it has a weight of one from then on.
 func TestWeightChangesWhileRequestsWait(t *testing.T) {
 	s := newServer(1, map[string]float64{"a": 4, "b": 1})
 	for range 300 {
@@ -272,8 +272,8 @@
 	}
 }
 
-// During an upgrade, half of the requests come from entries that send no customer. They must
-// not be served as one more customer, nor displace those that are named.
+// Guards against requests of entries that send no customer, half of all during an upgrade, that are served
+// as one more customer or displace those of named ones.
 func TestRequestsWithoutCustomerShareHalf(t *testing.T) {
 	s := newServer(1, nil)
 	for range 200 {
@@ -287,8 +287,8 @@
 	}
 }
 
-// After a restart of the agent or its engine, no customer owes anything.
-func TestResetForgetsDebts(t *testing.T) {
+// Guards against customers that are delayed after a reset for what they received before it.
+func TestResetForgetsReceivedService(t *testing.T) {
 	s := newServer(1, nil)
 	s.offer("a", 100_000)
 	s.serve(1)
@@ -301,8 +301,8 @@
 	}
 }
 
-// The requests of an end that is reported twice, or after a reset, must not count as running less
-// than nothing: the customer would be preferred for ever.
+// Guards against a customer that is preferred for ever since an end that is reported twice, or after a
+// reset, makes its running tokens negative.
 func TestSurplusEndIsIgnored(t *testing.T) {
 	s := newServer(1, nil)
 	s.shares.Ended(0, "a", 100)
@@ -314,7 +314,7 @@
 	}
 }
 
-// Customers come and go. State must remain for those with requests in the last minute only.
+// Guards against state that grows with all customers ever seen instead of those of the last minute.
 func TestStateIsBoundedByRecentCustomers(t *testing.T) {
 	s := newServer(4, nil)
 	for i := range 5000 {
@@ -335,8 +335,7 @@
 	}
 }
 
-// The order of ranks is the gate's. What a customer received at one rank must not count at
-// another one.
+// Guards against requests that are delayed for what their customer received at another rank.
 func TestRanksAreSeparate(t *testing.T) {
 	s := newServer(1, nil)
 	s.shares.Started(0, "a", 1000)
--- a/magno/learn/fit_test.go
+++ b/magno/learn/fit_test.go
@@ -5,9 +5,8 @@
 	"testing"
 )
 
-// An engine slows down to 40% in the middle of the day and recovers. With a rate that follows
-// over a hundred prompts, which takes ten to twenty seconds, its prompts are not spaced while
-// its streams pause for too long, and it counts as fast as before.
+// Guards against a rate that follows a change of the engine's speed only over a hundred prompts, which
+// takes ten to twenty seconds: until then prompts are not spaced although streams pause for too long.
 func TestRateFollowsAChangeWithinAFewPrompts(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -27,13 +26,13 @@
 		}
 		simulate(&e, tt.want, tt.prompts)
 		if got := e.PrefillRate(); got < 0.75*tt.want || got > 1.33*tt.want {
-			t.Errorf("%s: estimated %.1f tokens/ms after %d prompts, the engine reads %.1f", tt.name, got, tt.prompts, tt.want)
+			t.Errorf("%s: estimated %.1f tokens/ms after %d prompts, the engine prefills %.1f", tt.name, got, tt.prompts, tt.want)
 		}
 	}
 }
 
-// Prefills are measured by reports that are 30 ms apart, so that short ones look longer or
-// shorter than they are. The rate of an engine that doesn't change must stay near its own.
+// Guards against a rate that varies though the engine's doesn't: prefills are measured by reports that
+// are 30 ms apart, so that short ones look longer or shorter than they are.
 func TestRateIsSteady(t *testing.T) {
 	for _, rate := range []float64{8, 15, 25, 37, 80} {
 		var e Estimator
@@ -44,13 +43,13 @@
 			}
 		})
 		if least < 0.85*rate || most > 1.15*rate {
-			t.Errorf("estimates from %.1f to %.1f tokens/ms, the engine reads %.1f", least, most, rate)
+			t.Errorf("estimates from %.1f to %.1f tokens/ms, the engine prefills %.1f", least, most, rate)
 		}
 	}
 }
 
-// A slow engine restarts. It is of the same kind as before: if its rate were learned anew, its
-// streams would pause for too long again.
+// Guards against a slow engine whose rate is lost when it restarts: its streams would pause for too long
+// until it is learned again.
 func TestRestartKeepsTheRate(t *testing.T) {
 	var e Estimator
 	simulate(&e, 37, 200)
@@ -58,6 +57,6 @@
 	before := e.PrefillRate()
 	e.Reset()
 	if got := e.PrefillRate(); got != before || got > 18 {
-		t.Errorf("estimated %.1f tokens/ms after a restart, %.1f before; the engine reads 15", got, before)
+		t.Errorf("estimated %.1f tokens/ms after a restart, %.1f before; the engine prefills 15", got, before)
 	}
 }
--- a/magno/wire/call.go
+++ b/magno/wire/call.go
@@ -168,9 +168,9 @@
 	return m.notify(ctx, c, method, func() error { return c.conn.Notify(ctx, method, params) })
 }
 
-// notify writes a notification once none is being written to the same peer. Where ctx ends before that it
-// isn't sent. A peer that doesn't read blocks the one that is being written, and all others would wait for it
-// for as long as the connection lasts.
+// notify writes a notification once none is being written to the same peer. If ctx ends before that, it isn't
+// sent. A peer that doesn't read blocks the one that is being written, and the lock of the connection would
+// block all others, whatever their contexts.
 func (m *Mesh) notify(ctx context.Context, c *peerConn, method string, write func() error) error {
 	select {
 	case c.notifying <- struct{}{}:
--- a/magno/wire/dialer.go
+++ b/magno/wire/dialer.go
@@ -9,11 +9,11 @@
 
 // newDialer returns the dialer of outgoing connections.
 //
-// Load pattern: a machine or a data centre loses power and sends no more packets. Calls to it go on
-// over the open connections, and the kernel sends their data again in growing intervals. Once the
-// machine is back, it resets such a connection only at the next of these, up to as much later as
-// the outage lasted. Until then every call to it times out. With userTimeout the kernel closes the
-// connection instead, and the next call opens another one.
+// Load pattern: a machine or a data centre loses power. Calls to it still use the open connections, and
+// the kernel sends their data again in growing intervals. Once the machine is back, it resets such a
+// connection only at the next of these, after up to the length of the outage. Until then every call
+// to it times out. With userTimeout the kernel closes the connection instead, and the next call opens
+// another one.
 func newDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: dialTimeout.Duration(),
--- a/magno/wire/dialer_test.go
+++ b/magno/wire/dialer_test.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Guards against connections to a machine that lost power which hang on after it is back.
+// Guards against connections to a machine that lost power that stay open, without use, after it is back.
 func TestConnectionsHaveAUserTimeout(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/magno/wire/notify_test.go
+++ b/magno/wire/notify_test.go
@@ -39,10 +39,10 @@
 		})
 	}
 	<-ctx.Done()
-	// All have ended but the one that is being written.
+	// All have ended but those that the kernel buffers and the one that is being written.
 	for range notifications - maxBuffered {
 		if err := <-failures; !errors.Is(err, context.DeadlineExceeded) {
-			t.Fatalf("got %v, want the end of the time for it", err)
+			t.Fatalf("got %v, want the end of its context", err)
 		}
 	}
 	_ = (<-accepted).Close()
