--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -27,16 +27,17 @@
 	"golang.org/x/sys/unix"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/wire"
 )
 
 const (
 	// dialTimeout bounds a new connection, which takes about a millisecond. A lost SYN is
 	// retransmitted only after a second, which is too late to wait for.
 	dialTimeout = 400 * time.Millisecond
-	// tcpUserTimeoutMS is how long sent data may remain unacknowledged before the kernel
+	// userTimeout is how long sent data may remain unacknowledged before the kernel
 	// closes the connection. Without it, a connection to a machine that lost power hangs
 	// for minutes.
-	tcpUserTimeoutMS = 1500
+	userTimeout = 1500 * magno.Millis(1)
 	// defaultIdleTime is how long an idle connection is kept if the upstream states no
 	// timeout. idleMargin is subtracted from a stated one, so that no request is sent
 	// while the upstream closes the connection.
@@ -136,7 +137,7 @@
 
 func (p *Pool) dial(ctx context.Context, key, addr string) (*Conn, error) {
 	p.dialCounter().Inc()
-	d := net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, Control: wire.UserTimeout(userTimeout)}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial upstream")
@@ -165,13 +166,6 @@
 	return p.dials
 }
 
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// Without the option the kernel only detects broken paths later.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, tcpUserTimeoutMS)
-	})
-}
-
 // reusable reports whether an idle connection is open and has nothing to read. A request
 // sent over a closed one would be lost; unsolicited bytes would be taken for its response.
 func reusable(conn net.Conn) bool {
--- a/magno/wire/dialer.go
+++ b/magno/wire/dialer.go
@@ -5,6 +5,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"magnoliastall.example/magno"
 )
 
 // newDialer returns the dialer of outgoing connections.
@@ -20,11 +22,17 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// Without the option the kernel only detects broken paths later.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout))
-			})
-		},
+		Control: UserTimeout(userTimeout),
+	}
+}
+
+// UserTimeout returns a control function of a net.Dialer. It has the kernel close a connection whose sent data
+// isn't acknowledged within the timeout.
+func UserTimeout(timeout magno.Millis) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// Without the option the kernel only detects broken paths later.
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout))
+		})
 	}
 }
