--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -27,16 +27,17 @@
 	"golang.org/x/sys/unix"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/wire"
 )
 
 const (
 	// dialTimeout bounds a new connection, which takes about a millisecond. A lost SYN is
 	// retransmitted only after a second, which is too late to wait for.
 	dialTimeout = 400 * time.Millisecond
-	// tcpUserTimeoutMS is how long sent data may remain unacknowledged before the kernel
+	// userTimeout is how long sent data may remain unacknowledged before the kernel
 	// closes the connection. Without it, a connection to a machine that lost power hangs
 	// for minutes.
-	tcpUserTimeoutMS = 1500
+	userTimeout = 1500 * magno.Millis(1)
 	// defaultIdleTime is how long an idle connection is kept if the upstream states no
 	// timeout. idleMargin is subtracted from a stated one, so that no request is sent
 	// while the upstream closes the connection.
@@ -91,7 +92,9 @@
 // discard closes an idle connection that can't be used any more.
 func (p *Pool) discard(c *Conn) {
 	if p.Clock.Now() < c.expires {
-		p.SetEnded(c.key)
+		p.mu.Lock()
+		p.markEnded(c.key)
+		p.mu.Unlock()
 	}
 	_ = c.Close()
 }
@@ -112,10 +115,20 @@
 	return p.ended[key]
 }
 
-// SetEnded records that an upstream has ended.
+// SetEnded records that an upstream has ended, and closes its idle connections: they are half-open, or lead to
+// its successor.
 func (p *Pool) SetEnded(key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.markEnded(key)
+	for _, c := range p.idle[key] {
+		_ = c.Close()
+	}
+	delete(p.idle, key)
+}
+
+// markEnded records that an upstream has ended. The caller holds mu.
+func (p *Pool) markEnded(key string) {
 	if p.ended == nil {
 		p.ended = map[string]bool{}
 	}
@@ -124,7 +137,7 @@
 
 func (p *Pool) dial(ctx context.Context, key, addr string) (*Conn, error) {
 	p.dialCounter().Inc()
-	d := net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, Control: wire.UserTimeout(userTimeout)}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial upstream")
@@ -153,13 +166,6 @@
 	return p.dials
 }
 
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// Without the option the kernel only detects broken paths later.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, tcpUserTimeoutMS)
-	})
-}
-
 // reusable reports whether an idle connection is open and has nothing to read. A request
 // sent over a closed one would be lost; unsolicited bytes would be taken for its response.
 func reusable(conn net.Conn) bool {
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -88,7 +88,7 @@
 				due = true
 			default:
 			}
-			if delay, news := p.spreadDelay(); news && delay == 0 {
+			if delay, changed := p.spreadDelay(); changed && delay == 0 {
 				due = true
 			}
 			if !due {
@@ -103,7 +103,7 @@
 	return f.clock.Now() - begin
 }
 
-// spread has an entry pass on what it learned of ends.
+// spread has an entry forward the records of ends that changed.
 func (f *helloFleet) spread(t *testing.T, p *Peers) {
 	t.Helper()
 	since, targets := p.endsToSpread()
@@ -205,6 +205,34 @@
 	}
 }
 
+// Guards against an entry that starts twice within repeatInterval and doesn't learn of suspects the second time: by
+// the digests both incarnations are the same, but what the first one was sent is lost.
+func TestEntryThatRestartsTwiceLearnsSuspects(t *testing.T) {
+	f := newHelloFleet(t, 2)
+	p := f.peers[0]
+	for i := range uint64(3) {
+		endUnder(p.Suspects, 77, i+1)
+	}
+	f.clock.Advance(suspectMaxAge + magno.Second) // the ends are no longer in each hello
+	hello := Hello{Addr: addr(1)}
+	for _, step := range []struct {
+		name        string
+		incarnation uint64
+		sent        bool
+	}{
+		{"first incarnation", 1, true},
+		{"the same again", 1, false},
+		{"second incarnation", 2, true},
+		{"the same again", 2, false},
+	} {
+		hello.Stamp.Incarnation = step.incarnation
+		p.applyHello(&hello)
+		if report := p.replyEnds(&hello); (len(report.Ends) > 0) != step.sent {
+			t.Errorf("%s: got %+v, want ends: %t", step.name, report, step.sent)
+		}
+	}
+}
+
 // restart replaces an entry, which must learn the suspect as soon as it hears of others.
 func (f *helloFleet) restart(t *testing.T, n int) {
 	t.Helper()
@@ -216,3 +244,30 @@
 	}
 	t.Logf("refused by an entry that starts after %d ms", took)
 }
+
+// Guards against changes that are sent to a slow peer once more, with the next message, and against changes that are
+// in none.
+func TestDeliveryHasEachChangeOnce(t *testing.T) {
+	f := newHelloFleet(t, 2)
+	p, to := f.peers[0], addr(1)
+	begin := f.clock.Now()
+	if !p.startDelivery(to, begin-spreadInterval) {
+		t.Fatal("a message is on its way already")
+	}
+	if since, _ := p.nextDelivery(to); since != begin-spreadInterval {
+		t.Errorf("the first message has changes since %d, want %d", since, begin-spreadInterval)
+	}
+	f.clock.Advance(spreadInterval)
+	if p.startDelivery(to, begin-1) {
+		t.Error("a second message is sent beside the first one")
+	}
+	if since, more := p.finishDelivery(to); !more || since != begin-1 {
+		t.Errorf("the second message has changes since %d, %t; want %d", since, more, begin-1)
+	}
+	if _, more := p.finishDelivery(to); more {
+		t.Error("a third message is sent without a change")
+	}
+	if !p.startDelivery(to, f.clock.Now()) {
+		t.Error("the peer gets no further message")
+	}
+}
