relay: count authentic error answers as answers in the queue

Cause: an answer with status 500 or above was reported to the queue of a plain service as a failed upstream, which paused the upstream for 50 ms, doubled with each further one. Of ten such answers in a row four requests were refused.

Change: a signed answer with any status ends the turn as answered. Unsigned ones still pause the upstream.

Measured: TestQueuedErrorAnswersDoNotPauseTheUpstream fails before (4 of 10 refused) and passes now (go test ./relay/ -run TestQueued).

--- a/entry/relay/queued_test.go
+++ b/entry/relay/queued_test.go
@@ -128,3 +128,39 @@
 		t.Errorf("%d served, %d refused, %d sent", served.Load(), refused.Load(), u.requestCount())
 	}
 }
+
+// Guards against an upstream that is paused, and requests that are refused, because it answers with an
+// error status. An answer without a signature may come from anything at that address.
+func TestQueuedErrorAnswersDoNotPauseTheUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		respond func(net.Conn, string)
+		paused  bool
+	}{
+		{"signed", func(c net.Conn, id string) { writeResponse(c, id, http.StatusInternalServerError, "no") }, false},
+		{"unsigned", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 500 x\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestProxy(t, magno.RouteOnce, false, startUpstream(t, func(_ int, r *http.Request, conn net.Conn) bool {
+				c.respond(conn, r.Header.Get("Id"))
+				return true
+			}))
+			s.withQueues(t)
+			refused := 0
+			for i := range 10 { // six pauses are longer than the time that a request has
+				res, _, err := s.get(t, http.MethodPost, strconv.Itoa(i))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if res.StatusCode != http.StatusInternalServerError {
+					refused++
+				}
+			}
+			if (refused > 0) != c.paused {
+				t.Errorf("%d of 10 requests were refused, paused %v", refused, c.paused)
+			}
+		})
+	}
+}
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -230,6 +230,9 @@
 	if res.StatusCode >= http.StatusInternalServerError || promisesNotRun(res.StatusCode) {
 		j.failure = a
 		j.logTry("failed", errors.Newf("status %d", res.StatusCode))
+		if j.authentic(res, &reply) {
+			j.endTurn(queue.Result{OK: true}) // the upstream works, though this request failed
+		}
 		return resultFailed
 	}
 	j.Suspects.Clear(j.prints...)
