soak: rounds of ends send until an upstream has ended

TestSoundRequestIsServedThoughUpstreamsEnd sent one request in each round and counted the ends afterwards. Under load an entry may refuse that request, and rightly so: it closes new connections while its processor is overloaded, and refuses a request under which three upstreams ended until it learns that another entry has served it. Then no upstream ended in that round.

The rounds with cut connections send until a request has run at an upstream; before, they passed with a request that reached none. The check of one end for each round stays.

--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -113,14 +113,30 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := startSoak(t)
 			caller := callerFrom("127.0.9.2")
-			send := func() {
-				s.sendTo(context.Background(), caller, s.fleet.entries[0], c.target, c.body, s.newID(), c.adapter)
+			// sendUntil sends to one entry until what is wanted has happened. The entry may refuse for a time: it closes
+			// new connections while its processor is overloaded, and refuses a request of three ends until it learns that
+			// the request has completed elsewhere.
+			sendUntil := func(happened func(id string) bool) bool {
+				for end := time.Now().Add(recoveryLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+					id := s.newID()
+					o := s.sendTo(context.Background(), caller, s.fleet.entries[0], c.target, c.body, id, c.adapter)
+					if happened(id) {
+						return true
+					}
+					t.Logf("%s: status %d, sent again", id, o.Status)
+				}
+				return false
 			}
 			served := func() bool { return s.served(caller, c.target, c.body, c.adapter) }
+			endCount := func() int { return len(s.fleet.fatal.of(c.target)) }
 			for round := range rounds {
+				before := endCount()
 				s.fleet.fatal.set(c.target, true)
-				send()
+				ended := sendUntil(func(string) bool { return endCount() > before })
 				s.fleet.fatal.set(c.target, false)
+				if !ended {
+					t.Fatalf("round %d: no upstream ended", round)
+				}
 				if !served() {
 					t.Fatalf("round %d: not served after an upstream ended that ran it", round)
 				}
@@ -129,13 +145,15 @@
 				for _, u := range s.fleet.upstreams() {
 					s.fleet.current(u).AbortNext(1)
 				}
-				send()
+				if !sendUntil(func(id string) bool { return s.fleet.runs(id) > 0 }) {
+					t.Fatalf("round %d: no request reached an upstream whose connections are cut", round)
+				}
 				time.Sleep(200 * time.Millisecond)
 				if !served() {
 					t.Fatalf("round %d: not served after connections to upstreams were cut", round)
 				}
 			}
-			if ends := len(s.fleet.fatal.of(c.target)); ends < rounds {
+			if ends := endCount(); ends < rounds {
 				t.Errorf("%d upstreams ended, want one in each of %d rounds", ends, rounds)
 			}
 			for _, what := range s.checkSound() {
