agent: requests that wait are refused once the engine doesn't answer

Cause: when two reports in a row fail, the agent refused new requests at once but left those in its queue there until they gave up, and could still grant them permits for an engine that doesn't answer. Change: the waiting requests are refused as unusable engine (no upstream), as for a changed incarnation.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -130,8 +130,9 @@
 	return start > 0 && start < k.engineStart
 }
 
-// refuseWaiting refuses the waiting requests because the incarnation that they wait for has ended. A
-// permit granted now would let a request reach an incarnation that its entry's list doesn't name.
+// refuseWaiting refuses the waiting requests because the incarnation that they wait for has ended or
+// doesn't answer. A permit granted now would let a request reach an incarnation that its entry's list
+// doesn't name, or one that can't run it.
 func (k *Controller) refuseWaiting(format string, args ...any) {
 	for id := range k.waiting {
 		r := magno.Refuse(magno.KindNoUpstream, format, args...)
--- a/agent/keep/engine.go
+++ b/agent/keep/engine.go
@@ -72,7 +72,10 @@
 		s.misses++
 		if s.misses == downAfter {
 			s.Log.Warn("engine down", "error", err, "misses", s.misses)
-			s.post(ctx, func() { s.down = true })
+			s.post(ctx, func() {
+				s.down = true
+				s.refuseWaiting("the engine doesn't answer")
+			})
 		}
 		return
 	}
--- a/agent/keep/keep_test.go
+++ b/agent/keep/keep_test.go
@@ -260,6 +260,22 @@
 	}
 }
 
+// The engine stops responding while a request waits for it. Guards against a request that waits until
+// it gives up although its agent knows that it can't run here.
+func TestSilentEngineRefusesWaitingRequests(t *testing.T) {
+	e := newEngine()
+	e.fence = 1 << 60 // all orders are refused
+	a := start(t, e)
+	got := offerStuck(t, a)
+	e.set(func() { e.fail = true })
+	if r := <-got; r.Refusal == nil || r.Refusal.Kind != magno.KindNoUpstream || !r.Status.Down {
+		t.Fatalf("got %+v", r)
+	}
+	if n := a.sendStatus(t, "r@1", 1).Backlog.Queued; n != 0 {
+		t.Errorf("%d requests are still queued", n)
+	}
+}
+
 // An entry that was cut off sends the spec of an engine that is gone. The newer spec must stay in
 // force.
 func TestOlderEngineSpecIsIgnored(t *testing.T) {
