entry: a request is not sent with hardly any time left

Cause: the time left was checked before a retry and by agents, but not when a request is sent. One that had waited for a limit, a turn of a queue, a connection or a permit, or that went without a permit since the agent is lost, was sent with a few milliseconds left. It counted as a run, so that its caller was told 502 instead of a refusal that is true. Change: right before a send at least half of minRunTime must be left for an engine (as before a retry), and 20 ms for a plain service (a quarter of the route's timeout if that is shorter). Otherwise the request is refused as not run, and neither the retry budget nor the attempts are charged. A request whose caller has left is not sent either. A plain service that answers within the 10 ms that were left in the test served the request before; that one is refused now.

--- /dev/null
+++ b/entry/relay/promise_test.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+)
+
+// slowLimits grants each request after a while.
+type slowLimits struct {
+	fakeLimits
+	after time.Duration
+}
+
+func (l *slowLimits) Take(context.Context, string, float64) magno.LimitGrant {
+	time.Sleep(l.after)
+	return magno.LimitGrant{Granted: true}
+}
+
+// A request waits, and hardly any of its time is left when it may be sent. Guards against a send that
+// the caller can have no answer from: it counts as a run, so that the caller isn't told that the
+// request did not run, and takes capacity from others.
+func TestRequestWithHardlyAnyTimeLeftIsNotSent(t *testing.T) {
+	const timeout = 320 * magno.Millis(1) // of which deadlineMargin is for the way back
+	for _, c := range []struct {
+		name string
+		kind magno.RouteKind
+		set  func(s *testProxy)
+	}{
+		{"plain service", magno.RouteOnce, func(s *testProxy) {
+			s.Notices.Record(s.pools.replicas[0], magno.Notice{Limited: true, Rate: 10}, 0)
+			s.Limits = &slowLimits{after: 290 * time.Millisecond}
+		}},
+		{"queued", magno.RouteOnce, func(s *testProxy) {
+			s.withQueues(t)
+			s.Notices.Record(s.pools.replicas[0], magno.Notice{Limited: true, Rate: 10}, 0)
+			s.Limits = &slowLimits{after: 290 * time.Millisecond}
+		}},
+		{"permit", magno.RouteStream, func(s *testProxy) {
+			s.permits.onAcquire = func(string) { time.Sleep(250 * time.Millisecond) }
+		}},
+		{"no agent", magno.RouteStream, func(s *testProxy) {
+			s.permits.agentLost = true
+			s.permits.decide = func(context.Context, string) *gate.PermitReply {
+				time.Sleep(250 * time.Millisecond)
+				return nil
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := startUpstream(t, answerRequest)
+			s := newTestProxy(t, c.kind, false, u)
+			s.changes[0].Plan.Routes[0].Timeout = timeout
+			c.set(s)
+			res, _, err := s.get(t, http.MethodPost, "1")
+			if err != nil || !promisesNotRun(res.StatusCode) || res.Header.Get("Retry-After") == "" {
+				t.Errorf("got %v %v, want a refusal with Retry-After", res, err)
+			}
+			if n := u.requestCount(); n != 0 {
+				t.Errorf("it was sent %d times", n)
+			}
+		})
+	}
+}
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -23,6 +23,10 @@
 	// Otherwise an upstream that hangs would use up the whole timeout.
 	headTimeoutAims = 4
 	minHeadTimeout  = 400 * magno.Millis(1)
+	// minPlainTime is the least time that must be left when a request is sent to a plain service: a round
+	// trip between two data centres. For routes with a shorter timeout it is a part of that.
+	minPlainTime    = 20 * magno.Millis(1)
+	minPlainDivisor = 4
 	// pastDeadline is a connection deadline in the past, as Unix time: it aborts pending reads
 	// and writes.
 	pastDeadline = 1
@@ -65,7 +69,7 @@
 		}
 		return j.abortedOr(ctx, resultUnsent)
 	}
-	if res := j.maySend(key); res != resultDone {
+	if res := j.maySendNow(ctx, key); res != resultDone {
 		_ = conn.Close()
 		return res
 	}
@@ -93,6 +97,18 @@
 	return j.handleResponse(ctx, r, conn, res)
 }
 
+// maySendNow is maySend, unless the caller is gone or too little time is left for an answer.
+func (j *job) maySendNow(ctx context.Context, key string) result {
+	if j.r.Context().Err() != nil {
+		return resultAborted
+	}
+	if ctx.Err() != nil || j.deadline-j.Clock.Now() < j.minTimeLeft() {
+		j.deferRefusal(j.deadlineRefusal())
+		return resultRefused
+	}
+	return j.maySend(key)
+}
+
 // maySend is called right before the request is sent. The result is resultDone if it may be.
 func (j *job) maySend(key string) result {
 	if j.Book.Current().Find(key) == nil {
@@ -107,6 +123,18 @@
 	return resultDone
 }
 
+// minTimeLeft returns the time that must be left when the request is sent. With less there would be no
+// answer in time, and the caller could no longer be told that the request has not run.
+func (j *job) minTimeLeft() magno.Millis {
+	switch {
+	case j.service.Engine != nil:
+		return minRunTime / 2
+	case j.route.Timeout > 0:
+		return min(minPlainTime, j.route.Timeout/minPlainDivisor)
+	}
+	return minPlainTime
+}
+
 // putConn returns a connection to the pool after its response was read. If the end of the request's
 // context has begun to abort it, it is closed instead: the deadline that this sets in the past would
 // break the answer of the next request.
