entry: a late answer is awaited where no retry can follow

Cause: the connection to an upstream that had not answered an idempotent request within four times its latency target, or made no event of a resumable stream for a while, was closed so that another upstream could be tried. Whether one could be tried was decided afterwards: with the retry budget used up, or without another upstream, the caller got 502 or half a stream although the answer would have come. Under overload, when answers are late and budgets are used up, this lost answers. Change: when the time is exceeded, a retry is reserved and another upstream looked for first. Without both the answer is awaited further, until the deadline or until the upstream is known to have ended. hop.Conn continues a read after its deadline for that, since the readers of a response can't be used any more after an error. A retry that finds all other upstreams full still loses the late answer.

--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -16,6 +16,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,9 @@
 	net.Conn
 	// Reused is true if it has served a request before.
 	Reused bool
+	// OnTimeout is called by the reader when a read exceeds its deadline. It returns true if the read is
+	// to go on, for which it has set another deadline. It is nil if none is to go on.
+	OnTimeout func() bool
 
 	key     string
 	reader  *bufio.Reader
@@ -129,7 +133,20 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial upstream")
 	}
-	return &Conn{Conn: conn, key: key, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	c := &Conn{Conn: conn, key: key}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
+}
+
+// Read implements net.Conn. It continues after a timeout if OnTimeout says so. The readers of a response
+// can't be used any more after an error, so this is decided here.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || c.OnTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.OnTimeout() {
+			return n, err
+		}
+	}
 }
 
 // Probe reports whether an upstream accepts connections. It opens one, unless there is an idle one,
@@ -209,6 +226,7 @@
 
 // keep adds an idle connection, or closes it if there are too many.
 func (p *Pool) keep(c *Conn) {
+	c.OnTimeout = nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -87,6 +87,9 @@
 	// stopAbort ends the abort of the last send's connection by the end of the request's context, and
 	// returns false if that has begun.
 	stopAbort func() bool
+	// readLimit bounds the wait for the answer of the last send, or its next event, before another
+	// upstream is tried.
+	readLimit magno.Millis
 	// newConn is true if the last send went over a connection opened for it.
 	newConn bool
 	// permitID is the permit of the last send, empty if it had none. permitLimited is true if it
--- a/entry/relay/promise_test.go
+++ b/entry/relay/promise_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -66,3 +68,56 @@
 		})
 	}
 }
+
+// An upstream takes longer than the time after which a request is tried elsewhere. Guards against an
+// answer that is cut off although no retry can follow: the late answer is the only one to be had.
+func TestLateAnswerIsAwaitedIfThereIsNoRetry(t *testing.T) {
+	slow := func(_ int, r *http.Request, c net.Conn) bool {
+		time.Sleep(1100 * time.Millisecond) // longer than all timeouts of a first try
+		return answerRequest(0, r, c)
+	}
+	slowStream := func(_ int, r *http.Request, c net.Conn) bool {
+		writeStreamHead(c, r.Header.Get("Id"))
+		time.Sleep(1100 * time.Millisecond)
+		writeChunk(c, eventText(1))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+	pausing := func(_ int, r *http.Request, c net.Conn) bool {
+		writeStreamHead(c, r.Header.Get("Id"))
+		writeChunk(c, eventText(1))
+		time.Sleep(1100 * time.Millisecond)
+		writeChunk(c, eventText(2))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+	for _, c := range []struct {
+		name   string
+		kind   magno.RouteKind
+		script func(int, *http.Request, net.Conn) bool
+		body   string
+	}{
+		{"plain service", magno.RouteIdempotent, slow, "yes"},
+		{"first event", magno.RouteStream, slowStream, eventText(1)},
+		{"next event", magno.RouteStream, pausing, eventText(1) + eventText(2)},
+	} {
+		for why, upstreams := range map[string]int{"the budget is used up": 2, "there is no other upstream": 1} {
+			t.Run(c.name+", "+why, func(t *testing.T) {
+				var ups []*fakeUpstream
+				for range upstreams {
+					ups = append(ups, startUpstream(t, c.script))
+				}
+				s := newTestProxy(t, c.kind, true, ups...)
+				s.changes[0].Plan.Routes[0].Timeout = 10 * magno.Second
+				if upstreams > 1 {
+					s.pools.retries = 0
+				}
+				res, body, err := s.get(t, http.MethodPost, "1")
+				if err != nil || res.StatusCode != http.StatusOK || body != c.body {
+					t.Errorf("got %v %q %v, want the late answer", res, body, err)
+				}
+				s.pools.checkBudget(t, 0)
+			})
+		}
+	}
+}
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"magnoliastall.example/entry/hop"
@@ -75,6 +76,7 @@
 	}
 	j.stopAbort = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
 	defer j.stopAbort()
+	conn.OnTimeout = func() bool { return j.awaitsAnswer(ctx, conn) }
 	j.trial, j.newConn = false, !conn.Reused
 	j.tried = append(j.tried, key)
 	j.sends++
@@ -199,7 +201,7 @@
 func (j *job) receiveHead(ctx context.Context, conn *hop.Conn) (*http.Response, error) {
 	if j.canRetryElsewhere() {
 		limit := max(headTimeoutAims*j.route.Aim, minHeadTimeout)
-		setReadDeadline(ctx, conn, time.Now().Add(min(limit, j.deadline-j.Clock.Now()).Duration()))
+		j.setReadLimit(ctx, conn, limit)
 	}
 	res, err := conn.Receive(j.r.Method, func(res *http.Response) bool {
 		id := j.Dialect.Reply(res.StatusCode, res.Header).ID
@@ -211,6 +213,29 @@
 	return res, err
 }
 
+// setReadLimit bounds the reads from the upstream, so that another one can be tried.
+func (j *job) setReadLimit(ctx context.Context, conn *hop.Conn, limit magno.Millis) {
+	j.readLimit = limit
+	// At least a millisecond, as the context may end a little later than the deadline.
+	setReadDeadline(ctx, conn, time.Now().Add(max(min(limit, j.deadline-j.Clock.Now()), 1).Duration()))
+}
+
+// awaitsAnswer is called when the upstream has exceeded the read limit. It reports whether the answer is
+// still awaited: it is unless another upstream can be tried, within the retry budget, or this one is known
+// to have ended. Where there is no retry, a late answer is better than none.
+func (j *job) awaitsAnswer(ctx context.Context, conn *hop.Conn) bool {
+	key := j.lastReplica
+	if ctx.Err() != nil || j.Book.Current().Find(key) == nil || (j.service.Engine != nil && j.Permits.Down(key)) {
+		return false
+	}
+	if j.canRetryElsewhere() && j.deadline-j.Clock.Now() >= minRunTime/2 && len(j.choose().replicas) > 0 && j.reserveRetry() {
+		return false
+	}
+	metrics.GetOrCreateCounter("late_answers_awaited_total").Inc()
+	j.setReadLimit(ctx, conn, j.readLimit)
+	return true
+}
+
 // setReadDeadline sets the deadline for reads. The end of ctx, which aborts them by a deadline too,
 // must not be undone.
 func setReadDeadline(ctx context.Context, conn *hop.Conn, t time.Time) {
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -111,7 +110,7 @@
 	if j.events == 0 {
 		limit = max(firstEventTimeoutAims*j.route.Aim, minStallTimeout)
 	}
-	setReadDeadline(ctx, conn, time.Now().Add(limit.Duration()))
+	j.setReadLimit(ctx, conn, limit)
 }
 
 // isNewEvent records an event's id. It returns false if the caller already has the event, for
