gate: a request for a model that isn't configured is refused at once

Cause: an engine never loads a model that its spec doesn't name, but a request for one was queued there until it gave up. Change: Offer refuses it as one that can't be loaded, unless the engine holds the model all the same. Measured: TestModelThatIsNotConfiguredIsRefusedAtOnce failed before and passes now (magno/gate in 12.3 s). TestLateRequestIsServedUntilItGivesUp is new and passed on the code before as well.

--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -183,6 +183,9 @@
 	if g.isLeaving() {
 		return refuseLeaving()
 	}
+	if !g.inventory.available(req.Model) {
+		return magno.Refuse(magno.KindLoading, "the engine isn't configured for the model %q", req.Model).WithRetryAfter(maxRetryAfter)
+	}
 	if len(g.queue) >= maxQueued {
 		return magno.Refuse(magno.KindBusy, "%d requests wait", len(g.queue)).WithRetryAfter(boundRetryAfter(g.expectedWait(&req, now)))
 	}
--- a/magno/gate/gate_test.go
+++ b/magno/gate/gate_test.go
@@ -269,6 +269,50 @@
 	}
 }
 
+// A request names a model that the engine isn't configured for, so it is never loaded. Guards against a
+// request that waits until it gives up, and against a refusal of one that the engine holds all the same.
+func TestModelThatIsNotConfiguredIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	for _, adapter := range []string{"", "a"} {
+		a := h.request("unknown", adapter, 100)
+		a.Model = "other"
+		if r := h.gate.Offer(a); r == nil || r.Kind != magno.KindLoading || r.After <= 0 {
+			t.Errorf("adapter %q: got %v, want a refusal with a retry time", adapter, r)
+		}
+	}
+	h.gate.ApplyReport(&magno.Report{StartedAt: 1, Loaded: map[string]map[string]int64{model: {}, "other": {}}}, h.clock.Now())
+	a := h.request("held", "", 100)
+	a.Model = "other"
+	if r := h.gate.Offer(a); r != nil {
+		t.Errorf("a request for a model that the engine holds is refused: %v", r)
+	}
+}
+
+// A request that is late on arrival finds an idle engine. Guards against refusing what can still be served,
+// and against a grant after the time at which the request gives up, when the gate was not asked for a while.
+func TestLateRequestIsServedUntilItGivesUp(t *testing.T) {
+	for _, c := range []struct {
+		pause  magno.Millis
+		served bool
+	}{{20, true}, {3000, false}} {
+		h := newHarness(t, 2)
+		h.held["a"] = 1
+		h.report()
+		a := h.request("late", "a", 100)
+		a.StartTarget = -500
+		h.offer(a)
+		h.clock.Advance(c.pause)
+		h.step(nil)
+		if h.granted["late"] != c.served || (h.refused["late"] != nil) == c.served {
+			t.Errorf("after %d ms: granted %v, refused %v", c.pause, h.granted["late"], h.refused["late"])
+		}
+		h.run(3000, nil)
+		if h.granted["late"] != c.served {
+			t.Errorf("granted after it was refused")
+		}
+	}
+}
+
 // Requests for eight loaded adapters wait for prefill when one for an adapter that is not
 // loaded arrives. Its load starts at once, so the eight must not count towards its wait; with
 // them it was refused.
--- a/magno/gate/orders.go
+++ b/magno/gate/orders.go
@@ -116,6 +116,11 @@
 	return true
 }
 
+// available reports whether the engine holds a base model or may be ordered to load it.
+func (inv *inventory) available(model string) bool {
+	return inv.models[model] || slices.ContainsFunc(inv.spec.Engine.Models, func(m magno.Model) bool { return m.Name == model })
+}
+
 // modelSize is the size of a base model in megabytes, zero if it is not configured.
 func (inv *inventory) modelSize(model string) float64 {
 	for _, m := range inv.spec.Engine.Models {
