--- a/entry/queues/queues_test.go
+++ b/entry/queues/queues_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,6 +153,56 @@
 	return len(m.get("s").waiting)
 }
 
+// TestLateRequestGetsATurn guards against refusing a request that is late and can still be answered.
+func TestLateRequestGetsATurn(t *testing.T) {
+	m := newManager(t, 3, 1)
+	r := m.request(20000)
+	r.Received, r.Due = r.Received-1000, r.Due-1000
+	turn, err := m.Acquire(context.Background(), "s", r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	turn.End(queue.Result{Took: 5, OK: true})
+}
+
+// TestRefusedWhenAllUpstreamsLeave guards against a request that waits in vain once all upstreams leave,
+// and against a turn for it when they are back, after its caller was told that it does not run.
+func TestRefusedWhenAllUpstreamsLeave(t *testing.T) {
+	m := newManager(t, 3, 1)
+	var leaving atomic.Bool
+	m.Leaving = func(string) bool { return leaving.Load() }
+	turn, err := m.Acquire(context.Background(), "s", m.request(20000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	waits := make(chan error, 1)
+	go func() {
+		_, err := m.Acquire(context.Background(), "s", m.request(20000))
+		waits <- err
+	}()
+	for m.waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leaving.Store(true)
+	since := m.Clock.Now()
+	m.Update()
+	var refusal *magno.Refusal
+	if err := <-waits; !errors.As(err, &refusal) || refusal.After <= 0 {
+		t.Errorf("got %v", err)
+	}
+	if took := m.Clock.Now() - since; took > 10*magno.Second {
+		t.Errorf("refused after %d ms", took)
+	}
+	leaving.Store(false)
+	m.Update()
+	turn.End(queue.Result{Took: 5, OK: true})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.get("s"); len(s.waiting) != 0 || s.queue.Stats().InFlight != 0 {
+		t.Errorf("%d wait and %d are in flight", len(s.waiting), s.queue.Stats().InFlight)
+	}
+}
+
 // TestRejectedWhileWaiting guards against a request that waits for its deadline although the only
 // upstream rests past it.
 func TestRejectedWhileWaiting(t *testing.T) {
--- a/entry/relay/promise_test.go
+++ b/entry/relay/promise_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -77,9 +78,10 @@
 		return answerRequest(0, r, c)
 	}
 	slowStream := func(_ int, r *http.Request, c net.Conn) bool {
+		from, _ := strconv.Atoi(r.Header.Get("From"))
 		writeStreamHead(c, r.Header.Get("Id"))
 		time.Sleep(1100 * time.Millisecond)
-		writeChunk(c, eventText(1))
+		writeChunk(c, eventText(from+1))
 		fmt.Fprint(c, "0\r\n\r\n")
 		return true
 	}
@@ -95,14 +97,20 @@
 		name   string
 		kind   magno.RouteKind
 		script func(int, *http.Request, net.Conn) bool
+		queued bool
+		from   string
 		body   string
 	}{
-		{"plain service", magno.RouteIdempotent, slow, "yes"},
-		{"first event", magno.RouteStream, slowStream, eventText(1)},
-		{"next event", magno.RouteStream, pausing, eventText(1) + eventText(2)},
+		{"plain service", magno.RouteIdempotent, slow, false, "", "yes"},
+		{"plain service, single run", magno.RouteOnce, slow, false, "", "yes"},
+		{"queued", magno.RouteIdempotent, slow, true, "", "yes"},
+		{"first event", magno.RouteStream, slowStream, false, "", eventText(1)},
+		{"next event", magno.RouteStream, pausing, false, "", eventText(1) + eventText(2)},
+		{"stream taken up", magno.RouteStream, slowStream, false, "1", eventText(2)},
 	} {
 		for why, upstreams := range map[string]int{"the budget is used up": 2, "there is no other upstream": 1} {
 			t.Run(c.name+", "+why, func(t *testing.T) {
+				t.Parallel() // each waits for over a second
 				var ups []*fakeUpstream
 				for range upstreams {
 					ups = append(ups, startUpstream(t, c.script))
@@ -112,7 +120,14 @@
 				if upstreams > 1 {
 					s.pools.retries = 0
 				}
-				res, body, err := s.get(t, http.MethodPost, "1")
+				if c.queued {
+					s.withQueues(t)
+				}
+				h := http.Header{"Id": {"1"}}
+				if c.from != "" {
+					h.Set("From", c.from)
+				}
+				res, body, err := s.doWith(t, http.MethodPost, "/p/1", h)
 				if err != nil || res.StatusCode != http.StatusOK || body != c.body {
 					t.Errorf("got %v %q %v, want the late answer", res, body, err)
 				}
