--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"magnoliastall.example/entry/hop"
@@ -23,6 +24,10 @@
 	// Otherwise an upstream that hangs would use up the whole timeout.
 	headTimeoutAims = 4
 	minHeadTimeout  = 400 * magno.Millis(1)
+	// minPlainTime is the least time that must be left when a request is sent to a plain service: a round
+	// trip between two data centres. For routes with a shorter timeout it is a part of that.
+	minPlainTime    = 20 * magno.Millis(1)
+	minPlainDivisor = 4
 	// pastDeadline is a connection deadline in the past, as Unix time: it aborts pending reads
 	// and writes.
 	pastDeadline = 1
@@ -65,12 +70,13 @@
 		}
 		return j.abortedOr(ctx, resultUnsent)
 	}
-	if res := j.maySend(key); res != resultDone {
+	if res := j.maySendNow(ctx, key); res != resultDone {
 		_ = conn.Close()
 		return res
 	}
 	j.stopAbort = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
 	defer j.stopAbort()
+	conn.OnTimeout = func() bool { return j.awaitsAnswer(ctx, conn) }
 	j.trial, j.newConn = false, !conn.Reused
 	j.tried = append(j.tried, key)
 	j.sends++
@@ -93,6 +99,18 @@
 	return j.handleResponse(ctx, r, conn, res)
 }
 
+// maySendNow is maySend, unless the caller is gone or too little time is left for an answer.
+func (j *job) maySendNow(ctx context.Context, key string) result {
+	if j.r.Context().Err() != nil {
+		return resultAborted
+	}
+	if ctx.Err() != nil || j.deadline-j.Clock.Now() < j.minTimeLeft() {
+		j.deferRefusal(j.deadlineRefusal())
+		return resultRefused
+	}
+	return j.maySend(key)
+}
+
 // maySend is called right before the request is sent. The result is resultDone if it may be.
 func (j *job) maySend(key string) result {
 	if j.Book.Current().Find(key) == nil {
@@ -107,6 +125,18 @@
 	return resultDone
 }
 
+// minTimeLeft returns the time that must be left when the request is sent. With less there would be no
+// answer in time, and the caller could no longer be told that the request has not run.
+func (j *job) minTimeLeft() magno.Millis {
+	switch {
+	case j.service.Engine != nil:
+		return minRunTime / 2
+	case j.route.Timeout > 0:
+		return min(minPlainTime, j.route.Timeout/minPlainDivisor)
+	}
+	return minPlainTime
+}
+
 // putConn returns a connection to the pool after its response was read. If the end of the request's
 // context has begun to abort it, it is closed instead: the deadline that this sets in the past would
 // break the answer of the next request.
@@ -171,7 +201,7 @@
 func (j *job) receiveHead(ctx context.Context, conn *hop.Conn) (*http.Response, error) {
 	if j.canRetryElsewhere() {
 		limit := max(headTimeoutAims*j.route.Aim, minHeadTimeout)
-		setReadDeadline(ctx, conn, time.Now().Add(min(limit, j.deadline-j.Clock.Now()).Duration()))
+		j.setReadLimit(ctx, conn, limit)
 	}
 	res, err := conn.Receive(j.r.Method, func(res *http.Response) bool {
 		id := j.Dialect.Reply(res.StatusCode, res.Header).ID
@@ -183,6 +213,29 @@
 	return res, err
 }
 
+// setReadLimit bounds the reads from the upstream, so that another one can be tried.
+func (j *job) setReadLimit(ctx context.Context, conn *hop.Conn, limit magno.Millis) {
+	j.readLimit = limit
+	// At least a millisecond, as the context may end a little later than the deadline.
+	setReadDeadline(ctx, conn, time.Now().Add(max(min(limit, j.deadline-j.Clock.Now()), 1).Duration()))
+}
+
+// awaitsAnswer is called when the upstream has exceeded the read limit. It reports whether the answer is
+// still awaited: it is unless another upstream can be tried, within the retry budget, or this one is known
+// to have ended. Where there is no retry, a late answer is better than none.
+func (j *job) awaitsAnswer(ctx context.Context, conn *hop.Conn) bool {
+	key := j.lastReplica
+	if ctx.Err() != nil || j.Book.Current().Find(key) == nil || (j.service.Engine != nil && j.Permits.Down(key)) {
+		return false
+	}
+	if j.canRetryElsewhere() && j.deadline-j.Clock.Now() >= minRunTime/2 && len(j.choose().replicas) > 0 && j.reserveRetry() {
+		return false
+	}
+	metrics.GetOrCreateCounter("late_answers_awaited_total").Inc()
+	j.setReadLimit(ctx, conn, j.readLimit)
+	return true
+}
+
 // setReadDeadline sets the deadline for reads. The end of ctx, which aborts them by a deadline too,
 // must not be undone.
 func setReadDeadline(ctx context.Context, conn *hop.Conn, t time.Time) {
