--- a/entry/peers/suspect.go
+++ b/entry/peers/suspect.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -274,8 +275,8 @@
 }
 
 func (p *Peers) onEnds(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
-	var report EndReport
-	if err := json.Unmarshal(params, &report); err != nil {
+	report, err := parseEndReport(params)
+	if err != nil {
 		p.Log.Warn("malformed ends", "error", err)
 		return nil, err
 	}
@@ -286,3 +287,14 @@
 	}
 	return nil, nil
 }
+
+// parseEndReport decodes an EndReport. Entries of older versions send only its list of ends.
+func parseEndReport(params json.RawMessage) (EndReport, error) {
+	var report EndReport
+	if bytes.HasPrefix(bytes.TrimSpace(params), []byte("[")) {
+		err := json.Unmarshal(params, &report.Ends)
+		return report, err
+	}
+	err := json.Unmarshal(params, &report)
+	return report, err
+}
--- a/entry/peers/suspect_test.go
+++ b/entry/peers/suspect_test.go
@@ -271,3 +271,26 @@
 		t.Error("the peer gets no further message")
 	}
 }
+
+// Guards against ends that are dropped because an entry of an older version sends them, as a list without generations.
+func TestEndsOfAnOlderVersionAreRecorded(t *testing.T) {
+	f := newHelloFleet(t, 2)
+	p := f.peers[0]
+	for i := range uint64(3) {
+		params, err := json.Marshal([]Ending{{UpstreamEnd: magno.UpstreamEnd{Upstream: i + 1}, Ran: []uint64{77}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := p.onEnds(context.Background(), nil, params); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := p.Suspects.Count(77); n != 3 {
+		t.Errorf("%d ends are recorded, want 3", n)
+	}
+	for _, malformed := range []string{`"x"`, `[1]`, `{"ends":1}`, ``} {
+		if _, err := p.onEnds(context.Background(), nil, json.RawMessage(malformed)); err == nil {
+			t.Errorf("%s is accepted", malformed)
+		}
+	}
+}
