relay: a declined request returns if no other engine can be used

An engine declines because another one is better. If the other one then can't admit requests at present (it is down, or its agent has no spec), the request was refused although the first engine is usable. It is now asked last, unless the request may have run there, and can't decline again.

--- a/entry/relay/decline_test.go
+++ b/entry/relay/decline_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -8,6 +9,7 @@
 	"time"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
 )
 
 // Reports of engines are up to a quarter of a second old, so a burst of requests converges on
@@ -63,6 +65,35 @@
 	}
 }
 
+// An engine declines, and the agent of the only other one can't admit requests at present. Guards against a refusal,
+// or a wait for an upstream, while the engine that declined can serve the request.
+func TestDeclinedRequestReturnsIfNoOtherEngineIsUsable(t *testing.T) {
+	for name, reply := range map[string]*gate.PermitReply{
+		"the other one is down":         {Refusal: magno.Refuse(magno.KindNoUpstream, "the engine doesn't answer")},
+		"the agent of the other starts": {Refusal: magno.Refuse(magno.KindStarting, "no spec")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u, v := startUpstream(t, streamOneEvent), startUpstream(t, streamOneEvent)
+			s := newTestProxy(t, magno.RouteStream, false, u, v)
+			s.pools.maxWait = 50
+			first := s.pools.replicas[0]
+			s.permits.declines = func(key string) bool { return key == first }
+			s.permits.decide = func(_ context.Context, key string) *gate.PermitReply {
+				if key == first {
+					return nil
+				}
+				return reply
+			}
+			if res, _, err := s.get(t, http.MethodPost, "1"); err != nil || res.StatusCode != 200 {
+				t.Fatalf("got %v %v", res, err)
+			}
+			if u.requestCount() != 1 || len(s.permits.asked) != 3 {
+				t.Errorf("%d requests at the first engine after %d permit requests, want 1 after 3", u.requestCount(), len(s.permits.asked))
+			}
+		})
+	}
+}
+
 // An engine hands a request back that waited in its queue. Guards against the request losing its
 // place at the next one: what counts there is the time since it arrived at the entry, and its
 // wait is accounted for.
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 
 	"magnoliastall.example/magno"
@@ -58,10 +59,26 @@
 		case ctx.Err() != nil:
 			return resultAborted
 		default:
-			return j.sendToAny(ctx, choice.replicas[1:])
+			return j.sendToRest(ctx, choice.replicas, 1)
 		}
 	}
-	return j.sendToAny(ctx, choice.replicas)
+	return j.sendToRest(ctx, choice.replicas, 0)
+}
+
+// sendToRest requests permits for the replicas of a choice after the first ones. If no engine of the choice can be
+// used at present, those that declined the request follow.
+func (j *job) sendToRest(ctx context.Context, replicas []*magno.Replica, first int) result {
+	res := j.sendToAny(ctx, replicas[first:])
+	if res != resultRefused || j.answered || ctx.Err() != nil {
+		return res
+	}
+	asked := slices.Clone(j.tried) // it may have run there
+	for _, r := range replicas {
+		asked = append(asked, r.Key())
+	}
+	return j.sendToAny(ctx, slices.DeleteFunc(j.findReplicas(j.declined), func(r *magno.Replica) bool {
+		return slices.Contains(asked, r.Key())
+	}))
 }
 
 // sendToAny requests permits for the best replicas in turn until one is granted, however long
