--- a/entry/relay/arrive_test.go
+++ b/entry/relay/arrive_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -353,26 +352,6 @@
 	}
 }
 
-// logBuffer is a log that can be read while it is written.
-type logBuffer struct {
-	mu sync.Mutex
-	b  strings.Builder
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
-func (l *logBuffer) logger() *slog.Logger { return slog.New(slog.NewTextHandler(l, nil)) }
-
 // Guards against a send to an upstream that the list stopped naming while the connection to it was made.
 func TestUpstreamIsListedWhenARequestIsSent(t *testing.T) {
 	s := newArrivalProxy(t, 0)
