--- a/magno/queue/load_test.go
+++ b/magno/queue/load_test.go
@@ -113,3 +113,131 @@
 		t.Error("no more value than by sending at once")
 	}
 }
+
+const (
+	// dayEnd is the length of the day, dayEntries the number of its entries.
+	dayEnd     = 34000
+	dayEntries = 29
+	// dayDemand is the mean demand per second, dayWave the part by which it varies within dayPeriod,
+	// and dayPeak a time at which it is highest.
+	dayDemand = 144
+	dayWave   = 0.55
+	dayPeriod = 17000
+	dayPeak   = 18500
+	// dayErrors: 14% of a fifth of the requests are answered with an error status.
+	dayErrors = 0.2 * 0.14
+	daySeeds  = 12
+)
+
+// dayLevel is the demand per second.
+func dayLevel(at magno.Millis) float64 {
+	return dayDemand * (1 + dayWave*math.Cos(2*math.Pi*float64(at-dayPeak)/dayPeriod))
+}
+
+// daySlow makes each upstream slow for 15% of the time, in periods of 600 ms.
+func daySlow(up int, at magno.Millis) bool { return (int(at)+up*1300)%4000 < 600 }
+
+// dayOverload reports whether more requests arrive than the upstreams can answer.
+func dayOverload(at magno.Millis) bool {
+	return (at >= 4000 && at < 5000) || (at >= 15000 && at < 22000) || (at >= 29000 && at < dayEnd)
+}
+
+// dayCalm reports whether the upstreams can answer all requests and have no backlog.
+func dayCalm(at magno.Millis) bool { return at < 4000 || (at >= 8000 && at < 14000) }
+
+// dayOutcome is the outcome of a day.
+type dayOutcome struct {
+	all, overload, calm outcome
+	// arrivals and answers are those of each second.
+	arrivals, answers [dayEnd / 1000]int
+}
+
+func (d *dayOutcome) add(other *dayOutcome) {
+	d.all.add(other.all)
+	d.overload.add(other.overload)
+	d.calm.add(other.calm)
+	for i := range d.answers {
+		d.arrivals[i] += other.arrivals[i]
+		d.answers[i] += other.answers[i]
+	}
+}
+
+// overloadAnswers counts the upstreams' answers in the overload.
+func (d *dayOutcome) overloadAnswers() (n int) {
+	for i, answers := range d.answers {
+		if dayOverload(magno.Millis(i) * 1000) {
+			n += answers
+		}
+	}
+	return n
+}
+
+// mostOnTime returns how many of the requests of the overload can be on time with as many answers. Of
+// n requests in a second and a answers at most a are on time. If none waits in vain, a request that
+// isn't on time takes part of an answer too: a whole one if it is late, and if it is refused at once it
+// returns and gets one with the same probability p as a first one, since entries can't tell it apart.
+// So a >= n*p + n*(1-p)*p, and n*p is at most n*(1-sqrt(1-a/n)).
+func (d *dayOutcome) mostOnTime() (firstOnly, withReturns float64) {
+	for i := range d.answers {
+		if dayOverload(magno.Millis(i) * 1000) {
+			n, a := float64(d.arrivals[i]), float64(d.answers[i])
+			firstOnly += min(n, a) * (1 - dayErrors)
+			withReturns += n * (1 - math.Sqrt(max(1-a/n, 0))) * (1 - dayErrors)
+		}
+	}
+	return firstOnly, withReturns
+}
+
+// playDay replays the busiest day of the device lab: one of three upstreams leaves at 4 s and another
+// at 25 s, callers return once after a refusal, and their target counts from their first request.
+func playDay(seed uint64, direct bool) *dayOutcome {
+	s := newScene(seed, dayEntries, 3, direct)
+	s.slow, s.returns, s.errorShare = daySlow, true, dayErrors
+	s.at(4000, func() { s.leave(0) })
+	s.at(25000, func() { s.leave(1) })
+	s.loadBursts(dayEnd, dayLevel)
+	s.run(dayEnd + 2*scenePatient)
+	d := &dayOutcome{
+		all:      s.outcomeWhere(func(at magno.Millis) bool { return at < dayEnd }),
+		overload: s.outcomeWhere(dayOverload), calm: s.outcomeWhere(dayCalm),
+	}
+	for _, r := range s.reqs {
+		if at := r.at - magno.Hour; at < dayEnd {
+			d.arrivals[at/1000]++
+		}
+	}
+	for _, at := range s.answers {
+		if at < dayEnd {
+			d.answers[at/1000]++
+		}
+	}
+	return d
+}
+
+// TestDay guards against a queue that leaves request slots idle in an overload, or that serves less than
+// sending at once does, where refused callers return.
+func TestDay(t *testing.T) {
+	var direct, queued dayOutcome
+	for seed := range uint64(daySeeds) {
+		direct.add(playDay(seed+1, true))
+		queued.add(playDay(seed+1, false))
+	}
+	for _, d := range []struct {
+		name string
+		*dayOutcome
+	}{{"direct", &direct}, {"queued", &queued}} {
+		t.Logf("%s: value %.0f, %v", d.name, d.all.value(), d.all)
+		t.Logf("%s: calm: %v", d.name, d.calm)
+		t.Logf("%s: overload: %d answers, value %.0f, %v", d.name, d.overloadAnswers(), d.overload.value(), d.overload)
+	}
+	firstOnly, withReturns := direct.mostOnTime()
+	unserved := func(o outcome) int { return o.late + o.refused }
+	t.Logf("late or refused in the overload: %d, %d with the queue; with half of them on time, %d would be; at most %.0f can if no caller returns, %.0f if they do and none waits in vain",
+		unserved(direct.overload), unserved(queued.overload), direct.overload.onTime+unserved(direct.overload)/2, firstOnly, withReturns)
+	if queued.all.open > 0 {
+		t.Errorf("%d requests were never decided on", queued.all.open)
+	}
+	if a, b := queued.overloadAnswers(), direct.overloadAnswers(); float64(a) < 0.97*float64(b) {
+		t.Errorf("%d answers in the overload, %d by sending at once", a, b)
+	}
+}
--- a/magno/queue/scene_test.go
+++ b/magno/queue/scene_test.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/agenda"
 )
 
 const (
@@ -21,6 +22,8 @@
 	helloEvery = 800
 	// sceneSends bounds the sends of a request, as maxReplicasTried does in entry/relay.
 	sceneSends = 3
+	// sceneRetryAfter is the Retry-After without the package, busyRetryAfter of entry/relay.
+	sceneRetryAfter = 200
 	// sceneRetries is the part of the requests that the retry budget allows as retries.
 	sceneRetries = 0.2
 )
@@ -42,6 +45,12 @@
 	noRetries         bool
 	retries, requests float64
 	reqs              []*sceneReq
+	// returns is true if callers return once after a refusal.
+	returns bool
+	// errorShare is the part of the requests to which an upstream answers with an error status.
+	errorShare float64
+	// answers holds the times of the upstreams' answers, errors included.
+	answers []magno.Millis
 	// noHellos is true while entries don't hear of each other.
 	noHellos bool
 	// resent counts the sends after the first.
@@ -53,6 +62,8 @@
 	queued   []sceneWork
 	// down is true while it refuses connections, gone while the list doesn't name it.
 	down, gone bool
+	// leaving is true while it gets no new requests.
+	leaving bool
 	// hung is true while it accepts requests and answers none.
 	hung bool
 	// life counts the restarts.
@@ -73,6 +84,7 @@
 	endShed
 	endUnsent // the connection was refused
 	endBroken // it may have run
+	endError  // it was answered with an error status
 )
 
 type sceneFront struct {
@@ -81,6 +93,7 @@
 	queue   *Queue
 	out     []int
 	waiting map[string]*sceneReq
+	agenda  agenda.Agenda
 	dead    bool
 	frozen  bool
 	wakeAt  magno.Millis
@@ -90,12 +103,18 @@
 	id      string
 	front   *sceneFront
 	at, aim magno.Millis
-	tried   []string
-	sends   int
+	// received is when the entry received it: later than at if the caller has returned.
+	received, queuedAt magno.Millis
+	returned           bool
+	tried              []string
+	sends              int
 	// answered is zero without an answer.
 	answered magno.Millis
 	// failed is true if an upstream ended under it.
 	refused, failed bool
+	// inVain is true if it was refused after it had waited for more than half of its time, toEnd if
+	// less than a tenth was left.
+	inVain, toEnd bool
 }
 
 type event struct {
@@ -127,6 +146,7 @@
 		f := &sceneFront{nr: i, weight: 1 + 9*math.Pow(s.rand.Float64(), 3), out: make([]int, ups), waiting: map[string]*sceneReq{}}
 		f.queue = &Queue{Clock: s.clock, Seed: seed + uint64(i)}
 		f.queue.SetPeers(fronts, 0)
+		f.agenda.Clock = s.clock
 		s.fronts = append(s.fronts, f)
 	}
 	s.update()
@@ -181,17 +201,42 @@
 	capacity := float64(len(s.ups)*sceneSlots) / mean
 	for at := float64(begin); at < float64(end); {
 		at += s.rand.ExpFloat64() / (capacity * level(magno.Millis(at)))
-		x := s.rand.Float64() * sum
-		var f *sceneFront
-		for _, f = range s.fronts {
-			if x -= f.weight; x < 0 {
+		s.arrive(magno.Millis(at), s.drawFront(sum))
+	}
+}
+
+// loadBursts makes requests at a rate per second until end, in bursts at one entry of 3 on average
+// within 30 ms.
+func (s *scene) loadBursts(end magno.Millis, rate func(at magno.Millis) float64) {
+	const size, span = 3, 30
+	sum := 0.0
+	for _, f := range s.fronts {
+		sum += f.weight
+	}
+	for at := 0.0; at < float64(end); {
+		at += s.rand.ExpFloat64() * size * 1000 / rate(magno.Millis(at))
+		f := s.drawFront(sum)
+		for {
+			s.arrive(magno.Millis(at+s.rand.Float64()*span), f)
+			if s.rand.Float64() >= 1-1.0/size {
 				break
 			}
 		}
-		s.arrive(magno.Millis(at), f)
 	}
 }
 
+// drawFront draws an entry by its weight, of the given sum of all weights.
+func (s *scene) drawFront(sum float64) *sceneFront {
+	x := s.rand.Float64() * sum
+	var f *sceneFront
+	for _, f = range s.fronts {
+		if x -= f.weight; x < 0 {
+			break
+		}
+	}
+	return f
+}
+
 // loadHalves makes requests until end. Hot is true if one entry has 100 times as many as the others
 // have, and another one in the second half.
 func (s *scene) loadHalves(end magno.Millis, level func(at magno.Millis) float64, hot bool) {
@@ -210,7 +255,7 @@
 
 // arrive makes one request at a time since the start.
 func (s *scene) arrive(at magno.Millis, f *sceneFront) {
-	r := &sceneReq{id: fmt.Sprint("r", len(s.reqs)), front: f, at: magno.Hour + at, aim: sceneAim}
+	r := &sceneReq{id: fmt.Sprint("r", len(s.reqs)), front: f, at: magno.Hour + at, received: magno.Hour + at, aim: sceneAim}
 	s.reqs = append(s.reqs, r)
 	s.at(r.at-s.clock.Now(), func() { s.offer(r) })
 }
@@ -229,15 +274,48 @@
 
 func (s *scene) enqueue(r *sceneReq) {
 	q := r.front.queue
-	it := Item{ID: r.id, StartBy: r.at + r.aim - min(q.Stats().Usual, r.aim/2), Deadline: r.at + scenePatient, Avoid: r.tried}
-	if q.Offer(it) != nil {
-		r.refused = true
+	it := Item{ID: r.id, StartBy: r.received + r.aim - min(q.Stats().Usual, r.aim/2), Deadline: r.received + scenePatient, Avoid: r.tried}
+	r.queuedAt = s.clock.Now()
+	if refusal := q.Offer(it); refusal != nil {
+		s.refuse(r, refusal.After)
 		return
 	}
 	r.front.waiting[r.id] = r
+	if r.returned && r.sends == 0 {
+		s.at(r.at+scenePatient-s.clock.Now(), func() { s.leaveCaller(r) })
+	}
 	s.next(r.front)
 }
 
+// leaveCaller has a caller leave that still waits.
+func (s *scene) leaveCaller(r *sceneReq) {
+	if r.front.waiting[r.id] == r && r.front.queue.Cancel(r.id) {
+		delete(r.front.waiting, r.id)
+		r.refused, r.inVain, r.toEnd = true, true, true
+	}
+}
+
+// refuse refuses a request. Its caller may return once, after at most a third of the time that it has
+// left, to any entry, which can't tell it from a first request.
+func (s *scene) refuse(r *sceneReq, after magno.Millis) {
+	now := s.clock.Now()
+	left := r.at + scenePatient - now
+	if now-r.queuedAt > (r.at+scenePatient-r.queuedAt)/2 && r.queuedAt > 0 {
+		r.inVain = true
+		r.toEnd = left < scenePatient/10
+	}
+	if !s.returns || r.returned || left <= 0 {
+		r.refused = true
+		return
+	}
+	at := r.front.agenda.Promise(0, now+after, now+left/3)
+	r.returned, r.tried, r.sends, r.queuedAt = true, nil, 0, 0
+	s.at(min(at-now, left/3), func() {
+		r.front, r.received = s.fronts[s.rand.IntN(len(s.fronts))], s.clock.Now()
+		s.offer(r)
+	})
+}
+
 // add adds up outcomes.
 func (o *outcome) add(other outcome) {
 	o.onTime += other.onTime
@@ -245,6 +323,8 @@
 	o.refused += other.refused
 	o.failed += other.failed
 	o.open += other.open
+	o.inVain += other.inVain
+	o.toEnd += other.toEnd
 	o.sumTook += other.sumTook
 }
 
@@ -262,7 +342,7 @@
 	for _, rej := range d.Rejections {
 		r := f.waiting[rej.ID]
 		delete(f.waiting, rej.ID)
-		r.refused = true
+		s.refuse(r, rej.Refusal.After)
 	}
 	if d.Wake > 0 && (f.wakeAt <= s.clock.Now() || d.Wake < f.wakeAt) {
 		f.wakeAt = d.Wake
@@ -274,7 +354,7 @@
 	up := slices.IndexFunc(s.ups, func(u *sceneUpstream) bool { return s.name(u.nr) == name })
 	if r.sends > 0 && !s.takeRetry() {
 		f.queue.Done(r.id, Result{Void: true})
-		r.refused = true
+		s.refuse(r, sceneRetryAfter)
 		return
 	}
 	s.countSend(r, name)
@@ -283,21 +363,26 @@
 		if f.dead {
 			return
 		}
-		f.queue.Done(r.id, Result{Took: s.clock.Now() - sentAt, Shed: end == endShed, OK: end == endAnswered})
+		f.queue.Done(r.id, Result{Took: s.clock.Now() - sentAt, Shed: end == endShed, OK: end == endAnswered || end == endError})
 		switch {
 		case end == endAnswered:
-			r.answered = s.clock.Now()
-		case end == endBroken:
+			s.answer(r)
+		case end == endBroken || end == endError:
 			r.failed = true
 		case r.sends < sceneSends:
 			s.enqueue(r)
 		default:
-			r.refused = true
+			s.refuse(r, sceneRetryAfter)
 		}
 		s.next(f)
 	})
 }
 
+func (s *scene) answer(r *sceneReq) {
+	r.answered = s.clock.Now()
+	r.front.agenda.Served()
+}
+
 func (s *scene) countSend(r *sceneReq, name string) {
 	if r.sends > 0 {
 		s.resent++
@@ -317,12 +402,12 @@
 func (s *scene) sendDirect(r *sceneReq) {
 	f, best := r.front, -1
 	for _, i := range s.rand.Perm(len(s.ups)) {
-		if !slices.Contains(r.tried, s.name(i)) && !s.ups[i].gone && (best < 0 || f.out[i] < f.out[best]) {
+		if !slices.Contains(r.tried, s.name(i)) && !s.ups[i].gone && !s.ups[i].leaving && (best < 0 || f.out[i] < f.out[best]) {
 			best = i
 		}
 	}
 	if best < 0 || r.sends == 2 || (r.sends > 0 && !s.takeRetry()) {
-		r.refused = true
+		s.refuse(r, sceneRetryAfter)
 		return
 	}
 	s.countSend(r, s.name(best))
@@ -331,7 +416,7 @@
 		f.out[best]--
 		switch end {
 		case endAnswered:
-			r.answered = s.clock.Now()
+			s.answer(r)
 		case endShed, endUnsent:
 			s.sendDirect(r)
 		default:
@@ -375,7 +460,12 @@
 			return
 		}
 		u.busy--
-		w.finish(endAnswered)
+		s.answers = append(s.answers, s.clock.Now()-magno.Hour)
+		if s.errorShare > 0 && s.rand.Float64() < s.errorShare {
+			w.finish(endError)
+		} else {
+			w.finish(endAnswered)
+		}
 		if len(u.queued) > 0 {
 			next := u.queued[0]
 			u.queued = u.queued[1:]
@@ -395,6 +485,12 @@
 	s.update()
 }
 
+// leave has an upstream get no new requests.
+func (s *scene) leave(up int) {
+	s.ups[up].leaving = true
+	s.update()
+}
+
 // restart starts an upstream again, as another incarnation.
 func (s *scene) restart(up int) {
 	u := s.ups[up]
@@ -408,7 +504,7 @@
 	var list []Upstream
 	for i, u := range s.ups {
 		if !u.gone {
-			list = append(list, Upstream{Name: s.name(i), Slots: sceneSlots})
+			list = append(list, Upstream{Name: s.name(i), Slots: sceneSlots, Leaving: u.leaving})
 		}
 	}
 	for _, f := range s.fronts {
@@ -419,6 +515,9 @@
 // outcome is what became of the requests that arrived in a time.
 type outcome struct {
 	onTime, late, refused, failed, open int
+	// inVain counts the requests that were refused after a wait of more than half of their time, toEnd
+	// those that then had less than a tenth left. Both include those answered too late for their caller.
+	inVain, toEnd int
 	// sumTook adds up the answer times.
 	sumTook float64
 }
@@ -426,15 +525,26 @@
 func (o outcome) total() int     { return o.onTime + o.late + o.refused + o.failed + o.open }
 func (o outcome) value() float64 { return float64(o.onTime) + 0.5*float64(o.late) }
 func (o outcome) String() string {
-	return fmt.Sprintf("of %d: on time %d (%.1f%%), late %d, refused %d, failed %d, mean %.0f ms", o.total(), o.onTime, 100*float64(o.onTime)/float64(max(o.total(), 1)), o.late, o.refused, o.failed, o.sumTook/float64(max(o.onTime+o.late, 1)))
+	return fmt.Sprintf("of %d: on time %d (%.1f%%), late %d, refused %d, failed %d, in vain %d, to the end %d, mean %.0f ms", o.total(), o.onTime, 100*float64(o.onTime)/float64(max(o.total(), 1)), o.late, o.refused, o.failed, o.inVain, o.toEnd, o.sumTook/float64(max(o.onTime+o.late, 1)))
 }
 
 func (s *scene) outcome(from, to magno.Millis) outcome {
+	return s.outcomeWhere(func(at magno.Millis) bool { return at >= from && at < to })
+}
+
+// outcomeWhere returns what became of the requests that arrived at the times for which in is true.
+func (s *scene) outcomeWhere(in func(at magno.Millis) bool) outcome {
 	var o outcome
 	for _, r := range s.reqs {
-		if r.at < magno.Hour+from || r.at >= magno.Hour+to || r.front.dead {
+		if !in(r.at-magno.Hour) || r.front.dead {
 			continue
 		}
+		if r.inVain || r.answered-r.at > scenePatient {
+			o.inVain++
+		}
+		if r.toEnd || r.answered-r.at > scenePatient {
+			o.toEnd++
+		}
 		switch {
 		case r.refused:
 			o.refused++
