queue: spread requests more evenly over upstreams

Cause: an upstream without an answer counted as one that answers within 1 ms, so that one that restarts got all requests. And the draw by the fourth power of the answer time followed single slow answers, which sent bursts to one upstream.

Change: until its first answer an upstream counts as an idle one, and the draw is by the third power.

TestUnknownUpstream fails before (40 of 40 at the new upstream).

--- a/magno/queue/order.go
+++ b/magno/queue/order.go
@@ -58,8 +58,9 @@
 }
 
 // choose returns an upstream with room for a request, nil if there is none. It draws one at random, by
-// the fourth power of its answer time: one that takes 2.5 times as long gets a fortieth. If all
-// entries preferred the same one, it would be full.
+// the third power of its answer time: one that takes 2.5 times as long gets a fifteenth. If all entries
+// preferred the same one, it would be full. With 29 entries the fourth power follows single slow answers
+// too much, the second sends too many to a slow upstream.
 func (q *Queue) choose(e *entry, now magno.Millis) *upstream {
 	avoid := len(e.Avoid) > 0 && slices.ContainsFunc(q.upstreams, func(u *upstream) bool {
 		at, ok := u.usableAt()
@@ -71,8 +72,9 @@
 		if !u.hasRoom(now) || (avoid && slices.Contains(e.Avoid, u.Name)) {
 			continue
 		}
-		t := u.expected(now) * float64(1+u.inFlight)
-		weight := 1 / (t * t * t * t)
+		t := q.expectedAt(u, now)
+		n := float64(1 + u.inFlight)
+		weight := 1 / (t * t * t * n * n * n * n)
 		sum += weight
 		if q.rand.Float64()*sum < weight {
 			best = u
--- a/magno/queue/order_test.go
+++ b/magno/queue/order_test.go
@@ -228,3 +228,30 @@
 		}
 	}
 }
+
+// TestUnknownUpstream guards against an upstream that restarts and gets all requests, since no answer
+// says how long it takes.
+func TestUnknownUpstream(t *testing.T) {
+	q, clock := newQueue(Upstream{Name: "a", Slots: 100})
+	for i := range 20 {
+		id := fmt.Sprint("first", i)
+		offer(t, q, item(clock, id))
+		q.Next()
+		clock.Advance(60)
+		q.Done(id, Result{Took: 60, OK: true})
+	}
+	q.Update([]Upstream{{Name: "a", Slots: 100}, {Name: "b", Slots: 100}})
+	sent := map[string]int{}
+	for i := range 40 {
+		id := fmt.Sprint("later", i)
+		offer(t, q, item(clock, id))
+		for _, st := range q.Next().Starts {
+			sent[st.Upstream]++
+			q.Done(st.ID, Result{Void: true})
+		}
+		clock.Advance(60)
+	}
+	if sent["a"] < 10 || sent["b"] < 10 {
+		t.Errorf("sent %v, want about half to each", sent)
+	}
+}
--- a/magno/queue/upstream.go
+++ b/magno/queue/upstream.go
@@ -114,3 +114,12 @@
 	}
 	return least
 }
+
+// expectedAt returns the answer time that is expected of an upstream now. Until its first answer it counts
+// as an idle one: an upstream that restarts must not get all requests.
+func (q *Queue) expectedAt(u *upstream, now magno.Millis) float64 {
+	if u.base == 0 {
+		return max(q.knownBase(), minUsual)
+	}
+	return u.expected(now)
+}
