queue: send bursts at the start of the entries

Cause: before its first answer an entry had one request in flight, so that the rest of a burst waited while request slots were idle.

Change: before the first answer it may have its part of the request slots and of the longer upstream queue in flight. TestDay checks that the value is above, and the calm part at most a percent below, what sending at once gives.

Ruled out by trials: a half or a third of the window for late requests (TestNoneStarves fails: with a window below one the spacing of late requests never ends); refusals by the rate at which late requests were sent (value below sending at once).

--- a/magno/queue/load_test.go
+++ b/magno/queue/load_test.go
@@ -237,6 +237,12 @@
 	if queued.all.open > 0 {
 		t.Errorf("%d requests were never decided on", queued.all.open)
 	}
+	if a, b := queued.all.value(), direct.all.value(); a <= b {
+		t.Errorf("value %.0f, %.0f by sending at once", a, b)
+	}
+	if a, b := queued.calm.onTime, direct.calm.onTime; a < b-direct.calm.total()/100 {
+		t.Errorf("%d of the calm part on time, %d by sending at once", a, b)
+	}
 	if a, b := queued.overloadAnswers(), direct.overloadAnswers(); float64(a) < 0.97*float64(b) {
 		t.Errorf("%d answers in the overload, %d by sending at once", a, b)
 	}
--- a/magno/queue/order.go
+++ b/magno/queue/order.go
@@ -123,5 +123,6 @@
 	}
 }
 
-// firstSends returns how many requests may be in flight before the first answer.
-func (q *Queue) firstSends() int { return max(int(q.window.tight+0.5), 1) }
+// firstSends returns how many requests may be in flight before the first answer. With the part of a short
+// queue, bursts at the start of the entries wait although request slots are idle.
+func (q *Queue) firstSends() int { return max(int(q.window.fair+0.5), 1) }
