length, gate: admission by learned output lengths where declared maxima exceed the token memory

Cause: a request reserves its prompt and at most 600 tokens of its declared output. Where token memory is the limiting factor, requests wait beside memory that is reserved and never used; answers above 600 tokens overcommit the engine. Change: magno/length learns outputs by route and customer, relative to the declared maximum or the hint. The gate admits by means and variances of the remaining lengths where the sum of declared maxima exceeds the memory, at most 1.2 times the memory by what would be reserved. Entries report the output with the end of a request, and the route with the permit request.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -24,6 +24,8 @@
 	causes map[gate.Cause]*metrics.Histogram
 	// overtakes counts the permits of requests that were ahead of an earlier one by fair shares.
 	overtakes *metrics.Counter
+	// byLength counts the permits that declared maxima would not have allowed.
+	byLength *metrics.Counter
 	// rate is the engine's estimated prefill rate, in tokens per millisecond.
 	rate *metrics.Gauge
 }
@@ -37,6 +39,7 @@
 	s.orders = metrics.GetOrCreateCounter("orders_total")
 	s.waits = metrics.GetOrCreateHistogram("permit_wait_seconds")
 	s.overtakes = metrics.GetOrCreateCounter("permits_by_share_total")
+	s.byLength = metrics.GetOrCreateCounter("permits_by_length_total")
 	s.rate = metrics.GetOrCreateGauge("engine_prefill_rate", nil)
 	s.causes = map[gate.Cause]*metrics.Histogram{}
 	for _, c := range gate.Causes() {
@@ -159,6 +162,9 @@
 	}
 	k.post(ctx, func() {
 		k.gate.RecordPause(call.ID, call.MaxPause)
+		if call.OK {
+			k.gate.RecordOutput(call.ID, call.Output)
+		}
 		k.drop(call.ID, call.OK)
 	})
 	return nil, nil
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -144,6 +144,9 @@
 		if g.Overtook {
 			k.stats.overtakes.Inc()
 		}
+		if g.ByLength {
+			k.stats.byLength.Inc()
+		}
 		k.reply(g.ID, gate.PermitReply{Version: g.Version, Waits: g.Waits})
 	}
 	for _, x := range s.Declines {
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -213,7 +213,9 @@
 
 	mu      sync.Mutex
 	notices []gate.NoticeCall
-	asked   []gate.Request
+	// ends are the reported ends.
+	ends  []gate.EndCall
+	asked []gate.Request
 }
 
 func (p *fakePermits) Acquire(ctx context.Context, key string, req gate.Request) (*gate.PermitReply, error) {
@@ -240,7 +242,13 @@
 	}
 	return &gate.PermitReply{Status: gate.StatusReply{EngineStart: magno.Millis(p.engineStart.Load())}}, nil
 }
-func (p *fakePermits) Release(string, gate.EndCall) { p.released.Add(1) }
+func (p *fakePermits) Release(_ string, call gate.EndCall) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.released.Add(1)
+	p.ends = append(p.ends, call)
+}
+
 func (p *fakePermits) ReportNotice(key string, call gate.NoticeCall) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -96,7 +96,7 @@
 	res = j.send(ctx, r, j.rank())
 	j.answered = j.answered || res == resultRefused // by this entry
 	router.Ended(key, work, j.Clock.Now()-sent, res != resultUnsent && res != resultFailed)
-	j.Permits.Release(key, gate.EndCall{ID: id, OK: res == resultDone, MaxPause: j.longestPause})
+	j.Permits.Release(key, gate.EndCall{ID: id, OK: res == resultDone, MaxPause: j.longestPause, Output: j.output()})
 	return res, true
 }
 
@@ -168,7 +168,7 @@
 	due, _ := j.eventDeadlines()
 	return gate.Request{
 		ID:    j.Name + "/" + strconv.FormatUint(j.permitSeq.Add(1), 10) + "/" + j.id,
-		Model: j.call.Model, Adapter: j.call.Adapter, Customer: j.customerName(), Prompt: j.call.Prompt, MaxOutput: j.call.Output, ExpectedOutput: j.call.Length,
+		Route: j.route.Name, Model: j.call.Model, Adapter: j.call.Adapter, Customer: j.customerName(), Prompt: j.call.Prompt, MaxOutput: j.call.Output, ExpectedOutput: j.call.Length,
 		PrefixTokens: j.call.Shared, PrefixHash: j.call.Prefix, Rank: j.rank(),
 		StartTarget: due - now, MaxWait: j.patience(now), TimeLeft: left,
 		MaxGap: j.route.Gap,
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -102,6 +102,15 @@
 	j.events++
 }
 
+// output returns the output tokens of the events that were forwarded, zero if it isn't known how many
+// tokens an event has, or if the caller resumed the stream and had other events before.
+func (j *job) output() int {
+	if j.service.Engine == nil || j.call.From != "" {
+		return 0
+	}
+	return min(j.events*j.service.Engine.Stride, j.call.Output)
+}
+
 // setStallTimeout bounds the wait for the next event if the stream could be resumed elsewhere.
 func (j *job) setStallTimeout(ctx context.Context, conn *hop.Conn) {
 	if !j.canRetryElsewhere() {
--- a/magno/gate/ask.go
+++ b/magno/gate/ask.go
@@ -9,6 +9,8 @@
 	// Model is never empty; Adapter is empty for the base model itself.
 	Model   string `json:"model"`
 	Adapter string `json:"adapter,omitempty"`
+	// Route is the name of the route, empty if the entry is of a version that doesn't send it.
+	Route string `json:"route,omitempty"`
 	// Customer is the customer whose share the request counts towards, empty if there is none or
 	// if the entry is of a version that doesn't send it.
 	Customer string `json:"customer,omitempty"`
@@ -79,7 +81,9 @@
 	// can be on time. They are as of the last decision.
 	tokens    int
 	eta, cost magno.Millis
-	late      bool
+	// expectedTokens is the token memory that it is expected to need, as of its arrival.
+	expectedTokens int
+	late           bool
 	// promoted is true for a late request that goes before those of its rank, since it would
 	// give up otherwise.
 	promoted bool
@@ -115,6 +119,8 @@
 	// Overtook is true if the request was ahead of one that would be first by time, because of its
 	// customer's share.
 	Overtook bool
+	// ByLength is true if the token memory suffices by learned lengths, and not by declared maxima.
+	ByLength bool
 }
 
 // Rejection refuses a queued request, which has not run.
--- a/magno/gate/calls.go
+++ b/magno/gate/calls.go
@@ -58,6 +58,8 @@
 	OK bool `json:"ok"`
 	// MaxPause is the longest pause between two events of its stream, zero if there were none.
 	MaxPause magno.Millis `json:"pause,omitempty"`
+	// Output is the output tokens of its whole answer, zero if unknown.
+	Output int `json:"output,omitempty"`
 }
 
 // StatusCall asks for an agent's state and updates its spec.
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -82,9 +82,12 @@
 	restartedAt magno.Millis
 	// meanRunTime is the moving average of run times, in ms.
 	meanRunTime float64
+	lengths     lengthEstimates
 	// evaluateOnce orders the queue by start time alone and evaluates requests at their arrival
 	// only. Tests compare with it.
 	evaluateOnce bool
+	// declaredLengths admits by declared maxima alone. Tests compare with it.
+	declaredLengths bool
 }
 
 func (g *Gate) setup() {
@@ -135,6 +138,7 @@
 
 func (g *Gate) reset() {
 	clear(g.active)
+	g.lengths.invalidate()
 	g.shares.Reset()
 	g.pacer.reset()
 	g.prefixes = newPrefixCache()
@@ -207,7 +211,7 @@
 func (g *Gate) newQueued(req *Request, now magno.Millis) *queuedRequest {
 	return &queuedRequest{
 		Request: *req, queuedAt: now, startBy: now + req.StartTarget, giveUpAt: now + req.MaxWait, deadline: now + req.TimeLeft, accountedAt: now,
-		tokens: g.prefillTokens(req),
+		tokens: g.prefillTokens(req), expectedTokens: g.expectedTokens(req),
 	}
 }
 
@@ -223,6 +227,7 @@
 		return
 	}
 	delete(g.active, id)
+	g.lengths.invalidate()
 	g.releaseShare(r)
 	if ok {
 		g.pacer.finish(r.prefillTokens)
@@ -252,6 +257,7 @@
 			g.pacer.discard(r.prefillTokens)
 			g.releaseShare(r)
 			delete(g.active, id)
+			g.lengths.invalidate()
 		}
 	}
 	f := g.forecast(now)
--- a/magno/gate/queue.go
+++ b/magno/gate/queue.go
@@ -70,14 +70,16 @@
 			blocked = true
 			return false
 		}
+		byLength := len(g.active) > 0 && !g.reservedCapacity(&w.Request)
 		g.limiter.Take(1)
 		prefillBy := g.pacer.start(tokens, now)
 		g.prefixes.add(w.qualifiedName(), w.PrefixHash)
 		r := &activeRequest{request: w.Request, grantedAt: now, expiresAt: w.deadline + grantExpirySlack, prefillTokens: tokens, prefillBy: prefillBy}
 		g.active[w.ID] = r
+		g.lengths.invalidate()
 		g.chargeShare(r)
 		w.accountWait(now)
-		d.Grants = append(d.Grants, Grant{ID: w.ID, Version: g.inventory.version(&w.Request), Waited: now - w.queuedAt, Waits: w.waits, Overtook: w.overtakes})
+		d.Grants = append(d.Grants, Grant{ID: w.ID, Version: g.inventory.version(&w.Request), Waited: now - w.queuedAt, Waits: w.waits, Overtook: w.overtakes, ByLength: byLength})
 		return true
 	})
 }
@@ -100,11 +102,25 @@
 	if len(g.active) == 0 {
 		return true
 	}
+	if fits, known := g.learnedCapacity(req); known {
+		return fits
+	}
+	return g.reservedCapacity(req)
+}
+
+// reservedCapacity reports whether the token memory suffices for one more request by what is
+// reserved for declared maxima.
+func (g *Gate) reservedCapacity(req *Request) bool {
+	return float64(g.reservedTokens(req)) <= tokenMemoryShare*float64(g.spec.Engine.Tokens)
+}
+
+// reservedTokens is what is reserved for declared maxima of the running requests and one more.
+func (g *Gate) reservedTokens(req *Request) int {
 	used := memoryTokens(req)
 	for _, r := range g.active {
 		used += memoryTokens(&r.request)
 	}
-	return float64(used) <= tokenMemoryShare*float64(g.spec.Engine.Tokens)
+	return used
 }
 
 func memoryTokens(req *Request) int { return req.Prompt + min(req.MaxOutput, maxReservedOutput) }
--- a/magno/gate/replay_test.go
+++ b/magno/gate/replay_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -37,6 +38,13 @@
 	value, late float64
 	// home is the number of the only engine that it may go to, counted from one, zero for any.
 	home int
+	// declared is the declared maximum of output tokens, zero for what it produces. Events are
+	// drawn around the median events with the given spread in natural logarithms.
+	declared int
+	spread   float64
+	// hintSpread is the spread of the hint around the output, zero for no hint.
+	hintSpread float64
+	customer   string
 }
 
 // replayLoad is a load: rate returns the requests of a kind per second at a time.
@@ -47,6 +55,12 @@
 	// slowAt is when the first engine becomes three times slower, zero for never.
 	slowAt magno.Millis
 	span   magno.Millis
+	// tokens and batch are the limits of the engines, zero for the usual ones. With tokens the
+	// engines preempt streams when their token memory is full.
+	tokens, batch int
+	// longFrom is when answers become longAfter times as long, zero for never.
+	longFrom  magno.Millis
+	longTimes float64
 }
 
 // replayEngine is a model of an engine: it prefills prompts in the order of their arrival, and
@@ -74,6 +88,9 @@
 	// avoid lists the engines that declined or refused it.
 	avoid   []int
 	refused bool
+	hint    int
+	// preempted is true once the engine has preempted it.
+	preempted bool
 }
 
 // replayResult counts outcomes by kind.
@@ -83,6 +100,11 @@
 	// declines counts the queued requests that were handed back, returned those that went to an
 	// engine a second time. maxAsks is the highest number of engines asked for one request.
 	declines, returned, maxAsks int
+	// preempted counts the requests that engines preempted.
+	preempted int
+	// blocked counts the decisions at which the first request in the queue waited, by what it
+	// waited for.
+	blocked map[Cause]int
 }
 
 func (r *replayResult) String() string {
@@ -94,6 +116,8 @@
 	clock   *magno.Clock
 	engines []*replayEngine
 	rng     *rand.Rand
+	// lengths draws outputs and hints, so that arrivals are the same with all lengths.
+	lengths *rand.Rand
 	due     map[magno.Millis][]func()
 	result  replayResult
 	lastID  int
@@ -104,13 +128,14 @@
 func newReplay(load replayLoad, once bool, seed uint64) *replay {
 	r := &replay{load: load, clock: magno.NewClock(magno.Hour), rng: rand.New(rand.NewPCG(seed, 1)), due: map[magno.Millis][]func(){}}
 	n := len(load.kinds)
-	r.result = replayResult{all: make([]int, n), onTime: make([]int, n), late: make([]int, n), refused: make([]int, n)}
+	r.lengths = rand.New(rand.NewPCG(seed, 2))
+	r.result = replayResult{blocked: map[Cause]int{}, all: make([]int, n), onTime: make([]int, n), late: make([]int, n), refused: make([]int, n)}
 	r.carry = make([]float64, n)
 	for i, speed := range load.speeds {
 		g := &Gate{Clock: r.clock, OrderByEstimate: true, evaluateOnce: once}
 		g.SetSpec(Spec{Replica: fmt.Sprintf("r%d@1", i), ID: fmt.Sprint("r", i), Engine: magno.Engine{
 			Models: []magno.Model{{Name: model, Size: 1000, Adapter: 10, Load: 3200, Disk: 1300}},
-			Slots:  8, Memory: 2000, Tokens: 126_376, Batch: replayBatch, Stride: replayStride,
+			Slots:  8, Memory: 2000, Tokens: cmp.Or(load.tokens, 126_376), Batch: cmp.Or(load.batch, replayBatch), Stride: replayStride,
 		}})
 		r.engines = append(r.engines, &replayEngine{gate: g, speed: speed, waiting: map[string]*replayRequest{}})
 	}
@@ -166,6 +191,7 @@
 		for ; r.carry[i] >= 1; r.carry[i]-- {
 			r.lastID++
 			req := &replayRequest{replayKind: k, kind: i, id: fmt.Sprint(r.lastID), arrived: now, deadline: now + 12*magno.Second}
+			r.drawLength(req, since)
 			r.result.all[i]++
 			r.ask(req)
 		}
@@ -221,7 +247,8 @@
 func (r *replay) offer(e *replayEngine, i int, req *replayRequest, above magno.Millis) {
 	now := r.clock.Now()
 	a := Request{
-		ID: req.id, Model: model, Prompt: req.prompt, MaxOutput: req.events * replayStride, Rank: req.rank,
+		ID: req.id, Model: model, Prompt: req.prompt, MaxOutput: cmp.Or(req.declared, req.events*replayStride), Rank: req.rank,
+		Route: req.name, Customer: req.customer, ExpectedOutput: req.hint,
 		StartTarget: req.arrived + req.target - now, MaxWait: min(req.arrived+req.wait, req.deadline-200) - now, TimeLeft: req.deadline - now,
 		DeclineAbove: above, RoundTrip: replayTrip, MaxGap: 300,
 	}
@@ -264,6 +291,9 @@
 
 func (r *replay) decide(e *replayEngine) {
 	i := slices.Index(r.engines, e)
+	if len(e.gate.queue) > 0 {
+		r.result.blocked[e.gate.cause(&e.gate.queue[0].Request)]++
+	}
 	d := e.gate.Decide()
 	for _, g := range d.Grants {
 		req := e.waiting[g.ID]
@@ -293,12 +323,17 @@
 	}
 	for budget > 0 && len(e.prefill) > 0 {
 		req := e.prefill[0]
+		if !e.fits(r.load.tokens, req) {
+			break
+		}
 		used := min(budget, req.unread)
 		req.unread -= used
 		budget -= used
 		if req.unread <= 0 {
-			req.made, req.first = 1, now+replayTrip/2
-			r.count(req)
+			if req.first == 0 {
+				req.made, req.first = 1, now+replayTrip/2
+				r.count(req)
+			}
 			e.prefill = e.prefill[1:]
 			e.decode = append(e.decode, req)
 		}
@@ -307,11 +342,15 @@
 	e.decode = slices.DeleteFunc(e.decode, func(req *replayRequest) bool {
 		req.made += pace * float64(replayTick) / perEvent
 		if int(req.made) >= req.events {
+			if r.load.tokens > 0 {
+				e.gate.RecordOutput(req.id, req.events*replayStride)
+			}
 			e.gate.Done(req.id, true)
 			return true
 		}
 		return false
 	})
+	e.preempt(r)
 }
 
 func (r *replay) count(req *replayRequest) {
--- a/magno/gate/schedule.go
+++ b/magno/gate/schedule.go
@@ -14,11 +14,13 @@
 	// memory is the token memory that running requests have reserved, memoryLimit what may be
 	// reserved in total.
 	memory, memoryLimit float64
+	// releases are when running requests end by their lengths. They are computed at first use.
+	releases releases
 }
 
 // position is what precedes a request in the queue: prompt tokens, requests, and tokens of
-// memory.
-type position struct{ tokens, requests, memory int }
+// memory, as reserved, as declared and as expected by their lengths.
+type position struct{ tokens, requests, memory, declared, expected int }
 
 // add takes a request into account. One whose adapter isn't ready doesn't hold up those behind
 // it.
@@ -33,6 +35,8 @@
 	p.tokens += w.tokens
 	p.requests++
 	p.memory += memoryTokens(&w.Request)
+	p.declared += declaredTokens(&w.Request)
+	p.expected += w.expectedTokens
 }
 
 func (g *Gate) newSchedule(now magno.Millis) schedule {
@@ -57,6 +61,9 @@
 // capacityWait is the expected wait for a place in the batch and for token memory.
 func (s *schedule) capacityWait(ahead position) magno.Millis {
 	wait := s.gate.placeWait(s.running + ahead.requests)
+	if learned, known := s.learnedWait(ahead); known {
+		return max(wait, learned)
+	}
 	if over := s.memory + float64(ahead.memory) - s.memoryLimit; over > 0 && s.memoryLimit > 0 {
 		wait = max(wait, magno.Millis(s.gate.meanRunTime*over/s.memoryLimit))
 	}
--- a/magno/gate/seen.go
+++ b/magno/gate/seen.go
@@ -29,6 +29,7 @@
 			run.prefillTokens = 0
 		}
 	}
+	g.lengths.invalidate()
 	g.pacer.observe(runs, asked)
 }
 
