gate: memory that the engine reports as used counts; a test that the sizes of both deployments are served as before

Cause: requests can reach an engine without a permit, and learned lengths of the others leave no room for them. Change: the need of running requests is at least what the engine reports as used. Measured: go test ./gate passes; on engines of 32 and 64 request slots at up to twice their demand the outcomes are the same with and without.

--- a/magno/gate/lengths.go
+++ b/magno/gate/lengths.go
@@ -99,8 +99,8 @@
 }
 
 // activeNeed is the token memory that the running requests need while each of them produces the
-// given number of further tokens, at least what they hold. Requests that end meanwhile are not
-// subtracted.
+// given number of further tokens, at least what the engine reports as used: requests can reach it
+// without a permit. Requests that end meanwhile are not subtracted.
 func (g *Gate) activeNeed(tokens float64) memoryNeed {
 	step := min(max(int(math.Ceil(math.Log2(max(tokens, 1)))), 0), horizonSteps-1)
 	l := &g.lengths
@@ -109,6 +109,7 @@
 		for _, r := range g.active {
 			l.needs[step].add(g.needWithin(r, math.Exp2(float64(step))))
 		}
+		l.needs[step].mean = max(l.needs[step].mean, float64(g.inventory.usedTokens))
 	}
 	return l.needs[step]
 }
--- a/magno/gate/lengths_test.go
+++ b/magno/gate/lengths_test.go
@@ -84,6 +84,30 @@
 	}
 }
 
+// The engines of two deployments, 32 and 64 request slots, at demands up to twice what they take. Their
+// token memory isn't the limiting factor. Guards against a change of any decision there.
+func TestLengthsChangeNothingWhereRequestSlotsAreFullFirst(t *testing.T) {
+	check := replayKind{name: "check", prompt: 2368, events: 3, spread: 0.1, declared: 72, target: 600, wait: 1900, value: 1, late: 0.5}
+	for _, size := range [][2]int{{126_376, 32}, {132_164, 64}} {
+		for _, perSecond := range []float64{16, 32, 64} {
+			t.Run(fmt.Sprintf("%d tokens, %d request slots, %g a second", size[0], size[1], perSecond), func(t *testing.T) {
+				load := memoryLoad(size[0], perSecond, memoryGuide, check)
+				load.batch = size[1]
+				load.rate = func(kind int, _ magno.Millis) float64 {
+					if kind == 0 {
+						return perSecond
+					}
+					return perSecond / 5
+				}
+				without, with := runLengths(t, load, false, true), runLengths(t, load, false, false)
+				if with.String() != without.String() {
+					t.Error("learned lengths changed the outcomes")
+				}
+			})
+		}
+	}
+}
+
 // All answers become six or twelve times as long at once. Guards against engines that preempt more than
 // one request in a hundred: with six times, of those that started, with twelve times, of all.
 func TestAllAnswersLongAtOnce(t *testing.T) {
@@ -196,6 +220,23 @@
 	}
 }
 
+// The engine reports more memory in use than its requests with permits account for. Guards against
+// admission into memory that isn't free.
+func TestUsedMemoryCounts(t *testing.T) {
+	for used, want := range map[int]int{600: 4, 3950: 3} {
+		g := memoryHarness(t, 4000, 30)
+		runMany(t, g, 48)
+		started := len(startMany(t, g, 3))
+		g.ApplyReport(&magno.Report{StartedAt: 1, Running: 3, Used: used, Loaded: map[string]map[string]int64{model: {}}}, g.Clock.Now())
+		if r := g.Offer(memoryRequest("next")); r != nil {
+			t.Fatal(r)
+		}
+		if n := started + len(g.Decide().Grants); n != want {
+			t.Errorf("%d run with %d tokens in use, want %d", n, used, want)
+		}
+	}
+}
+
 // A request needs more than the memory at most, and nothing runs. Guards against a change of what is
 // admitted alone.
 func TestRequestAloneIsAdmittedAsBefore(t *testing.T) {
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -58,6 +58,8 @@
 	now magno.Millis
 	// running counts the engine's requests; busy is true while it loads a model.
 	running int
+	// usedTokens is the token memory that is in use by the latest report.
+	usedTokens int
 	busy    bool
 	// modelLoadAt is when the last command to load a base model was issued.
 	modelLoadAt magno.Millis
@@ -120,7 +122,7 @@
 	inv.pending, inv.loadStarts = map[string]pendingCommand{}, map[string]loadStart{}
 	inv.recent, _ = simplelru.NewLRU[string, struct{}](maxRecentAdapters, nil)
 	inv.ranks = nil
-	inv.busy, inv.running, inv.onDisk, inv.modelLoadAt = false, 0, nil, 0
+	inv.busy, inv.running, inv.usedTokens, inv.onDisk, inv.modelLoadAt = false, 0, 0, nil, 0
 }
 
 // restarted reports whether the report comes from a new start of the engine: its start time
@@ -131,7 +133,7 @@
 
 func (inv *inventory) applyReport(r *magno.Report, asked magno.Millis) {
 	inv.reported, inv.engineStart, inv.commandCount = true, r.StartedAt, r.Orders
-	inv.busy, inv.running, inv.onDisk = r.Busy, r.Running+r.Queued, r.LocalModels
+	inv.busy, inv.running, inv.usedTokens, inv.onDisk = r.Busy, r.Running+r.Queued, r.Used, r.LocalModels
 	inv.adapters, inv.models, inv.loading = map[string]int64{}, map[string]bool{}, map[string]bool{}
 	for model, held := range r.Loaded {
 		inv.models[model] = true
