--- a/magno/gate/lengths.go
+++ b/magno/gate/lengths.go
@@ -82,10 +82,11 @@
 
 // learnedCapacity reports whether the token memory suffices for one more request, with a
 // probability of at least 0.999, while it runs. It is known only if the declared needs exceed the
-// memory and lengths of such requests were learned: otherwise declared needs decide.
+// memory and lengths of such requests were learned: otherwise reserved maxima decide. They also decide
+// about a request that could exceed the whole memory by itself, which no other may make room for.
 func (g *Gate) learnedCapacity(req *Request) (fits, known bool) {
 	memory := g.spec.Engine.Tokens
-	if g.declaredLengths || memory <= 0 || g.activeDeclared()+declaredTokens(req) <= memory {
+	if g.declaredLengths || memory <= 0 || declaredTokens(req) > memory || g.activeDeclared()+declaredTokens(req) <= memory {
 		return false, false
 	}
 	d := g.lengthOf(req)
--- a/magno/gate/lengths_test.go
+++ b/magno/gate/lengths_test.go
@@ -237,6 +237,25 @@
 	}
 }
 
+// A request declares more than the whole memory. Guards against its admission by a length that was learned
+// beside others: it could crash the engine.
+func TestRequestThatCouldExceedTheMemoryIsAdmittedAsBefore(t *testing.T) {
+	for declared, want := range map[int]int{3000: 6, 5000: 5} {
+		g := memoryHarness(t, 4000, 30)
+		runMany(t, g, 48)
+		started := len(startMany(t, g, 5))
+		a := memoryRequest("large")
+		a.MaxOutput = declared
+		if r := g.Offer(a); r != nil {
+			t.Fatal(r)
+		}
+		g.Clock.Advance(100)
+		if n := started + len(g.Decide().Grants); n != want {
+			t.Errorf("%d run with %d tokens declared, want %d", n, declared, want)
+		}
+	}
+}
+
 // A request needs more than the memory at most, and nothing runs. Guards against a change of what is
 // admitted alone.
 func TestRequestAloneIsAdmittedAsBefore(t *testing.T) {
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -58,9 +58,9 @@
 	now magno.Millis
 	// running counts the engine's requests; busy is true while it loads a model.
 	running int
+	busy    bool
 	// usedTokens is the token memory that is in use by the latest report.
 	usedTokens int
-	busy    bool
 	// modelLoadAt is when the last command to load a base model was issued.
 	modelLoadAt magno.Millis
 	// adapters maps the loaded adapters to their versions, models holds the loaded base models,
