relay: an end soon after another break is checked

A connection that breaks starts a check of its upstream, which dials it twice, after 30 and 280 ms. A request that ended the upstream 280 to 500 ms after an earlier break was attributed to that check, which didn't dial any more, and was never recorded. And a dial keeps its connection for the next request, which then counted as one over an old connection, sent after the end.

The dials are now counted anew from each later break over a connection that was opened after the first one, by whomever. This is at most two more dials for each such break, and those come only within 500 ms of the first.

TestEndAfterAnotherBreakIsRecognised has two more cases, with 350 ms between the breaks; both fail on the code before. Its agent says that the engine is down as it ends, no longer from the beginning: it then ended the check 30 ms after the first break, so that the test failed ("0 ends are known") when the second request came later.

--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -69,6 +69,8 @@
 	net.Conn
 	// Reused is true if it has served a request before.
 	Reused bool
+	// OpenedAt is when the pool began to open it.
+	OpenedAt magno.Millis
 
 	key     string
 	reader  *bufio.Reader
@@ -124,12 +126,13 @@
 
 func (p *Pool) dial(ctx context.Context, key, addr string) (*Conn, error) {
 	p.dialCounter().Inc()
+	now := p.Clock.Now()
 	d := net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial upstream")
 	}
-	return &Conn{Conn: conn, key: key, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	return &Conn{Conn: conn, OpenedAt: now, key: key, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
 }
 
 // Probe reports whether an upstream accepts connections. It opens one, unless there is an idle one,
--- a/entry/relay/ending.go
+++ b/entry/relay/ending.go
@@ -32,7 +32,8 @@
 	lastEndCheck  = 5 * magno.Second
 	// endCheckStep is the time between two checks.
 	endCheckStep = 250 * magno.Millis(1)
-	// maxDialChecks bounds the checks that open a connection.
+	// maxDialChecks bounds the checks that open a connection, after the first break and after each later one
+	// over a connection that the upstream still accepted.
 	maxDialChecks = 2
 	// cancelWindow is how long a run may have been cancelled when its upstream ends, and still
 	// count as one that ran there.
@@ -58,6 +59,8 @@
 	runs     []brokenRun
 	// accepted are later runs over connections that were accepted after brokenAt, and broke too.
 	accepted []brokenRun
+	// checks is the number of checks since the last break that may be an end.
+	checks int
 	// ended is true once it is known that it did, alive once it answered a later request.
 	ended, alive bool
 }
@@ -92,9 +95,11 @@
 		h.addRun(c, run)
 		return
 	case c != nil && (c.ended || run.at-c.brokenAt <= cancelWindow):
-		// It was sent after the end, unless that came later than the first break.
-		if !c.ended && j.newConn && len(c.accepted) < maxRunsPerCheck {
+		// It was sent after the end, unless that came later than the first break. A connection may have been opened
+		// since by a check.
+		if !c.ended && j.connOpenedAt >= c.brokenAt && len(c.accepted) < maxRunsPerCheck {
 			c.accepted = append(c.accepted, run)
+			c.checks = 0
 		}
 		return
 	}
@@ -159,10 +164,10 @@
 	key := c.replica.Key()
 	defer h.dropCheck(c)
 	wait := firstEndCheck
-	for n := 0; h.Clock.Now()-c.brokenAt < lastEndCheck; n++ {
+	for h.Clock.Now()-c.brokenAt < lastEndCheck {
 		time.Sleep(wait.Duration())
 		wait = endCheckStep
-		switch h.upstreamEnded(c, n < maxDialChecks) {
+		switch h.upstreamEnded(c) {
 		case endUnknown:
 		case endAlive:
 			h.Log.Info("no crash", "replica", key, "runs", len(c.runs))
@@ -209,10 +214,11 @@
 
 // upstreamEnded reports whether the upstream of a check ended. The agent of an engine knows, a machine
 // without a process refuses connections, and the list names the next incarnation at the address.
-func (h *Handler) upstreamEnded(c *endCheck, dial bool) endState {
+func (h *Handler) upstreamEnded(c *endCheck) endState {
 	key := c.replica.Key()
 	h.ends.mu.Lock()
-	ended, alive := c.ended, c.alive
+	ended, alive, dial := c.ended, c.alive, c.checks < maxDialChecks
+	c.checks++
 	h.ends.mu.Unlock()
 	snap := h.Book.Current()
 	listed := snap.Find(key)
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -87,8 +87,8 @@
 	// stopAbort ends the abort of the last send's connection by the end of the request's context, and
 	// returns false if that has begun.
 	stopAbort func() bool
-	// newConn is true if the last send went over a connection opened for it.
-	newConn bool
+	// connOpenedAt is when the connection of the last send was opened.
+	connOpenedAt magno.Millis
 	// permitID is the permit of the last send, empty if it had none. permitLimited is true if it
 	// was granted under a limit of the engine.
 	permitID      string
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -71,7 +71,7 @@
 	}
 	j.stopAbort = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
 	defer j.stopAbort()
-	j.trial, j.newConn = false, !conn.Reused
+	j.trial, j.connOpenedAt = false, conn.OpenedAt
 	j.tried = append(j.tried, key)
 	j.sends++
 	j.sentAt, j.sendNumber = j.Clock.Now(), j.sendCount.Add(1)
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -16,13 +16,17 @@
 // breakOff ends the connection without an answer.
 func breakOff(int, *http.Request, net.Conn) bool { return false }
 
-// startUpstreamThatEnds starts an upstream that breaks off each request and ends with the second.
-func startUpstreamThatEnds(t *testing.T) *fakeUpstream {
+// startUpstreamThatEnds starts an upstream that breaks off each request and ends with the second. onEnd, if
+// set, is called as it ends.
+func startUpstreamThatEnds(t *testing.T, onEnd func()) *fakeUpstream {
 	t.Helper()
 	var u *fakeUpstream
 	u = startUpstream(t, func(n int, _ *http.Request, _ net.Conn) bool {
 		if n == 2 {
 			_ = u.listener.Close()
+			if onEnd != nil {
+				onEnd()
+			}
 		}
 		return false
 	})
@@ -233,7 +237,7 @@
 
 // Guards against an upstream's end being charged to requests that broke off long before it.
 func TestEarlierBreakIsNoPartOfALaterEnd(t *testing.T) {
-	s := newTestProxy(t, magno.RouteOnce, false, startUpstreamThatEnds(t))
+	s := newTestProxy(t, magno.RouteOnce, false, startUpstreamThatEnds(t, nil))
 	s.post(t, "/p/early")
 	time.Sleep((cancelWindow + 100).Duration())
 	s.post(t, "/p/late")
@@ -318,19 +322,24 @@
 }
 
 // Guards against a request that ends each upstream that runs it and isn't recognised, because another
-// connection to the upstream broke just before, while it lived on.
+// connection to the upstream broke shortly before, while it lived on: at once, or after the checks of that break.
 func TestEndAfterAnotherBreakIsRecognised(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		kind magno.RouteKind
+		name  string
+		kind  magno.RouteKind
+		pause magno.Millis
 	}{
-		{"plain service", magno.RouteOnce},
-		{"engine", magno.RouteStream},
+		{"plain service", magno.RouteOnce, 0},
+		{"plain service, later", magno.RouteOnce, firstEndCheck + endCheckStep + 70},
+		{"engine", magno.RouteStream, 0},
+		{"engine, later", magno.RouteStream, firstEndCheck + endCheckStep + 70},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newTestProxy(t, c.kind, false, startUpstreamThatEnds(t))
-			s.permits.down.Store(c.kind == magno.RouteStream)
+			var s *testProxy
+			u := startUpstreamThatEnds(t, func() { s.permits.down.Store(c.kind == magno.RouteStream) })
+			s = newTestProxy(t, c.kind, false, u)
 			s.post(t, "/p/reset")
+			time.Sleep(c.pause.Duration())
 			s.post(t, "/p/fatal")
 			s.awaitChecks(t)
 			r := httptest.NewRequest(http.MethodPost, "/p/fatal", nil)
