relay: delays of the machine aren't taken for upstreams that hang in tests

TestNothingBeginsWhereUpstreamsLeave and TestStreamWithoutChunksEndsBetweenEvents use a target of 200 ms and a timeout of 1.5 s, with which an entry tries another upstream if one doesn't answer within 800 ms. At a load of 20 and more an upstream of the test may be delayed for so long.

The cases "reset between two events" never reset a connection: the upstream waited for bytes until the entry gave up the stream after 1 s. It is now reset 50 ms after the first event, and the entry has to notice the reset itself.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -26,13 +27,13 @@
 	"magnoliastall.example/magno/view"
 )
 
-// testDialect uses short header names of its own.
-type testDialect struct{}
+// testDialect uses short header names of its own. Callers leave the time left, or 2 s if it is zero.
+type testDialect struct{ left magno.Millis }
 
-func (testDialect) Read(h http.Header) magno.Call {
+func (d testDialect) Read(h http.Header) magno.Call {
 	h.Del("Only")
 	h.Del("Customer")
-	return magno.Call{ID: h.Get("Id"), Left: 2000, Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization"), From: h.Get("From"), Resumes: h.Get("Resumes")}
+	return magno.Call{ID: h.Get("Id"), Left: cmp.Or(d.left, 2*magno.Second), Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization"), From: h.Get("From"), Resumes: h.Get("Resumes")}
 }
 
 func (testDialect) Write(h http.Header, o magno.ForwardInfo) {
@@ -358,6 +359,14 @@
 	return s
 }
 
+// allowDelays gives upstreams so much time that a delay of a busy machine isn't taken for an upstream that
+// hangs. It is called before the first request.
+func (s *testProxy) allowDelays() {
+	r := &s.changes[0].Plan.Routes[0]
+	r.Timeout, r.Aim, r.Gap = 15*magno.Second, 3*magno.Second, 2*magno.Second
+	s.Dialect = testDialect{left: r.Timeout}
+}
+
 // responseHead is the header of a response.
 type responseHead struct {
 	StatusCode int
--- a/entry/relay/machine_test.go
+++ b/entry/relay/machine_test.go
@@ -141,6 +141,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newTestProxy(t, magno.RouteStream, true, list...)
 		defer s.server.Close()
+		s.allowDelays()
 		left, revision := map[int]int{}, magno.Revision(1)
 		leave := func(i int) {
 			if _, ok := left[i]; ok {
--- a/entry/relay/unframed_test.go
+++ b/entry/relay/unframed_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"magnoliastall.example/magno"
 )
@@ -14,8 +15,11 @@
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n\r\n%s", id, body)
 }
 
-// reset ends a connection by a reset.
-func reset(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
+// reset ends a connection by a reset, a moment after what was written, which the other side can still read.
+func reset(c net.Conn) {
+	time.Sleep(50 * time.Millisecond)
+	_ = c.(*net.TCPConn).SetLinger(0)
+}
 
 // Guards against answers without a length that are taken for empty, for whole though they were reset, or
 // whose connection is used again.
@@ -91,13 +95,13 @@
 			cut := startUpstream(t, func(_ int, r *http.Request, conn net.Conn) bool {
 				writeUnframed(conn, r.Header.Get("Id"), c.cut)
 				if c.reset {
-					_, _ = conn.Read(make([]byte, 1)) // until what was written has been read, or for good
 					reset(conn)
 				}
 				return false
 			})
 			other := startUpstream(t, rest(2))
 			s := newTestProxy(t, magno.RouteStream, c.resume, cut, other)
+			s.allowDelays()
 			_, body, err := s.get(t, http.MethodPost, "1")
 			if body != c.body || (err == nil) != c.whole {
 				t.Errorf("got %q, %v, want %q", body, err, c.body)
