--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -71,6 +71,8 @@
 	net.Conn
 	// Reused is true if it has served a request before.
 	Reused bool
+	// OpenedAt is when the pool began to open it.
+	OpenedAt magno.Millis
 	// OnTimeout is called by the reader when a read exceeds its deadline. It returns true if the read is
 	// to go on, for which it has set another deadline. It is nil if none is to go on.
 	OnTimeout func() bool
@@ -141,12 +143,13 @@
 
 func (p *Pool) dial(ctx context.Context, key, addr string) (*Conn, error) {
 	p.dialCounter().Inc()
+	now := p.Clock.Now()
 	d := net.Dialer{Timeout: dialTimeout, Control: wire.UserTimeout(userTimeout)}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial upstream")
 	}
-	c := &Conn{Conn: conn, key: key}
+	c := &Conn{Conn: conn, OpenedAt: now, key: key}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -90,8 +90,8 @@
 	// readLimit bounds the wait for the answer of the last send, or its next event, before another
 	// upstream is tried.
 	readLimit magno.Millis
-	// newConn is true if the last send went over a connection opened for it.
-	newConn bool
+	// connOpenedAt is when the connection of the last send was opened.
+	connOpenedAt magno.Millis
 	// permitID is the permit of the last send, empty if it had none. permitLimited is true if it
 	// was granted under a limit of the engine.
 	permitID      string
