--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -122,6 +122,10 @@
 		s.playRetries()
 		s.checkRecovery(ctx, "a burst of failures", recoveryLimit)
 	}
+	if s.Seed%overloadSeeds == 2 {
+		s.playOverload()
+		s.checkRecovery(ctx, "an overload", recoveryLimit)
+	}
 	s.losePower()
 	s.checkRecovery(ctx, "a loss of all power", powerLossLimit)
 	unwatch()
