--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -27,13 +27,17 @@
 	"magnoliastall.example/magno/view"
 )
 
-// testDialect uses short header names of its own. Callers leave the time left, or 2 s if it is zero.
+// testDialect uses short header names of its own. Callers leave the time that the header names, else the time left, or 2 s if that is zero.
 type testDialect struct{ left magno.Millis }
 
 func (d testDialect) Read(h http.Header) magno.Call {
 	h.Del("Only")
 	h.Del("Customer")
-	return magno.Call{ID: h.Get("Id"), Left: cmp.Or(d.left, 2*magno.Second), Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization"), From: h.Get("From"), Resumes: h.Get("Resumes")}
+	left := cmp.Or(d.left, 2*magno.Second)
+	if n, err := strconv.Atoi(h.Get("Time")); err == nil {
+		left = magno.Millis(n)
+	}
+	return magno.Call{ID: h.Get("Id"), Left: left, Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization"), From: h.Get("From"), Resumes: h.Get("Resumes")}
 }
 
 func (testDialect) Write(h http.Header, o magno.ForwardInfo) {
