--- a/drive/soak/news_test.go
+++ b/drive/soak/news_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,12 +19,13 @@
 const (
 	// newsRounds are the times at which all upstreams end at once. They give far more ends than a record holds.
 	// In each, requests are sent for newsPlay, the upstreams end after newsRun and are back after newsAway. Before
-	// it nothing completes for newsPause, so that the ends are recorded for the part that all requests share.
+	// it nothing completes for newsPause, and until the ends no stream is long enough to have completed, so that the
+	// ends are recorded for the part that all requests share. After them streams complete and clear the part.
 	newsRounds = 4
 	newsPause  = 3500 * time.Millisecond
-	newsRun    = 60 * time.Millisecond
+	newsRun    = 500 * time.Millisecond
 	newsAway   = 400 * time.Millisecond
-	newsPlay   = 1500 * time.Millisecond
+	newsPlay   = 5 * time.Second
 	// newsEntries tell each other of ends.
 	newsEntries = 16
 	// newsCallers send requests that share a part of their prompts.
@@ -32,9 +34,13 @@
 	// they are watched then.
 	quietAfter = 4 * time.Second
 	quietTime  = 3 * time.Second
-	// maxGoroutines and maxResident, in bytes, bound an entry all the while.
-	maxGoroutines = 2000
+	// maxGoroutines and maxResident, in bytes, bound an entry all the while. Entries that tell each other of ends for
+	// ever reach 1,000 to 1,500 goroutines in this time, others 184 at most.
+	maxGoroutines = 500
 	maxResident   = 100 << 20
+	// maxQuietBytes bounds what an entry writes in quietTime, hellos and log lines included: 31 to 42 KB.
+	// With news of ends that goes round for ever it is 600 KB and more.
+	maxQuietBytes = 200 << 10
 )
 
 // Guards against entries that tell each other for ever of ended upstreams, when more end under requests with one
@@ -43,8 +49,8 @@
 	s := startStreamSoakOf(t, fake.PathFlow, newsEntries)
 	f := s.fleet
 	c := &partCase{path: fake.PathFlow, prompt: func(*rand.Rand, bool) []string { return []string{"aa", "bb"} }}
-	ends := 0
-	for range newsRounds {
+	ends, completed := 0, 0
+	for round := range newsRounds {
 		time.Sleep(newsPause)
 		ctx, cancel := context.WithTimeout(t.Context(), newsPlay)
 		ended := make(chan struct{})
@@ -53,34 +59,60 @@
 			time.Sleep(newsRun)
 			f.endAll(newsAway)
 		}()
-		s.sendParts(ctx, c, newsCallers, false)
+		s.sendParts(ctx, c, longSuffix, newsCallers, false)
 		cancel()
 		<-ended
 		ends += len(f.plains)
+		if n := s.completed(); n > completed {
+			completed = n
+		} else {
+			t.Errorf("round %d: no stream completed, so that the part isn't cleared of the ends", round)
+		}
 		s.checkEntries(t)
 	}
 	time.Sleep(quietAfter)
 	before := s.checkEntries(t)
 	time.Sleep(quietTime)
-	if after := s.checkEntries(t); after != before {
-		t.Errorf("entries sent %.0f messages about ends %s after the last of them", after-before, quietAfter)
+	after := s.checkEntries(t)
+	messages := 0.0
+	for i, b := range before {
+		messages += b.messages
+		if n := after[i].messages - b.messages; n != 0 {
+			t.Errorf("%s sent %.0f messages about ends %s after the last of them", entryName(i), n, quietAfter)
+		}
+		if n := after[i].written - b.written; n > maxQuietBytes {
+			t.Errorf("%s wrote %.0f bytes in %s, though all was quiet", entryName(i), n, quietTime)
+		}
 	}
-	t.Logf("%d ends, %.0f messages", ends, before)
+	t.Logf("%d ends, %d requests completed, %.0f messages", ends, completed, messages)
 }
 
-// endAll ends all plain upstreams at once.
+// endAll ends all plain upstreams at once and returns when they are back.
 func (f *fleet) endAll(away time.Duration) {
+	var ending sync.WaitGroup
 	for _, u := range f.plains {
-		f.mu.Lock()
-		w := u.worker
-		f.mu.Unlock()
-		f.end(u, w, "", away)
+		w := f.current(u)
+		ending.Go(func() { f.end(u, w, "", away) })
 	}
+	ending.Wait()
 }
 
-// checkEntries checks the goroutines and the memory of all entries, and returns the number of messages about
-// ends that they have sent.
-func (s *Soak) checkEntries(t *testing.T) (messages float64) {
+// completed returns the number of requests that were served.
+func (s *Soak) completed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.sent {
+		n += count(r.outcome.Status == http.StatusOK && r.outcome.Complete)
+	}
+	return n
+}
+
+// sentBy is the number of messages about ends that an entry has sent, and of all bytes that it has written.
+type sentBy struct{ messages, written float64 }
+
+// checkEntries checks the goroutines and the memory of all entries, and returns what each has sent.
+func (s *Soak) checkEntries(t *testing.T) (sent []sentBy) {
 	t.Helper()
 	for i, address := range s.fleet.entries {
 		host, _, err := net.SplitHostPort(address)
@@ -94,9 +126,9 @@
 		if n := m["process_resident_memory_bytes"]; n > maxResident || n == 0 {
 			t.Errorf("%s has %.0f bytes resident, want 1 to %d", entryName(i), n, maxResident)
 		}
-		messages += m["end_reports_total"]
+		sent = append(sent, sentBy{m["end_reports_total"], m["process_io_written_bytes_total"]})
 	}
-	return messages
+	return sent
 }
 
 // readMetrics returns the metrics without labels of a process.
--- a/drive/soak/part_test.go
+++ b/drive/soak/part_test.go
@@ -15,6 +15,8 @@
 
 const (
 	partCallers = 4
+	// partSuffix ends the targets of the cases.
+	partSuffix = "parts"
 	// partTime is how long requests with a fatal part are sent.
 	partTime = soundDelay + 4*time.Second
 	// soundTime is how long only sound ones are sent before.
@@ -50,9 +52,9 @@
 // share returns the share of requests that begin.
 func (b *begins) share() float64 { return float64(b.begun) / float64(max(b.sent, 1)) }
 
-// sendParts has callers send requests of a case until ctx ends, and returns when each was sent and whether
-// it began.
-func (s *Soak) sendParts(ctx context.Context, c *partCase, callers int, fatal bool) map[time.Time]bool {
+// sendParts has callers send requests of a case until ctx ends, to a target with the suffix, and returns when
+// each was sent and whether it began.
+func (s *Soak) sendParts(ctx context.Context, c *partCase, suffix string, callers int, fatal bool) map[time.Time]bool {
 	var mu sync.Mutex
 	began := map[time.Time]bool{}
 	var sending sync.WaitGroup
@@ -63,7 +65,7 @@
 			for ctx.Err() == nil {
 				id := s.newID()
 				prompt := c.prompt(rnd, fatal)
-				m := fake.Message{Target: c.path + "parts", Body: "body of " + id, ID: id}
+				m := fake.Message{Target: c.path + suffix, Body: "body of " + id, ID: id}
 				m.Parts = strings.Join(append(prompt, id), ":100,") + ":50"
 				if serviceOf(c.path) == fake.EngineService {
 					m.Adapter = "a1"
@@ -124,13 +126,13 @@
 	started := time.Now()
 	go func() {
 		defer close(done)
-		began = s.sendParts(sound, c, burstCallers, false)
+		began = s.sendParts(sound, c, partSuffix, burstCallers, false)
 	}()
 	time.Sleep(soundTime)
 	fatalFrom := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), partTime)
 	defer cancel()
-	s.sendParts(ctx, c, partCallers, true)
+	s.sendParts(ctx, c, partSuffix, partCallers, true)
 	stopSound()
 	<-done
 	ends := s.fleet.fatal.of(name)
