gossip: an expired mark isn't taken again

Each process drops a mark after the time to live that it was told, which doesn't count the time under way. So one that got it late still has it, and with messages later than 200 ms it offered the mark to those that had dropped it. They took it as news and passed it on at once, for as long as messages were late.

An expired mark now keeps its place in the table for a minute, in which it is neither sent nor compared. It counts towards the bound of 1,024, so that memory stays bounded; the status counts live marks only.

--- a/magno/gossip/conf.go
+++ b/magno/gossip/conf.go
@@ -99,7 +99,7 @@
 // Status returns the roles of this process and counts of members and records.
 func (s *State) Status() Status {
 	st := Status{Reader: s.IsReader(), Relay: s.IsRelay(), Synced: s.Synced(), NoPeers: s.join.noPeers,
-		Marks: s.table.marks, Pending: len(s.table.queue)}
+		Marks: s.table.marks - s.table.spentMarks, Pending: len(s.table.queue)}
 	for _, m := range s.Members() {
 		st.Members++
 		switch m.State {
--- a/magno/gossip/state.go
+++ b/magno/gossip/state.go
@@ -69,6 +69,9 @@
 	refuteInterval = magno.Second
 	maxMarkSize    = 256 // bytes of key and data
 	maxMarks       = 1024
+	// spentTTL is how long a mark that has expired keeps its place in the table. A process that got it later
+	// still has it then, and would bring it back; late messages add up over several processes.
+	spentTTL = magno.Minute
 	// minTTL: a mark that expires sooner is not sent on.
 	minTTL = 200 * magno.Millis(1)
 	// maxRepairBuckets is how many buckets one message asks for.
@@ -293,6 +296,8 @@
 	for key, e := range s.table.entries {
 		m := e.record.Member
 		switch {
+		case e.expiresAt > 0 && now >= e.expiresAt && m == nil && now < e.expiresAt+spentTTL:
+			s.table.spend(key)
 		case e.expiresAt > 0 && now >= e.expiresAt:
 			s.removeExpired(key, m)
 		case m != nil && m.State == Suspect && now-e.changedAt > suspectTimeout:
--- a/magno/gossip/table.go
+++ b/magno/gossip/table.go
@@ -42,6 +42,8 @@
 	changedAt magno.Millis
 	// expiresAt is when the record is dropped, zero for never.
 	expiresAt magno.Millis
+	// spent is true for a mark that has expired and is neither sent nor compared.
+	spent bool
 }
 
 // table holds the records, their checksums and the queue of records to send.
@@ -52,7 +54,8 @@
 	sums [numScopes][numBuckets]uint32
 	// queue has the entries with sends left.
 	queue map[string]*entry
-	marks int
+	// marks counts the marks, spentMarks those of them that have expired.
+	marks, spentMarks int
 }
 
 func newTable() *table {
@@ -106,14 +109,36 @@
 	if e == nil {
 		return
 	}
-	g := bucketOf(key)
-	t.sums[e.scope][g] -= e.sum
-	t.keys[e.scope][g] = slices.DeleteFunc(t.keys[e.scope][g], func(k string) bool { return k == key })
+	t.unlink(key, e)
 	delete(t.entries, key)
-	delete(t.queue, key)
 	if e.record.Mark != nil {
 		t.marks--
 	}
+	if e.spent {
+		t.spentMarks--
+	}
+}
+
+// spend takes a mark that has expired out of what is sent and compared. Its place stays taken.
+func (t *table) spend(key string) {
+	e := t.entries[key]
+	if e.spent {
+		return
+	}
+	t.unlink(key, e)
+	e.spent = true
+	t.spentMarks++
+}
+
+// unlink removes a record from the checksums and from the queue.
+func (t *table) unlink(key string, e *entry) {
+	if e.spent {
+		return
+	}
+	g := bucketOf(key)
+	t.sums[e.scope][g] -= e.sum
+	t.keys[e.scope][g] = slices.DeleteFunc(t.keys[e.scope][g], func(k string) bool { return k == key })
+	delete(t.queue, key)
 }
 
 // sum is the checksum over the records of a scope.
