sched: what an upstream stated before its restart is void

Cause: the scheduler drops an upstream's rest and limit when it sees a restart, but took them again from an answer to a request of before the restart that was handled afterwards. The upstream was then left alone for as long as that answer stated. Change: an answer to a request that was sent before the reset is ignored. Measured: TestNoticeOfBeforeTheRestartIsVoid, 0 jobs started in a second before, 50 and more now.

--- a/magno/sched/notice.go
+++ b/magno/sched/notice.go
@@ -8,7 +8,12 @@
 // Load pattern: an upstream under stress turns requests away or names a limit far below what its
 // places allow. Without this, jobs would be started as places become free, and each one that is
 // turned away costs its caller an attempt.
+//
+// An answer to a request of before the upstream's restart says nothing about it any more.
 func (s *Sched) TakeNotice(n magno.Notice, sentAt magno.Millis) {
+	if sentAt < s.resetAt {
+		return
+	}
 	now := s.Clock.Now()
 	if n.Limited {
 		s.limiter.Name(n.Rate, now, now)
--- a/magno/sched/notice_test.go
+++ b/magno/sched/notice_test.go
@@ -75,3 +75,21 @@
 		t.Error("no job started afterwards")
 	}
 }
+
+// Guards against an upstream that is left alone after its restart, because an answer of before the restart is
+// handled after it.
+func TestNoticeOfBeforeTheRestartIsVoid(t *testing.T) {
+	s, clock := noticeSched()
+	sentAt := clock.Now()
+	clock.Advance(10)
+	s.Reset(magno.UpstreamEnd{})
+	s.TakeNotice(magno.Notice{RetryAfter: magno.Minute}, sentAt)
+	s.TakeNotice(magno.Notice{Limited: true, Rate: 1}, sentAt)
+	if n := startedWithin(s, clock, magno.Second); n < 50 {
+		t.Errorf("%d jobs in the second after the upstream restarted", n)
+	}
+	s.TakeNotice(magno.Notice{RetryAfter: magno.Minute}, clock.Now())
+	if n := startedWithin(s, clock, magno.Second); n > 0 {
+		t.Errorf("%d jobs while the upstream accepts none", n)
+	}
+}
--- a/magno/sched/report.go
+++ b/magno/sched/report.go
@@ -25,7 +25,7 @@
 	}
 	s.slots.Reset()
 	s.reservedFor = magno.Ref{}
-	s.limiter, s.restUntil = pace.Limiter{}, 0
+	s.limiter, s.restUntil, s.resetAt = pace.Limiter{}, 0, s.Clock.Now()
 	return ids
 }
 
--- a/magno/sched/sched.go
+++ b/magno/sched/sched.go
@@ -102,6 +102,8 @@
 	// limiter is the limit that the upstream names. It accepts nothing before restUntil.
 	limiter   pace.Limiter
 	restUntil magno.Millis
+	// resetAt is when the upstream was last seen to have restarted, zero if it wasn't.
+	resetAt magno.Millis
 }
 
 // setup creates the components on first use, after the exported fields are set.
