--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -42,12 +42,14 @@
 	key := c.replica.Key()
 	end := magno.NewUpstreamEnd(c.replica.Service, key)
 	end.Age = h.Clock.Now() - run.at
-	partEnds := 0
+	part, partEnds := uint64(0), 0
 	for i, print := range run.prints {
 		h.Suspects.RecordEnd(print, end)
-		if i > 0 {
-			partEnds = max(partEnds, h.Suspects.Count(print))
+		if n := h.Suspects.Count(print); i > 0 && n >= partEnds {
+			part, partEnds = print, n
 		}
 	}
-	h.Log.Warn("suspect", "request", run.id, "print", run.prints[0], "replica", key, "ends", h.Suspects.Count(run.prints[0]), "partends", partEnds)
+	own, moments := h.Suspects.Evidence(part, run.prints)
+	h.Log.Warn("suspect", "request", run.id, "print", run.prints[0], "replica", key, "ends", h.Suspects.Count(run.prints[0]),
+		"part", part, "partends", partEnds, "partown", own, "moments", moments, "refused", h.Suspects.Refused(run.prints...))
 }
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -15,6 +15,13 @@
 	"magnoliastall.example/magno/view"
 )
 
+const (
+	// budgetLogShare is the share of a retry budget from which on its use is logged, at most every
+	// budgetLogInterval for each service.
+	budgetLogShare    = 0.8
+	budgetLogInterval = magno.Second
+)
+
 // pools keeps a router and a retry budget for each service.
 type pools struct {
 	clock    *magno.Clock
@@ -41,6 +48,8 @@
 	slots       int
 	// usable is closed, and replaced, when an upstream may have become usable.
 	usable chan struct{}
+	// budgetLoggedAt is when the use of the retry budget was last logged.
+	budgetLoggedAt magno.Millis
 }
 
 // get returns a service's pool, creating it on first use. The caller holds mu.
@@ -64,6 +73,7 @@
 		p.pools = map[string]*pool{}
 	}
 	p.pools[service] = created
+	p.registerBudget(service, created.retries)
 	created.update(p.targets(service))
 	return created
 }
@@ -195,18 +205,55 @@
 	if !retries.Spend(part) {
 		return p.refused(service, part, retries)
 	}
-	metrics.GetOrCreateCounter("retries_total").Inc()
+	metrics.GetOrCreateCounter(`retries_total{service="` + service + `"}`).Inc()
+	p.reportUsage(service, part, retries)
 	return true
 }
 
 // refused logs that the budget allows no retry, and returns false.
 func (p *pools) refused(service string, part float64, retries *allow.Budget) bool {
 	used, limit := retries.Usage(part)
-	metrics.GetOrCreateCounter("retries_refused_total").Inc()
+	metrics.GetOrCreateCounter(`retries_refused_total{service="` + service + `"}`).Inc()
 	p.log.Info("retry refused", "service", service, "used", used, "limit", limit, "part", part, "age", p.clock.Now()-p.startedAt)
 	return false
 }
 
+// reportUsage logs that much of the budget is used.
+func (p *pools) reportUsage(service string, part float64, retries *allow.Budget) {
+	used, limit := retries.Usage(part)
+	if used < budgetLogShare*limit || !p.mayLogBudget(service) {
+		return
+	}
+	p.log.Info("retry budget", "service", service, "used", used, "limit", limit, "part", part,
+		"processes", p.peers.Processes(p.settings.RetryWindow), "age", p.clock.Now()-p.startedAt)
+}
+
+// mayLogBudget reports whether the last line on the budget of a service is budgetLogInterval old, and
+// records that another one is logged.
+func (p *pools) mayLogBudget(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, now := p.get(service), p.clock.Now()
+	if pool.budgetLoggedAt != 0 && now-pool.budgetLoggedAt < budgetLogInterval {
+		return false
+	}
+	pool.budgetLoggedAt = now
+	return true
+}
+
+// registerBudget exports the budget of a service as metrics.
+func (p *pools) registerBudget(service string, retries *allow.Budget) {
+	usage := func() (used, limit float64) { return retries.Usage(p.peers.Part(p.settings.RetryWindow)) }
+	metrics.GetOrCreateGauge(`retries_used{service="`+service+`"}`, func() float64 {
+		used, _ := usage()
+		return used
+	})
+	metrics.GetOrCreateGauge(`retries_limit{service="`+service+`"}`, func() float64 {
+		_, limit := usage()
+		return limit
+	})
+}
+
 // ReturnRetry implements relay.Pools.
 func (p *pools) ReturnRetry(service string) { p.retries(service).Return() }
 
--- a/entry/site/pools_test.go
+++ b/entry/site/pools_test.go
@@ -1,7 +1,9 @@
 package site
 
 import (
+	"bytes"
 	"log/slog"
+	"strings"
 	"testing"
 
 	"magnoliastall.example/entry/peers"
@@ -109,3 +111,27 @@
 		t.Errorf("%d slots, want 8", slots)
 	}
 }
+
+// Guards against a total of repeats that can't be found out afterwards: entries logged only what they refused.
+func TestBudgetIsLoggedBeforeItIsUsedUp(t *testing.T) {
+	var log bytes.Buffer
+	p := newPools(t)
+	p.log = slog.New(slog.NewTextHandler(&log, nil))
+	p.settings.RetrySlack, p.settings.RetryWindow = 100, 10*magno.Second
+	p.clock.Advance(p.settings.RetryWindow)
+	sent := 0
+	for p.ReserveRetry("s") && p.SpendRetry("s") {
+		sent++
+	}
+	if n := strings.Count(log.String(), `msg="retry budget" service=s`); n != 1 {
+		t.Errorf("%d lines within a second, want one:\n%s", n, log.String())
+	}
+	for _, want := range []string{"part=1", "processes=1", "age=", "limit=65"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("no %s in:\n%s", want, log.String())
+		}
+	}
+	if sent != 65 {
+		t.Errorf("%d retries were sent, want 65", sent)
+	}
+}
--- a/magno/crash/judge.go
+++ b/magno/crash/judge.go
@@ -110,6 +110,25 @@
 	return s.otherEnds(rec, pool) < size*(own-refuseEnds+1)
 }
 
+// Evidence returns how many of the ends under a request or part nothing else explains, and at how many
+// moments they came. What is carried by the same request is no explanation.
+func (s *Suspects) Evidence(print uint64, carried []uint64) (own, at int) {
+	if s == nil {
+		return 0, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.get(print)
+	if rec == nil {
+		return 0, 0
+	}
+	ends, pool := s.ownEnds(print, rec, carried)
+	if isPart(print) {
+		ends = s.notCoincident(rec, ends, pool)
+	}
+	return len(ends), moments(ends)
+}
+
 // Unsettled returns how long to wait before a request is held back, zero for no wait.
 //
 // Load pattern: a sound request ends with one upstream, completes on a second and ends with a third,
