--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	// minAway and maxAway limit how long an upstream is gone after its end.
+	// minAway and maxAway are the usual limits of how long an upstream is gone after its end.
 	minAway = time.Second
 	maxAway = 3 * time.Second
 	// maxCopies limits the senders of a fatal request.
@@ -50,10 +50,13 @@
 	targets map[string]bool
 	endings []ending
 	rnd     *rand.Rand
+	// minAway and maxAway limit how long an upstream is gone after its end.
+	minAway, maxAway time.Duration
 }
 
 func newFatal(seed uint64) *fatal {
-	return &fatal{targets: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1<<33))} //nolint:gosec // not used as a secret
+	rnd := rand.New(rand.NewPCG(seed, 1<<33)) //nolint:gosec // not used as a secret
+	return &fatal{targets: map[string]bool{}, rnd: rnd, minAway: minAway, maxAway: maxAway}
 }
 
 // set makes requests to the target fatal, or no longer.
@@ -72,7 +75,7 @@
 		return 0, 0, false
 	}
 	after = time.Duration(x.rnd.Int64N(int64(maxFatalRun)))
-	away = minAway + time.Duration(x.rnd.Int64N(int64(maxAway-minAway)))
+	away = x.minAway + time.Duration(x.rnd.Int64N(int64(x.maxAway-x.minAway)))
 	return after, away, true
 }
 
--- a/drive/soak/part_test.go
+++ b/drive/soak/part_test.go
@@ -21,6 +21,10 @@
 	partTime = soundDelay + 4*time.Second
 	// soundTime is how long only sound ones are sent before.
 	soundTime = 2 * time.Second
+	// minLongAway and maxLongAway limit how long upstreams are gone that come back only when sends count as
+	// late.
+	minLongAway = fatalDelay + 500*time.Millisecond
+	maxLongAway = fatalDelay + 2*time.Second
 )
 
 // partCase is a fatal part and the sound requests beside it.
@@ -32,6 +36,8 @@
 	part string
 	// keepsFirst is true if sound prompts have the same first part as fatal ones.
 	keepsFirst bool
+	// longAway is true if upstreams are gone for longer than usual.
+	longAway bool
 }
 
 // begins counts requests sent in a period and those of them that begin.
@@ -83,15 +89,17 @@
 	return began
 }
 
+// secondPart returns prompts of which the fatal ones have a fatal second part.
+func secondPart(_ *rand.Rand, fatal bool) []string {
+	if fatal {
+		return []string{"aa", "dead"}
+	}
+	return []string{"aa", "bb"}
+}
+
 // Guards against requests that share a part which ends upstreams, and are sent on since no two of them are
 // alike, and against refusing the sound ones beside them.
 func TestPartThatEndsUpstreamsIsHeldBack(t *testing.T) {
-	second := func(_ *rand.Rand, fatal bool) []string {
-		if fatal {
-			return []string{"aa", "dead"}
-		}
-		return []string{"aa", "bb"}
-	}
 	first := func(_ *rand.Rand, fatal bool) []string {
 		if fatal {
 			return []string{"dead", "bb"}
@@ -106,11 +114,22 @@
 		return []string{"aa", session}
 	}
 	for _, c := range []partCase{
-		{"second part, plain service", fake.PathFlow, second, "dead", true},
-		{"first part, plain service", fake.PathFlow, first, "dead", false},
-		{"third part, beside sessions", fake.PathFlow, own, "dead", true},
-		{"second part, engines", fake.PathResume, second, "dead", true},
-		{"second part, no event", fake.PathRepeat, second, "dead", true},
+		{name: "second part, plain service", path: fake.PathFlow, prompt: secondPart, part: "dead", keepsFirst: true},
+		{name: "first part, plain service", path: fake.PathFlow, prompt: first, part: "dead"},
+		{name: "third part, beside sessions", path: fake.PathFlow, prompt: own, part: "dead", keepsFirst: true},
+		{name: "second part, engines", path: fake.PathResume, prompt: secondPart, part: "dead", keepsFirst: true},
+		{name: "second part, no event", path: fake.PathRepeat, prompt: secondPart, part: "dead", keepsFirst: true},
+	} {
+		t.Run(c.name, func(t *testing.T) { testPart(t, &c) })
+	}
+}
+
+// Guards against a part that ends all upstreams before it is refused, and then again each time they are
+// back.
+func TestPartThatEndsAWholePoolIsHeldBack(t *testing.T) {
+	for _, c := range []partCase{
+		{name: "plain service", path: fake.PathFlow, prompt: secondPart, part: "dead", keepsFirst: true, longAway: true},
+		{name: "engines", path: fake.PathResume, prompt: secondPart, part: "dead", keepsFirst: true, longAway: true},
 	} {
 		t.Run(c.name, func(t *testing.T) { testPart(t, &c) })
 	}
@@ -118,6 +137,11 @@
 
 func testPart(t *testing.T, c *partCase) {
 	s := startStreamSoak(t, c.path)
+	playTime := partTime
+	if c.longAway {
+		s.fleet.fatal.minAway, s.fleet.fatal.maxAway = minLongAway, maxLongAway
+		playTime += maxLongAway
+	}
 	name := partName(c.part)
 	s.fleet.fatal.set(name, true)
 	sound, stopSound := context.WithCancel(context.Background())
@@ -130,7 +154,7 @@
 	}()
 	time.Sleep(soundTime)
 	fatalFrom := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), partTime)
+	ctx, cancel := context.WithTimeout(context.Background(), playTime)
 	defer cancel()
 	s.sendParts(ctx, c, partSuffix, partCallers, true)
 	stopSound()
@@ -145,7 +169,7 @@
 	}
 	if fifth.IsZero() {
 		fifth = ends[len(ends)-1].at
-		if quiet := fatalFrom.Add(partTime / 2); fifth.After(quiet) {
+		if quiet := fatalFrom.Add(playTime / 2); fifth.After(quiet) {
 			fifth = quiet
 		}
 	}
