crash, relay, trial: requests with a part in doubt run one at a time

Cause: a part was refused only after ends at three moments 0.5 s apart, so that a failure of many upstreams at once isn't taken for a part's doing. A part that ends all upstreams of a pool within 0.1 to 0.3 s has one moment; the next ones come with the pool's next lives, and until then nothing limited what was sent. The verdict waited for evidence that the fault itself withholds.

Change: four unexplained ends at too few moments put a part in doubt, 0.5 s after the fourth. Requests with it run one at a time, each with the grant of one entry for all, asked right before the send. One that completes clears the part; one that ends an upstream is a further moment, and the third is the proof. Three grants at most, so that not even unrecognised ends exceed the rule. Found on the way, with tests: a record of 16 ends had no room for an end at a further moment, and told nobody of it; an entry that knew of a part's completion didn't tell one that held its ends; grants counted on after a completion.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -37,7 +37,7 @@
 	if n, err := strconv.Atoi(h.Get("Time")); err == nil {
 		left = magno.Millis(n)
 	}
-	return magno.Call{ID: h.Get("Id"), Left: left, Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization"), From: h.Get("From"), Resumes: h.Get("Resumes")}
+	return magno.Call{ID: h.Get("Id"), Parts: h["Part"], Left: left, Model: "m", Adapter: "a", Prompt: 100, Output: 50, Key: h.Get("Authorization"), From: h.Get("From"), Resumes: h.Get("Resumes")}
 }
 
 func (testDialect) Write(h http.Header, o magno.ForwardInfo) {
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -162,12 +162,9 @@
 		j.refuse(refusal)
 		return
 	}
-	if cause := j.Suspects.Refused(j.prints...); cause != 0 {
-		j.trial = j.Trials != nil && j.Trials.Ask(ctx, cause)
-		if !j.trial {
-			j.refuse(suspectRefusal())
-			return
-		}
+	if refusal := j.checkSuspect(ctx); refusal != nil {
+		j.refuse(refusal)
+		return
 	}
 	if refusal := j.takeQuota(ctx); refusal != nil {
 		j.refusal = refusal
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -95,9 +95,14 @@
 	Report(key string, n magno.Notice, g magno.LimitGrant)
 }
 
-// Trials decides whether a request that is refused because upstreams ended under it may be sent once.
+// Trials decides whether a request that upstreams ended under may be sent.
 type Trials interface {
+	// Ask reports whether a request that is refused because of a fingerprint may be sent once.
 	Ask(ctx context.Context, fingerprint uint64) bool
+	// AskUnproven reports whether a request may be sent now with parts that may be the cause. MayAsk
+	// returns false if it surely may not.
+	AskUnproven(ctx context.Context, parts []uint64) bool
+	MayAsk(parts []uint64) bool
 }
 
 // Handler handles callers' requests. Exported fields are set before use.
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -99,8 +99,13 @@
 	return j.handleResponse(ctx, r, conn, res)
 }
 
-// maySendNow is maySend, unless the caller is gone or too little time is left for an answer.
+// maySendNow is maySend, unless another request with a part in doubt is tried first, the caller is gone or too little
+// time is left for an answer.
 func (j *job) maySendNow(ctx context.Context, key string) result {
+	if refusal := j.checkUnproven(ctx); refusal != nil {
+		j.refusal = refusal
+		return resultRefused
+	}
 	if j.r.Context().Err() != nil {
 		return resultAborted
 	}
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -1,14 +1,20 @@
 package relay
 
 import (
+	"context"
+
 	"github.com/cespare/xxhash/v2"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/crash"
 )
 
-// maxParts bounds the parts of a prompt that are looked at.
-const maxParts = 32
+const (
+	// maxParts bounds the parts of a prompt that are looked at.
+	maxParts = 32
+	// unprovenRetryAfter is the Retry-After of a request that is refused while another one is tried.
+	unprovenRetryAfter = magno.Second
+)
 
 // computePrints returns the fingerprints by which a request is recognised at all entries: its own and
 // those of the parts of its prompt.
@@ -37,6 +43,45 @@
 	return magno.Refuse(magno.KindSuspect, "upstreams ended under this request")
 }
 
+// unprovenRefusal returns the refusal of a request with a part that may end upstreams, while another one with it is
+// tried.
+func unprovenRefusal() *magno.Refusal {
+	return magno.Refuse(magno.KindNoUpstream, "upstreams ended under a part of its prompt, and another request with it is tried").WithRetryAfter(unprovenRetryAfter)
+}
+
+// checkSuspect returns the refusal of a request that must not be sent because upstreams ended under it, nil if it
+// may be.
+func (j *job) checkSuspect(ctx context.Context) *magno.Refusal {
+	cause, unproven := j.Suspects.Judge(j.prints...)
+	if cause != 0 {
+		j.trial = j.Trials != nil && j.Trials.Ask(ctx, cause)
+		if !j.trial {
+			return suspectRefusal()
+		}
+		return nil
+	}
+	if len(unproven) > 0 && j.Trials != nil && !j.Trials.MayAsk(unproven) {
+		return unprovenRefusal()
+	}
+	return nil
+}
+
+// checkUnproven is called once there is a connection to an upstream. It returns a refusal if another request with a
+// part that may end upstreams is tried first.
+func (j *job) checkUnproven(ctx context.Context) *magno.Refusal {
+	if j.trial || j.Trials == nil {
+		return nil
+	}
+	cause, unproven := j.Suspects.Judge(j.prints...)
+	switch {
+	case cause != 0:
+		return suspectRefusal()
+	case len(unproven) > 0 && !j.Trials.AskUnproven(ctx, unproven):
+		return unprovenRefusal()
+	}
+	return nil
+}
+
 // recordEnd records the end of an upstream under a request and the parts of its prompt.
 func (h *Handler) recordEnd(c *endCheck, run brokenRun) {
 	key := c.replica.Key()
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/crash"
 )
 
 // breakOff ends the connection without an answer.
@@ -274,13 +275,50 @@
 }
 
 // grantTrials grants every trial.
-type grantTrials struct{ asked int }
+type grantTrials struct {
+	asked   int
+	resting bool
+}
 
 func (g *grantTrials) Ask(context.Context, uint64) bool {
 	g.asked++
 	return true
 }
 
+// AskUnproven grants the first request.
+func (g *grantTrials) AskUnproven(context.Context, []uint64) bool {
+	g.asked++
+	return g.asked == 1
+}
+
+func (g *grantTrials) MayAsk([]uint64) bool { return !g.resting }
+
+// Guards against requests with a part that ended a whole pool, which are sent all at once when upstreams are back:
+// each asks right before it is sent, also when it is sent again, and one that may not ask is refused at once.
+func TestRequestWithAPartInDoubtAsksBeforeItIsSent(t *testing.T) {
+	u, v := startUpstream(t, breakOff), startUpstream(t, breakOff)
+	s := newTestProxy(t, magno.RouteStream, true, u, v)
+	trials := &grantTrials{}
+	s.Trials, s.Suspects.Clock = trials, magno.NewClock(magno.Hour)
+	for n := range uint64(4) {
+		s.Suspects.RecordEnd(crash.PartPrint("dead"), magno.UpstreamEnd{Upstream: n + 1, Age: 2 * magno.Second})
+	}
+	get := func(id string) int {
+		res, _, err := s.doWith(t, http.MethodGet, "/p/"+id, http.Header{"Id": {id}, "Part": {"dead"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res.StatusCode
+	}
+	if status := get("1"); status != http.StatusBadGateway || u.requestCount()+v.requestCount() != 1 || trials.asked != 2 {
+		t.Errorf("got %d after %d sends and %d asks, want 502 after one send and two asks", status, u.requestCount()+v.requestCount(), trials.asked)
+	}
+	trials.resting = true
+	if status := get("2"); status != http.StatusServiceUnavailable || trials.asked != 2 || len(s.permits.asked) != 2 {
+		t.Errorf("got %d after %d asks, want a refusal at once", status, trials.asked)
+	}
+}
+
 // Guards against a refused request that is tried and then sent to further upstreams, and against one
 // that completes in its trial and stays refused.
 func TestTriedRequestIsSentOnce(t *testing.T) {
--- a/entry/trial/trial.go
+++ b/entry/trial/trial.go
@@ -1,7 +1,8 @@
-// Package trial lets a request that is refused as the cause of upstreams' ends run once more, alone.
+// Package trial lets a request that is refused as the cause of upstreams' ends run once more, alone, and those run one
+// at a time that may be the cause.
 //
 //	relay: refused --Ask--> home of the request (this or another entry): Suspects --> granted or not
-//	          '--one send--> completes: cleared at all entries, or ends one more upstream
+//	  in doubt --AskUnproven--^   '--one send--> completes: cleared at all entries, or ends one more upstream
 //
 // Load pattern: copies of the request reach many entries at the same time. If each decided by itself,
 // a request that does end upstreams would end one for each entry. So one entry decides for all, the
@@ -12,6 +13,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -35,6 +37,8 @@
 
 type call struct {
 	Fingerprint uint64 `json:"print"`
+	// Unproven is true if it isn't proven that the request ends upstreams.
+	Unproven bool `json:"unproven,omitempty"`
 }
 
 type reply struct {
@@ -66,45 +70,81 @@
 
 // Ask reports whether a refused request may be sent once.
 func (m *Manager) Ask(ctx context.Context, fingerprint uint64) bool {
-	if !m.Suspects.TrialDue(fingerprint) || !m.mayAsk(fingerprint) {
+	return m.Suspects.TrialDue(fingerprint) && m.ask(ctx, call{Fingerprint: fingerprint})
+}
+
+// AskUnproven reports whether a request may be sent now with parts that may end upstreams.
+func (m *Manager) AskUnproven(ctx context.Context, parts []uint64) bool {
+	for _, part := range slices.Backward(parts) { // sound requests have the first parts in common
+		if !m.ask(ctx, call{Fingerprint: part, Unproven: true}) {
+			return false
+		}
+	}
+	return true
+}
+
+// MayAsk reports whether AskUnproven would ask now.
+func (m *Manager) MayAsk(parts []uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !slices.ContainsFunc(parts, func(part uint64) bool { return m.askedLately(part, m.Clock.Now()) })
+}
+
+// ask asks the home, unless it was asked a moment ago.
+func (m *Manager) ask(ctx context.Context, c call) bool {
+	if !m.recordAsk(c.Fingerprint) {
 		return false
 	}
-	homes := m.Homes(strconv.FormatUint(fingerprint, 16))
+	homes := m.Homes(strconv.FormatUint(c.Fingerprint, 16))
 	if len(homes) == 0 {
 		return false
 	}
-	granted, err := m.callHome(ctx, homes[0], fingerprint)
-	m.Log.Info("trial", "print", fingerprint, "home", homes[0], "granted", granted, "error", err)
+	granted, err := m.callHome(ctx, homes[0], c)
+	m.Log.Info("trial", "print", c.Fingerprint, "unproven", c.Unproven, "home", homes[0], "granted", granted, "error", err)
 	return granted
 }
 
-// mayAsk reports whether the home may be asked now, and records that it is.
-func (m *Manager) mayAsk(fingerprint uint64) bool {
+// recordAsk reports whether the home may be asked now, and records that it is.
+func (m *Manager) recordAsk(fingerprint uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
-	if at, ok := m.askedAt.Get(fingerprint); ok && now-at < askInterval {
+	if m.askedLately(fingerprint, now) {
 		return false
 	}
 	m.askedAt.Add(fingerprint, now)
 	return true
 }
 
-func (m *Manager) callHome(ctx context.Context, addr string, fingerprint uint64) (bool, error) {
+// askedLately reports whether the home was asked within askInterval. The caller holds mu.
+func (m *Manager) askedLately(fingerprint uint64, now magno.Millis) bool {
+	at, ok := m.askedAt.Get(fingerprint)
+	return ok && now-at < askInterval
+}
+
+func (m *Manager) callHome(ctx context.Context, addr string, c call) (bool, error) {
 	if addr == m.Self {
-		return m.Suspects.GrantTrial(fingerprint), nil
+		return m.grant(c), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	var r reply
-	err := m.Mesh.Call(ctx, addr, MethodTrial, call{fingerprint}, &r)
+	err := m.Mesh.Call(ctx, addr, MethodTrial, c, &r)
 	return r.Granted, err
 }
 
+// grant decides as the home.
+func (m *Manager) grant(c call) bool {
+	if c.Unproven {
+		return m.Suspects.GrantUnproven(c.Fingerprint)
+	}
+	return m.Suspects.GrantTrial(c.Fingerprint)
+}
+
 func (m *Manager) handleTrial(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
 	var c call
 	if err := json.Unmarshal(params, &c); err != nil {
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
-	return reply{m.Suspects.GrantTrial(c.Fingerprint)}, nil
+	return reply{m.grant(c)}, nil
 }
--- a/entry/trial/trial_test.go
+++ b/entry/trial/trial_test.go
@@ -90,3 +90,39 @@
 		t.Error("tried without the home")
 	}
 }
+
+// Guards against requests with a part that may end upstreams which many entries send at the same time.
+func TestOneRequestInDoubtRunsForAllEntries(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	part := crash.PartPrint("dead")
+	var all []*Manager
+	for range 3 {
+		m := startManager(t, clock, 7)
+		for u := range uint64(6) {
+			m.Suspects.RecordEnd(part, magno.UpstreamEnd{Upstream: u + 1, Pool: 1})
+		}
+		all = append(all, m)
+	}
+	for _, m := range all {
+		m.Homes = func(string) []string { return []string{all[0].Self} }
+	}
+	clock.Advance(crash.TrialWait)
+	var granted atomic.Int32
+	var asking sync.WaitGroup
+	for _, m := range all {
+		for range 10 {
+			asking.Go(func() {
+				if m.MayAsk([]uint64{part}) && m.AskUnproven(context.Background(), []uint64{part}) {
+					granted.Add(1)
+				}
+			})
+		}
+	}
+	asking.Wait()
+	if n := granted.Load(); n != 1 {
+		t.Errorf("%d requests are granted, want one", n)
+	}
+	if all[1].MayAsk([]uint64{part}) {
+		t.Error("the home is asked again at once")
+	}
+}
--- a/magno/crash/judge.go
+++ b/magno/crash/judge.go
@@ -22,38 +22,57 @@
 // the request itself carries is no excuse: a part that always came with the one that ends upstreams is
 // explained by that for the requests without it.
 func (s *Suspects) Refused(prints ...uint64) uint64 {
+	cause, _ := s.Judge(prints...)
+	return cause
+}
+
+// Judge returns what Refused does and, if that is zero, the parts of a request that may be the cause. Requests with
+// such a part must run one at a time, each with the grant of one process for all (GrantUnproven).
+//
+// Load pattern: many requests with a part that ends upstreams come at once. All upstreams of a pool end within a
+// moment, as they do when the pool fails. Until they are back no end can tell the two apart, and then all that wait
+// would end them again.
+func (s *Suspects) Judge(prints ...uint64) (cause uint64, unproven []uint64) {
 	if s == nil {
-		return 0
+		return 0, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.Clock.Now()
 	for _, print := range prints {
-		if print != 0 && s.isCause(print, prints) {
-			return print
+		if print == 0 {
+			continue
+		}
+		switch v := s.verdictOn(print, prints); {
+		case v.cause:
+			return print, nil
+		case v.unprovenFrom != 0 && now >= v.unprovenFrom:
+			unproven = append(unproven, print)
 		}
 	}
-	return 0
+	return 0, unproven
 }
 
-// isCause reports whether upstreams end because of one of the fingerprints of a request. The caller
+// verdictOn returns whether upstreams end because of one of the fingerprints of a request. The caller
 // holds mu.
-func (s *Suspects) isCause(print uint64, carried []uint64) bool {
+func (s *Suspects) verdictOn(print uint64, carried []uint64) verdict {
 	rec := s.get(print)
 	if rec == nil {
-		return false
+		return verdict{}
 	}
 	n := rec.count()
 	if n == 0 || (n < enoughEnds(print) && (s.HoldEnds == 0 || n < s.HoldEnds)) {
-		return false
+		return verdict{}
 	}
 	if s.HoldEnds > 0 {
 		return s.judge(print, rec, carried) // holdTime passes
 	}
 	now, key := s.Clock.Now(), s.verdictKey(carried)
 	if v := &rec.verdict; v.changes != s.changes || v.carried != key || now-v.at > verdictTTL {
-		*v = verdict{cause: s.judge(print, rec, carried), carried: key, changes: s.changes, at: now}
+		*v = s.judge(print, rec, carried)
+		v.carried, v.changes, v.at = key, s.changes, now
 	}
-	return rec.verdict.cause
+	return rec.verdict
 }
 
 // enoughEnds returns the number of ends from which a request or part is refused.
@@ -73,6 +92,8 @@
 // records.
 type verdict struct {
 	cause bool
+	// unprovenFrom is the time from which on a part may be the cause, though that is unproven, zero if it isn't.
+	unprovenFrom magno.Millis
 	// carried and changes identify what it was judged by.
 	carried uint64
 	changes int64
@@ -89,25 +110,35 @@
 	return key
 }
 
-// judge is isCause for a record with enough ends. The caller holds mu.
-func (s *Suspects) judge(print uint64, rec *record, carried []uint64) bool {
+// judge is verdictOn for a record with enough ends. The caller holds mu.
+func (s *Suspects) judge(print uint64, rec *record, carried []uint64) verdict {
 	ownEnds, pool := s.ownEnds(print, rec, carried)
 	if isPart(print) {
-		ownEnds = s.notCoincident(rec, ownEnds, pool)
-		return len(ownEnds) >= partRefuseEnds && moments(ownEnds) >= partMoments
+		return judgePart(s.notCoincident(rec, ownEnds, pool))
 	}
 	own := len(ownEnds)
 	if s.HoldEnds > 0 && own >= s.HoldEnds && s.Clock.Now()-rec.lastEnd() < holdTime {
-		return true
+		return verdict{cause: true}
 	}
 	if own < refuseEnds {
-		return false
+		return verdict{}
 	}
 	size := 1
 	if s.PoolSize != nil {
 		size = max(s.PoolSize(pool), 1)
 	}
-	return s.otherEnds(rec, pool) < size*(own-refuseEnds+1)
+	return verdict{cause: s.otherEnds(rec, pool) < size*(own-refuseEnds+1)}
+}
+
+// judgePart returns the verdict on a part with these ends that nothing else explains.
+func judgePart(own []magno.Millis) verdict {
+	if len(own) < partRefuseEnds {
+		return verdict{}
+	}
+	if moments(own) >= partMoments {
+		return verdict{cause: true}
+	}
+	return verdict{unprovenFrom: own[partRefuseEnds-1] + partSettleTime} // moments has sorted them
 }
 
 // Evidence returns how many of the ends under a request or part nothing else explains, and at how many
--- a/magno/crash/record.go
+++ b/magno/crash/record.go
@@ -19,7 +19,7 @@
 	changedAt, announcedAt magno.Millis
 	// witnessed is true if this process itself saw one of the ends or a completion.
 	witnessed bool
-	// trials counts the trials that this process granted, the last one at triedAt.
+	// trials counts the trials that this process granted in this generation, the last one at triedAt.
 	trials  int
 	triedAt magno.Millis
 	verdict verdict
@@ -66,12 +66,48 @@
 	case n < maxEnds:
 		r.ends = append(r.ends, e)
 		return !e.cleared
+	case !e.cleared && r.opensMoment(e.at):
+		r.ends[r.crowdedIndex()] = e
+		return true
 	case e.cleared || e.upstream < r.ends[last].upstream:
 		r.ends[last] = e
 	}
 	return false
 }
 
+// opensMoment reports whether an end at a time is at a further moment, of which there are too few for a verdict.
+func (r *record) opensMoment(at magno.Millis) bool {
+	if slices.ContainsFunc(r.ends, func(e end) bool { return !e.cleared && max(e.at-at, at-e.at) < momentGap }) {
+		return false
+	}
+	return moments(r.times()) < partMoments
+}
+
+// crowdedIndex returns which of the ends that count gives way to one at a further moment: one that came within
+// momentGap of another.
+func (r *record) crowdedIndex() (at int) {
+	for i := range r.ends {
+		for k := range i {
+			if d := r.ends[i].at - r.ends[k].at; !r.ends[i].cleared && !r.ends[k].cleared && max(d, -d) < momentGap {
+				return i
+			}
+		}
+	}
+	last, _ := r.evictionIndex(false)
+	return last
+}
+
+// times returns the times of the ends that count.
+func (r *record) times() []magno.Millis {
+	var list []magno.Millis
+	for i := range r.ends {
+		if !r.ends[i].cleared {
+			list = append(list, r.ends[i].at)
+		}
+	}
+	return list
+}
+
 // evictionIndex returns which of the ends that count, or of the cleared ones, gives way to another, and their
 // number. Of the cleared ones it is the first that became known. Of the others it is the one with the highest
 // hash, so that all processes keep the same.
@@ -107,7 +143,7 @@
 // beginGeneration begins a generation, with the ends that came after the completion. It reports whether that cleared
 // any.
 func (r *record) beginGeneration(generation uint32, clearedAt magno.Millis) (changed bool) {
-	r.generation, r.clearedAt = generation, clearedAt
+	r.generation, r.clearedAt, r.trials = generation, clearedAt, 0
 	return len(r.clear(func(e *end) bool { return e.at <= clearedAt })) > 0
 }
 
--- a/magno/crash/share.go
+++ b/magno/crash/share.go
@@ -29,7 +29,13 @@
 	ends := importEnds(theirs.Ends, now)
 	rec := s.get(theirs.Fingerprint)
 	if rec == nil {
-		if !s.admits(theirs, now) || s.isCompletedPart(theirs.Fingerprint, ends) {
+		if !s.admits(theirs, now) {
+			return
+		}
+		if s.isCompletedPart(theirs.Fingerprint, ends) {
+			if len(ends) >= partRefuseEnds {
+				s.announceCompletion(theirs, now)
+			}
 			return
 		}
 		rec = &record{generation: theirs.Generation, clearedAt: now - max(theirs.ClearedAge, 0), changedAt: now}
@@ -55,6 +61,14 @@
 	}
 }
 
+// announceCompletion records that a part completed here, of whose ends a peer has so many that it may hold requests
+// with it back. The caller holds mu.
+func (s *Suspects) announceCompletion(theirs *Record, now magno.Millis) {
+	rec := &record{generation: theirs.Generation + 1, clearedAt: s.clearedUntil(theirs.Fingerprint), witnessed: true}
+	s.put(theirs.Fingerprint, rec)
+	s.changed(rec, now)
+}
+
 // importEnds converts the ends of a peer's record. Expired ones are left out.
 func importEnds(list []magno.UpstreamEnd, now magno.Millis) []end {
 	ends := make([]end, 0, len(list))
--- a/magno/crash/trial.go
+++ b/magno/crash/trial.go
@@ -10,6 +10,11 @@
 	maxTrials = 2
 	// maxTrialDoublings bounds how often further ends double the wait of a part.
 	maxTrialDoublings = 5
+	// maxUnprovenTrials bounds the requests with a part that may be the cause. The last one runs only if the others
+	// neither completed nor ended an upstream.
+	maxUnprovenTrials = 3
+	// unprovenTrialGap is the least time between two of them: the end of an upstream under the first is known by then.
+	unprovenTrialGap = magno.Second
 )
 
 // TrialDue reports whether a request or part that is refused may be sound and can be tried: no upstream
@@ -53,3 +58,28 @@
 	rec.triedAt = now
 	return true
 }
+
+// GrantUnproven reports whether a request with a part that may be the cause may run (Judge). Only one process of a fleet
+// may grant that.
+func (s *Suspects) GrantUnproven(part uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.get(part)
+	now := s.Clock.Now()
+	if until := s.clearedUntil(part); until != 0 && now-until < TrialWait {
+		return true // the process that asks hasn't heard of it
+	}
+	if rec == nil || rec.count() < partRefuseEnds || now-s.startedAt < TrialWait {
+		return false
+	}
+	gap := unprovenTrialGap
+	if rec.trials >= maxTrials {
+		gap = TrialWait
+	}
+	if rec.trials >= maxUnprovenTrials || (rec.trials > 0 && now-rec.triedAt < gap) {
+		return false
+	}
+	rec.trials++
+	rec.triedAt = now
+	return true
+}
