soak: attempts and time handed on are checked; frozen upstreams, long bodies, impatient callers; any size

Two of the four lines of BUDGET had no check: requests that run on more upstreams than their route allows, and requests handed on with more time than is left. The soak now checks both, freezes upstreams, so that what waits in their sockets arrives at once, sends bodies of up to 900 KB, and has callers that send again at once what isn't served. Its size, the slack, data centres and a share of the processor for each process can be set, to play the counts of a real deployment by hand. A seed plays other faults than before.

--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -149,6 +149,7 @@
 	}
 	stop := u.stop
 	u.stop = nil
+	f.endedAt[w] = append(f.endedAt[w], time.Now())
 	f.mu.Unlock()
 	if target != "" {
 		f.fatal.record(target, w)
@@ -217,7 +218,7 @@
 func (s *Soak) checkSound() []string {
 	fatalTargets := s.fleet.fatal.fatalTargets()
 	var broken []string
-	for i := range entryCount {
+	for i := range s.fleet.size.Entries {
 		data, err := os.ReadFile(filepath.Join(s.Dir, entryName(i)+".log"))
 		if err != nil {
 			return []string{err.Error()}
@@ -267,7 +268,7 @@
 func (s *Soak) sendFatal(ctx context.Context, target, body, adapter string, rnd *rand.Rand) {
 	for ctx.Err() == nil {
 		caller := callerFrom(fmt.Sprintf("127.0.9.%d", 10+rnd.IntN(addresses)))
-		s.sendTo(ctx, caller, s.fleet.entries[rnd.IntN(entryCount)], target, body, s.newID(), adapter)
+		s.sendTo(ctx, caller, s.fleet.entries[rnd.IntN(len(s.fleet.entries))], target, body, s.newID(), adapter)
 		caller.HTTP.CloseIdleConnections()
 		time.Sleep(time.Duration(50+rnd.IntN(100)) * time.Millisecond)
 	}
--- a/drive/soak/fatal_test.go
+++ b/drive/soak/fatal_test.go
@@ -232,7 +232,7 @@
 
 // Guards against a check that can't fail: an entry's log line of a sound request that it refused.
 func TestSoundCheckFindsRefusedRequests(t *testing.T) {
-	s := &Soak{Dir: t.TempDir(), fleet: newFleet("", ""), sent: map[string]*request{"a-1": {target: "/repeat/fatal"}, "b-2": {target: "/repeat/x"}}}
+	s := &Soak{Dir: t.TempDir(), fleet: newFleet("", "", Size{}), sent: map[string]*request{"a-1": {target: "/repeat/fatal"}, "b-2": {target: "/repeat/x"}}}
 	s.fleet.fatal.set("/repeat/fatal", true)
 	line := `time=2026-01-01T00:00:00.000Z level=INFO msg=request process=entry-1 request=%s route=repeat customer=alpha adapter="" status=503 outcome=%s why="upstreams ended under this request" replica="" tries=0` + "\n"
 	text := fmt.Sprintf(line, "a-1", "suspect") + fmt.Sprintf(line, "b-2", "served")
--- a/drive/soak/fault.go
+++ b/drive/soak/fault.go
@@ -35,9 +35,9 @@
 	f := s.fleet
 	p := f.procs[rnd.IntN(len(f.procs))]
 	x := f.proxies[rnd.IntN(len(f.proxies))]
-	u := append(f.engines[:len(f.engines):len(f.engines)], f.plains...)[rnd.IntN(engineCount+plainCount)]
+	u := f.upstreams()[rnd.IntN(len(f.upstreams()))]
 	none := func() {}
-	switch n := rnd.IntN(26); n {
+	switch n := rnd.IntN(27); n {
 	case 0, 1:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.kind, none
@@ -110,6 +110,8 @@
 	case 23:
 		go f.end(u, f.current(u), "", minAway)
 		return "upstream crashes", none
+	case 26:
+		return "upstream frozen", u.handler.freeze()
 	case 24:
 		go f.endUntil(u, f.current(u), "", minAway, f.rebuild)
 		return "upstream comes back with another build", none
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -29,12 +29,7 @@
 	"magnoliastall.example/platform/fake"
 )
 
-// Size of the fleet. Each machine has its own address in 127.0.0.0/8, so that all of them
-// can use the same ports, as on the platform.
 const (
-	entryCount      = 3
-	engineCount     = 4
-	plainCount      = 2
 	adapterSlots    = 5
 	eventsPerStream = 12
 	portBase        = 21000
@@ -49,6 +44,7 @@
 // fleet holds all processes, proxies and upstreams.
 type fleet struct {
 	dir, bin string
+	size     Size
 	store    *fake.Store
 	procs    []*process
 	proxies  []*proxy
@@ -68,7 +64,9 @@
 	firstWithdrawn map[string]time.Time
 	// drainedAt maps workers to when the list last got an entry that says that they leave.
 	drainedAt map[*fake.Worker]time.Time
-	fatal     *fatal
+	// endedAt maps workers to their unplanned ends and restarts.
+	endedAt map[*fake.Worker][]time.Time
+	fatal   *fatal
 	// builds are the versions of the upstreams' software, one after the other, all the same if empty.
 	builds []string
 	// ctx is that of start.
@@ -81,9 +79,12 @@
 	return fmt.Sprintf("127.0.%d.%d:%d", net, host, portBase+port)
 }
 
-func newFleet(dir, bin string) *fleet {
-	return &fleet{dir: dir, bin: bin, store: fake.NewStore(), withdrawn: map[string]time.Time{}, firstWithdrawn: map[string]time.Time{}, drainedAt: map[*fake.Worker]time.Time{},
-		fatal: newFatal(0)}
+func newFleet(dir, bin string, size Size) *fleet {
+	size.fill()
+	return &fleet{
+		dir: dir, bin: bin, size: size, store: fake.NewStore(), withdrawn: map[string]time.Time{}, firstWithdrawn: map[string]time.Time{},
+		drainedAt: map[*fake.Worker]time.Time{}, endedAt: map[*fake.Worker][]time.Time{}, fatal: newFatal(0),
+	}
 }
 
 // start starts the fleet, which runs until ctx ends.
@@ -91,15 +92,15 @@
 	if err := f.startList(ctx); err != nil {
 		return err
 	}
-	for i := range engineCount {
+	for i := range f.size.Engines {
 		if err := f.engine(ctx, i+1); err != nil {
 			return err
 		}
 	}
-	if err := f.startPlains(plainCount); err != nil {
+	if err := f.startPlains(f.size.Plains); err != nil {
 		return err
 	}
-	return f.startEntries(ctx, entryCount)
+	return f.startEntries(ctx, f.size.Entries)
 }
 
 // startList starts the list with the first configuration. All else runs until ctx ends, too.
@@ -135,8 +136,8 @@
 	}
 	for i := range n {
 		m := &fake.Machine{
-			Name: entryName(i), Zone: "z", IP: fmt.Sprintf("127.0.1.%d", i+1), Callers: address(1, i+1, 1),
-			Ready: address(1, i+1, 2), Peers: address(1, i+1, 3), InternalPort: portBase + 10, Store: address(5, 2, 30), Seeds: seeds,
+			Name: entryName(i), Zone: f.size.dataCentre(i), IP: fmt.Sprintf("127.0.1.%d", i+1), Callers: address(1, i+1, 1),
+			Ready: address(1, i+1, 2), Peers: address(1, i+1, 3), InternalPort: portBase + 10, Store: address(5, 2, 30), Seeds: seeds, RetrySlack: f.size.RetrySlack,
 		}
 		f.entries = append(f.entries, m.Callers)
 		if err := f.run(ctx, "entry", m); err != nil {
@@ -290,6 +291,9 @@
 		return err
 	}
 	go p.supervise(ctx)
+	if f.size.Share > 0 {
+		go p.throttle(ctx, f.size.Share)
+	}
 	return nil
 }
 
--- a/drive/soak/limit.go
+++ b/drive/soak/limit.go
@@ -30,6 +30,8 @@
 	// disturbed reports whether an entry was stopped, killed or paused in a period, or its path to
 	// the worker was faulty.
 	disturbed func(entry int, w *fake.Worker, from, to time.Time) bool
+	// lost reports whether a worker ended in a period, or the path to it was faulty.
+	lost func(w *fake.Worker, from, to time.Time) bool
 	// calm reports whether the list and all entries were undisturbed in a period.
 	calm func(from, to time.Time) bool
 	// drainedAt returns when the list last got an entry that says that a worker leaves, zero if
@@ -113,6 +115,9 @@
 		disturbed: func(entry int, w *fake.Worker, from, to time.Time) bool {
 			return s.fleet.disturbed(entry, from, to) || s.fleet.pathFault(w, from, to)
 		},
+		lost: func(w *fake.Worker, from, to time.Time) bool {
+			return s.fleet.endedIn(w, from, to) || s.fleet.pathFault(w, from, to)
+		},
 		calm: s.fleet.calm,
 		drainedAt: func(w *fake.Worker) time.Time {
 			s.fleet.mu.Lock()
--- a/drive/soak/overload.go
+++ b/drive/soak/overload.go
@@ -64,8 +64,8 @@
 		}
 	}
 	time.Sleep(overloadRamp)
-	killed := rnd.IntN(entryCount)
-	paused := s.fleet.process(entryName((killed + 1) % entryCount))
+	killed := rnd.IntN(len(s.fleet.entries))
+	paused := s.fleet.process(entryName((killed + 1) % len(s.fleet.entries)))
 	s.fleet.process(entryName(killed)).signal(syscall.SIGKILL)
 	paused.signal(syscall.SIGSTOP)
 	time.Sleep(overloadPaused)
@@ -95,7 +95,7 @@
 			target = fake.PathRepeat + "x"
 		}
 		for try := range 2 {
-			out := s.sendLimited(caller, s.fleet.entries[rnd.IntN(entryCount)], target, adapter)
+			out := s.sendLimited(caller, s.fleet.entries[rnd.IntN(len(s.fleet.entries))], target, adapter)
 			o.add(key+" "+strings.Trim(pathOf(target), "/"), &out, try)
 			if !out.NotRun || out.RetryAfter == 0 || out.RetryAfter > callerTime/returnPart {
 				break
--- a/drive/soak/process.go
+++ b/drive/soak/process.go
@@ -22,6 +22,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// paused is true between SIGSTOP and SIGCONT.
+	paused bool
 	// disturbedAt are the times of signals and starts.
 	disturbedAt []time.Time
 	// ended is closed once the process has ended and isn't restarted.
@@ -84,7 +86,36 @@
 	if s != syscall.SIGHUP {
 		p.disturbedAt = append(p.disturbedAt, time.Now())
 	}
+	switch s {
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	}
 	if p.cmd != nil && p.cmd.Process != nil {
 		_ = p.cmd.Process.Signal(s) // it may have exited already
 	}
 }
+
+// sharePeriod is the period in which a process gets its share of the time.
+const sharePeriod = 50 * time.Millisecond
+
+// throttle lets the process run for a share of the time only, until ctx ends.
+func (p *process) throttle(ctx context.Context, share float64) {
+	run := time.Duration(share * float64(sharePeriod))
+	for ctx.Err() == nil {
+		p.pulse(syscall.SIGSTOP)
+		time.Sleep(sharePeriod - run)
+		p.pulse(syscall.SIGCONT)
+		time.Sleep(run)
+	}
+}
+
+// pulse sends a signal that is no fault, unless the process is paused by one.
+func (p *process) pulse(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.paused && p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s) // it may have exited already
+	}
+}
--- a/drive/soak/restore.go
+++ b/drive/soak/restore.go
@@ -114,7 +114,7 @@
 	if slices.ContainsFunc(list, func(at time.Time) bool { return at.After(from) && at.Before(to) }) {
 		return false
 	}
-	for i := range entryCount {
+	for i := range f.entries {
 		if f.disturbed(i, from, to) {
 			return false
 		}
--- a/drive/soak/restore_test.go
+++ b/drive/soak/restore_test.go
@@ -48,7 +48,7 @@
 		{"not known, then accepted", []int{refused, ok, ok, refused}, 0},
 		{"accepted again", []int{ok, refused, ok, refused}, 1},
 	} {
-		f := newFleet("", "")
+		f := newFleet("", "", Size{})
 		f.entries = []string{"e"}
 		f.procs = []*process{{name: entryName(0)}}
 		f.firstWithdrawn["k"] = start
--- a/drive/soak/retry.go
+++ b/drive/soak/retry.go
@@ -32,7 +32,7 @@
 
 // worstRetryLoad returns the window with the most repeats beyond what is allowed. Both lists are in
 // order.
-func worstRetryLoad(sent, repeats []time.Time) retryLoad {
+func worstRetryLoad(sent, repeats []time.Time, slack int) retryLoad {
 	count := func(list []time.Time, from, to time.Time) int {
 		after := func(a, t time.Time) int {
 			if a.After(t) {
@@ -51,7 +51,7 @@
 		for _, earlier := range []time.Duration{0, retryWindow / 2, retryWindow} {
 			requests = max(requests, count(sent, from.Add(-earlier), at.Add(-earlier)))
 		}
-		l := retryLoad{at: at, repeats: count(repeats[:i+1], from, at), allowed: retryRatio*float64(requests) + retrySlack}
+		l := retryLoad{at: at, repeats: count(repeats[:i+1], from, at), allowed: retryRatio*float64(requests) + float64(slack)}
 		if i == 0 || l.excess() > worst.excess() {
 			worst = l
 		}
@@ -96,7 +96,7 @@
 	loads := map[string]retryLoad{}
 	for service, list := range workers {
 		slices.SortFunc(sent[service], time.Time.Compare)
-		loads[service] = worstRetryLoad(sent[service], repeatsAt(list))
+		loads[service] = worstRetryLoad(sent[service], repeatsAt(list), s.fleet.size.RetrySlack)
 	}
 	return loads
 }
--- a/drive/soak/retry_test.go
+++ b/drive/soak/retry_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Soak{Seed: 1, Dir: t.TempDir(), Bin: programDir, Out: io.Discard, sent: map[string]*request{}, reported: map[string]bool{}}
-	f := newFleet(s.Dir, s.Bin)
+	f := newFleet(s.Dir, s.Bin, s.Size)
 	s.fleet = f
 	t.Cleanup(func() {
 		cancel()
@@ -169,7 +169,7 @@
 		{"for requests long before", times(100, 0, 10*second), times(60, 30*second, 40*second), 20},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := worstRetryLoad(c.sent, c.repeats)
+			l := worstRetryLoad(c.sent, c.repeats, retrySlack)
 			if got := l.excess(); got < c.excess-0.5 || got > c.excess+0.5 {
 				t.Errorf("%d repeats, allowed %.1f, want an excess of %.1f", l.repeats, l.allowed, c.excess)
 			}
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -20,6 +20,12 @@
 	callers = 12
 	// streamers is the number of further callers, who take up streams that break off.
 	streamers = 4
+	// One of impatientShare callers sends what isn't served again at once, impatientTries times in all.
+	impatientShare = 4
+	impatientTries = 4
+	// One of longShare requests that may be repeated has a body of up to maxLongBody bytes.
+	longShare   = 8
+	maxLongBody = 900 << 10
 	// rotatingCallers is how many callers use keys that are withdrawn from time to time.
 	rotatingCallers = 4
 	// adapters is the number of adapters requested, more than one engine can hold.
@@ -51,6 +57,8 @@
 	// Dir receives settings and logs, Bin holds the programs.
 	Dir, Bin string
 	Out      io.Writer
+	// Size is the usual one if it is zero.
+	Size Size
 
 	fleet  *fleet
 	nextID atomic.Int64
@@ -139,7 +147,7 @@
 // start starts the programs, which run until ctx ends.
 func (s *Soak) start(ctx context.Context) error {
 	s.sent, s.kinds, s.faults, s.reported = map[string]*request{}, map[string]int{}, map[string]int{}, map[string]bool{}
-	s.fleet = newFleet(s.Dir, s.Bin)
+	s.fleet = newFleet(s.Dir, s.Bin, s.Size)
 	s.fleet.fatal, s.fleet.builds = newFatal(s.Seed), builds
 	if err := s.fleet.start(ctx); err != nil {
 		return err
@@ -159,8 +167,13 @@
 		if n < rotatingCallers {
 			caller.Key = s.fleet.key(rnd)
 		}
-		address := s.fleet.entries[rnd.IntN(entryCount)]
-		s.sendOne(ctx, caller, address, fmt.Sprintf("s%d-%d-%d", s.Seed, n, i), rnd)
+		for try := range impatientTries {
+			address := s.fleet.entries[rnd.IntN(len(s.fleet.entries))]
+			o := s.sendOne(ctx, caller, address, fmt.Sprintf("s%d-%d-%d-%d", s.Seed, n, i, try), rnd)
+			if n%impatientShare != 0 || o.Status == http.StatusOK || playing.Err() != nil {
+				break
+			}
+		}
 		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
 	}
 }
@@ -182,7 +195,14 @@
 	s.mu.Lock()
 	s.sent[id] = r
 	s.mu.Unlock()
-	o := caller.Send(ctx, address, path, id, adapter)
+	m := fake.Message{Target: path + "x", Body: "body of " + id, ID: id, Adapter: adapter}
+	if path == fake.PathRepeat {
+		m.Body = ""
+		if rnd.IntN(longShare) == 0 {
+			m.Body = strings.Repeat("x", rnd.IntN(maxLongBody))
+		}
+	}
+	o := caller.SendMessage(ctx, address, m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.outcome, r.doneAt = o, time.Now()
@@ -211,7 +231,7 @@
 	rnd := rand.New(rand.NewPCG(s.Seed, 1<<32)) //nolint:gosec // not used as a secret
 	inRow, last := 0, fake.Outcome{}
 	for i, end := 0, time.Now().Add(within); inRow < requiredInRow && time.Now().Before(end); i++ {
-		o := s.sendOne(ctx, caller, s.fleet.entries[i%entryCount], fmt.Sprintf("s%d-after %s-%d", s.Seed, what, i), rnd)
+		o := s.sendOne(ctx, caller, s.fleet.entries[i%len(s.fleet.entries)], fmt.Sprintf("s%d-after %s-%d", s.Seed, what, i), rnd)
 		if o.Status == http.StatusOK && o.Complete {
 			inRow++
 			continue
@@ -289,6 +309,11 @@
 		s.violation("%s", what)
 		s.mu.Unlock()
 	}
+	for _, what := range slices.Concat(o.checkAttempts(s.fleet.workers()), o.checkTimes(s.fleet.workers())) {
+		s.mu.Lock()
+		s.violation("%s", what)
+		s.mu.Unlock()
+	}
 	for _, w := range s.fleet.workers() {
 		for _, what := range slices.Concat(o.checkLimit(w), o.checkLeaving(w), o.checkRest(w), o.checkDraining(w)) {
 			s.mu.Lock()
--- a/drive/soak/stream_test.go
+++ b/drive/soak/stream_test.go
@@ -33,7 +33,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Soak{Seed: 1, Dir: t.TempDir(), Bin: programDir, Out: io.Discard, sent: map[string]*request{}, reported: map[string]bool{}}
-	f := newFleet(s.Dir, s.Bin)
+	f := newFleet(s.Dir, s.Bin, s.Size)
 	f.builds = builds
 	s.fleet = f
 	t.Cleanup(func() {
--- a/drive/soak/upstream.go
+++ b/drive/soak/upstream.go
@@ -38,6 +38,25 @@
 type swapHandler struct {
 	mu sync.Mutex
 	h  http.Handler
+	// thawed is closed when the worker runs on, nil while it isn't frozen.
+	thawed chan struct{}
+}
+
+// freeze holds all requests until the returned function is called. Connections are accepted, and those that
+// break meanwhile bring their requests all the same, as out of the socket of a process that was stopped.
+func (s *swapHandler) freeze() (thaw func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.thawed != nil {
+		return func() {}
+	}
+	s.thawed = make(chan struct{})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		close(s.thawed)
+		s.thawed = nil
+	}
 }
 
 func (s *swapHandler) set(h http.Handler) {
@@ -48,6 +67,12 @@
 
 // ServeHTTP passes the request to the current handler.
 func (s *swapHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	thawed := s.thawed
+	s.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
 	s.mu.Lock()
 	h := s.h
 	s.mu.Unlock()
@@ -66,8 +91,8 @@
 		return err
 	}
 	return f.run(ctx, "agent", &fake.Machine{
-		Name: agentName(n - 1), Zone: "z", IP: fmt.Sprintf("127.0.2.%d", n), Worker: u.listen,
-		InternalPort: portBase + 10, Store: address(5, 2, 30),
+		Name: agentName(n - 1), Zone: f.size.dataCentre(n - 1), IP: fmt.Sprintf("127.0.2.%d", n), Worker: u.listen,
+		InternalPort: portBase + 10, Store: address(5, 2, 30), RetrySlack: f.size.RetrySlack,
 	})
 }
 
@@ -83,6 +108,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := u.worker
+	f.endedAt[old] = append(f.endedAt[old], time.Now())
 	u.incarnation++
 	u.worker = &fake.Worker{ID: fmt.Sprintf("%s-%d", u.listed, u.incarnation), Slots: adapterSlots, Events: eventsPerStream, Build: u.build, LongEvents: longStream, LongSuffix: longSuffix}
 	if u.service == fake.EngineService {
@@ -105,6 +131,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u.worker.StartEmpty = u.service == fake.EngineService
+	f.endedAt[u.worker] = append(f.endedAt[u.worker], time.Now())
 	u.worker.Start()
 	u.listState = stateReady
 	f.list(u)
@@ -129,7 +156,7 @@
 
 // list writes the entry of an upstream. The caller holds mu.
 func (f *fleet) list(u *upstream) {
-	f.store.Put("servers/"+u.worker.ID, u.worker.StoreEntry(u.service, u.listed, "z", u.listState))
+	f.store.Put("servers/"+u.worker.ID, u.worker.StoreEntry(u.service, u.listed, f.size.dataCentre(f.indexOf(u)), u.listState))
 	delete(f.drainedAt, u.worker)
 	if u.listState == stateDraining {
 		f.drainedAt[u.worker] = time.Now()
@@ -145,3 +172,18 @@
 
 // upstreams returns all engines and plain services.
 func (f *fleet) upstreams() []*upstream { return slices.Concat(f.engines, f.plains) }
+
+// indexOf returns the place of an upstream among those of its service.
+func (f *fleet) indexOf(u *upstream) int {
+	if u.service == fake.EngineService {
+		return slices.Index(f.engines, u)
+	}
+	return slices.Index(f.plains, u)
+}
+
+// endedIn reports whether a worker ended or restarted unplanned in a period.
+func (f *fleet) endedIn(w *fake.Worker, from, to time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.endedAt[w], func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
--- a/drive/soakcmd.go
+++ b/drive/soakcmd.go
@@ -19,6 +19,13 @@
 	duration := flags.Duration("for", 8*time.Second, "how long faults come with each seed")
 	bin := flags.String("bin", "bin", "where the programs are")
 	out := flags.String("out", "out/soak", "where settings and logs go")
+	var size soak.Size
+	flags.IntVar(&size.Entries, "entries", 0, "how many entries, 0 for the usual number")
+	flags.IntVar(&size.Engines, "engines", 0, "how many engines with agents, 0 for the usual number")
+	flags.IntVar(&size.Plains, "plains", 0, "how many upstreams of the plain service, 0 for the usual number")
+	flags.IntVar(&size.DataCentres, "centres", 0, "over how many data centres they are spread, 0 for one")
+	flags.IntVar(&size.RetrySlack, "slack", 0, "the retry budget's part that doesn't depend on the requests, 0 for the usual one")
+	flags.Float64Var(&size.Share, "share", 0, "the share of the time for which each process runs, 0 for all of it")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
@@ -29,7 +36,7 @@
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			return 2
 		}
-		one := &soak.Soak{Seed: s, Duration: *duration, Dir: dir, Bin: *bin, Out: os.Stdout}
+		one := &soak.Soak{Seed: s, Duration: *duration, Dir: dir, Bin: *bin, Out: os.Stdout, Size: size}
 		broken, err := one.Run(context.Background())
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "soak: seed %d: %v\n", s, err)
