soak: a failing test of repeats that wait at frozen upstreams

Upstreams that accept connections and don't read for 30 s get all that was sent to them at once when they do: 72 repeats within 10 s where 50 are allowed, if all six freeze (38 of 337 with one, 105 of 239 with three). Each process charges a retry to the window in which it was sent.

--- a/drive/soak/retry_test.go
+++ b/drive/soak/retry_test.go
@@ -89,6 +89,41 @@
 	}
 }
 
+// Guards against repeats that are sent over several windows to upstreams that don't read, and arrive there in one
+// window once they do.
+func TestRepeatsThatWaitAtFrozenUpstreamsStayWithinTheRetryBudget(t *testing.T) {
+	const frozen = 3 * retryWindow
+	for _, c := range []struct {
+		name   string
+		frozen int
+	}{
+		{"all", retryPlains},
+		{"half of them", retryPlains / 2},
+		{"one", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startPlainSoak(t)
+			stop := s.sendSteadily(retryPause, fake.PathRepeat, "")
+			time.Sleep(retryWindow)
+			var thaw []func()
+			for _, u := range s.fleet.plains[:c.frozen] {
+				thaw = append(thaw, u.handler.freeze())
+			}
+			time.Sleep(frozen)
+			for _, f := range thaw {
+				f()
+			}
+			time.Sleep(2 * time.Second)
+			stop()
+			l := s.retryLoads()[fake.PlainService]
+			t.Logf("%d repeats in the worst window, allowed %.0f", l.repeats, l.allowed)
+			for _, what := range s.checkRetries() {
+				t.Error(what)
+			}
+		})
+	}
+}
+
 // servedShare returns the share of the requests sent in a period that were served.
 func (s *Soak) servedShare(from, to time.Time) (share float64, sent int) {
 	served := 0
