allow, relay: a retry counts while the upstream that may still read it is silent

Upstreams got 72 repeats within 10 s where 50 are allowed, when all six read again after 30 s in which they accepted requests and read none.

Cause: each retry was charged to the window in which it was sent. A request that times out at a stopped upstream and is served elsewhere arrives there once more when that runs again, and so do all of the windows before, together. The rule counts arrivals, the process counted sends.

Change: a retry of a request that got no sign of an upstream, and a retry that got none itself, count until that upstream answers something, and for a window from then on; for a minute at most, so that a lost upstream doesn't take the budget for good. A connection that the upstream closes is a sign.

Not covered: entries that are killed while upstreams are stopped forget what waits there.

--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -72,6 +72,8 @@
 	// reports whether a reserved one may be sent, nil for always.
 	retries, reserved, spent int
 	onSpend                  func() bool
+	// unanswered are the upstreams that gave no sign of a request that was sent again, or of a retry.
+	unanswered []string
 	// outstanding is the work that each replica was reported to have.
 	outstanding map[string]int
 	// maxWait is the Most of each choice. Replicas in rankedLast are chosen last.
@@ -116,7 +118,13 @@
 	return true
 }
 
-func (p *fakePools) SpendRetry(string) bool {
+func (p *fakePools) RetryUnanswered(_, upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unanswered = append(p.unanswered, upstream)
+}
+func (p *fakePools) Answered(string, string) {}
+func (p *fakePools) SpendRetry(_, unanswered string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reserved--
@@ -124,6 +132,9 @@
 		return false
 	}
 	p.spent++
+	if unanswered != "" {
+		p.unanswered = append(p.unanswered, unanswered)
+	}
 	return true
 }
 
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -79,6 +79,9 @@
 	// arrived is true once an upstream may have received the request: all further sends are
 	// retries. retryReserved is true while one is reserved in the retry budget.
 	arrived, retryReserved bool
+	// arrivals counts the upstreams that may have received it, unanswered is the last of them if it gave no sign.
+	arrivals   int
+	unanswered string
 	// trial is true for a request that is refused and may be sent once all the same.
 	trial bool
 	// sentAt is when the last send began, sendNumber its number among those of the process.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -76,10 +76,14 @@
 	CountRequest(service string)
 	// ReserveRetry sets one retry aside in the retry budget, or returns false if that is used up.
 	// Each reserved retry ends with SpendRetry right before it is sent, which returns false if it
-	// must not be, or with ReturnRetry.
+	// must not be, or with ReturnRetry. Unanswered is the upstream of the send before if that gave no sign.
 	ReserveRetry(service string) bool
-	SpendRetry(service string) bool
+	SpendRetry(service, unanswered string) bool
 	ReturnRetry(service string)
+	// RetryUnanswered records that a retry got no sign of the upstream to which it was sent, Answered that an
+	// upstream answered.
+	RetryUnanswered(service, upstream string)
+	Answered(service, upstream string)
 	// Listed returns the number of request slots of the listed upstreams of a service that don't
 	// leave, and a channel that is closed when one of them may have become usable.
 	Listed(service string) (slots int, usable <-chan struct{})
--- a/entry/relay/retry.go
+++ b/entry/relay/retry.go
@@ -1,6 +1,13 @@
 package relay
 
-import "magnoliastall.example/magno"
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"magnoliastall.example/magno"
+)
 
 // reserveRetry sets one more send aside in the retry budget, unless one is already. It returns false
 // if the budget is used up.
@@ -19,7 +26,7 @@
 	}
 	if j.reserveRetry() {
 		j.retryReserved = false
-		if j.Pools.SpendRetry(j.service.Name) {
+		if j.Pools.SpendRetry(j.service.Name, j.unanswered) {
 			return true
 		}
 	}
@@ -34,3 +41,15 @@
 		j.Pools.ReturnRetry(j.service.Name)
 	}
 }
+
+// noteSilence is called when a send got no sign of its upstream. If the upstream may read the request later, that is
+// another arrival of it, whatever became of it elsewhere.
+func (j *job) noteSilence(ctx context.Context, err error) {
+	if ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return // it closed the connection
+	}
+	j.unanswered = j.lastReplica
+	if j.arrivals > 1 {
+		j.Pools.RetryUnanswered(j.service.Name, j.lastReplica)
+	}
+}
--- a/entry/relay/retry_test.go
+++ b/entry/relay/retry_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -95,6 +96,42 @@
 	}
 }
 
+// Guards against a retry that counts in the window in which it is sent only, while its request, or the one before,
+// waits at an upstream that doesn't read.
+func TestRetriesOfUnansweredRequestsAreTold(t *testing.T) {
+	silent := func(_ int, _ *http.Request, c net.Conn) bool {
+		_, _ = c.Read(make([]byte, 1)) // until the entry closes
+		return false
+	}
+	serve := func(_ int, r *http.Request, c net.Conn) bool {
+		writeResponse(c, r.Header.Get("Id"), http.StatusOK, "yes")
+		return true
+	}
+	for _, c := range []struct {
+		name          string
+		first, second func(int, *http.Request, net.Conn) bool
+		want          []string
+	}{
+		{"the first is silent", silent, serve, []string{"u0@0"}},
+		{"the second is silent", failRequest, silent, []string{"u1@0"}},
+		{"both are", silent, silent, []string{"u0@0", "u1@0"}},
+		{"both answer", failRequest, serve, nil},
+		{"the first breaks off", breakOff, serve, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestProxy(t, magno.RouteIdempotent, false, startUpstream(t, c.first), startUpstream(t, c.second))
+			if _, _, err := s.get(t, http.MethodGet, "1"); err != nil {
+				t.Fatal(err)
+			}
+			s.pools.mu.Lock()
+			defer s.pools.mu.Unlock()
+			if !slices.Equal(s.pools.unanswered, c.want) {
+				t.Errorf("unanswered by %v, want %v", s.pools.unanswered, c.want)
+			}
+		})
+	}
+}
+
 // failures are the ways in which an upstream in a test fails, after a pause.
 var failures = []struct {
 	name string
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -88,11 +88,13 @@
 			return j.abortedOr(ctx, resultUnsent)
 		}
 		j.recordArrival()
+		j.noteSilence(ctx, err)
 		return j.connectionFailed(ctx, r, err)
 	}
 	j.recordArrival()
 	res, err := j.receiveHead(ctx, conn)
 	if err != nil {
+		j.noteSilence(ctx, err)
 		_ = conn.Close()
 		return j.connectionFailed(ctx, r, err)
 	}
@@ -155,7 +157,8 @@
 
 // recordArrival records that the upstream may have received the request, and may run it.
 func (j *job) recordArrival() {
-	j.arrived = true
+	j.arrived, j.unanswered = true, ""
+	j.arrivals++
 	j.mayHaveRun = true
 	j.runs++
 }
@@ -259,6 +262,9 @@
 func (j *job) handleResponse(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
 	reply := j.Dialect.Reply(res.StatusCode, res.Header)
 	j.recordNotice(r.Key(), &reply)
+	if reply.ID == j.id {
+		j.Pools.Answered(j.service.Name, r.Key())
+	}
 	if reply.Signed && reply.ID == j.id {
 		j.answeredSince(r.Key(), j.sendNumber)
 	}
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -200,9 +200,15 @@
 }
 
 // SpendRetry implements relay.Pools.
-func (p *pools) SpendRetry(service string) bool {
+func (p *pools) SpendRetry(service, unanswered string) bool {
 	part, retries := p.peers.Part(p.settings.RetryWindow), p.retries(service)
-	if !retries.Spend(part) {
+	sent := false
+	if unanswered == "" {
+		sent = retries.Spend(part)
+	} else {
+		sent = retries.SpendUnanswered(part, unanswered)
+	}
+	if !sent {
 		return p.refused(service, part, retries)
 	}
 	metrics.GetOrCreateCounter(`retries_total{service="` + service + `"}`).Inc()
@@ -210,6 +216,12 @@
 	return true
 }
 
+// RetryUnanswered implements relay.Pools.
+func (p *pools) RetryUnanswered(service, upstream string) { p.retries(service).Unanswered(upstream) }
+
+// Answered implements relay.Pools.
+func (p *pools) Answered(service, upstream string) { p.retries(service).Answered(upstream) }
+
 // refused logs that the budget allows no retry, and returns false.
 func (p *pools) refused(service string, part float64, retries *allow.Budget) bool {
 	used, limit := retries.Usage(part)
--- a/entry/site/pools_test.go
+++ b/entry/site/pools_test.go
@@ -120,7 +120,7 @@
 	p.settings.RetrySlack, p.settings.RetryWindow = 100, 10*magno.Second
 	p.clock.Advance(p.settings.RetryWindow)
 	sent := 0
-	for p.ReserveRetry("s") && p.SpendRetry("s") {
+	for p.ReserveRetry("s") && p.SpendRetry("s", "") {
 		sent++
 	}
 	if n := strings.Count(log.String(), `msg="retry budget" service=s`); n != 1 {
--- a/magno/allow/allow.go
+++ b/magno/allow/allow.go
@@ -13,7 +13,12 @@
 // processes and the later ones, however many, stay within the limit together.
 //
 //	Reserve --> wait for an upstream --> Spend: counted at the time of sending
+//	   |                             '-> SpendUnanswered: counted until an upstream that gave no sign answers
 //	   '-----> no upstream is had -----> Return
+//
+// An upstream that is stopped accepts requests and reads them when it runs again, long after their callers got an
+// answer elsewhere: all of them within one window. So a retry of a request that got no sign of an upstream counts for
+// as long as that one is silent, and for a window afterwards.
 package allow
 
 import (
@@ -29,6 +34,9 @@
 	// unevenly and for processes that count each other late.
 	steadyShare  = 0.65
 	restartShare = 0.25
+	// silenceTime is how long requests that got no sign of an upstream may still be read there. It bounds what one
+	// that never answers again takes of the budget.
+	silenceTime = magno.Minute
 )
 
 // Budget is the retry budget of one process for one service. It is safe for concurrent
@@ -47,6 +55,14 @@
 	// last WindowLength, reserved the retries that wait to be sent.
 	requests, retries slide.Sum
 	reserved          int
+	// unanswered are the retries that count while an upstream is silent, by its name.
+	unanswered map[string]unanswered
+}
+
+// unanswered is a number of retries, the last one of a time.
+type unanswered struct {
+	count  int
+	lastAt magno.Millis
 }
 
 // RecordRequest counts a received request.
@@ -64,7 +80,7 @@
 	defer b.mu.Unlock()
 	b.setWindows()
 	now := b.Clock.Now()
-	if b.retries.Total(now)+float64(b.reserved)+1 > b.limit(part, now) {
+	if b.used(now)+float64(b.reserved)+1 > b.limit(part, now) {
 		return false
 	}
 	b.reserved++
@@ -77,18 +93,69 @@
 // Load pattern: all upstreams are gone, and the retries of some seconds wait for the first
 // one that is back. They arrive there within one window, whenever they were reserved.
 func (b *Budget) Spend(part float64) bool {
+	return b.spend(part, func(now magno.Millis) { b.retries.Add(1, now) })
+}
+
+// SpendUnanswered is Spend for a request that got no sign of the upstream to which it was sent before. It may
+// be read there at any time, and is a retry only then.
+func (b *Budget) SpendUnanswered(part float64, upstream string) bool {
+	return b.spend(part, func(now magno.Millis) { b.addUnanswered(upstream, now) })
+}
+
+func (b *Budget) spend(part float64, count func(now magno.Millis)) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setWindows()
 	b.reserved--
 	now := b.Clock.Now()
-	if b.retries.Total(now)+1 > b.limit(part, now) {
+	if b.used(now)+1 > b.limit(part, now) {
 		return false
 	}
-	b.retries.Add(1, now)
+	count(now)
 	return true
 }
 
+// Unanswered counts a retry that was sent to an upstream and got no sign of it.
+func (b *Budget) Unanswered(upstream string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addUnanswered(upstream, b.Clock.Now())
+}
+
+// Answered records that an upstream answers: what it was sent before has been read, or is read now.
+func (b *Budget) Answered(upstream string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u, ok := b.unanswered[upstream]
+	if !ok {
+		return
+	}
+	delete(b.unanswered, upstream)
+	b.setWindows()
+	b.retries.Add(float64(u.count), b.Clock.Now())
+}
+
+// addUnanswered counts a retry while an upstream is silent. The caller holds mu.
+func (b *Budget) addUnanswered(upstream string, now magno.Millis) {
+	if b.unanswered == nil {
+		b.unanswered = map[string]unanswered{}
+	}
+	b.unanswered[upstream] = unanswered{count: b.unanswered[upstream].count + 1, lastAt: now}
+}
+
+// used returns the number of retries that count now. The caller holds mu.
+func (b *Budget) used(now magno.Millis) float64 {
+	n := b.retries.Total(now)
+	for upstream, u := range b.unanswered {
+		if now-u.lastAt >= silenceTime {
+			delete(b.unanswered, upstream)
+			continue
+		}
+		n += float64(u.count)
+	}
+	return n
+}
+
 // Return ends the reservation of a retry that isn't sent.
 func (b *Budget) Return() {
 	b.mu.Lock()
@@ -102,7 +169,7 @@
 	defer b.mu.Unlock()
 	b.setWindows()
 	now := b.Clock.Now()
-	return b.retries.Total(now) + float64(b.reserved), b.limit(part, now)
+	return b.used(now) + float64(b.reserved), b.limit(part, now)
 }
 
 // limit returns how many retries this process may send per window. The caller holds mu.
--- a/magno/allow/allow_test.go
+++ b/magno/allow/allow_test.go
@@ -117,3 +117,46 @@
 		}
 	}
 }
+
+// Guards against retries of several windows that wait at an upstream which doesn't read, and arrive in one.
+func TestRetriesCountWhileAnUpstreamIsSilent(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Budget{Clock: clock, Slack: 100, WindowLength: 10 * magno.Second}
+	limit := int(steadyShare * b.Slack)
+	sent := 0
+	for range 3 {
+		for b.Reserve(1) && b.SpendUnanswered(1, "u") {
+			sent++
+		}
+		clock.Advance(b.WindowLength)
+	}
+	if sent != limit {
+		t.Errorf("%d retries are sent while none is answered, want %d", sent, limit)
+	}
+	b.Answered("other")
+	b.Answered("u")
+	b.Answered("u")
+	if b.Reserve(1) {
+		t.Error("those that are read now don't count")
+	}
+	clock.Advance(b.WindowLength + b.WindowLength/32)
+	if !b.Reserve(1) {
+		t.Error("they count for longer than a window")
+	}
+}
+
+// Guards against a budget that an upstream which never answers again uses up for good.
+func TestRetriesOfALostUpstreamAreForgotten(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Budget{Clock: clock, Slack: 100, WindowLength: 10 * magno.Second}
+	for range 200 {
+		b.Unanswered("u")
+	}
+	if b.Reserve(1) {
+		t.Error("reserved beyond the limit")
+	}
+	clock.Advance(silenceTime)
+	if !b.Reserve(1) {
+		t.Error("nothing is allowed after the time of silence")
+	}
+}
