crash: a request that may end upstreams of a failing pool runs one at a time

Cause: the pool failed by itself as well, one end about every second. The ends that didn't run the request kept up with its own, so that the failing pool explained them until the eighth, and nothing limited what was sent meanwhile. The same class as the part that ends a whole pool: while a verdict is open, requests are sent as if it were in their favour.

Change: from three unexplained ends on such a request is in doubt, and runs with the grant of one entry for all, three times at most. A completion clears it.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -103,10 +103,10 @@
 type Trials interface {
 	// Ask reports whether a request that is refused because of a fingerprint may be sent once.
 	Ask(ctx context.Context, fingerprint uint64) bool
-	// AskUnproven reports whether a request may be sent now with parts that may be the cause. MayAsk
+	// AskUnproven reports whether a request may be sent now with fingerprints that may be the cause. MayAsk
 	// returns false if it surely may not.
-	AskUnproven(ctx context.Context, parts []uint64) bool
-	MayAsk(parts []uint64) bool
+	AskUnproven(ctx context.Context, prints []uint64) bool
+	MayAsk(prints []uint64) bool
 }
 
 // Handler handles callers' requests. Exported fields are set before use.
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -60,15 +60,7 @@
 	}
 	conn, err := j.Conns.Get(ctx, key, r.Address)
 	if err != nil {
-		j.logTry("connect", err)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			j.refusesConnections(key)
-		}
-		j.tried = append(j.tried, key)
-		if j.service.Engine != nil && ctx.Err() == nil {
-			j.Permits.ReportUnreachable(key)
-		}
-		return j.abortedOr(ctx, resultUnsent)
+		return j.connectFailed(ctx, key, err)
 	}
 	if res := j.maySendNow(ctx, key); res != resultDone {
 		_ = conn.Close()
@@ -101,8 +93,21 @@
 	return j.handleResponse(ctx, r, conn, res)
 }
 
-// maySendNow is maySend, unless another request with a part in doubt is tried first, the caller is gone or too little
-// time is left for an answer.
+// connectFailed handles an upstream to which no connection could be had.
+func (j *job) connectFailed(ctx context.Context, key string, err error) result {
+	j.logTry("connect", err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		j.refusesConnections(key)
+	}
+	j.tried = append(j.tried, key)
+	if j.service.Engine != nil && ctx.Err() == nil {
+		j.Permits.ReportUnreachable(key)
+	}
+	return j.abortedOr(ctx, resultUnsent)
+}
+
+// maySendNow is maySend, unless the request is in doubt and another one is tried first, the caller is gone or too
+// little time is left for an answer.
 func (j *job) maySendNow(ctx context.Context, key string) result {
 	if refusal := j.checkUnproven(ctx); refusal != nil {
 		j.refusal = refusal
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -43,10 +43,9 @@
 	return magno.Refuse(magno.KindSuspect, "upstreams ended under this request")
 }
 
-// unprovenRefusal returns the refusal of a request with a part that may end upstreams, while another one with it is
-// tried.
+// unprovenRefusal returns the refusal of a request that may end upstreams, while another one like it is tried.
 func unprovenRefusal() *magno.Refusal {
-	return magno.Refuse(magno.KindNoUpstream, "upstreams ended under a part of its prompt, and another request with it is tried").WithRetryAfter(unprovenRetryAfter)
+	return magno.Refuse(magno.KindNoUpstream, "upstreams ended under requests like it, and another one is tried").WithRetryAfter(unprovenRetryAfter)
 }
 
 // checkSuspect returns the refusal of a request that must not be sent because upstreams ended under it, nil if it
@@ -66,8 +65,8 @@
 	return nil
 }
 
-// checkUnproven is called once there is a connection to an upstream. It returns a refusal if another request with a
-// part that may end upstreams is tried first.
+// checkUnproven is called once there is a connection to an upstream. It returns a refusal if the request may end
+// upstreams and another one like it is tried first.
 func (j *job) checkUnproven(ctx context.Context) *magno.Refusal {
 	if j.trial || j.Trials == nil {
 		return nil
--- a/entry/trial/trial.go
+++ b/entry/trial/trial.go
@@ -73,10 +73,10 @@
 	return m.Suspects.TrialDue(fingerprint) && m.ask(ctx, call{Fingerprint: fingerprint})
 }
 
-// AskUnproven reports whether a request may be sent now with parts that may end upstreams.
-func (m *Manager) AskUnproven(ctx context.Context, parts []uint64) bool {
-	for _, part := range slices.Backward(parts) { // sound requests have the first parts in common
-		if !m.ask(ctx, call{Fingerprint: part, Unproven: true}) {
+// AskUnproven reports whether a request may be sent now with fingerprints that may be the cause.
+func (m *Manager) AskUnproven(ctx context.Context, prints []uint64) bool {
+	for _, print := range slices.Backward(prints) { // sound requests have the first parts in common
+		if !m.ask(ctx, call{Fingerprint: print, Unproven: true}) {
 			return false
 		}
 	}
@@ -84,10 +84,10 @@
 }
 
 // MayAsk reports whether AskUnproven would ask now.
-func (m *Manager) MayAsk(parts []uint64) bool {
+func (m *Manager) MayAsk(prints []uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !slices.ContainsFunc(parts, func(part uint64) bool { return m.askedLately(part, m.Clock.Now()) })
+	return !slices.ContainsFunc(prints, func(print uint64) bool { return m.askedLately(print, m.Clock.Now()) })
 }
 
 // ask asks the home, unless it was asked a moment ago.
--- a/magno/crash/crash.go
+++ b/magno/crash/crash.go
@@ -18,8 +18,8 @@
 // rise, and within one the set only grows until it is full, so the records of all processes converge.
 // A request is refused if refuseEnds upstreams ended under it, or partRefuseEnds under one of its parts, that
 // nothing else explains better, unless the pool was failing anyway. Later it may run once more, alone, which
-// clears it if it was sound. Requests with a part whose ends all came at once, which a failure of the pool may
-// explain, run one at a time until one completes or ends a further upstream.
+// clears it if it was sound. Where a failure of the pool may explain the ends, as of a part whose ends all came at once,
+// such requests run one at a time until one completes or ends a further upstream.
 //
 // Records expire and their number is bounded. They are soft state: losing them costs further ends.
 package crash
@@ -60,9 +60,9 @@
 	// fail at once end all that ran there, and completions elsewhere become known here only later.
 	partMoments = 3
 	momentGap   = 500 * magno.Millis(1)
-	// partSettleTime is how long after these ends requests with the part run one at a time: by then a completion
-	// that clears it is known to all processes.
-	partSettleTime = momentGap
+	// doubtDelay is how long after enough ends a request or part that may be the cause runs one at a time: by then
+	// a completion that clears it is known to all processes.
+	doubtDelay = momentGap
 	// holdTime is how long a request is held back after the end that HoldEnds names. Upstreams
 	// are back after it.
 	holdTime = 3 * magno.Second
--- a/magno/crash/judge.go
+++ b/magno/crash/judge.go
@@ -26,12 +26,13 @@
 	return cause
 }
 
-// Judge returns what Refused does and, if that is zero, the parts of a request that may be the cause. Requests with
-// such a part must run one at a time, each with the grant of one process for all (GrantUnproven).
+// Judge returns what Refused does and, if that is zero, the fingerprints that may be the cause. Requests with one of
+// them must run one at a time, each with the grant of one process for all (GrantUnproven).
 //
 // Load pattern: many requests with a part that ends upstreams come at once. All upstreams of a pool end within a
 // moment, as they do when the pool fails. Until they are back no end can tell the two apart, and then all that wait
-// would end them again.
+// would end them again. Or a request ends upstreams of a pool that fails all the while, and is never told from what
+// runs there.
 func (s *Suspects) Judge(prints ...uint64) (cause uint64, unproven []uint64) {
 	if s == nil {
 		return 0, nil
@@ -92,7 +93,7 @@
 // records.
 type verdict struct {
 	cause bool
-	// unprovenFrom is the time from which on a part may be the cause, though that is unproven, zero if it isn't.
+	// unprovenFrom is the time from which on it may be the cause, though that is unproven, zero if it isn't.
 	unprovenFrom magno.Millis
 	// carried and changes identify what it was judged by.
 	carried uint64
@@ -127,7 +128,16 @@
 	if s.PoolSize != nil {
 		size = max(s.PoolSize(pool), 1)
 	}
-	return verdict{cause: s.otherEnds(rec, pool) < size*(own-refuseEnds+1)}
+	if s.otherEnds(rec, pool) < size*(own-refuseEnds+1) {
+		return verdict{cause: true}
+	}
+	return inDoubt(ownEnds, refuseEnds)
+}
+
+// inDoubt returns the verdict on a request or part under which enough upstreams ended, which may have another cause.
+func inDoubt(own []magno.Millis, enough int) verdict {
+	slices.Sort(own)
+	return verdict{unprovenFrom: own[enough-1] + doubtDelay}
 }
 
 // judgePart returns the verdict on a part with these ends that nothing else explains.
@@ -138,7 +148,7 @@
 	if moments(own) >= partMoments {
 		return verdict{cause: true}
 	}
-	return verdict{unprovenFrom: own[partRefuseEnds-1] + partSettleTime} // moments has sorted them
+	return inDoubt(own, partRefuseEnds)
 }
 
 // Evidence returns how many of the ends under a request or part nothing else explains, and at how many
--- a/magno/crash/trial.go
+++ b/magno/crash/trial.go
@@ -10,8 +10,7 @@
 	maxTrials = 2
 	// maxTrialDoublings bounds how often further ends double the wait of a part.
 	maxTrialDoublings = 5
-	// maxUnprovenTrials bounds the requests with a part that may be the cause. The last one runs only if the others
-	// neither completed nor ended an upstream.
+	// maxUnprovenTrials bounds the requests that may be the cause. The last one runs later than the others.
 	maxUnprovenTrials = 3
 	// unprovenTrialGap is the least time between two of them: the end of an upstream under the first is known by then.
 	unprovenTrialGap = magno.Second
@@ -59,17 +58,17 @@
 	return true
 }
 
-// GrantUnproven reports whether a request with a part that may be the cause may run (Judge). Only one process of a fleet
-// may grant that.
-func (s *Suspects) GrantUnproven(part uint64) bool {
+// GrantUnproven reports whether a request that may be the cause, or has a part that may be, may run (Judge). Only one
+// process of a fleet may grant that.
+func (s *Suspects) GrantUnproven(print uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rec := s.get(part)
+	rec := s.get(print)
 	now := s.Clock.Now()
-	if until := s.clearedUntil(part); until != 0 && now-until < TrialWait {
+	if until := s.clearedUntil(print); until != 0 && now-until < TrialWait {
 		return true // the process that asks hasn't heard of it
 	}
-	if rec == nil || rec.count() < partRefuseEnds || now-s.startedAt < TrialWait {
+	if rec == nil || rec.count() < enoughEnds(print) || now-s.startedAt < TrialWait {
 		return false
 	}
 	gap := unprovenTrialGap
--- a/magno/crash/unproven_test.go
+++ b/magno/crash/unproven_test.go
@@ -65,7 +65,7 @@
 	s.TrialDue(rare) // the process runs
 	clock.Advance(TrialWait)
 	endPool(s, clock, 0, rare)
-	clock.Advance(partSettleTime)
+	clock.Advance(doubtDelay)
 	if list := unproven(s, rare); !slices.Equal(list, []uint64{rare}) || !s.GrantUnproven(rare) {
 		t.Fatalf("%v run one at a time, want the part, and one granted", list)
 	}
@@ -75,7 +75,7 @@
 	}
 	clock.Advance(partClearTime + 1)
 	endPool(s, clock, 1, rare)
-	clock.Advance(partSettleTime)
+	clock.Advance(doubtDelay)
 	if !s.GrantUnproven(rare) {
 		t.Error("none is granted after the pool failed again")
 	}
@@ -110,7 +110,7 @@
 	clock.Advance(TrialWait)
 	other.Clear(request(99, first, rare)...)
 	endPool(lone, clock, 0, first)
-	clock.Advance(partSettleTime)
+	clock.Advance(doubtDelay)
 	if !slices.Contains(unproven(lone, first, rare), first) {
 		t.Fatal("the part is in no doubt")
 	}
@@ -138,3 +138,48 @@
 		t.Error("never granted")
 	}
 }
+
+// Guards against a request that ends upstreams of a pool that fails by itself all the while, and is sent on for as
+// long as that does.
+func TestRequestInAFailingPoolRunsOneAtATime(t *testing.T) {
+	const size = 4
+	clock := magno.NewClock(magno.Hour)
+	s := newSuspects(clock, size)
+	s.TrialDue(1)
+	clock.Advance(TrialWait)
+	cause := RequestPrint(1)
+	upstream, sent := uint64(0), 0
+	end := func(prints ...uint64) {
+		upstream++
+		endAll(s, upstream, prints...)
+	}
+	for n := range 100 {
+		for k := range size { // the pool fails, each time under other requests
+			end(RequestPrint(uint64(1000 + size*n + k)))
+		}
+		refused, unproven := s.Judge(cause)
+		if refused == 0 && (len(unproven) == 0 || s.GrantUnproven(cause)) {
+			sent++
+			end(cause)
+		}
+		clock.Advance(magno.Second)
+	}
+	if most := refuseEnds + maxUnprovenTrials; sent > most {
+		t.Errorf("sent %d times, want %d at most", sent, most)
+	}
+	sound := RequestPrint(2)
+	for range refuseEnds {
+		end(sound)
+		for k := range size {
+			end(RequestPrint(uint64(5000 + k)))
+		}
+	}
+	clock.Advance(doubtDelay)
+	if refused, unproven := s.Judge(sound); refused != 0 || len(unproven) != 1 || !s.GrantUnproven(sound) {
+		t.Errorf("a sound request is refused (%d) or not granted (%v)", refused, unproven)
+	}
+	s.Clear(sound)
+	if _, unproven := s.Judge(sound); len(unproven) != 0 {
+		t.Error("a sound request is held back after it has completed")
+	}
+}
