--- a/drive/soak/fault.go
+++ b/drive/soak/fault.go
@@ -111,7 +111,12 @@
 		go f.end(u, f.current(u), "", minAway)
 		return "upstream crashes", none
 	case 26:
-		return "upstream frozen", u.handler.freeze()
+		thaw := u.handler.freeze()
+		u.proxy.disturb() // what waits there was sent before it arrives, and its answers may reach nobody
+		return "upstream frozen", func() {
+			thaw()
+			u.proxy.disturb()
+		}
 	case 24:
 		go f.endUntil(u, f.current(u), "", minAway, f.rebuild)
 		return "upstream comes back with another build", none
--- a/drive/soak/proxy.go
+++ b/drive/soak/proxy.go
@@ -64,13 +64,20 @@
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	p.mode = m
-	p.changedAt = append(p.changedAt, time.Now())
 	p.mu.Unlock()
+	p.disturb()
 	if m == modeReset {
 		p.resetAll()
 	}
 }
 
+// disturb records a fault of the path, or its end.
+func (p *proxy) disturb() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changedAt = append(p.changedAt, time.Now())
+}
+
 // resetAll resets the open connections.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
