relay: a stream under way clears the parts of its prompt

Cause: a part is cleared by streams that complete. Where upstreams end and entries are killed several times a second no long stream does, while each end counts for all parts of what ran there, also of streams that had run for long.

Change: what ends upstreams as they begin to answer doesn't let a stream run for half a second after its first event. Such a stream clears its parts, and an upstream that ends later counts for the request alone.

TestStreamUnderWayClearsItsParts: 2 ends under the part before, none now.

--- a/entry/relay/ending.go
+++ b/entry/relay/ending.go
@@ -85,7 +85,7 @@
 	if now := j.Book.Current().Find(key); (now != nil && now.Leaving) || j.Notices.Leaving(key) {
 		return
 	}
-	run := brokenRun{key: key, prints: j.prints, id: j.id, at: j.Clock.Now()}
+	run := brokenRun{key: key, prints: j.runPrints(), id: j.id, at: j.Clock.Now()}
 	h := j.Handler
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
@@ -132,7 +132,7 @@
 
 // noteCancelled remembers a run that was cancelled while the upstream ran it.
 func (j *job) noteCancelled(r *magno.Replica) {
-	run := brokenRun{key: r.Key(), prints: j.prints, id: j.id, at: j.Clock.Now()}
+	run := brokenRun{key: r.Key(), prints: j.runPrints(), id: j.id, at: j.Clock.Now()}
 	h := j.Handler
 	h.ends.mu.Lock()
 	defer h.ends.mu.Unlock()
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -87,6 +87,10 @@
 	// sentAt is when the last send began, sendNumber its number among those of the process.
 	sentAt     magno.Millis
 	sendNumber uint64
+	// begunAt is when the first event of the last send came, zero before. underWay is true once it was followed by
+	// one beginTime later.
+	begunAt  magno.Millis
+	underWay bool
 	// stopAbort ends the abort of the last send's connection by the end of the request's context, and
 	// returns false if that has begun.
 	stopAbort func() bool
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -163,6 +163,7 @@
 // recordArrival records that the upstream may have received the request, and may run it.
 func (j *job) recordArrival() {
 	j.arrived, j.unanswered = true, ""
+	j.begunAt, j.underWay = 0, false
 	j.arrivals++
 	j.mayHaveRun = true
 	j.runs++
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -25,6 +25,9 @@
 	firstEventTimeoutAims = 2
 	// maxEventSize bounds one event, in bytes.
 	maxEventSize = 1 << 20
+	// beginTime is how long after its first event a stream has begun for good: a part of its prompt that ends
+	// upstreams does so as they begin to answer.
+	beginTime = 500 * magno.Millis(1)
 	// streamBufferSize has room for a few events.
 	streamBufferSize = 2 << 10
 )
@@ -75,6 +78,7 @@
 		if j.events == 0 {
 			j.recordOrigin(r)
 		}
+		j.noteProgress()
 		j.sendHead(res)
 		if _, err := j.w.Write(event); err != nil {
 			return errors.Mark(err, errCallerGone)
@@ -89,6 +93,22 @@
 	}
 }
 
+// noteProgress is called for each event of the last send's upstream. It clears the parts of the prompt of ends once
+// the stream has begun for good.
+//
+// Load pattern: upstreams are killed so often that long streams never complete, and the part that all of them share
+// would have the most ends.
+func (j *job) noteProgress() {
+	now := j.Clock.Now()
+	switch {
+	case j.begunAt == 0:
+		j.begunAt = now
+	case !j.underWay && now-j.begunAt >= beginTime:
+		j.underWay = true
+		j.Suspects.Clear(j.prints[1:]...)
+	}
+}
+
 // recordEventTime records the time of the first event and the longest pause between two.
 func (j *job) recordEventTime() {
 	now := j.Clock.Now()
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -43,6 +43,15 @@
 	return magno.Refuse(magno.KindSuspect, "upstreams ended under this request")
 }
 
+// runPrints returns the fingerprints that the end of the last send's upstream counts for: not those of
+// parts once the stream is under way.
+func (j *job) runPrints() []uint64 {
+	if j.underWay {
+		return j.prints[:1]
+	}
+	return j.prints
+}
+
 // unprovenRefusal returns the refusal of a request that may end upstreams, while another one like it is tried.
 func unprovenRefusal() *magno.Refusal {
 	return magno.Refuse(magno.KindNoUpstream, "upstreams ended under requests like it, and another one is tried").WithRetryAfter(unprovenRetryAfter)
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -319,6 +319,41 @@
 	}
 }
 
+// Guards against a part that many streams share and that is taken for the cause, since upstreams are killed so often that
+// no long stream completes.
+func TestStreamUnderWayClearsItsParts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pause magno.Millis
+		ends  int
+	}{
+		{"it ends as it begins", 0, 2},
+		{"it ends under way", beginTime + 50, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s *testProxy
+			u := startUpstream(t, func(_ int, r *http.Request, conn net.Conn) bool {
+				writeStreamHead(conn, r.Header.Get("Id"))
+				writeChunk(conn, eventText(1))
+				time.Sleep(c.pause.Duration())
+				writeChunk(conn, eventText(2))
+				time.Sleep(20 * time.Millisecond)
+				s.permits.down.Store(true)
+				return false
+			})
+			s = newTestProxy(t, magno.RouteStream, true, u)
+			s.allowDelays()
+			s.Suspects.Clock = magno.NewClock(magno.Hour)
+			s.Suspects.RecordEnd(crash.PartPrint("shared"), magno.UpstreamEnd{Upstream: 1, Age: magno.Second})
+			_, _, _ = s.doWith(t, http.MethodGet, "/p/1", http.Header{"Id": {"1"}, "Part": {"shared"}}) // it is cut
+			s.awaitChecks(t)
+			if n := s.Suspects.Count(crash.PartPrint("shared")); n != c.ends {
+				t.Errorf("%d ends under the part, want %d", n, c.ends)
+			}
+		})
+	}
+}
+
 // Guards against a refused request that is tried and then sent to further upstreams, and against one
 // that completes in its trial and stays refused.
 func TestTriedRequestIsSentOnce(t *testing.T) {
