--- a/entry/relay/arrive_test.go
+++ b/entry/relay/arrive_test.go
@@ -135,6 +135,7 @@
 			if n := s.waiters(); n != 0 {
 				t.Errorf("%d requests still count as waiting", n)
 			}
+			s.pools.checkBudget(t, 0)
 		})
 	}
 }
--- a/entry/relay/decline_test.go
+++ b/entry/relay/decline_test.go
@@ -36,6 +36,7 @@
 	if work := s.pools.work(first); work != 0 {
 		t.Errorf("%d tokens of work still count at the declining engine", work)
 	}
+	s.pools.checkBudget(t, 0)
 }
 
 // All engines decline, as happens when all are busy and their reports cross. The request must
--- a/entry/relay/retry_test.go
+++ b/entry/relay/retry_test.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,6 +100,56 @@
 	}
 }
 
+// startUpstreamThatStopsReading starts an upstream that reads the header of each request and closes the connection.
+func startUpstreamThatStopsReading(t *testing.T) (u *fakeUpstream, arrivals *atomic.Int32) {
+	t.Helper()
+	arrivals = &atomic.Int32{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReaderSize(c, 1024)); err == nil {
+				arrivals.Add(1)
+			}
+			_ = c.Close()
+		}
+	}()
+	return &fakeUpstream{addr: l.Addr().String(), listener: l}, arrivals
+}
+
+// Guards against a send that an upstream counts as an arrival and the entry doesn't: of a long body only a part was
+// written.
+func TestPartlyWrittenRequestIsAnArrival(t *testing.T) {
+	u, arrivals := startUpstreamThatStopsReading(t)
+	v := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		writeResponse(c, r.Header.Get("Id"), http.StatusOK, "yes")
+		return true
+	})
+	s := newTestProxy(t, magno.RouteIdempotent, false, u, v)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", bytes.NewReader(make([]byte, 3<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Id", "1")
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if n := arrivals.Load(); res.StatusCode != http.StatusOK || n != 1 || v.requestCount() != 1 {
+		t.Errorf("got %d after %d and %d arrivals, want one each", res.StatusCode, n, v.requestCount())
+	}
+	s.pools.checkBudget(t, 1)
+}
+
 // Guards against a retry that counts in the window in which it is sent only, while its request, or the one before,
 // waits at an upstream that doesn't read.
 func TestRetriesOfUnansweredRequestsAreTold(t *testing.T) {
--- a/entry/relay/stream_test.go
+++ b/entry/relay/stream_test.go
@@ -35,6 +35,7 @@
 	if err != nil || res.StatusCode != 200 || body != eventText(1)+eventText(2)+eventText(3)+eventText(4) {
 		t.Fatalf("got %v %q %v", res, body, err)
 	}
+	s.pools.checkBudget(t, 1)
 }
 
 // A stream that may not be resumed breaks off. Its caller must be able to tell that it is
