crash, relay: a refused part is tried soon, right before the send

Cause: the first trial came 10 s after the last end, doubled for each further end, and was granted before an upstream was looked for, so that it was lost if none could be had.

There are two at most as before, so the rule's bound holds (TestTrialsOfAPartAreFew).

--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -82,7 +82,7 @@
 	// arrivals counts the upstreams that may have received it, unanswered is the last of them if it gave no sign.
 	arrivals   int
 	unanswered string
-	// trial is true for a request that is refused and may be sent once all the same.
+	// trial is true for a request that is refused and was sent once all the same.
 	trial bool
 	// sentAt is when the last send began, sendNumber its number among those of the process.
 	sentAt     magno.Millis
@@ -169,7 +169,7 @@
 		j.refuse(refusal)
 		return
 	}
-	if refusal := j.checkSuspect(ctx); refusal != nil {
+	if refusal := j.checkSuspect(); refusal != nil {
 		j.refuse(refusal)
 		return
 	}
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -44,9 +44,9 @@
 func (j *job) send(ctx context.Context, r *magno.Replica, urgency int) result {
 	key := r.Key()
 	j.lastReplica = key
-	if !j.trial && j.Suspects.Refused(j.prints...) != 0 {
+	if refusal := j.checkSuspect(); refusal != nil {
 		// Upstreams ended under it while it waited or was sent before.
-		j.refusal = suspectRefusal()
+		j.refusal = refusal
 		return resultRefused
 	}
 	if now := j.Book.Current().Find(key); now != nil {
@@ -69,7 +69,7 @@
 	j.stopAbort = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(pastDeadline, 0)) })
 	defer j.stopAbort()
 	conn.OnTimeout = func() bool { return j.awaitsAnswer(ctx, conn) }
-	j.trial, j.connOpenedAt = false, conn.OpenedAt
+	j.connOpenedAt = conn.OpenedAt
 	j.tried = append(j.tried, key)
 	j.sends++
 	j.sentAt, j.sendNumber = j.Clock.Now(), j.sendCount.Add(1)
@@ -109,7 +109,7 @@
 // maySendNow is maySend, unless the request is in doubt and another one is tried first, the caller is gone or too
 // little time is left for an answer.
 func (j *job) maySendNow(ctx context.Context, key string) result {
-	if refusal := j.checkUnproven(ctx); refusal != nil {
+	if refusal := j.askToSend(ctx); refusal != nil {
 		j.refusal = refusal
 		return resultRefused
 	}
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -57,34 +57,30 @@
 	return magno.Refuse(magno.KindNoUpstream, "upstreams ended under requests like it, and another one is tried").WithRetryAfter(unprovenRetryAfter)
 }
 
-// checkSuspect returns the refusal of a request that must not be sent because upstreams ended under it, nil if it
+// checkSuspect returns the refusal of a request that surely must not be sent because upstreams ended under it, nil if it
 // may be.
-func (j *job) checkSuspect(ctx context.Context) *magno.Refusal {
+func (j *job) checkSuspect() *magno.Refusal {
 	cause, unproven := j.Suspects.Judge(j.prints...)
-	if cause != 0 {
-		j.trial = j.Trials != nil && j.Trials.Ask(ctx, cause)
-		if !j.trial {
-			return suspectRefusal()
-		}
-		return nil
-	}
-	if len(unproven) > 0 && j.Trials != nil && !j.Trials.MayAsk(unproven) {
+	switch {
+	case cause != 0 && (j.trial || j.Trials == nil || !j.Trials.MayTry(cause)):
+		return suspectRefusal()
+	case cause == 0 && len(unproven) > 0 && j.Trials != nil && !j.Trials.MayAsk(unproven):
 		return unprovenRefusal()
 	}
 	return nil
 }
 
-// checkUnproven is called once there is a connection to an upstream. It returns a refusal if the request may end
-// upstreams and another one like it is tried first.
-func (j *job) checkUnproven(ctx context.Context) *magno.Refusal {
-	if j.trial || j.Trials == nil {
-		return nil
-	}
+// askToSend is called once there is a connection to an upstream. It returns a refusal if upstreams ended under the
+// request, and another one like it, or none, is tried now.
+func (j *job) askToSend(ctx context.Context) *magno.Refusal {
 	cause, unproven := j.Suspects.Judge(j.prints...)
 	switch {
 	case cause != 0:
-		return suspectRefusal()
-	case len(unproven) > 0 && !j.Trials.AskUnproven(ctx, unproven):
+		if j.trial || j.Trials == nil || !j.Trials.Ask(ctx, cause) {
+			return suspectRefusal()
+		}
+		j.trial = true
+	case len(unproven) > 0 && j.Trials != nil && !j.Trials.AskUnproven(ctx, unproven):
 		return unprovenRefusal()
 	}
 	return nil
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -285,6 +285,8 @@
 	return true
 }
 
+func (g *grantTrials) MayTry(uint64) bool { return true }
+
 // AskUnproven grants the first request.
 func (g *grantTrials) AskUnproven(context.Context, []uint64) bool {
 	g.asked++
--- a/entry/trial/trial.go
+++ b/entry/trial/trial.go
@@ -73,6 +73,11 @@
 	return m.Suspects.TrialDue(fingerprint) && m.ask(ctx, call{Fingerprint: fingerprint})
 }
 
+// MayTry reports whether Ask would ask now.
+func (m *Manager) MayTry(fingerprint uint64) bool {
+	return m.Suspects.TrialDue(fingerprint) && m.MayAsk([]uint64{fingerprint})
+}
+
 // AskUnproven reports whether a request may be sent now with fingerprints that may be the cause.
 func (m *Manager) AskUnproven(ctx context.Context, prints []uint64) bool {
 	for _, print := range slices.Backward(prints) { // sound requests have the first parts in common
--- a/magno/crash/trial.go
+++ b/magno/crash/trial.go
@@ -6,6 +6,9 @@
 	// TrialWait is how long after its last end a refused request may be tried, and how long a
 	// process that starts or has tried it waits before that.
 	TrialWait = 10 * magno.Second
+	// partTrialWait is TrialWait for the first trial of a part: upstreams are back after it. All requests that share a
+	// sound part are refused until then.
+	partTrialWait = holdTime
 	// maxTrials bounds the trials of a request or part.
 	maxTrials = 2
 	// maxTrialDoublings bounds how often further ends double the wait of a part.
@@ -22,7 +25,7 @@
 // Load pattern: upstreams are killed for a while, and some of the many requests that run there are hit
 // three times in a row. Their callers send them for as long as records are kept, and nobody else can
 // clear them. Several requests with a part may have run before that was refused, so it is tried after
-// more ends, too, but the later the more there are.
+// more ends, too: soon for the first time, then the later the more there are.
 func (s *Suspects) TrialDue(fingerprint uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -33,7 +36,10 @@
 // trialDue is TrialDue for a record. The caller holds mu.
 func (s *Suspects) trialDue(print uint64, rec *record) bool {
 	now, more, wait := s.Clock.Now(), rec.count()-enoughEnds(print), TrialWait
-	if isPart(print) && more > 0 {
+	switch {
+	case isPart(print) && rec.trials == 0:
+		wait, more = partTrialWait, 0
+	case isPart(print) && more > 0:
 		wait <<= min(more, maxTrialDoublings)
 		more = 0
 	}
--- a/magno/crash/unproven_test.go
+++ b/magno/crash/unproven_test.go
@@ -190,3 +190,25 @@
 		t.Error("a sound request is held back after it has completed")
 	}
 }
+
+// Guards against all requests that share a sound part being refused for long, where so many upstreams ended that it was
+// taken for the cause.
+func TestFirstTrialOfAPartComesSoon(t *testing.T) {
+	s, clock := newPool()
+	s.TrialDue(first)
+	for n := range partRefuseEnds + 2 {
+		clock.Advance(momentGap)
+		endAll(s, uint64(n), request(n, first)...)
+	}
+	if s.Refused(request(9, first)...) != first || s.TrialDue(first) {
+		t.Fatal("the part isn't refused, or tried at once")
+	}
+	clock.Advance(partTrialWait)
+	if !s.TrialDue(first) || !s.GrantTrial(first) || s.GrantTrial(first) {
+		t.Error("not tried once, and only once, when upstreams are back")
+	}
+	s.Clear(request(9, first)...)
+	if s.Refused(request(10, first)...) != 0 {
+		t.Error("refused after its trial completed")
+	}
+}
