--- a/drive/soak/rest.go
+++ b/drive/soak/rest.go
@@ -24,7 +24,7 @@
 		if turned.Notice.Rest <= restDelay || entry < 0 {
 			continue
 		}
-		n := 0
+		n, first := 0, time.Time{}
 		for _, a := range arrivals[i+1:] {
 			since := a.At.Sub(turned.At)
 			if since > turned.Notice.Rest || a.Life != turned.Life {
@@ -32,10 +32,14 @@
 			}
 			if since > restDelay && o.entry(a.ID) == entry && !o.disturbed(entry, w, turned.At, a.At) {
 				n++
+				if first.IsZero() {
+					first = a.At
+				}
 			}
 		}
 		if n > restSlack {
-			broken = append(broken, fmt.Sprintf("upstream %s asked entry %d for %s without requests and got %d", w.ID, entry, turned.Notice.Rest, n))
+			broken = append(broken, fmt.Sprintf("upstream %s asked entry %d in its answer to %s at %s for %s without requests and got %d, the first %d ms later",
+				w.ID, entry, turned.ID, turned.At.Format(time.StampMilli), turned.Notice.Rest, n, first.Sub(turned.At).Milliseconds()))
 		}
 	}
 	return broken
