hop: the header of an answer has a bound

64 KB are read of a header, interim responses included; then the connection is closed and the request goes on elsewhere within its attempts and the budget.

--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -48,6 +48,9 @@
 	maxIdlePerUpstream = 64
 	// readBufferBytes is enough for a response header and one or two events.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the header of a response, the interim ones before it included: four times what the
+	// platform allows callers. What is longer is no response.
+	maxHeadBytes = 64 << 10
 	// maxSkippedBytes bounds what is read of a response to another request.
 	maxSkippedBytes = 1 << 20
 )
@@ -80,8 +83,14 @@
 	key     string
 	reader  *bufio.Reader
 	expires magno.Millis
+	// headLeft is how many more bytes may be read while a header is read (inHead).
+	inHead   bool
+	headLeft int
 }
 
+// errHeadTooLong is the error of a response whose header exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("the header is too long")
+
 // Get returns a connection to an upstream: the most recently used idle one, or a new one.
 // The key identifies an incarnation of the upstream; its successor gets new connections.
 func (p *Pool) Get(ctx context.Context, key, addr string) (*Conn, error) {
@@ -156,9 +165,19 @@
 
 // Read implements net.Conn. It continues after a timeout if OnTimeout says so. The readers of a response
 // can't be used any more after an error, so this is decided here.
+//
+// Load pattern: an upstream sends a line, or header fields, without end and as fast as they are read. The readers of a
+// header have no bound, so the bytes that they get have one.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.inHead && c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	if c.inHead {
+		p = p[:min(len(p), c.headLeft)]
+	}
 	for {
 		n, err := c.Conn.Read(p)
+		c.headLeft -= n
 		if n > 0 || c.OnTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.OnTimeout() {
 			return n, err
 		}
@@ -320,18 +339,27 @@
 	return errors.Mark(errors.Wrap(err, "write request"), ErrSent)
 }
 
+// readHead reads the header of the next response that isn't an interim one.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.inHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.inHead = false }()
+	for {
+		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || res.StatusCode >= http.StatusOK {
+			return res, err
+		}
+	}
+}
+
 // Receive reads the header of the response to a request with this method. Responses that
 // accept rejects belong to another request and are skipped: an upstream may send a second
 // response late, where the next one is expected.
 func (c *Conn) Receive(method string, accept func(*http.Response) bool) (*http.Response, error) {
 	for {
-		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		res, err := c.readHead(method)
 		if err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "read response"), ErrSent)
 		}
-		if res.StatusCode < http.StatusOK {
-			continue // an interim response
-		}
 		if accept(res) {
 			return res, nil
 		}
--- a/entry/relay/unframed_test.go
+++ b/entry/relay/unframed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,3 +113,37 @@
 		})
 	}
 }
+
+// Guards against a request that is lost, or waits until its time is over, at an upstream that sends a header without
+// end, while another one could serve it.
+func TestHeadWithoutEndIsSentElsewhere(t *testing.T) {
+	for name, text := range map[string]string{"a line": "x", "header fields": "A: b\r\n", "interim responses": "HTTP/1.1 100 x\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{})
+			u := startUpstream(t, func(_ int, _ *http.Request, c net.Conn) bool {
+				defer close(closed)
+				if text == "A: b\r\n" {
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
+				}
+				block := []byte(strings.Repeat(text, 1000))
+				for {
+					if _, err := c.Write(block); err != nil {
+						return false
+					}
+				}
+			})
+			v := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+				writeResponse(c, r.Header.Get("Id"), http.StatusOK, "yes")
+				return true
+			})
+			s := newTestProxy(t, magno.RouteIdempotent, false, u, v)
+			s.allowDelays()
+			res, body, err := s.get(t, http.MethodGet, "1")
+			if err != nil || res.StatusCode != http.StatusOK || body != "yes" {
+				t.Errorf("got %v %q %v, want the answer of the other upstream", res, body, err)
+			}
+			<-closed
+			s.pools.checkBudget(t, 1)
+		})
+	}
+}
