trial, crash: the trial of a shared part is left to sound requests

Cause: a request with several parts that are refused asked for a trial of the first one, so that requests with a fatal part beside the shared one used up the trials of that.

Change: a request needs the trials of all its refused parts, and asks for those of the last parts first, which sound requests don't have. While the home of the fatal part grants none, the others aren't asked. TestTrialOfASharedPartIsLeftToSoundRequests.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -101,10 +101,10 @@
 
 // Trials decides whether a request that upstreams ended under may be sent.
 type Trials interface {
-	// Ask reports whether a request that is refused because of a fingerprint may be sent once. MayTry returns
-	// false if it surely may not.
-	Ask(ctx context.Context, fingerprint uint64) bool
-	MayTry(fingerprint uint64) bool
+	// Ask reports whether a request that is refused because of these fingerprints may be sent once. MayTry
+	// returns false if it surely may not.
+	Ask(ctx context.Context, prints []uint64) bool
+	MayTry(prints []uint64) bool
 	// AskUnproven reports whether a request may be sent now with fingerprints that may be the cause. MayAsk
 	// returns false if it surely may not.
 	AskUnproven(ctx context.Context, prints []uint64) bool
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -60,11 +60,11 @@
 // checkSuspect returns the refusal of a request that surely must not be sent because upstreams ended under it, nil if it
 // may be.
 func (j *job) checkSuspect() *magno.Refusal {
-	cause, unproven := j.Suspects.Judge(j.prints...)
+	causes, unproven := j.Suspects.Judge(j.prints...)
 	switch {
-	case cause != 0 && (j.trial || j.Trials == nil || !j.Trials.MayTry(cause)):
+	case len(causes) > 0 && (j.trial || j.Trials == nil || !j.Trials.MayTry(causes)):
 		return suspectRefusal()
-	case cause == 0 && len(unproven) > 0 && j.Trials != nil && !j.Trials.MayAsk(unproven):
+	case len(unproven) > 0 && j.Trials != nil && !j.Trials.MayAsk(unproven):
 		return unprovenRefusal()
 	}
 	return nil
@@ -73,14 +73,14 @@
 // askToSend is called once there is a connection to an upstream. It returns a refusal if upstreams ended under the
 // request, and another one like it, or none, is tried now.
 func (j *job) askToSend(ctx context.Context) *magno.Refusal {
-	cause, unproven := j.Suspects.Judge(j.prints...)
-	switch {
-	case cause != 0:
-		if j.trial || j.Trials == nil || !j.Trials.Ask(ctx, cause) {
+	causes, unproven := j.Suspects.Judge(j.prints...)
+	if len(causes) > 0 {
+		if j.trial || j.Trials == nil || !j.Trials.Ask(ctx, causes) {
 			return suspectRefusal()
 		}
 		j.trial = true
-	case len(unproven) > 0 && j.Trials != nil && !j.Trials.AskUnproven(ctx, unproven):
+	}
+	if len(unproven) > 0 && j.Trials != nil && !j.Trials.AskUnproven(ctx, unproven) {
 		return unprovenRefusal()
 	}
 	return nil
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -280,12 +280,12 @@
 	resting bool
 }
 
-func (g *grantTrials) Ask(context.Context, uint64) bool {
+func (g *grantTrials) Ask(context.Context, []uint64) bool {
 	g.asked++
 	return true
 }
 
-func (g *grantTrials) MayTry(uint64) bool { return true }
+func (g *grantTrials) MayTry([]uint64) bool { return true }
 
 // AskUnproven grants the first request.
 func (g *grantTrials) AskUnproven(context.Context, []uint64) bool {
--- a/entry/trial/trial.go
+++ b/entry/trial/trial.go
@@ -68,20 +68,29 @@
 	m.Mesh.Handle(MethodTrial, m.handleTrial)
 }
 
-// Ask reports whether a refused request may be sent once.
-func (m *Manager) Ask(ctx context.Context, fingerprint uint64) bool {
-	return m.Suspects.TrialDue(fingerprint) && m.ask(ctx, call{Fingerprint: fingerprint})
+// Ask reports whether a request that is refused because of these fingerprints may be sent once.
+func (m *Manager) Ask(ctx context.Context, prints []uint64) bool {
+	return m.isDue(prints) && m.askAll(ctx, prints, false)
 }
 
 // MayTry reports whether Ask would ask now.
-func (m *Manager) MayTry(fingerprint uint64) bool {
-	return m.Suspects.TrialDue(fingerprint) && m.MayAsk([]uint64{fingerprint})
+func (m *Manager) MayTry(prints []uint64) bool { return m.isDue(prints) && m.MayAsk(prints) }
+
+// isDue reports whether trials of all fingerprints are due.
+func (m *Manager) isDue(prints []uint64) bool {
+	return !slices.ContainsFunc(prints, func(print uint64) bool { return !m.Suspects.TrialDue(print) })
 }
 
 // AskUnproven reports whether a request may be sent now with fingerprints that may be the cause.
 func (m *Manager) AskUnproven(ctx context.Context, prints []uint64) bool {
-	for _, print := range slices.Backward(prints) { // sound requests have the first parts in common
-		if !m.ask(ctx, call{Fingerprint: print, Unproven: true}) {
+	return m.askAll(ctx, prints, true)
+}
+
+// askAll asks the homes of all fingerprints, those of the last parts first. Sound requests have the first ones in common
+// with the others, which would use their trials up.
+func (m *Manager) askAll(ctx context.Context, prints []uint64, unproven bool) bool {
+	for _, print := range slices.Backward(prints) {
+		if !m.ask(ctx, call{Fingerprint: print, Unproven: unproven}) {
 			return false
 		}
 	}
--- a/entry/trial/trial_test.go
+++ b/entry/trial/trial_test.go
@@ -57,7 +57,7 @@
 		for _, m := range all {
 			for range 10 {
 				asking.Go(func() {
-					if m.Ask(context.Background(), fingerprint) {
+					if m.Ask(context.Background(), []uint64{fingerprint}) {
 						granted.Add(1)
 					}
 				})
@@ -86,7 +86,7 @@
 	m := startManager(t, clock, fingerprint)
 	m.Homes = func(string) []string { return []string{"127.0.0.1:1", m.Self} }
 	clock.Advance(crash.TrialWait)
-	if m.Ask(context.Background(), fingerprint) {
+	if m.Ask(context.Background(), []uint64{fingerprint}) {
 		t.Error("tried without the home")
 	}
 }
@@ -126,3 +126,28 @@
 		t.Error("the home is asked again at once")
 	}
 }
+
+// Guards against the trial of a part that sound requests share being used up by one that also has a part which ends
+// upstreams: the home of that grants none, so the other isn't asked.
+func TestTrialOfASharedPartIsLeftToSoundRequests(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	shared, fatal := crash.PartPrint("shared"), crash.PartPrint("dead")
+	m := startManager(t, clock, 7)
+	m.Homes = func(string) []string { return []string{m.Self} }
+	for u := range uint64(8) {
+		m.Suspects.RecordEnd(shared, magno.UpstreamEnd{Upstream: u + 1, Pool: 1})
+		m.Suspects.RecordEnd(fatal, magno.UpstreamEnd{Upstream: u + 1, Pool: 1})
+		clock.Advance(magno.Second)
+	}
+	clock.Advance(crash.TrialWait)
+	if !m.Ask(context.Background(), []uint64{fatal}) {
+		t.Fatal("the fatal part is never tried")
+	}
+	clock.Advance(askInterval)
+	if m.Ask(context.Background(), []uint64{shared, fatal}) {
+		t.Error("tried twice in a row")
+	}
+	if !m.Ask(context.Background(), []uint64{shared}) {
+		t.Error("the trial of the shared part is used up")
+	}
+}
--- a/magno/crash/judge.go
+++ b/magno/crash/judge.go
@@ -22,20 +22,23 @@
 // the request itself carries is no excuse: a part that always came with the one that ends upstreams is
 // explained by that for the requests without it.
 func (s *Suspects) Refused(prints ...uint64) uint64 {
-	cause, _ := s.Judge(prints...)
-	return cause
+	causes, _ := s.Judge(prints...)
+	if len(causes) == 0 {
+		return 0
+	}
+	return causes[0]
 }
 
-// Judge returns what Refused does and, if that is zero, the fingerprints that may be the cause. Requests with one of
-// them must run one at a time, each with the grant of one process for all (GrantUnproven).
+// Judge returns the fingerprints of a request because of which upstreams end, and those that may be the cause. Requests
+// with one of the latter must run one at a time, each with the grant of one process for all (GrantUnproven).
 //
 // Load pattern: many requests with a part that ends upstreams come at once. All upstreams of a pool end within a
 // moment, as they do when the pool fails. Until they are back no end can tell the two apart, and then all that wait
 // would end them again. Or a request ends upstreams of a pool that fails all the while, and is never told from what
 // runs there.
-func (s *Suspects) Judge(prints ...uint64) (cause uint64, unproven []uint64) {
+func (s *Suspects) Judge(prints ...uint64) (causes, unproven []uint64) {
 	if s == nil {
-		return 0, nil
+		return nil, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -46,12 +49,12 @@
 		}
 		switch v := s.verdictOn(print, prints); {
 		case v.cause:
-			return print, nil
+			causes = append(causes, print)
 		case v.unprovenFrom != 0 && now >= v.unprovenFrom:
 			unproven = append(unproven, print)
 		}
 	}
-	return 0, unproven
+	return causes, unproven
 }
 
 // verdictOn returns whether upstreams end because of one of the fingerprints of a request. The caller
--- a/magno/crash/unproven_test.go
+++ b/magno/crash/unproven_test.go
@@ -29,8 +29,8 @@
 	clock.Advance(TrialWait)
 	s.Clear(request(99, first, rare)...)
 	endPool(s, clock, 0, first, fatal)
-	if cause, list := s.Judge(request(900, first, fatal)...); cause != 0 || len(list) != 0 {
-		t.Errorf("judged before news of completions could arrive: %d, %v", cause, list)
+	if causes, list := s.Judge(request(900, first, fatal)...); len(causes) != 0 || len(list) != 0 {
+		t.Errorf("judged before news of completions could arrive: %v, %v", causes, list)
 	}
 	granted := 0
 	for life := 1; life <= 20; life++ {
@@ -54,8 +54,8 @@
 	if s.Refused(request(900, first, fatal)...) != fatal {
 		t.Error("the part is never refused")
 	}
-	if cause, list := s.Judge(request(901, first, rare)...); cause != 0 || len(list) != 0 {
-		t.Errorf("a sound request with the same first part: %d, %v", cause, list)
+	if causes, list := s.Judge(request(901, first, rare)...); len(causes) != 0 || len(list) != 0 {
+		t.Errorf("a sound request with the same first part: %v, %v", causes, list)
 	}
 }
 
@@ -70,8 +70,8 @@
 		t.Fatalf("%v run one at a time, want the part, and one granted", list)
 	}
 	s.Clear(request(900, rare)...)
-	if cause, list := s.Judge(request(901, rare)...); cause != 0 || len(list) != 0 {
-		t.Errorf("after one completed: %d, %v", cause, list)
+	if causes, list := s.Judge(request(901, rare)...); len(causes) != 0 || len(list) != 0 {
+		t.Errorf("after one completed: %v, %v", causes, list)
 	}
 	clock.Advance(partClearTime + 1)
 	endPool(s, clock, 1, rare)
@@ -165,7 +165,7 @@
 			end(RequestPrint(uint64(1000 + size*n + k)))
 		}
 		refused, unproven := s.Judge(cause)
-		if refused == 0 && (len(unproven) == 0 || s.GrantUnproven(cause)) {
+		if len(refused) == 0 && (len(unproven) == 0 || s.GrantUnproven(cause)) {
 			sent++
 			end(cause)
 		}
@@ -182,8 +182,8 @@
 		}
 	}
 	clock.Advance(doubtDelay)
-	if refused, unproven := s.Judge(sound); refused != 0 || len(unproven) != 1 || !s.GrantUnproven(sound) {
-		t.Errorf("a sound request is refused (%d) or not granted (%v)", refused, unproven)
+	if refused, unproven := s.Judge(sound); len(refused) != 0 || len(unproven) != 1 || !s.GrantUnproven(sound) {
+		t.Errorf("a sound request is refused (%v) or not granted (%v)", refused, unproven)
 	}
 	s.Clear(sound)
 	if _, unproven := s.Judge(sound); len(unproven) != 0 {
