--- a/entry/hop/endless_test.go
+++ b/entry/hop/endless_test.go
@@ -45,7 +45,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			e := &endless{first: c.first, rest: c.rest}
 			conn := newConn(e)
-			_, err := conn.Receive(http.MethodGet, func(*http.Response) bool { return true })
+			res, err := conn.Receive(http.MethodGet, func(*http.Response) bool { return true })
+			if err == nil {
+				_ = res.Body.Close()
+			}
 			if err == nil || !errors.Is(err, ErrSent) {
 				t.Errorf("got %v, want an error after which the request may have been sent", err)
 			}
@@ -67,6 +70,7 @@
 			t.Fatal(err)
 		}
 		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
 		if err != nil || len(body) != 1_000_000 {
 			t.Fatalf("read %d bytes of the body, %v", len(body), err)
 		}
--- a/entry/trial/trial_test.go
+++ b/entry/trial/trial_test.go
@@ -12,8 +12,11 @@
 	"magnoliastall.example/magno/wire"
 )
 
-// startManager returns the manager of an entry that refuses a request with the given fingerprint.
-func startManager(t *testing.T, clock *magno.Clock, fingerprint uint64) *Manager {
+// suspect is the fingerprint of a request that is refused.
+const suspect = 7
+
+// startManager returns the manager of an entry that refuses the request suspect.
+func startManager(t *testing.T, clock *magno.Clock) *Manager {
 	t.Helper()
 	mesh := &wire.Mesh{Listen: "127.0.0.1:0"}
 	if err := mesh.Open(); err != nil {
@@ -24,7 +27,7 @@
 		Suspects: &crash.Suspects{Clock: clock, PoolSize: func(uint64) int { return 4 }},
 	}
 	for u := range uint64(3) {
-		m.Suspects.RecordEnd(fingerprint, magno.UpstreamEnd{Upstream: u + 1, Pool: 1})
+		m.Suspects.RecordEnd(suspect, magno.UpstreamEnd{Upstream: u + 1, Pool: 1})
 	}
 	m.Open()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -42,11 +45,10 @@
 // Guards against copies of a request that reach several entries at once and are tried by each: a
 // request that ends upstreams would end one for each entry.
 func TestCopiesAtAllEntriesAreTriedOnce(t *testing.T) {
-	const fingerprint = 7
 	clock := magno.NewClock(magno.Hour)
 	var all []*Manager
 	for range 3 {
-		all = append(all, startManager(t, clock, fingerprint))
+		all = append(all, startManager(t, clock))
 	}
 	for _, m := range all {
 		m.Homes = func(string) []string { return []string{all[0].Self, all[1].Self} }
@@ -57,7 +59,7 @@
 		for _, m := range all {
 			for range 10 {
 				asking.Go(func() {
-					if m.Ask(context.Background(), []uint64{fingerprint}) {
+					if m.Ask(context.Background(), []uint64{suspect}) {
 						granted.Add(1)
 					}
 				})
@@ -81,12 +83,11 @@
 
 // Guards against an entry that decides by itself while the home can't be reached.
 func TestNoTrialWithoutTheHome(t *testing.T) {
-	const fingerprint = 7
 	clock := magno.NewClock(magno.Hour)
-	m := startManager(t, clock, fingerprint)
+	m := startManager(t, clock)
 	m.Homes = func(string) []string { return []string{"127.0.0.1:1", m.Self} }
 	clock.Advance(crash.TrialWait)
-	if m.Ask(context.Background(), []uint64{fingerprint}) {
+	if m.Ask(context.Background(), []uint64{suspect}) {
 		t.Error("tried without the home")
 	}
 }
@@ -97,7 +98,7 @@
 	part := crash.PartPrint("dead")
 	var all []*Manager
 	for range 3 {
-		m := startManager(t, clock, 7)
+		m := startManager(t, clock)
 		for u := range uint64(6) {
 			m.Suspects.RecordEnd(part, magno.UpstreamEnd{Upstream: u + 1, Pool: 1})
 		}
@@ -132,7 +133,7 @@
 func TestTrialOfASharedPartIsLeftToSoundRequests(t *testing.T) {
 	clock := magno.NewClock(magno.Hour)
 	shared, fatal := crash.PartPrint("shared"), crash.PartPrint("dead")
-	m := startManager(t, clock, 7)
+	m := startManager(t, clock)
 	m.Homes = func(string) []string { return []string{m.Self} }
 	for u := range uint64(8) {
 		m.Suspects.RecordEnd(shared, magno.UpstreamEnd{Upstream: u + 1, Pool: 1})
