allow: a retry without a sign of its upstream counts for half a minute at most

After some minutes the budget would have had no retry left for requests at other upstreams. Each now counts for half a minute by itself.

--- a/magno/allow/allow.go
+++ b/magno/allow/allow.go
@@ -34,9 +34,9 @@
 	// unevenly and for processes that count each other late.
 	steadyShare  = 0.65
 	restartShare = 0.25
-	// silenceTime is how long requests that got no sign of an upstream may still be read there. It bounds what one
-	// that never answers again takes of the budget.
-	silenceTime = magno.Minute
+	// silenceTime is how long a request that got no sign of an upstream counts as one that may still be read there.
+	// It bounds what an upstream that never answers again takes of the budget.
+	silenceTime = 30 * magno.Second
 )
 
 // Budget is the retry budget of one process for one service. It is safe for concurrent
@@ -56,13 +56,7 @@
 	requests, retries slide.Sum
 	reserved          int
 	// unanswered are the retries that count while an upstream is silent, by its name.
-	unanswered map[string]unanswered
-}
-
-// unanswered is a number of retries, the last one of a time.
-type unanswered struct {
-	count  int
-	lastAt magno.Millis
+	unanswered map[string]*slide.Sum
 }
 
 // RecordRequest counts a received request.
@@ -126,32 +120,36 @@
 func (b *Budget) Answered(upstream string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	u, ok := b.unanswered[upstream]
-	if !ok {
+	u := b.unanswered[upstream]
+	if u == nil {
 		return
 	}
 	delete(b.unanswered, upstream)
 	b.setWindows()
-	b.retries.Add(float64(u.count), b.Clock.Now())
+	now := b.Clock.Now()
+	b.retries.Add(u.Total(now), now)
 }
 
 // addUnanswered counts a retry while an upstream is silent. The caller holds mu.
 func (b *Budget) addUnanswered(upstream string, now magno.Millis) {
 	if b.unanswered == nil {
-		b.unanswered = map[string]unanswered{}
+		b.unanswered = map[string]*slide.Sum{}
+	}
+	if b.unanswered[upstream] == nil {
+		b.unanswered[upstream] = &slide.Sum{Window: silenceTime}
 	}
-	b.unanswered[upstream] = unanswered{count: b.unanswered[upstream].count + 1, lastAt: now}
+	b.unanswered[upstream].Add(1, now)
 }
 
 // used returns the number of retries that count now. The caller holds mu.
 func (b *Budget) used(now magno.Millis) float64 {
 	n := b.retries.Total(now)
 	for upstream, u := range b.unanswered {
-		if now-u.lastAt >= silenceTime {
+		waiting := u.Total(now)
+		if waiting == 0 {
 			delete(b.unanswered, upstream)
-			continue
 		}
-		n += float64(u.count)
+		n += waiting
 	}
 	return n
 }
