--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -257,12 +257,18 @@
 	return p.run(ctx)
 }
 
-func serve(ctx context.Context, address string, h http.Handler) error {
+// listenAt listens at an address, which an earlier fleet may still be closing.
+func listenAt(ctx context.Context, address string) (net.Listener, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	for end := time.Now().Add(portTimeout); err != nil && time.Now().Before(end); l, err = lc.Listen(ctx, "tcp", address) {
-		time.Sleep(10 * time.Millisecond) // an earlier fleet may still be closing it
+		time.Sleep(10 * time.Millisecond)
 	}
+	return l, err
+}
+
+func serve(ctx context.Context, address string, h http.Handler) error {
+	l, err := listenAt(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/drive/soak/proxy.go
+++ b/drive/soak/proxy.go
@@ -39,8 +39,7 @@
 
 // run forwards connections until ctx ends.
 func (p *proxy) run(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", p.listen)
+	l, err := listenAt(ctx, p.listen)
 	if err != nil {
 		return err
 	}
