relay: a silent upstream is given up only once another one has answered

Callers saw streams that ended within their answer, and 502 or 500, where their sound upstream was silent for a second and the others failed at that time.

Cause: after a second, or five gaps, without an event the connection was closed if another upstream could be chosen and a retry set aside. Whether that one takes the request was only found out afterwards; a refusal, a failure, a full engine or a budget that was spent meanwhile left nothing to go on with. The same held for the wait for an answer's header, and for engines that their agent can't reach or that left the list.

Now the request is sent to the other upstream as well (a hedge), by a copy of the job with its own permit and retry. Who brings an answer, or the next event, first claims the response and stops the other. A hedge of a stream that brings none within 300 ms is given up, since it may not run at two upstreams for longer. Only another incarnation at the address ends the wait.

--- a/entry/desk/agent.go
+++ b/entry/desk/agent.go
@@ -42,7 +42,12 @@
 // down reports whether the engine is known to be down, or to have restarted since the list
 // named this incarnation.
 func (s *agentState) down() bool {
-	return !s.lost && (s.status.Down || s.superseded() || (s.status.EngineStart != 0 && s.status.EngineStart != s.replica.StartedAt))
+	return !s.lost && (s.status.Down || s.restarted())
+}
+
+// restarted reports whether the engine is known to have restarted since the list named this incarnation.
+func (s *agentState) restarted() bool {
+	return s.superseded() || (s.status.EngineStart != 0 && s.status.EngineStart != s.replica.StartedAt)
 }
 
 // superseded reports whether the agent has the spec of a later incarnation: a newer list than this
--- a/entry/desk/status.go
+++ b/entry/desk/status.go
@@ -134,3 +134,12 @@
 	}
 	return s.down()
 }
+
+// Restarted reports whether the engine is known to have restarted since the list named this incarnation. One that is
+// down otherwise may only be silent.
+func (c *Client) Restarted(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.agents[key]
+	return s != nil && s.restarted()
+}
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -76,7 +76,7 @@
 	Reused bool
 	// OpenedAt is when the pool began to open it.
 	OpenedAt magno.Millis
-	// OnTimeout is called by the reader when a read exceeds its deadline. It returns true if the read is
+	// OnTimeout is called when a read or write exceeds its deadline. It returns true if that is
 	// to go on, for which it has set another deadline. It is nil if none is to go on.
 	OnTimeout func() bool
 
@@ -184,6 +184,18 @@
 	}
 }
 
+// Write implements net.Conn. Like Read, it continues after a timeout if OnTimeout says so.
+func (c *Conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if err == nil || c.OnTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.OnTimeout() {
+			return written, err
+		}
+	}
+}
+
 // Probe reports whether an upstream accepts connections. It opens one, unless there is an idle one,
 // and keeps it for the next request.
 func (p *Pool) Probe(ctx context.Context, key, addr string) error {
@@ -329,7 +341,7 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
-	n, err := io.WriteString(c.Conn, b.String())
+	n, err := io.WriteString(c, b.String())
 	if err == nil {
 		return nil
 	}
--- /dev/null
+++ b/entry/relay/hedge.go
@@ -0,0 +1,246 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"magnoliastall.example/entry/hop"
+	"magnoliastall.example/magno"
+)
+
+// Hedged requests: one whose upstream is silent is sent to another upstream as well.
+//
+//	read limit passes --> awaitsAnswer --> startHedge --> tryUpstreams, of a copy of the job
+//	                                                              |
+//	first answer or event of either --> claim: stops the others <-'
+//	hedge ends without a claim --> mergeHedge --> the first is still awaited
+//
+// Load pattern: sound upstreams are silent for a second and go on, others hang for good, and from outside they look
+// the same. Another upstream that could be chosen may refuse, fail, break off or be silent too. So a connection
+// is given up only once another upstream has answered, or gone on with the stream.
+
+const (
+	// overlapTime is how long a stream is awaited at a second upstream while the first may still run it. An upstream
+	// that gets a stream later must not run it beside another for longer than 400 ms.
+	overlapTime = 300 * magno.Millis(1)
+)
+
+// race is a request that several upstreams may answer.
+type race struct {
+	// ctx ends with the request.
+	ctx context.Context //nolint:containedctx // each hedge is started from it, however long the others last
+	mu  sync.Mutex
+	// racers are the job and its hedges that haven't ended.
+	racers []*racer
+}
+
+// racer is a job in a race. Its fields are guarded by mu of the race.
+type racer struct {
+	// stop ends its attempts.
+	stop context.CancelFunc
+	// lost is true once another racer has claimed the response.
+	lost bool
+	// waiting is true while it has no request at an upstream and waits for its hedge.
+	waiting bool
+}
+
+// enter adds a racer, which runs until the returned context ends.
+func (r *race) enter() (context.Context, *racer) {
+	ctx, stop := context.WithCancel(r.ctx)
+	added := &racer{stop: stop}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.racers = append(r.racers, added)
+	return ctx, added
+}
+
+// leave removes a racer that has ended.
+func (r *race) leave(ended *racer) {
+	ended.stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.racers = slices.DeleteFunc(r.racers, func(other *racer) bool { return other == ended })
+}
+
+// claim gives the response to a racer and stops all others. It returns false if another one has it.
+func (r *race) claim(winner *racer) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if winner.lost {
+		return false
+	}
+	for _, other := range r.racers {
+		if other != winner {
+			other.lost = true
+			other.stop()
+		}
+	}
+	return true
+}
+
+// hasLost reports whether another racer has claimed the response.
+func (r *race) hasLost(one *racer) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return one.lost
+}
+
+// setWaiting records whether a racer waits for its hedge only.
+func (r *race) setWaiting(one *racer, waiting bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	one.waiting = waiting
+}
+
+// othersRun reports whether another racer may have a request at an upstream.
+func (r *race) othersRun(one *racer) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.racers, func(other *racer) bool { return other != one && !other.waiting })
+}
+
+// hedge is the copy of a job that is tried at other upstreams.
+type hedge struct {
+	job *job
+	// runs is the number of the job's runs at its start.
+	runs int
+	// ended is closed once res is set and nothing of the hedge goes on.
+	ended chan struct{}
+	res   result
+}
+
+// claim is called before the first byte of an answer, and each event, is written. It returns false if another racer
+// has begun to write.
+func (j *job) claim() bool {
+	j.claimed = j.race.claim(j.racer)
+	return j.claimed
+}
+
+// overlaps reports whether the job is a hedge of a stream that hasn't brought an event yet.
+func (j *job) overlaps() bool {
+	return j.hedged && !j.claimed && j.route.Kind == magno.RouteStream
+}
+
+// awaitsAnswer is called when the upstream has exceeded the read limit. It reports whether the answer is
+// still awaited: it is unless the incarnation is known to have ended, or the request was sent here while another
+// upstream was silent, and may go on there. Otherwise the request is sent to another upstream as well.
+func (j *job) awaitsAnswer(ctx context.Context, conn *hop.Conn) bool {
+	if ctx.Err() != nil || j.replaced() {
+		return false
+	}
+	if j.overlaps() {
+		if j.race.othersRun(j.racer) {
+			return false
+		}
+		j.readLimit = minStallTimeout
+	}
+	j.silent = true
+	j.startHedge()
+	metrics.GetOrCreateCounter("late_answers_awaited_total").Inc()
+	j.setLimit(ctx, conn, j.readLimit)
+	return true
+}
+
+// replaced reports whether another incarnation is known to be at the address of the last send's upstream. One that
+// only left the list, or that its agent can't reach, may go on.
+func (j *job) replaced() bool {
+	snap := j.Book.Current()
+	if snap.Find(j.lastReplica) == nil && snap.Occupied(j.lastAddress) {
+		return true
+	}
+	return j.service.Engine != nil && j.Permits.Restarted(j.lastReplica)
+}
+
+// startHedge sends the request to another upstream as well, unless that happens already, or there is none, no time,
+// or no retry left in the budget.
+func (j *job) startHedge() {
+	if !j.reapHedge() || !j.canRetryElsewhere() || j.deadline-j.Clock.Now() < minRunTime/2 || len(j.choose().replicas) == 0 || !j.reserveRetry() {
+		return
+	}
+	h := &hedge{job: j.copyForHedge(), runs: j.runs, ended: make(chan struct{})}
+	j.retryReserved = false // it is the hedge's now
+	ctx, racer := j.race.enter()
+	h.job.racer = racer
+	j.hedge = h
+	metrics.GetOrCreateCounter("hedges_total").Inc()
+	j.Log.Info("hedge", "request", j.id, "silent", j.lastReplica, "events", j.events, "tries", j.sends, "left", j.deadline-j.Clock.Now())
+	go func() {
+		defer close(h.ended)
+		defer h.job.responseMem.release()
+		h.res = h.job.tryUpstreams(ctx)
+	}()
+}
+
+// copyForHedge returns a copy of the job that shares nothing with it that either changes.
+func (j *job) copyForHedge() *job {
+	c := *j
+	c.hedged, c.claimed, c.silent, c.hedge = true, false, false, nil
+	c.tried, c.declined = slices.Clone(j.tried), slices.Clone(j.declined)
+	c.responseMem = reservation{sem: j.ResponseMemory}
+	c.turn, c.stopAbort, c.refusal = nil, nil, nil
+	if !j.responding {
+		c.unanswered = j.lastReplica
+	}
+	return &c
+}
+
+// reapHedge merges the hedge if it has ended. It returns false if one is still in progress, or has the response.
+func (j *job) reapHedge() bool {
+	if j.hedge == nil {
+		return true
+	}
+	select {
+	case <-j.hedge.ended:
+	default:
+		return false
+	}
+	if j.hedge.job.claimed {
+		return false
+	}
+	j.mergeHedge()
+	return true
+}
+
+// joinHedge waits for the hedge, if there is one, after an attempt with the given result, and returns the result of
+// both. The hedge of an attempt that brought the answer is stopped by then.
+func (j *job) joinHedge(res result) result {
+	h := j.hedge
+	if h == nil {
+		return res
+	}
+	j.race.setWaiting(j.racer, true)
+	<-h.ended
+	j.race.setWaiting(j.racer, false)
+	if !h.job.claimed {
+		j.mergeHedge()
+		return res
+	}
+	j.race.leave(j.racer)
+	bodyMem, responseMem := j.bodyMem, j.responseMem
+	*j = *h.job
+	j.bodyMem, j.responseMem = bodyMem, responseMem
+	return h.res
+}
+
+// mergeHedge takes over what a hedge that ended without the response has done.
+func (j *job) mergeHedge() {
+	h := j.hedge
+	c := h.job
+	j.hedge = nil
+	j.race.leave(c.racer)
+	j.tried, j.declined, j.sends, j.arrivals = c.tried, c.declined, c.sends, c.arrivals
+	j.runs += c.runs - h.runs
+	j.mayHaveRun = j.runs > 0
+	j.trial, j.unanswered, j.retryReserved = c.trial, c.unanswered, c.retryReserved
+	j.permitWait, j.waitCauses, j.upstreamWait, j.renewals = c.permitWait, c.waitCauses, c.upstreamWait, c.renewals
+	if j.failure == nil {
+		j.failure = c.failure
+	}
+	if c.refusal != nil {
+		j.deferRefusal(c.refusal)
+	}
+	j.logTry("hedge", resultErrors[h.res])
+}
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -220,9 +220,10 @@
 	// holdsNothing makes no engine count as holding anything.
 	holdsNothing bool
 
-	// down makes all engines count as down. engineStart is when they started by their agents.
-	down        atomic.Bool
-	engineStart atomic.Int64
+	// down makes all engines count as down, and as restarted unless unreached is true. engineStart is when they
+	// started by their agents.
+	down, unreached atomic.Bool
+	engineStart     atomic.Int64
 
 	// released counts the permits that were released.
 	released atomic.Int64
@@ -273,6 +274,7 @@
 }
 func (p *fakePermits) Holds(string, string) bool { return !p.holdsNothing }
 func (p *fakePermits) Down(string) bool          { return p.down.Load() }
+func (p *fakePermits) Restarted(string) bool     { return p.down.Load() && !p.unreached.Load() }
 func (p *fakePermits) ReportUnreachable(string)  {}
 
 // fakeUpstream answers each request on a connection by calling script, and records the
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 
+	"github.com/cockroachdb/errors"
+
 	"magnoliastall.example/entry/queues"
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
@@ -82,6 +84,8 @@
 	// arrivals counts the upstreams that may have received it, unanswered is the last of them if it gave no sign.
 	arrivals   int
 	unanswered string
+	// resent is true if the last send is a retry. responding is true once its upstream has sent a header.
+	resent, responding bool
 	// trial is true for a request that is refused and was sent once all the same.
 	trial bool
 	// sentAt is when the last send began, sendNumber its number among those of the process.
@@ -109,9 +113,18 @@
 	// upstream answered.
 	turn   *queues.Turn
 	turnAt magno.Millis
-	// lastReplica is the replica of the last send. permitWait is the total wait for permits,
+	// race is shared with the hedges of the request, racer is the job's part in it. hedge is the one in progress that
+	// the job has started, nil if there is none.
+	race  *race
+	racer *racer
+	hedge *hedge
+	// hedged is true if the job is itself a hedge. claimed is true once it has written an answer or an event, silent
+	// once the upstream of the last send exceeded the read limit.
+	hedged, claimed, silent bool
+	// lastReplica is the replica of the last send, lastAddress its address. permitWait is the total wait for permits,
 	// and waitCauses its causes as reported by agents.
 	lastReplica string
+	lastAddress string
 	permitWait  magno.Millis
 	waitCauses  gate.Waits
 	// headSent is true once the header of the response was sent to the caller. lastEvent is the
@@ -147,15 +160,27 @@
 type result int
 
 const (
-	resultDone     result = iota // the caller has the response
-	resultUnsent                 // nothing reached the upstream
-	resultNotRun                 // the upstream states that it did not run the request
-	resultFailed                 // the request ran, or may have
-	resultAborted                // the caller is gone, or the deadline has passed
-	resultRefused                // no replica or permit could be had
-	resultDeclined               // another upstream is better now
+	resultDone       result = iota // the caller has the response
+	resultUnsent                   // nothing reached the upstream
+	resultNotRun                   // the upstream states that it did not run the request
+	resultFailed                   // the request ran, or may have
+	resultAborted                  // the caller is gone, or the deadline has passed
+	resultRefused                  // no replica or permit could be had
+	resultDeclined                 // another upstream is better now
+	resultSuperseded               // another upstream answered while this one was silent
 )
 
+// resultErrors describes the results of a hedge that ended without the response.
+var resultErrors = map[result]error{
+	resultUnsent: errors.New("not sent"), resultNotRun: errors.New("not run"), resultFailed: errors.New("failed"),
+	resultAborted: errors.New("stopped"), resultRefused: errors.New("refused"), resultDeclined: errors.New("declined"),
+}
+
+// worked reports whether the upstream served the request, as far as it could.
+func (r result) worked() bool {
+	return r != resultUnsent && r != resultFailed && r != resultSuperseded
+}
+
 // run sends the request until it is answered.
 func (j *job) run() {
 	j.service = j.snap.Plan.Service(paths.PickService(j.route, j.id))
@@ -181,14 +206,23 @@
 	defer j.returnQuota()
 	j.Pools.CountRequest(j.service.Name)
 	defer j.returnRetry()
+	j.race = &race{ctx: ctx}
+	own, racer := j.race.enter()
+	j.racer = racer
+	defer racer.stop()
+	res := j.tryUpstreams(own)
+	if res == resultDone {
+		j.returns.served(j.service.Name, j.Clock)
+	}
+	j.finish(res)
+}
+
+// tryUpstreams sends the request until it is answered, or must not be sent any more.
+func (j *job) tryUpstreams(ctx context.Context) result {
 	for {
-		res := j.attempt(ctx)
-		if res == resultDone {
-			j.returns.served(j.service.Name, j.Clock)
-		}
+		res := j.joinHedge(j.attempt(ctx))
 		if res == resultDone || !j.canRetry(ctx, res) {
-			j.finish(res)
-			return
+			return res
 		}
 	}
 }
@@ -341,7 +375,7 @@
 	router.Sent(r.Key(), plainWork)
 	start := j.Clock.Now()
 	res := j.send(ctx, r, 0)
-	router.Ended(r.Key(), plainWork, j.Clock.Now()-start, res != resultUnsent && res != resultFailed)
+	router.Ended(r.Key(), plainWork, j.Clock.Now()-start, res.worked())
 	router.Report(r.Key(), magno.Backlog{})
 	return res
 }
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -112,7 +112,7 @@
 	j.permitID = id
 	res = j.send(ctx, r, j.rank())
 	j.answered = j.answered || res == resultRefused // by this entry
-	router.Ended(key, work, j.Clock.Now()-sent, res != resultUnsent && res != resultFailed)
+	router.Ended(key, work, j.Clock.Now()-sent, res.worked())
 	j.Permits.Release(key, gate.EndCall{ID: id, OK: res == resultDone, MaxPause: j.longestPause, Output: j.output()})
 	return res, true
 }
--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -75,7 +75,7 @@
 		j.endTurn(queue.Result{OK: true})
 	case resultNotRun:
 		j.endTurn(queue.Result{Shed: true})
-	case resultUnsent, resultFailed:
+	case resultUnsent, resultFailed, resultSuperseded:
 		j.endTurn(queue.Result{})
 	case resultAborted:
 		if j.r.Context().Err() == nil {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -62,8 +62,10 @@
 	ReportNotice(key string, call gate.NoticeCall)
 	// Holds reports whether an engine was last known to hold a model or adapter.
 	Holds(key, name string) bool
-	// Down reports whether an engine is known to be down or to have restarted.
+	// Down reports whether an engine is known to be down or to have restarted, Restarted whether it is known to
+	// have restarted.
 	Down(key string) bool
+	Restarted(key string) bool
 	// ReportUnreachable reports that a connection to an engine failed.
 	ReportUnreachable(key string)
 }
--- a/entry/relay/retry.go
+++ b/entry/relay/retry.go
@@ -49,7 +49,7 @@
 		return // it closed the connection
 	}
 	j.unanswered = j.lastReplica
-	if j.arrivals > 1 {
+	if j.resent {
 		j.Pools.RetryUnanswered(j.service.Name, j.lastReplica)
 	}
 }
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"magnoliastall.example/entry/hop"
@@ -43,7 +42,7 @@
 // send sends the request to one replica and forwards the response.
 func (j *job) send(ctx context.Context, r *magno.Replica, urgency int) result {
 	key := r.Key()
-	j.lastReplica = key
+	j.lastReplica, j.lastAddress = key, r.Address
 	if refusal := j.checkSuspect(); refusal != nil {
 		// Upstreams ended under it while it waited or was sent before.
 		j.refusal = refusal
@@ -73,17 +72,19 @@
 	j.tried = append(j.tried, key)
 	j.sends++
 	j.sentAt, j.sendNumber = j.Clock.Now(), j.sendCount.Add(1)
+	before := j.unanswered
+	j.recordArrival()
+	j.setRetryLimit(ctx, conn, j.headTimeout())
 	if err := conn.Send(j.upstreamRequest(r, urgency)); err != nil {
 		_ = conn.Close()
 		if !errors.Is(err, hop.ErrSent) {
+			j.retractArrival(before)
 			j.logTry("send", err)
 			return j.abortedOr(ctx, resultUnsent)
 		}
-		j.recordArrival()
 		j.noteSilence(ctx, err)
 		return j.connectionFailed(ctx, r, err)
 	}
-	j.recordArrival()
 	res, err := j.receiveHead(ctx, conn)
 	if err != nil {
 		j.noteSilence(ctx, err)
@@ -164,11 +165,20 @@
 func (j *job) recordArrival() {
 	j.arrived, j.unanswered = true, ""
 	j.begunAt, j.underWay = 0, false
+	j.silent, j.responding = false, false
 	j.arrivals++
+	j.resent = j.arrivals > 1
 	j.mayHaveRun = true
 	j.runs++
 }
 
+// retractArrival takes recordArrival back: nothing of the request was written. Unanswered is as before it.
+func (j *job) retractArrival(unanswered string) {
+	j.arrivals--
+	j.arrived, j.unanswered = j.arrivals > 0, unanswered
+	j.retractRun()
+}
+
 // retractRun takes back a run of recordArrival: the last upstream did not run the request.
 func (j *job) retractRun() {
 	j.runs--
@@ -185,10 +195,15 @@
 
 // connectionFailed handles a connection that failed after the request was sent.
 func (j *job) connectionFailed(ctx context.Context, r *magno.Replica, err error) result {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !(j.silent && j.race.hasLost(j.racer)) {
 		j.noteCancelled(r)
 		return resultAborted
 	}
+	if ctx.Err() != nil {
+		j.logTry("silent", err)
+		j.checkEnded(r)
+		return resultSuperseded
+	}
 	j.logTry("broken", err)
 	j.checkEnded(r)
 	return resultFailed
@@ -210,50 +225,46 @@
 	return &hop.Request{Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body}
 }
 
+// headTimeout returns the time after which another upstream is tried, if one may be.
+func (j *job) headTimeout() magno.Millis {
+	return max(headTimeoutAims*j.route.Aim, minHeadTimeout)
+}
+
 // receiveHead reads the header of the response, with a shorter timeout if another upstream may
 // be tried.
 func (j *job) receiveHead(ctx context.Context, conn *hop.Conn) (*http.Response, error) {
-	if j.canRetryElsewhere() {
-		limit := max(headTimeoutAims*j.route.Aim, minHeadTimeout)
-		j.setReadLimit(ctx, conn, limit)
-	}
+	j.setRetryLimit(ctx, conn, j.headTimeout())
 	res, err := conn.Receive(j.r.Method, func(res *http.Response) bool {
 		id := j.Dialect.Reply(res.StatusCode, res.Header).ID
 		return id == j.id || id == ""
 	})
 	if err == nil {
-		setReadDeadline(ctx, conn, time.Time{})
+		setDeadline(ctx, conn, time.Time{})
 	}
 	return res, err
 }
 
-// setReadLimit bounds the reads from the upstream, so that another one can be tried.
-func (j *job) setReadLimit(ctx context.Context, conn *hop.Conn, limit magno.Millis) {
+// setLimit bounds the time for which nothing is written to or read from the upstream, so that another one can be tried.
+func (j *job) setLimit(ctx context.Context, conn *hop.Conn, limit magno.Millis) {
 	j.readLimit = limit
 	// At least a millisecond, as the context may end a little later than the deadline.
-	setReadDeadline(ctx, conn, time.Now().Add(max(min(limit, j.deadline-j.Clock.Now()), 1).Duration()))
+	setDeadline(ctx, conn, time.Now().Add(max(min(limit, j.deadline-j.Clock.Now()), 1).Duration()))
 }
 
-// awaitsAnswer is called when the upstream has exceeded the read limit. It reports whether the answer is
-// still awaited: it is unless another upstream can be tried, within the retry budget, or this one is known
-// to have ended. Where there is no retry, a late answer is better than none.
-func (j *job) awaitsAnswer(ctx context.Context, conn *hop.Conn) bool {
-	key := j.lastReplica
-	if ctx.Err() != nil || j.Book.Current().Find(key) == nil || (j.service.Engine != nil && j.Permits.Down(key)) {
-		return false
-	}
-	if j.canRetryElsewhere() && j.deadline-j.Clock.Now() >= minRunTime/2 && len(j.choose().replicas) > 0 && j.reserveRetry() {
-		return false
-	}
-	metrics.GetOrCreateCounter("late_answers_awaited_total").Inc()
-	j.setReadLimit(ctx, conn, j.readLimit)
-	return true
+// setRetryLimit is setLimit if another upstream may be tried after the limit. A hedge of a stream has overlapTime.
+func (j *job) setRetryLimit(ctx context.Context, conn *hop.Conn, limit magno.Millis) {
+	switch {
+	case j.overlaps():
+		j.setLimit(ctx, conn, max(j.sentAt+overlapTime-j.Clock.Now(), 1))
+	case j.canRetryElsewhere():
+		j.setLimit(ctx, conn, limit)
+	}
 }
 
-// setReadDeadline sets the deadline for reads. The end of ctx, which aborts them by a deadline too,
+// setDeadline sets the deadline of reads and writes. The end of ctx, which aborts them by a deadline too,
 // must not be undone.
-func setReadDeadline(ctx context.Context, conn *hop.Conn, t time.Time) {
-	_ = conn.SetReadDeadline(t)
+func setDeadline(ctx context.Context, conn *hop.Conn, t time.Time) {
+	_ = conn.SetDeadline(t)
 	if ctx.Err() != nil {
 		_ = conn.SetDeadline(time.Unix(pastDeadline, 0))
 	}
@@ -269,6 +280,7 @@
 	reply := j.Dialect.Reply(res.StatusCode, res.Header)
 	j.recordNotice(r.Key(), &reply)
 	if reply.ID == j.id {
+		j.responding = true
 		j.Pools.Answered(j.service.Name, r.Key())
 	}
 	if reply.Signed && reply.ID == j.id {
@@ -307,6 +319,9 @@
 	}
 	j.Suspects.Clear(j.prints...)
 	j.endTurn(queue.Result{OK: true})
+	if !j.claim() {
+		return resultAborted
+	}
 	a.forward(j)
 	return resultDone
 }
--- a/entry/relay/silent_test.go
+++ b/entry/relay/silent_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,3 +101,116 @@
 		}
 	}
 }
+
+// Guards against a stream that is cut because its agent can't reach a silent engine, or its entry has left the list.
+func TestSilentUpstreamIsAwaitedThoughItSeemsGone(t *testing.T) {
+	for name, gone := range map[string]func(*testProxy){
+		"its agent can't reach it": func(s *testProxy) {
+			s.permits.unreached.Store(true)
+			s.permits.down.Store(true)
+		},
+		"it left the list": func(s *testProxy) {
+			s.Book.ApplyRead([]magno.Change{{Key: "u0", Revision: 2, Deleted: true}}, 2, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var s *testProxy
+			u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+				writeStreamHead(c, r.Header.Get("Id"))
+				writeChunk(c, eventText(1))
+				gone(s)
+				time.Sleep(silence)
+				writeChunk(c, eventText(2))
+				fmt.Fprint(c, "0\r\n\r\n")
+				return true
+			})
+			s = newSilentProxy(t, magno.RouteStream, true, u, startUpstream(t, failRequest))
+			_, body, err := s.get(t, http.MethodPost, "1")
+			if err != nil || body != eventText(1)+eventText(2) {
+				t.Errorf("got %q %v, want the whole stream", body, err)
+			}
+		})
+	}
+}
+
+// Guards against a stream that goes on at a second upstream while the first, which is silent, still runs it, against
+// one that is run at both for long, and against permits and retries that stay taken.
+func TestOneOfTwoUpstreamsIsGivenUp(t *testing.T) {
+	for name, second := range map[string]bool{"the second goes on": true, "the second is silent": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed, secondClosed := make(chan struct{}), make(chan struct{})
+			u := startUpstream(t, func(n int, r *http.Request, c net.Conn) bool {
+				defer close(closed)
+				writeStreamHead(c, r.Header.Get("Id"))
+				writeChunk(c, eventText(1))
+				if second {
+					return waitUntilClosed(n, r, c)
+				}
+				<-secondClosed
+				writeChunk(c, eventText(2))
+				fmt.Fprint(c, "0\r\n\r\n")
+				return true
+			})
+			v := startUpstream(t, func(n int, r *http.Request, c net.Conn) bool {
+				writeStreamHead(c, r.Header.Get("Id"))
+				if !second {
+					defer close(secondClosed)
+					return waitUntilClosed(n, r, c)
+				}
+				writeChunk(c, eventText(2))
+				<-closed
+				fmt.Fprint(c, "0\r\n\r\n")
+				return true
+			})
+			s := newSilentProxy(t, magno.RouteStream, true, u, v)
+			_, body, err := s.get(t, http.MethodPost, "1")
+			if err != nil || body != eventText(1)+eventText(2) {
+				t.Errorf("got %q %v, want the whole stream", body, err)
+			}
+			s.pools.checkBudget(t, 1)
+			waitFor(t, "both permits to be released", func() bool { return s.permits.released.Load() == 2 })
+			for _, name := range s.pools.replicas {
+				if n := s.pools.work(name); n != 0 {
+					t.Errorf("%d tokens of work are still counted at %s", n, name)
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests that go on at two upstreams for a caller that has left.
+func TestBothUpstreamsAreStoppedOnceTheCallerHasLeft(t *testing.T) {
+	var open atomic.Int32
+	hang := func(n int, r *http.Request, c net.Conn) bool {
+		open.Add(1)
+		defer open.Add(-1)
+		return waitUntilClosed(n, r, c)
+	}
+	s := newSilentProxy(t, magno.RouteIdempotent, false, startUpstream(t, hang), startUpstream(t, hang))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.server.URL+"/p/1", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Id", "1")
+	ended := make(chan error, 1)
+	go func() {
+		res, err := http.DefaultTransport.RoundTrip(r)
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		ended <- err
+	}()
+	waitFor(t, "two upstreams", func() bool { return open.Load() == 2 })
+	cancel()
+	if err := <-ended; err == nil {
+		t.Error("the caller got an answer")
+	}
+	waitFor(t, "both to be stopped", func() bool { return open.Load() == 0 })
+	waitFor(t, "the request to end", func() bool { return s.Active() == 0 })
+	s.pools.checkBudget(t, 1)
+}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -40,7 +40,7 @@
 // stream can be resumed elsewhere after the last of them.
 func (j *job) forwardStream(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
 	err := j.copyEvents(ctx, r, conn, res)
-	if err == nil {
+	if err == nil && j.claim() {
 		j.Suspects.Clear(j.prints...)
 		j.putConn(conn, res)
 		j.sendHead(res) // a stream without events has a header as well
@@ -60,21 +60,28 @@
 func (j *job) copyEvents(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) error {
 	events := bufio.NewReaderSize(res.Body, streamBufferSize)
 	flush := http.NewResponseController(j.w)
+	written := false
 	for {
+		if written && !holdsEvent(events) { // the next read may wait
+			if err := flush.Flush(); err != nil {
+				return errors.Mark(err, errCallerGone)
+			}
+			written = false
+		}
 		j.setStallTimeout(ctx, conn)
 		event, err := readEvent(events)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
 				return nil
 			}
-			if j.headSent {
-				_ = flush.Flush() // the events before; if that fails, so does the next write
-			}
 			return errors.Wrap(err, "stream")
 		}
 		if !j.isNewEvent(event) {
 			continue
 		}
+		if !j.claim() {
+			return errors.New("another upstream has gone on with the stream")
+		}
 		if j.events == 0 {
 			j.recordOrigin(r)
 		}
@@ -84,15 +91,16 @@
 			return errors.Mark(err, errCallerGone)
 		}
 		j.recordEventTime()
-		if events.Buffered() > 0 {
-			continue // flushed with the next event
-		}
-		if err := flush.Flush(); err != nil {
-			return errors.Mark(err, errCallerGone)
-		}
+		written = true
 	}
 }
 
+// holdsEvent reports whether a whole event was read ahead.
+func holdsEvent(r *bufio.Reader) bool {
+	ahead, _ := r.Peek(r.Buffered()) // no error, as these are buffered
+	return bytes.Contains(ahead, []byte("\n\n")) || bytes.Contains(ahead, []byte("\n\r\n"))
+}
+
 // noteProgress is called for each event of the last send's upstream. It clears the parts of the prompt of ends once
 // the stream has begun for good.
 //
@@ -132,14 +140,11 @@
 
 // setStallTimeout bounds the wait for the next event if the stream could be resumed elsewhere.
 func (j *job) setStallTimeout(ctx context.Context, conn *hop.Conn) {
-	if !j.canRetryElsewhere() {
-		return
-	}
 	limit := max(stallTimeoutGaps*j.route.Gap, minStallTimeout)
 	if j.events == 0 {
 		limit = max(firstEventTimeoutAims*j.route.Aim, minStallTimeout)
 	}
-	j.setReadLimit(ctx, conn, limit)
+	j.setRetryLimit(ctx, conn, limit)
 }
 
 // isNewEvent records an event's id. It returns false if the caller already has the event, for
