hop: a connection outlives an upstream that doesn't read for a second or two

A caller with a long body got 502, or a failure of another upstream, although its sound upstream read on after two seconds: the kernel gives a connection up after TCP_USER_TIMEOUT, 1.5 s, also while the peer's window is closed. With a retransmission that is due up to twice the silence later, 4 s hold for a silence of two seconds. Upstreams whose machine is gone are no longer found by it first: a request that may be repeated is sent to another one after its read limit.

TestUpstreamThatDoesNotReadForASecondKeepsItsRequest got 500 after 1.9 s before.

--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -35,10 +35,11 @@
 	// dialTimeout bounds a new connection, which takes about a millisecond. A lost SYN is
 	// retransmitted only after a second, which is too late to wait for.
 	dialTimeout = 400 * time.Millisecond
-	// userTimeout is how long sent data may remain unacknowledged before the kernel
-	// closes the connection. Without it, a connection to a machine that lost power hangs
-	// for minutes.
-	userTimeout = 1500 * magno.Millis(1)
+	// userTimeout is how long sent data may remain unacknowledged, or unsent because the upstream doesn't read,
+	// before the kernel closes the connection. Without it, a connection to a machine that lost power hangs for
+	// minutes. A sound upstream may be silent for a second or two, and what it missed is sent once more after up to
+	// twice as long.
+	userTimeout = 4 * magno.Second
 	// defaultIdleTime is how long an idle connection is kept if the upstream states no
 	// timeout. idleMargin is subtracted from a stated one, so that no request is sent
 	// while the upstream closes the connection.
--- a/entry/relay/silent_test.go
+++ b/entry/relay/silent_test.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -214,3 +217,46 @@
 	waitFor(t, "the request to end", func() bool { return s.Active() == 0 })
 	s.pools.checkBudget(t, 1)
 }
+
+// Guards against a long body whose upstream doesn't read for a second: the kernel or the entry closes the connection,
+// and the other upstream fails.
+func TestUpstreamThatDoesNotReadForASecondKeepsItsRequest(t *testing.T) {
+	const size = 4 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		time.Sleep(2 * time.Second)
+		br := bufio.NewReader(c)
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if n, err := io.Copy(io.Discard, r.Body); err == nil && n == size {
+			writeResponse(c, r.Header.Get("Id"), http.StatusOK, "yes")
+		}
+	}()
+	s := newSilentProxy(t, magno.RouteIdempotent, false, &fakeUpstream{addr: l.Addr().String()}, startUpstream(t, failRequest))
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Id", "1")
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK || string(body) != "yes" {
+		t.Errorf("got %d %q %v, want the answer", res.StatusCode, body, err)
+	}
+}
