relay: the line of an interrupted stream names what its last upstreams did

Whether a stream was given up while silent, broke off, or met refusals afterwards had to be joined from several lines, and a retry that was refused had none.

--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -125,8 +125,10 @@
 	// and waitCauses its causes as reported by agents.
 	lastReplica string
 	lastAddress string
-	permitWait  magno.Millis
-	waitCauses  gate.Waits
+	// lastTry says how the last send that failed did so.
+	lastTry    string
+	permitWait magno.Millis
+	waitCauses gate.Waits
 	// headSent is true once the header of the response was sent to the caller. lastEvent is the
 	// id of the newest event that was sent, events their number.
 	headSent  bool
@@ -251,7 +253,7 @@
 	case callerGone:
 		j.logOutcome(0, "cancelled", "the caller left")
 	case j.headSent:
-		j.logOutcome(http.StatusOK, "interrupted", "the stream broke off")
+		j.logOutcome(http.StatusOK, "interrupted", j.interruption())
 		panic(http.ErrAbortHandler) // a truncated stream must not look complete
 	case j.failure != nil:
 		j.failure.forward(j)
@@ -266,6 +268,18 @@
 	}
 }
 
+// interruption returns why a stream that has begun can't be completed.
+func (j *job) interruption() string {
+	if j.Clock.Now() >= j.deadline-1 {
+		return "its time is over"
+	}
+	why := "the last try: " + j.lastTry
+	if j.refusal != nil {
+		why += ", refused: " + j.refusal.Detail
+	}
+	return why
+}
+
 // retryAfter returns when an upstream of the service will accept requests, including those that
 // were tried.
 func (j *job) retryAfter() magno.Millis {
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -195,15 +196,15 @@
 
 // connectionFailed handles a connection that failed after the request was sent.
 func (j *job) connectionFailed(ctx context.Context, r *magno.Replica, err error) result {
-	if ctx.Err() != nil && !(j.silent && j.race.hasLost(j.racer)) {
+	if ctx.Err() != nil {
+		if j.silent && j.race.hasLost(j.racer) {
+			j.logTry("silent", err)
+			j.checkEnded(r)
+			return resultSuperseded
+		}
 		j.noteCancelled(r)
 		return resultAborted
 	}
-	if ctx.Err() != nil {
-		j.logTry("silent", err)
-		j.checkEnded(r)
-		return resultSuperseded
-	}
 	j.logTry("broken", err)
 	j.checkEnded(r)
 	return resultFailed
@@ -211,7 +212,9 @@
 
 // logTry logs why a send did not lead to a response.
 func (j *job) logTry(step string, err error) {
-	j.Log.Info("try", "request", j.id, "replica", j.lastReplica, "step", step, "tries", j.sends, "error", err, "left", j.deadline-j.Clock.Now())
+	now := j.Clock.Now()
+	j.lastTry = fmt.Sprintf("%s: %v", step, err)
+	j.Log.Info("try", "request", j.id, "replica", j.lastReplica, "step", step, "tries", j.sends, "error", err, "after", now-j.sentAt, "left", j.deadline-now)
 }
 
 // upstreamRequest returns the request to send to the upstream.
