relay: test of events that wait for the rest of the next one

A caller got an event only with the next one if the upstream had sent a part of that: the flush was left to the next event whenever anything was read ahead.

--- a/entry/relay/stream_test.go
+++ b/entry/relay/stream_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -140,3 +142,38 @@
 		}
 	}
 }
+
+// Guards against an event that the caller gets only together with the next one, of which the upstream has sent a part
+// before it falls silent.
+func TestEventIsNotHeldBackByAPartOfTheNext(t *testing.T) {
+	got := make(chan struct{})
+	u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		writeStreamHead(c, r.Header.Get("Id"))
+		writeChunk(c, eventText(1)+"id: 2\nda")
+		<-got
+		writeChunk(c, "ta: x2\n\n")
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	s := newTestProxy(t, magno.RouteStream, false, u)
+	s.allowDelays()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Id", "1")
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	first := make([]byte, len(eventText(1)))
+	if _, err := io.ReadFull(res.Body, first); err != nil || string(first) != eventText(1) {
+		t.Fatalf("got %q %v, want the first event before the second is whole", first, err)
+	}
+	close(got)
+	if rest, err := io.ReadAll(res.Body); err != nil || string(rest) != eventText(2) {
+		t.Errorf("got %q %v", rest, err)
+	}
+}
