relay: a silent engine doesn't count as ended

What callers saw: requests, and all others with a part of the prompt in common, were refused as the cause of upstreams' ends after sound engines had been silent for a second under them.

Cause: an agent that gets two reports late, after about 0.7 s, states that its engine is down. A stream whose engine was silent and that went on at another one starts a check of the first, and the check took "down" for the end.

Why it works: an engine that is only down counts as ended once its machine refuses connections, its agent knows of a restart or the list names the next incarnation; until then the check goes on. One whose process ended refuses connections at once, which TestEngineThatRefusesConnectionsHasEnded guards (it passed before as well).

--- a/entry/relay/ending.go
+++ b/entry/relay/ending.go
@@ -212,7 +212,7 @@
 	endRefused
 )
 
-// upstreamEnded reports whether the upstream of a check ended. The agent of an engine knows, a machine
+// upstreamEnded reports whether the upstream of a check ended. The agent of an engine knows of a restart, a machine
 // without a process refuses connections, and the list names the next incarnation at the address.
 func (h *Handler) upstreamEnded(c *endCheck) endState {
 	key := c.replica.Key()
@@ -232,14 +232,17 @@
 			return endConfirmed
 		}
 		return endUnknown
-	case h.isEngine(snap.Plan, c.replica.Service) && h.Permits.Down(key):
+	}
+	engine := h.isEngine(snap.Plan, c.replica.Service)
+	switch {
+	case engine && h.Permits.Restarted(key):
 		if h.refuses(c) {
 			return endRefused
 		}
 		return endConfirmed
 	case alive:
 		return endAlive
-	case dial && h.refuses(c):
+	case (dial || (engine && h.Permits.Down(key))) && h.refuses(c): // one that is down may only be silent
 		return endRefused
 	}
 	return endUnknown
