hop: responses to other requests have a bound together

Callers wait, and the entry's processor reads, until the route's time is over at an upstream that sends responses to other requests without end: the loop that skips them bounded each response, not all of them.

With it the response is broken after 1 MB, the connection is closed and the request goes on elsewhere, as after a head without end. A late response or two are skipped as before.

--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -52,7 +52,8 @@
 	// maxHeadBytes bounds the header of a response, the interim ones before it included: four times what the
 	// platform allows callers. What is longer is no response.
 	maxHeadBytes = 64 << 10
-	// maxSkippedBytes bounds what is read of a response to another request.
+	// maxSkippedBytes bounds what is read of responses to other requests before the one that is due. Upstreams send
+	// a late response or two, not a series of them.
 	maxSkippedBytes = 1 << 20
 )
 
@@ -87,6 +88,8 @@
 	// headLeft is how many more bytes may be read while a header is read (inHead).
 	inHead   bool
 	headLeft int
+	// taken is how many bytes were read.
+	taken int64
 }
 
 // errHeadTooLong is the error of a response whose header exceeds maxHeadBytes.
@@ -179,6 +182,7 @@
 	for {
 		n, err := c.Conn.Read(p)
 		c.headLeft -= n
+		c.taken += int64(n)
 		if n > 0 || c.OnTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.OnTimeout() {
 			return n, err
 		}
@@ -367,7 +371,11 @@
 // Receive reads the header of the response to a request with this method. Responses that
 // accept rejects belong to another request and are skipped: an upstream may send a second
 // response late, where the next one is expected.
+//
+// Load pattern: an upstream sends such responses without end and as fast as they are read. Each is short, so all of
+// them together have a bound.
 func (c *Conn) Receive(method string, accept func(*http.Response) bool) (*http.Response, error) {
+	begin := c.taken
 	for {
 		res, err := c.readHead(method)
 		if err != nil {
@@ -377,7 +385,7 @@
 			return res, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBytes))
-		if err != nil || n == maxSkippedBytes || res.Close {
+		if err != nil || n == maxSkippedBytes || c.taken-begin >= maxSkippedBytes || res.Close {
 			return nil, errors.Mark(errors.New("read response: got the response to another request"), ErrSent)
 		}
 	}
