model: a stream of an engine has a bound

An engine that sends events without end filled its agent's memory: the agent kept all their text, and read for as long as the request lived. Only a line had a bound.

TestStreamWithoutEndIsBounded on the code before: 134,218,690 bytes of events read and 17,660,350 of text kept where the test's source ended, 129,930,000 kept of long events; also without an end: comments, blank lines, events without text. Now a stream has 16 MB, which is 512 bytes for each token that callers may ask for, and its text 4 MB, what a message between processes holds; beyond it the stream counts as broken, the engine is told to cancel and the connection is closed. TestLongestAnswerIsReadWhole: 32,768 tokens are read whole.

--- a/magno/model/model.go
+++ b/magno/model/model.go
@@ -24,6 +24,8 @@
 // memory.
 const (
 	maxEventBytes  = 1 << 20  // of one event
+	maxStreamBytes = 16 << 20 // of all events: 512 bytes for each of the tokens that callers may ask for
+	maxTextBytes   = 4 << 20  // of an answer's text: what a message between processes holds
 	maxErrorBytes  = 4 << 10  // of a quoted error
 	maxHeaderBytes = 16 << 10 // bytes
 	// cancelTimeout bounds a cancel request, which is sent when the context of the original
@@ -119,13 +121,13 @@
 }
 
 // readStream parses a stream of events. A stream without the final [DONE] event is an error:
-// it was cut off, and its text may be only a part of the answer.
+// it was cut off, and its text may be only a part of the answer. One that exceeds its limits is cut off here.
 func readStream(body io.Reader, emit func(magno.Piece)) (magno.Result, error) {
 	var result magno.Result
 	var text strings.Builder
-	lines := bufio.NewScanner(body)
+	lines := bufio.NewScanner(io.LimitReader(body, maxStreamBytes))
 	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	for lines.Scan() {
+	for lines.Scan() && text.Len() <= maxTextBytes {
 		data, ok := strings.CutPrefix(lines.Text(), "data:")
 		if !ok {
 			continue
@@ -147,7 +149,7 @@
 	if err := lines.Err(); err != nil {
 		return result, magno.Refuse(magno.KindInterrupted, "the engine's stream broke: %v", err)
 	}
-	return result, magno.Refuse(magno.KindInterrupted, "the engine's stream ended early")
+	return result, magno.Refuse(magno.KindInterrupted, "the engine's stream ended early or exceeds %d bytes", maxStreamBytes)
 }
 
 func applyChunk(chunk completionChunk, result *magno.Result, text *strings.Builder, emit func(magno.Piece)) {
