relay: a caller's body is read for as long as its request may take

A caller that stopped within its body, or sent a byte a second, held a connection, a goroutine, a place among the active requests and the memory of what had come for as long as it liked: bodies had a bound in bytes and none in time.

TestBodyThatNeverEndsIsReadForTheRoutesTimeOnly, on the code before: the request (route's time 1.5 s) had not ended after 60 s. Now reads have a deadline at the request's own, and its caller gets a refusal, which is true as nothing has run. The connection is closed without a wait for the rest. TestDeadlineOfABodyEndsWithIt: the deadline doesn't outlive a body that came in time.

--- /dev/null
+++ b/entry/relay/body.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnoliastall.example/magno"
+)
+
+// errBodyLate marks the error of a body that wasn't complete when its request's time was over.
+var errBodyLate = errors.New("the body came too slowly")
+
+// readBodyInTime reads the caller's body up to limit bytes, as long as its request may take.
+//
+// Load pattern: callers stop within their bodies, or send a byte a second. Each would hold a connection, its goroutine
+// and the memory of what has come.
+func (j *job) readBodyInTime(limit int64) ([]byte, error) {
+	if j.r.Body == http.NoBody {
+		return nil, nil
+	}
+	due := j.deadline
+	if due == 0 { // the route isn't known yet
+		due = j.received + defaultTimeout
+	}
+	control := http.NewResponseController(j.w)
+	// Not all writers of tests have a connection.
+	_ = control.SetReadDeadline(time.Now().Add(max(due-j.Clock.Now(), 1).Duration()))
+	body, err := j.bodyMem.readAll(j.r.Body, limit)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline stays: what is left of the body isn't waited for before the connection is closed.
+		return nil, errors.Mark(err, errBodyLate)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, err
+}
+
+// refuseLate returns the refusal of a request whose body didn't come in time: it has not run.
+func refuseLate() *magno.Refusal {
+	return magno.Refuse(magno.KindBusy, "its time was over before its body was complete").WithRetryAfter(busyRetryAfter)
+}
--- /dev/null
+++ b/entry/relay/body_test.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"magnoliastall.example/magno"
+)
+
+// Guards against callers that never finish their bodies and hold a connection, its goroutine and the memory of what
+// came for as long as they like.
+func TestBodyThatNeverEndsIsReadForTheRoutesTimeOnly(t *testing.T) {
+	for _, c := range []struct{ name, head, part string }{
+		{"a stated length", "Content-Length: 100\r\n\r\n", "x"},
+		{"chunks", "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		{"nothing of it", "Content-Length: 100\r\n\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+				writeResponse(c, r.Header.Get("Id"), http.StatusOK, "yes")
+				return true
+			})
+			s := newTestProxy(t, magno.RouteIdempotent, false, u)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(s.server.URL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			fmt.Fprint(conn, "POST /p/1 HTTP/1.1\r\nHost: h.example\r\nId: 1\r\n"+c.head+c.part)
+			waitFor(t, "the request to be read", func() bool { return s.Active() == 1 })
+			waitFor(t, "the request to end", func() bool { return s.Active() == 0 })
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer res.Body.Close()
+			if res.StatusCode != http.StatusTooManyRequests || !res.Close {
+				t.Errorf("status %d, closed %v; want a refusal that promises that it has not run, and the connection closed", res.StatusCode, res.Close)
+			}
+			if n := u.requestCount(); n != 0 {
+				t.Errorf("%d sends of a request that never was whole", n)
+			}
+		})
+	}
+}
+
+// Guards against a deadline of a body that outlives it and breaks the request's answer, or the next request.
+func TestDeadlineOfABodyEndsWithIt(t *testing.T) {
+	u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		writeResponse(c, r.Header.Get("Id"), http.StatusOK, "yes")
+		return true
+	})
+	s := newTestProxy(t, magno.RouteIdempotent, false, u)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	answers := bufio.NewReader(conn)
+	for n := range 3 {
+		if n == 2 { // past the deadline of the first body
+			first := s.Clock.Now()
+			waitFor(t, "the first body's time to be over", func() bool { return s.Clock.Now()-first > 2*magno.Second })
+		}
+		fmt.Fprint(conn, "POST /p/1 HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody")
+		res, err := http.ReadResponse(answers, nil)
+		if err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %v, %v", n, res, err)
+		}
+		_ = res.Body.Close()
+	}
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -310,7 +310,10 @@
 	if j.r.ContentLength > limit {
 		return magno.Refuse(magno.KindTooLarge, "a body of %d bytes", j.r.ContentLength)
 	}
-	body, err := j.bodyMem.readAll(j.r.Body, limit)
+	body, err := j.readBodyInTime(limit)
+	if errors.Is(err, errBodyLate) {
+		return refuseLate()
+	}
 	if errors.Is(err, errNoMemory) {
 		return magno.Refuse(magno.KindBusy, "this instance holds as many bodies as it can").WithRetryAfter(busyRetryAfter)
 	}
