site: checks of readiness have bounds in bytes and time

Anyone who reaches the port of readiness checks could make an entry read 1 MB of header for each connection, and keep connections without end by sending no further request, or less of a body than it said: only the header had a time.

TestChecksOfReadinessAreBounded on the code before: 1,052,672 bytes read of a line and of header fields, 24,576 allowed; no time for reading, writing and idle connections. Now 16 KB, as of callers' requests, 5 s for a whole check and 2 min between two.

--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -176,5 +176,5 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serve(ctx, r.settings.ReadyAddress, never, &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}, finalAnswerTimeout)
+	return serve(ctx, r.settings.ReadyAddress, never, readyServer(mux), finalAnswerTimeout)
 }
