shed: an overloaded instance answers each connection that it accepts

Callers of an overloaded instance that had sent a whole request saw their connection reset: neither an answer nor a refusal, up to seconds after they had sent it, and couldn't tell whether it had run.

Cause: while the level was overloaded, each new connection was accepted and closed unread. That served callers only as long as the reset came at once; a process that is behind accepts late.

Now connections are accepted a few at a time (64 unanswered, 512 open) in the order of arrival, and each gets a refusal with a time and the end of its connection, before its body is read. The others stay in the accept queue until the balancer has reacted: what is there is unread. Connections that their callers have closed meanwhile are left out, and those that waited over 0.5 s are also refused while the instance is strained, so that the queue isn't served late once the overload ends.

Evidence: TestWholeRequestIsAnsweredWhateverTheLoadLevel and TestOverloadedInstanceRefusesNewConnections fail on the listener before (connections reset while being read, and while being opened) and pass now, three times with the race detector.

TestOverloadedInstanceClosesNewConnectionsUnread demanded the fault itself: a closed connection. What it was for, that a request can be sent to another instance whatever it is and that the instance reads no more than it can answer, is demanded by TestOverloadedInstanceRefusesNewConnections (a status that promises that it has not run, a time, the end of the connection), TestRequestOverARefusedConnectionIsNotSent, TestOverloadedInstanceHoldsFewRequests (bounds; each caller answered) and TestOverloadedInstanceAnswersOverKeptConnections.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -29,6 +29,7 @@
 	"magnoliastall.example/magno/keys"
 	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/paths"
+	"magnoliastall.example/magno/shed"
 	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
 )
@@ -261,8 +262,8 @@
 		return magno.Refuse(magno.KindMalformed, "the request has no id")
 	}
 	j.setDeadline()
-	if j.LoadLevel() == strain.Overloaded {
-		return magno.Refuse(magno.KindBusy, "this instance is far behind").WithRetryAfter(busyRetryAfter)
+	if j.LoadLevel() == strain.Overloaded || isRefused(j.r.Context()) {
+		return magno.Refuse(magno.KindBusy, "this instance is far behind").WithRetryAfter(shed.RetryAfter)
 	}
 	if j.drained(j.route.Kind) {
 		return magno.Refuse(magno.KindLeaving, "this instance stops").WithRetryAfter(0)
@@ -373,9 +374,9 @@
 }
 
 // setConnectionClose asks the caller to close the connection while this process is draining or
-// strained.
+// strained, or refuses what comes over it.
 func (j *job) setConnectionClose(h http.Header) {
-	if j.Draining() || j.LoadLevel() != strain.Normal {
+	if j.Draining() || j.LoadLevel() != strain.Normal || isRefused(j.r.Context()) {
 		h.Set("Connection", "close")
 	}
 }
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -14,6 +14,7 @@
 	"magnoliastall.example/entry/relay"
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/listen"
+	"magnoliastall.example/magno/shed"
 	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
 )
@@ -65,24 +66,23 @@
 
 // Run serves callers until ctx ends.
 func (f *front) Run(ctx context.Context) error {
-	overloaded := func() bool { return f.relay.LoadLevel() == strain.Overloaded }
-	return serve(ctx, f.settings.CallerAddress, overloaded, &http.Server{
+	return serve(ctx, f.settings.CallerAddress, f.relay.LoadLevel, &http.Server{
 		Handler: listen.WithWriteTimeout(f.relay, writeStallTimeout), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ConnContext: markRefused, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}, finalAnswerTimeout)
 }
 
-// serve runs a server until ctx ends, and closes new connections while it is overloaded. It then accepts no more connections, and closes the
+// serve runs a server until ctx ends, and accepts connections as its level allows. It then accepts no more connections, and closes the
 // open ones after drainTimeout. Closing at once cut off requests that a slow machine had
 // read shortly before, and their callers couldn't know that they had not run.
-func serve(ctx context.Context, address string, overloaded func() bool, s *http.Server, drainTimeout magno.Millis) error {
+func serve(ctx context.Context, address string, level func() strain.Level, s *http.Server, drainTimeout magno.Millis) error {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(&shedListener{l, overloaded}) }()
+	go func() { ended <- s.Serve(newShedListener(l, level, shed.DefaultLimits)) }()
 	select {
 	case err := <-ended:
 		return errors.Wrap(err, "serve")
@@ -157,8 +157,8 @@
 	return n
 }
 
-// never is the overload of a server that is never overloaded.
-func never() bool { return false }
+// never is the level of a server that is never overloaded.
+func never() strain.Level { return strain.Normal }
 
 // readiness serves the load balancer's readiness check.
 type readiness struct {
