site: a panic under a request is answered

The caller of a whole request saw its connection close without an answer, and so did callers of the same connection afterwards: net/http recovers a handler's panic and closes the connection.

Now the request is answered 500, which promises nothing, with the end of its connection, unless its answer had begun: that still ends early. Aborts of an answer stay what they were.

Evidence: TestPanicIsAnswered, before the answer, got EOF without the guard and passes with it. No panic of the relay is known; this is the class of connections that end without an answer, not the incident.

--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -67,11 +67,16 @@
 // Run serves callers until ctx ends.
 func (f *front) Run(ctx context.Context) error {
 	return serve(ctx, f.settings.CallerAddress, f.relay.LoadLevel, &http.Server{
-		Handler: listen.WithWriteTimeout(f.relay, writeStallTimeout), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: f.handler(f.relay), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		ConnContext: markRefused, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}, finalAnswerTimeout)
 }
 
+// handler returns the handler of callers' requests that next answers.
+func (f *front) handler(next http.Handler) http.Handler {
+	return listen.WithWriteTimeout(&guard{next, f.log}, writeStallTimeout)
+}
+
 // serve runs a server until ctx ends, and accepts connections as its level allows. It then accepts no more connections, and closes the
 // open ones after drainTimeout. Closing at once cut off requests that a slow machine had
 // read shortly before, and their callers couldn't know that they had not run.
