relay: requests whose callers left before the entry noticed aren't sent

What callers saw: their upstreams work for requests that they gave up.

Cause: the server ends the context of a request once a goroutine of its own has read the end of the caller's connection. Where a request lay unread until its caller gave up, or a permit or turn is granted as the caller leaves, the request is sent on before that goroutine has run.

Fix: the kernel knows the end of the connection when it arrives, so the entry looks there, once the request is read and after each permit and turn. It peeks with Control, as Read would wait for the read of the server.

--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -131,7 +131,7 @@
 		j.waitCauses.Add(&reply.Waits)
 	}
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || callerLeft(j.r.Context()):
 		if err == nil {
 			j.Permits.Release(key, gate.EndCall{ID: req.ID})
 		}
--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -56,6 +56,8 @@
 	key := turn.Upstream
 	list := j.findReplicas([]string{key})
 	switch {
+	case callerLeft(j.r.Context()):
+		return resultAborted, true
 	case len(list) == 0:
 		j.Queues.Rest(j.service.Name, key, j.Clock.Now()+max(j.Notices.RestLeft(key), unfitRest))
 		return 0, false
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -235,7 +235,12 @@
 	defer j.responseMem.release()
 	j.call = h.Dialect.Read(r.Header)
 	j.id = j.call.ID
-	if refusal := j.prepare(); refusal != nil {
+	refusal := j.prepare()
+	if callerLeft(j.r.Context()) {
+		j.logOutcome(0, "cancelled", "the caller left before the request was read")
+		panic(http.ErrAbortHandler) // one that still reads must not get an empty success
+	}
+	if refusal != nil {
 		j.refuse(refusal)
 		return
 	}
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -68,7 +68,8 @@
 	overloaded := func() bool { return f.relay.LoadLevel() == strain.Overloaded }
 	return serve(ctx, f.settings.CallerAddress, overloaded, &http.Server{
 		Handler: listen.WithWriteTimeout(f.relay, writeStallTimeout), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ConnContext: relay.ConnContext,
+		ErrorLog:    slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}, finalAnswerTimeout)
 }
 
