--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -68,7 +68,7 @@
 func (f *front) Run(ctx context.Context) error {
 	return serve(ctx, f.settings.CallerAddress, f.relay.LoadLevel, &http.Server{
 		Handler: f.handler(f.relay), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ConnContext: markRefused, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ConnContext: connContext, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}, finalAnswerTimeout)
 }
 
--- a/entry/site/shed.go
+++ b/entry/site/shed.go
@@ -165,10 +165,10 @@
 	}
 }
 
-// markRefused is the http.Server.ConnContext that tells the relay which connections are refused.
-func markRefused(ctx context.Context, c net.Conn) context.Context {
+// connContext is the http.Server.ConnContext that tells the relay the connection of a request, and whether it is refused.
+func connContext(ctx context.Context, c net.Conn) context.Context {
 	if _, ok := c.(*refusedConn); ok {
-		return relay.WithRefusal(ctx)
+		ctx = relay.WithRefusal(ctx)
 	}
-	return ctx
+	return relay.ConnContext(ctx, c)
 }
--- a/entry/site/shed_test.go
+++ b/entry/site/shed_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	l := newShedListener(inner, level, limits)
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ConnContext: markRefused}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ConnContext: connContext}
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l) }()
 	t.Cleanup(func() {
