relay: a caller that stopped sending gets no empty success

A caller that closes its side of the connection after a whole request, and still reads, got status 200 without a body or a signature: the server takes it for one that left, the handler returned without a word, and net/http answers for it. Now the connection is closed without an answer. TestCallerThatOnlyStoppedSendingGetsNoEmptySuccess got the 200 before.

--- a/entry/relay/gone_test.go
+++ b/entry/relay/gone_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -163,3 +164,26 @@
 		t.Error("it counts as having left")
 	}
 }
+
+// Guards against an empty success for a caller that has closed its side of the connection only, and still reads.
+func TestCallerThatOnlyStoppedSendingGetsNoEmptySuccess(t *testing.T) {
+	began := make(chan struct{})
+	u := startUpstream(t, func(n int, r *http.Request, c net.Conn) bool {
+		close(began)
+		return waitUntilClosed(n, r, c)
+	})
+	s := newTestProxy(t, magno.RouteOnce, false, u)
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /p/1 HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+	<-began
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(c); err != nil || len(answer) != 0 {
+		t.Errorf("got %q %v, want the end of the connection", answer, err)
+	}
+}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -51,8 +51,8 @@
 	id    string
 	route *magno.Route
 	body  []byte
-	// bodyRead is true once body was read.
-	bodyRead bool
+	// bodyRead is true once body was read, bodyLate if it wasn't complete in time.
+	bodyRead, bodyLate bool
 	// bodyMem and responseMem are the memory reserved for the body and for an upstream's
 	// response.
 	bodyMem, responseMem reservation
@@ -252,6 +252,7 @@
 	case res == resultDone:
 	case callerGone:
 		j.logOutcome(0, "cancelled", "the caller left")
+		panic(http.ErrAbortHandler) // one that still reads must not get an empty success
 	case j.headSent:
 		j.logOutcome(http.StatusOK, "interrupted", j.interruption())
 		panic(http.ErrAbortHandler) // a truncated stream must not look complete
