--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -237,7 +237,7 @@
 	j.call = h.Dialect.Read(r.Header)
 	j.id = j.call.ID
 	refusal := j.prepare()
-	if callerLeft(j.r.Context()) {
+	if !j.bodyLate && callerLeft(j.r.Context()) { // the server takes a late body for a caller that left
 		j.logOutcome(0, "cancelled", "the caller left before the request was read")
 		panic(http.ErrAbortHandler) // one that still reads must not get an empty success
 	}
@@ -318,6 +318,7 @@
 	}
 	body, err := j.readBodyInTime(limit)
 	if errors.Is(err, errBodyLate) {
+		j.bodyLate = true
 		return refuseLate()
 	}
 	if errors.Is(err, errNoMemory) {
