view, relay: an entry that knows of a later configuration denies nothing

Cause: a 404, or 401 for a key, was given by the age of the configuration alone. That counts from when an update was processed, so it is low at an entry that is far behind with its work. Such an entry learns from a peer's hello, or from an update over a gap, that there is a later revision, and fetches it, which takes up to eight seconds where calls time out; meanwhile it denied what only that revision has.

Fix: the book remembers the highest revision that others have, and until it is reached what is unknown is refused with a time to return, as with an old configuration.

--- a/entry/relay/arrive.go
+++ b/entry/relay/arrive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -205,3 +206,24 @@
 		}
 	}
 }
+
+// startRetryAfter returns the Retry-After of a process without a configuration. A process that
+// starts beside others has one within a fraction of a second. Otherwise the platform's list is
+// unavailable and the other processes have none either. How long such an outage goes on is
+// unknown; the best estimate is about as long as it has lasted already. If callers were told to
+// retry after a second each time, their retries would fall into the outage and they would give
+// up.
+func (h *Handler) startRetryAfter() magno.Millis {
+	return min(max(outageFactor*(h.Clock.Now()-h.Started), minStartRetry), maxStartRetry)
+}
+
+// configDoubt returns why what the configuration lacks may be in a later one, or "".
+func (h *Handler) configDoubt() string {
+	switch age := h.Book.Age(); {
+	case h.Book.Behind():
+		return "isn't the newest"
+	case age > staleConfigAge:
+		return fmt.Sprintf("is %d ms old", age)
+	}
+	return ""
+}
--- a/entry/relay/keyed.go
+++ b/entry/relay/keyed.go
@@ -46,8 +46,8 @@
 	if j.customer != nil {
 		return nil
 	}
-	if age := j.Book.Age(); age > staleConfigAge {
-		return magno.Refuse(magno.KindOutdated, "the key is unknown, and the configuration is %d ms old", age).WithRetryAfter(outdatedRetryAfter)
+	if why := j.configDoubt(); why != "" {
+		return magno.Refuse(magno.KindOutdated, "the key is unknown, and the configuration %s", why).WithRetryAfter(outdatedRetryAfter)
 	}
 	return magno.Refuse(magno.KindCredential, "the key belongs to no customer")
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -257,8 +257,8 @@
 	}
 	j.route = j.tablesFor(j.snap.Plan).paths.Find(j.r.Host, j.r.URL.Path)
 	if j.route == nil {
-		if age := j.Book.Age(); age > staleConfigAge {
-			return magno.Refuse(magno.KindStarting, "no route, and the configuration is %d ms old", age).WithRetryAfter(minStartRetry)
+		if why := j.configDoubt(); why != "" {
+			return magno.Refuse(magno.KindStarting, "no route, and the configuration %s", why).WithRetryAfter(minStartRetry)
 		}
 		return magno.Refuse(magno.KindNoProfile, "no route for %s%s", j.r.Host, j.r.URL.Path)
 	}
@@ -282,16 +282,6 @@
 	return nil
 }
 
-// startRetryAfter returns the Retry-After of a process without a configuration. A process that
-// starts beside others has one within a fraction of a second. Otherwise the platform's list is
-// unavailable and the other processes have none either. How long such an outage goes on is
-// unknown; the best estimate is about as long as it has lasted already. If callers were told to
-// retry after a second each time, their retries would fall into the outage and they would give
-// up.
-func (h *Handler) startRetryAfter() magno.Millis {
-	return min(max(outageFactor*(h.Clock.Now()-h.Started), minStartRetry), maxStartRetry)
-}
-
 // setDeadline sets the time by which the request must be answered.
 func (j *job) setDeadline() {
 	j.deadline = j.received + defaultTimeout
--- a/magno/view/tell.go
+++ b/magno/view/tell.go
@@ -165,6 +165,9 @@
 		s.mergeKept(&u)
 		return nil
 	}
+	if u.Verified || !s.verified {
+		s.heard = max(s.heard, u.Revision) // it may not be applicable
+	}
 	replaces := u.Full && u.Verified && !s.verified && u.Revision.Era() == s.current.Revision.Era()
 	if s.spansRestore(&u) {
 		return errors.Wrapf(ErrGap, "update from revision %s over a restore, known up to %s", u.Since, s.current.Revision)
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -106,6 +106,8 @@
 	sum      uint64
 	verified bool
 	listedAt magno.Millis
+	// heard is the highest revision that another process is known to have.
+	heard magno.Revision
 	// mustRead is true if this process lacks changes that it can't get from a peer.
 	mustRead bool
 	changed  chan struct{}
@@ -155,6 +157,14 @@
 	return s.Clock.Now() - s.confirmedAt
 }
 
+// Behind reports whether another process is known to have later changes.
+func (s *Store) Behind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setup()
+	return s.heard > s.current.Revision
+}
+
 // RecordFreshness records that the newest revision of the list was no higher than the
 // given one at the given time. It is ignored if this process doesn't know all changes up
 // to that revision.
