soak: upstreams that fall silent and go on, and a check of kept connections

Callers lost requests while upstreams were only silent, and the soak couldn't see it: its frozen upstreams held new requests only and excused what waited there, and its callers' client repeats a request on a new connection by itself.

- A gate before the server of each upstream lets it stand still as a process that isn't scheduled: answers in progress, bodies that are read, polls of agents, connections in the accept queue.
All of it goes on after 0.9 to 1.7 s, and no path counts as disturbed.
- A play after all others: one to all upstreams of a service are silent, again and again, for both services at the same time.
The plain service gets four more upstreams for it.
- 42 callers on connections of their own, which repeat nothing.
A whole request whose connection ends without a complete answer counts, unless its time was over, the grace period was over after a SIGTERM, or it crossed the end of its connection and no upstream had it.
Three may at any time, none beside planned work; 502 counts as well where nothing else is disturbed.
Each is printed with its entry, its upstreams, their silences and the planned work.
- drive soak -silences plays nothing else.

Not part of it: weights of routes that move between services, since the fleet has one service of each kind.

--- a/drive/soak/fatal.go
+++ b/drive/soak/fatal.go
@@ -171,10 +171,12 @@
 // listen serves the present incarnation of an upstream, directly and through its proxy.
 func (f *fleet) listen(u *upstream) error {
 	ctx, cancel := context.WithCancel(f.ctx)
-	if err := serve(ctx, u.listen, u.handler); err != nil {
+	l, err := listenAt(ctx, u.listen)
+	if err != nil {
 		cancel()
 		return err
 	}
+	serveOn(ctx, &gatedListener{Listener: l, gate: &u.gate}, u.handler)
 	if err := u.proxy.run(ctx); err != nil {
 		cancel()
 		return err
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -71,6 +71,11 @@
 	builds []string
 	// ctx is that of start.
 	ctx context.Context //nolint:containedctx // upstreams that return run until it ends
+	// furtherRoutes is the number of routes of the newest configuration that no caller uses, limits are the
+	// time limits of the others.
+	furtherRoutes int
+	limits        []timeLimit
+	planned       []planned
 	// listDisturbedAt are the times at which the list failed, recovered or lost its history.
 	listDisturbedAt []time.Time
 }
@@ -118,7 +123,8 @@
 
 // startPlains starts n upstreams of the plain service.
 func (f *fleet) startPlains(n int) error {
-	for i := range n {
+	for range n {
+		i := len(f.plains)
 		u := &upstream{service: fake.PlainService, listed: address(3, 100+i, 20), listen: address(4, i+1, 20), handler: &swapHandler{}, build: f.buildOf(i)}
 		f.plains = append(f.plains, u)
 		if err := f.serve(u); err != nil {
@@ -163,7 +169,7 @@
 
 // putPlan writes the newest configuration. The caller holds mu.
 func (f *fleet) putPlan() {
-	f.store.Put("op/config", fake.Plan(f.version, adapterSlots, f.keys[len(f.keys)-1]))
+	f.store.Put("op/config", f.newestPlan())
 }
 
 // loseWithdrawals puts off the withdrawals that a restore of the list lost, and returns the keys.
@@ -272,13 +278,18 @@
 	if err != nil {
 		return err
 	}
+	serveOn(ctx, l, h)
+	return nil
+}
+
+// serveOn serves the connections of a listener until ctx ends.
+func serveOn(ctx context.Context, l net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.Serve(l) }()
 	go func() {
 		<-ctx.Done()
 		_ = s.Close()
 	}()
-	return nil
 }
 
 // run starts a program on a machine and restarts it whenever it exits.
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -59,6 +59,8 @@
 	Out      io.Writer
 	// Size is the usual one if it is zero.
 	Size Size
+	// SilencesOnly leaves out all but the silences of upstreams, with what goes on beside them.
+	SilencesOnly bool
 
 	fleet  *fleet
 	nextID atomic.Int64
@@ -89,6 +91,8 @@
 	// key is the credential that the caller sent, at is when.
 	key string
 	at  time.Time
+	// wholeAt is when the whole request was sent on a kept connection, zero otherwise.
+	wholeAt time.Time
 	// doneAt is when the outcome was known, zero before.
 	doneAt time.Time
 }
@@ -103,6 +107,10 @@
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
+	if s.SilencesOnly {
+		s.playSilences(ctx)
+		return s.finish(), nil
+	}
 	watched := make(chan struct{})
 	watching, unwatch := context.WithCancel(ctx)
 	go func() {
@@ -134,14 +142,20 @@
 		s.playOverload()
 		s.checkRecovery(ctx, "an overload", recoveryLimit)
 	}
+	s.playSilences(ctx)
 	s.losePower()
 	s.checkRecovery(ctx, "a loss of all power", powerLossLimit)
 	unwatch()
 	<-watched
+	return s.finish(), nil
+}
+
+// finish makes the checks of the whole run, and returns the violations.
+func (s *Soak) finish() []string {
 	s.checkAll()
 	s.checkNotices()
 	s.printSummary()
-	return s.violations, nil
+	return s.violations
 }
 
 // start starts the programs, which run until ctx ends.
@@ -367,28 +381,3 @@
 		s.violation("%s %s has other bytes than its own: %q", r.path, id, o.Body)
 	}
 }
-
-// printSummary writes the summary of the run.
-func (s *Soak) printSummary() {
-	fmt.Fprintf(s.Out, "seed %d: %d requests, %d broken promises\n", s.Seed, len(s.sent), len(s.violations))
-	printCounts(s.Out, "  requests:", s.kinds)
-	printCounts(s.Out, "  faults:", s.faults)
-	fmt.Fprintf(s.Out, "  long streams: %d of %d begin, %d of %d that are taken up go on, %d of two builds\n",
-		s.streamed.begun, s.streamed.sent, s.streamed.goneOn, s.streamed.resumed, len(s.streamed.mixed))
-	for _, what := range s.violations {
-		fmt.Fprintln(s.Out, "  BROKEN:", what)
-	}
-}
-
-func printCounts(w io.Writer, title string, counts map[string]int) {
-	names := make([]string, 0, len(counts))
-	for name := range counts {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	fmt.Fprint(w, title)
-	for _, name := range names {
-		fmt.Fprintf(w, " %s %d;", name, counts[name])
-	}
-	fmt.Fprintln(w)
-}
--- a/drive/soak/upstream.go
+++ b/drive/soak/upstream.go
@@ -24,6 +24,8 @@
 	build   string
 	handler *swapHandler
 	proxy   *proxy
+	// gate is shut while it is silent.
+	gate gate
 	// stop ends the present incarnation, nil if it has ended.
 	stop context.CancelFunc
 }
--- a/drive/soakcmd.go
+++ b/drive/soakcmd.go
@@ -26,6 +26,7 @@
 	flags.IntVar(&size.DataCentres, "centres", 0, "over how many data centres they are spread, 0 for one")
 	flags.IntVar(&size.RetrySlack, "slack", 0, "the retry budget's part that doesn't depend on the requests, 0 for the usual one")
 	flags.Float64Var(&size.Share, "share", 0, "the share of the time for which each process runs, 0 for all of it")
+	silences := flags.Bool("silences", false, "play only upstreams that fall silent, with planned work or failures beside them")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
@@ -36,7 +37,7 @@
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			return 2
 		}
-		one := &soak.Soak{Seed: s, Duration: *duration, Dir: dir, Bin: *bin, Out: os.Stdout, Size: size}
+		one := &soak.Soak{Seed: s, Duration: *duration, Dir: dir, Bin: *bin, Out: os.Stdout, Size: size, SilencesOnly: *silences}
 		broken, err := one.Run(context.Background())
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "soak: seed %d: %v\n", s, err)
