desk: ends of requests are reported to removed agents

What callers saw: refusals and waits at an engine that seemed full, after its service had left the configuration, or its entry the list, for a moment.

Cause: the end of a request is reported to the agent under the engine's key, and a removed engine has none any more. Its agent kept the place until the request's deadline.

An agent that doesn't know the request ignores its end, so an address that is used again does no harm.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -106,9 +106,10 @@
 	forwardQueue chan gate.StatusReply
 
 	mu sync.Mutex
-	// agents matches the replicas of snap.
-	agents map[string]*agentState
-	snap   *view.Snapshot
+	// agents matches the replicas of snap, removed holds those that did so before.
+	agents  map[string]*agentState
+	removed removedAgents
+	snap    *view.Snapshot
 	// turns counts the agents that were considered for a turn in takesTurn, separately for
 	// those that this entry polls on behalf of its data centre and for the others.
 	turns struct {
@@ -206,6 +207,7 @@
 		}
 		c.agents[r.Key()] = s
 	}
+	c.removeAgents(old)
 }
 
 // due returns the agents to poll now and marks them as being polled.
--- a/entry/desk/permit.go
+++ b/entry/desk/permit.go
@@ -125,15 +125,13 @@
 // Release notifies the agent that a request ended. If the notification is lost, the agent drops
 // the request at its deadline.
 func (c *Client) Release(key string, call gate.EndCall) {
-	c.mu.Lock()
-	s := c.agents[key]
-	c.mu.Unlock()
-	if s == nil {
+	addr := c.agentAddr(key)
+	if addr == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Duration())
 	defer cancel()
-	if err := c.Mesh.Notify(ctx, s.addr, gate.MethodEnd, call); err != nil {
+	if err := c.Mesh.Notify(ctx, addr, gate.MethodEnd, call); err != nil {
 		c.Log.Debug("cannot release permit", "replica", key, "request", call.ID, "error", err)
 	}
 }
--- /dev/null
+++ b/entry/desk/removed_test.go
@@ -0,0 +1,38 @@
+package desk
+
+import (
+	"context"
+	"testing"
+
+	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
+)
+
+// removals are changes of the list after which requests are no longer sent to the engine.
+var removals = map[string]magno.Change{
+	"its service leaves the configuration": {Key: "plan", Revision: 2, Plan: &magno.Plan{Version: 2}},
+	"it leaves the list":                   {Key: "r", Revision: 2, Deleted: true},
+}
+
+// Guards against places that stay taken at an engine until their requests' deadlines: it is removed while its permits
+// are held, and their ends must still be reported.
+func TestEndsAreReportedToRemovedAgents(t *testing.T) {
+	for name, change := range removals {
+		t.Run(name, func(t *testing.T) {
+			a := &fakeAgent{}
+			client, _ := startClient(t, a)
+			waitFor(t, "the agent's state", client.hasStatus)
+			if _, err := client.Acquire(context.Background(), key, gate.Request{ID: "1"}); err != nil {
+				t.Fatal(err)
+			}
+			client.Book.ApplyRead([]magno.Change{change}, 2, false)
+			waitFor(t, "the removal", func() bool { return !client.hasStatus() })
+			client.Release(key, gate.EndCall{ID: "1", OK: true})
+			waitFor(t, "the end of the request", func() bool {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return len(a.releases) == 1 && a.releases[0].ID == "1"
+			})
+		})
+	}
+}
