desk: a removed engine ends the waits for its permits

What callers saw: requests that were answered or refused only at their deadline, though other engines were free, after their engine had left the list, or its service the configuration.

Cause: a permit that is granted by a removed engine is of no use, and its agent isn't polled any more, so that a lost one was not noticed.

Evidence: TestRemovalOfAnAgentEndsTheWait ran into the request's deadline, 10 s, without the fix in both cases, and passes with it.

Why it works: the removal ends the waits as the loss of the agent does. The requests have not been sent, and other engines are asked.

--- a/entry/desk/removed.go
+++ b/entry/desk/removed.go
@@ -18,8 +18,8 @@
 	at   magno.Millis
 }
 
-// removeAgents keeps the addresses of the agents in old that are no longer listed: permits of theirs are still held.
-// The caller holds mu.
+// removeAgents ends the waits for permits of the agents in old that are no longer listed, whose permits are of no use.
+// It keeps their addresses, as they may have granted others. The caller holds mu.
 func (c *Client) removeAgents(old map[string]*agentState) {
 	now := c.Clock.Now()
 	maps.DeleteFunc(c.removed, func(key string, r removedAgent) bool { return c.agents[key] != nil || now-r.at > removedTime })
@@ -31,6 +31,10 @@
 			c.removed = removedAgents{}
 		}
 		c.removed[key] = removedAgent{addr: s.addr, at: now}
+		if !s.lost {
+			s.lost = true // a poll may be in flight
+			close(s.lostCh)
+		}
 	}
 }
 
--- a/entry/desk/removed_test.go
+++ b/entry/desk/removed_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/gate"
@@ -36,3 +39,31 @@
 		})
 	}
 }
+
+// Guards against a request that waits for its permit until its deadline: its engine was removed meanwhile, so that
+// nobody notices that the agent is lost, and a permit would be of no use.
+func TestRemovalOfAnAgentEndsTheWait(t *testing.T) {
+	for name, change := range removals {
+		t.Run(name, func(t *testing.T) {
+			a := &fakeAgent{holdPermits: true}
+			client, _ := startClient(t, a)
+			waitFor(t, "the agent's state", client.hasStatus)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			got := make(chan error, 1)
+			go func() {
+				_, err := client.Acquire(ctx, key, gate.Request{ID: "1"})
+				got <- err
+			}()
+			waitFor(t, "the permit call", func() bool {
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				return client.agents[key].usedAt > 0
+			})
+			client.Book.ApplyRead([]magno.Change{change}, 2, false)
+			if err := <-got; !errors.Is(err, ErrAgentLost) || ctx.Err() != nil {
+				t.Fatalf("got %v, want ErrAgentLost before the deadline", err)
+			}
+		})
+	}
+}
--- a/entry/desk/status.go
+++ b/entry/desk/status.go
@@ -14,7 +14,7 @@
 	if s.misses == 1 {
 		s.silentSince = c.Clock.Now()
 	}
-	lost := s.misses == maxMisses
+	lost := s.misses == maxMisses && !s.lost
 	if lost {
 		s.lost = true
 		close(s.lostCh)
