live: answers and reports have a bound in the load's callers

An answer, a refusal or a stand-in's report without end filled the memory of the program that plays the load. Now 4 MB and 64 MB.

--- a/drive/live/call.go
+++ b/drive/live/call.go
@@ -21,8 +21,14 @@
 // attempt goes through another entry.
 const maxAttempts = 3
 
-// maxLineBytes limits the length of a line in a stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes limits the length of a line in a stream.
+	maxLineBytes = 1 << 20
+	// maxAnswerBytes limits an answer that isn't streamed: what the system's own interface delivers.
+	maxAnswerBytes = 4 << 20
+	// maxReportBytes limits a stand-in's report: 262,144 records of up to 256 bytes.
+	maxReportBytes = 64 << 20
+)
 
 // state is the outcome of a call.
 type state int
@@ -169,7 +175,7 @@
 	if r.stream {
 		return l.readStream(r, resp.Body, begun)
 	}
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return result{state: lost, reason: err.Error()}
 	}
@@ -188,7 +194,7 @@
 }
 
 func readRefusal(resp *http.Response) result {
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return result{state: lost, reason: err.Error()}
 	}
--- a/drive/live/judge.go
+++ b/drive/live/judge.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -69,7 +70,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("unexpected status %d", resp.StatusCode)
 	}
-	return json.NewDecoder(resp.Body).Decode(into)
+	return json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(into)
 }
 
 // verify compares what callers received with what the stand-ins ran.
