endless, fault, soak: stand-ins answer without end

Package endless plays twelve rows of bytes without end (status line to events); the engine's stand-in by the fault "endless" with the row as its value, the soak's upstreams by startEndless, which nothing calls yet. Tests: each row goes on beyond 4 MB and carries its request's fields, the engine serves no report while a row is active.

--- /dev/null
+++ b/drive/soak/endless.go
@@ -0,0 +1,35 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+
+	"magnoliastall.example/stand/endless"
+)
+
+// startEndless makes an upstream answer without end and returns the name of the fault and the function that ends it.
+// Streams of valid events are left out: their callers have to read them.
+func (f *fleet) startEndless(u *upstream, rnd *rand.Rand) (string, func()) {
+	f.mu.Lock()
+	id := u.worker.ID
+	f.mu.Unlock()
+	u.handler.mu.Lock()
+	defer u.handler.mu.Unlock()
+	next := u.handler.h
+	h := &endless.Handler{Next: next, Own: func(r *http.Request) http.Header {
+		return http.Header{
+			"X-Magnoliastall-Attempt-Id":       {r.Header.Get("X-Magnoliastall-Attempt-Id")},
+			"X-Magnoliastall-Server-Signature": {"by " + id},
+		}
+	}}
+	u.handler.h = h
+	row := endless.Row(rnd.IntN(int(endless.Events)))
+	h.Set(row)
+	return "endless " + row.String(), func() {
+		u.handler.mu.Lock()
+		defer u.handler.mu.Unlock()
+		if u.handler.h == http.Handler(h) { // no other incarnation serves there by now
+			u.handler.h = next
+		}
+	}
+}
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -170,7 +170,7 @@
 		e.workReady = make(chan struct{}, 1)
 		e.faults.Kinds = map[string]bool{
 			fault.Outage: false, fault.Lag: false, fault.Slow: false, fault.Restart: false, fault.IgnoreFence: false,
-			fault.Limit: false, fault.Leaving: false, fault.Rest: false,
+			fault.Limit: false, fault.Leaving: false, fault.Rest: false, fault.Endless: false,
 			fault.Fail: true, fault.Crash: true,
 		}
 		e.faults.OnRestart = func(down magno.Millis) {
--- a/stand/engine/http.go
+++ b/stand/engine/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"magnoliastall.example/stand/endless"
 	"magnoliastall.example/stand/fault"
 	"magnoliastall.example/stand/serve"
 )
@@ -116,6 +117,10 @@
 		if _, out := e.faults.Active(fault.Outage, ""); out {
 			return echo.NewHTTPError(http.StatusServiceUnavailable, "outage")
 		}
+		if row, on := e.faults.Active(fault.Endless, ""); on {
+			endless.Row(row).Write(c.Response(), nil)
+			return nil
+		}
 		e.faults.WriteNotice(c.Response().Header())
 		return next(c)
 	}
--- a/stand/fault/fault.go
+++ b/stand/fault/fault.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/stand/endless"
 	"magnoliastall.example/stand/past"
 	"magnoliastall.example/stand/serve"
 )
@@ -31,6 +32,7 @@
 	Limit       = "limit"       // answers name a limit of Value requests per second
 	Leaving     = "leaving"     // answers state that the upstream leaves
 	Rest        = "rest"        // every call is turned away with 503 and a Retry-After of Value ms
+	Endless     = "endless"     // every call is answered without end, by the row Value of package endless
 	Clear       = "clear"       // deactivates all faults
 )
 
@@ -91,6 +93,8 @@
 		highest = float64(past.Retention)
 	case Fail, Lost:
 		highest = 1
+	case Endless:
+		highest = float64(endless.Rows - 1)
 	case Crash:
 		if s.Match == "" {
 			return fmt.Errorf("match: required for kind crash")
