keep: no permit for a request that ended before its call was handled

What callers saw: requests wait for, and are refused by, engines that have room. It isn't shown to be a cause of requests that are sent after their callers left: an agent sends none itself.

Cause: an entry whose caller leaves ends the request at the agent. Notifications are handled on the goroutine that reads, calls on goroutines of their own, so at a busy agent the end may come first. It was ignored then, and the call was queued and granted: its place at the engine was held until the deadline of a request for which nobody waited.

--- a/agent/keep/calls.go
+++ b/agent/keep/calls.go
@@ -81,6 +81,10 @@
 func (k *Controller) offer(call *gate.PermitCall, ch chan gate.PermitReply) {
 	k.updateSpec(call.Spec, call.Revision, call.ID)
 	k.waiting[call.ID] = ch
+	if k.early.take(call.ID, k.Clock.Now()) {
+		k.reply(call.ID, gate.PermitReply{Refusal: refuseCancelled()})
+		return
+	}
 	r := k.check(call)
 	if r == nil {
 		k.adoptLimit(call.Limit, call.ID)
@@ -146,14 +150,23 @@
 	}
 }
 
-// drop ends a request, whether it runs or waits.
+// drop ends a request, whether it runs, waits or hasn't been offered yet.
 func (k *Controller) drop(id string, ok bool) {
-	k.gate.Done(id, ok)
-	if k.waiting[id] != nil {
-		k.reply(id, gate.PermitReply{Refusal: magno.Refuse(magno.KindCancelled, "the caller went away")})
+	switch {
+	case k.waiting[id] != nil:
+		k.gate.Done(id, ok)
+		k.reply(id, gate.PermitReply{Refusal: refuseCancelled()})
+	case k.gate.Started(id):
+		k.gate.Done(id, ok)
+	case !ok:
+		k.early.add(id, k.Clock.Now())
 	}
 }
 
+func refuseCancelled() *magno.Refusal {
+	return magno.Refuse(magno.KindCancelled, "the caller went away")
+}
+
 // end handles MethodEnd.
 func (k *Controller) end(ctx context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
 	var call gate.EndCall
--- a/agent/keep/keep.go
+++ b/agent/keep/keep.go
@@ -53,6 +53,7 @@
 	sending  bool
 	// waiting maps the ID of a waiting request to the channel for its reply.
 	waiting map[string]chan gate.PermitReply
+	early   earlyEnds
 	// specRevision is the revision of the spec in force. engineStart is taken from the engine's
 	// latest report, which was requested at reportAskedAt.
 	specRevision  magno.Revision
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -217,6 +217,9 @@
 	}
 }
 
+// Started reports whether a request was admitted and hasn't ended.
+func (g *Gate) Started(id string) bool { return g.active[id] != nil }
+
 // Done ends a request; ok is true if it completed.
 func (g *Gate) Done(id string, ok bool) {
 	g.setup()
