soak: a released upstream ends once it has finished its requests

The stand-in replaced an upstream one second after it was listed as leaving, under requests in progress: the old incarnation went on with them at an address at which the list named another one. On the platform one that leaves as planned serves on and exits after, and its address is used again later. The entry took a silent one for ended, which is right where another is listed at its address, and broke the stream off. The check stays as it was: the release now waits until nothing is in progress.

--- a/drive/soak/silence.go
+++ b/drive/soak/silence.go
@@ -41,6 +41,8 @@
 	// it is listed as leaving.
 	stopPause    = gracePeriod + time.Second
 	releaseDelay = time.Second
+	// drainPoll is how often it is asked whether it has finished its requests.
+	drainPoll = 10 * time.Millisecond
 )
 
 // Planned changes.
@@ -179,7 +181,8 @@
 	s.faults["planned "+what]++
 }
 
-// release replaces the upstreams of a service one after the other. Each leaves as planned.
+// release replaces the upstreams of a service one after the other. Each leaves as planned, once it has finished its
+// requests.
 func (s *Soak) release(ctx context.Context, ups []*upstream) {
 	for _, u := range ups {
 		if ctx.Err() != nil {
@@ -188,6 +191,9 @@
 		s.change(changeRelease, -1, planWindow)
 		s.fleet.drain(u)
 		time.Sleep(releaseDelay)
+		for w := s.fleet.current(u); w.Active() > 0; {
+			time.Sleep(drainPoll)
+		}
 		u.gate.wait()
 		s.fleet.replace(u)
 		s.fleet.current(u).SetCapacity(keptCapacity)
