desk: a late answer to a poll doesn't revive a removed agent

What callers saw: nothing yet. A permit call that began as its engine was removed could wait until the request's deadline.

Cause: the answer to a poll that was in flight at the removal counted as the agent's return.

Evidence: TestLateAnswerDoesNotReviveARemovedAgent failed without the fix and passes with it.

Why it works: the state of a removed agent takes no more answers.

--- a/entry/desk/agent.go
+++ b/entry/desk/agent.go
@@ -35,6 +35,8 @@
 	// lostCh is closed once the agent counts as lost, and replaced when it answers again.
 	lostCh chan struct{}
 	lost   bool
+	// removed is true once the replica isn't listed any more.
+	removed bool
 	// unreachable is true if the agent is lost and connections to its engine fail.
 	unreachable bool
 }
--- a/entry/desk/removed.go
+++ b/entry/desk/removed.go
@@ -31,8 +31,9 @@
 			c.removed = removedAgents{}
 		}
 		c.removed[key] = removedAgent{addr: s.addr, at: now}
+		s.removed = true // a poll may be in flight
 		if !s.lost {
-			s.lost = true // a poll may be in flight
+			s.lost = true
 			close(s.lostCh)
 		}
 	}
--- a/entry/desk/removed_test.go
+++ b/entry/desk/removed_test.go
@@ -67,3 +67,25 @@
 		})
 	}
 }
+
+// Guards against a permit that is waited for at a removed engine, since a late answer to a poll revived its agent.
+func TestLateAnswerDoesNotReviveARemovedAgent(t *testing.T) {
+	a := &fakeAgent{}
+	client, _ := startClient(t, a)
+	waitFor(t, "the agent's state", client.hasStatus)
+	client.mu.Lock()
+	s := client.agents[key]
+	status := s.status
+	client.mu.Unlock()
+	client.Book.ApplyRead([]magno.Change{removals["it leaves the list"]}, 2, false)
+	client.syncAgents()
+	client.recordStatus(s, &status, 0)
+	client.mu.Lock()
+	lostCh := s.lostCh
+	client.mu.Unlock()
+	select {
+	case <-lostCh:
+	default:
+		t.Error("permits are waited for at an engine that was removed")
+	}
+}
--- a/entry/desk/status.go
+++ b/entry/desk/status.go
@@ -33,6 +33,10 @@
 func (c *Client) recordStatus(s *agentState, reply *gate.StatusReply, listsHash uint64) {
 	c.mu.Lock()
 	reply.Restore(listsHash, &s.status)
+	if s.removed {
+		c.mu.Unlock()
+		return
+	}
 	if s.lost {
 		s.lostCh = make(chan struct{})
 		c.Log.Info("agent back", "replica", s.replica.Key(), "addr", s.addr)
