desk: an agent stays while its engine is listed, also without its service

What callers saw: refusals, with a time to return, of requests that had been accepted before a configuration without their service came, though their engine was there and would have taken them by the old route.

Cause: the agents of a service that isn't configured were dropped at once, so that no permit could be had there, and none that was waited for was watched.

Evidence: TestAgentStaysWhileItsEngineIsListed got ErrAgentLost and no poll within a minute without the fix, and passes with it.

Why it works: an agent that was known is polled and asked until its engine leaves the list. Requests that arrive later find no route to it.

In TestRemovalOfAnAgentEndsTheWait the case of a service that leaves the configuration is replaced by this test: it demanded that the wait ends, and the request may do better, it gets its permit.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -188,12 +188,14 @@
 	old := c.agents
 	c.agents = make(map[string]*agentState, len(old))
 	for _, r := range snap.Replicas {
-		service := snap.Plan.Service(r.Service)
+		service, s := snap.Plan.Service(r.Service), old[r.Key()]
+		if service == nil && s != nil {
+			c.agents[r.Key()] = s // requests that began before are still sent there
+		}
 		if service == nil || service.Engine == nil {
 			continue
 		}
 		host, _, _ := net.SplitHostPort(r.Address) // validated when it was decoded
-		s := old[r.Key()]
 		if s == nil {
 			s = &agentState{
 				addr: net.JoinHostPort(host, strconv.Itoa(c.AgentPort)), hash: xxhash.Sum64String(r.Key()),
