--- a/entry/relay/body_test.go
+++ b/entry/relay/body_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -74,3 +76,63 @@
 		_ = res.Body.Close()
 	}
 }
+
+// Guards against a body over the configuration's limit that is read to its end, or that goes on without one.
+func TestBodyOverTheLimitIsNotRead(t *testing.T) {
+	const limit = 64 << 10
+	for _, c := range []struct {
+		name   string
+		length int64
+		read   int
+	}{
+		{"a stated length", limit + 1, 0},
+		{"no stated length", -1, 2 * limit},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := startUpstream(t, streamOneEvent)
+			s := newTestProxy(t, magno.RouteIdempotent, false, u)
+			s.Book.Current().Plan.Body = limit
+			body := &endlessText{rest: "x", limit: 100 * limit}
+			r := httptest.NewRequest(http.MethodPost, "/p/1", io.NopCloser(body))
+			r.Host, r.ContentLength = "h.example", c.length
+			r.Header.Set("Id", "1")
+			w := httptest.NewRecorder()
+			s.ServeHTTP(w, r)
+			if w.Code != http.StatusRequestEntityTooLarge {
+				t.Errorf("status %d", w.Code)
+			}
+			if body.read > c.read {
+				t.Errorf("%d bytes were read, at most %d may be", body.read, c.read)
+			}
+			if n := u.requestCount(); n != 0 {
+				t.Errorf("%d sends", n)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that repeats an event that the caller has, or sends events without an id, and so holds the
+// request beyond its route's time.
+func TestStreamWithoutEndEndsWithItsTime(t *testing.T) {
+	for name, event := range map[string]string{"one event": eventText(1), "events without an id": "data: x\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{}, 8)
+			u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+				writeStreamHead(c, r.Header.Get("Id"))
+				block := strings.Repeat(event, 1000)
+				for {
+					if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(block), block); err != nil {
+						closed <- struct{}{}
+						return false
+					}
+				}
+			})
+			s := newTestProxy(t, magno.RouteStream, false, u)
+			if _, _, err := s.get(t, http.MethodPost, "1"); err == nil {
+				t.Error("a stream without end looks whole")
+			}
+			waitFor(t, "the request to end", func() bool { return s.Active() == 0 })
+			<-closed
+		})
+	}
+}
