gate: what a report ends is recorded in one order

Cause: a report's adapters came out of a map, and the averages of load times and the recency of adapters depend on the order in which they are recorded.

--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -138,15 +139,17 @@
 	for model, held := range r.Loaded {
 		inv.models[model] = true
 		for adapter, version := range held {
-			name := QualifiedName(model, adapter)
-			inv.adapters[name] = version
-			if l, ok := inv.loadStarts[name]; ok {
-				delete(inv.loadStarts, name)
-				inv.recordLoad(l, asked-l.at)
-			}
-			inv.recent.Add(name, struct{}{})
+			inv.adapters[QualifiedName(model, adapter)] = version
 		}
 	}
+	// Sorted, as averages and ranks depend on the order.
+	for _, name := range slices.Sorted(maps.Keys(inv.adapters)) {
+		if l, ok := inv.loadStarts[name]; ok {
+			delete(inv.loadStarts, name)
+			inv.recordLoad(l, asked-l.at)
+		}
+		inv.recent.Add(name, struct{}{})
+	}
 	inv.updateRanks()
 	for _, p := range r.Loading {
 		inv.loading[QualifiedName(p.Model, p.Adapter)] = true
--- a/magno/route/speed_test.go
+++ b/magno/route/speed_test.go
@@ -16,7 +16,7 @@
 	// leastShare is the share of requests on time, relative to routers that know the speeds.
 	leastShare = 0.95
 	// mostExtra is by how much loads and requests to other data centres may exceed those of a
-	// router that knows the speeds; runs of one seed differ by two in a hundred.
+	// router that knows the speeds.
 	mostExtra = 1.05
 	// mostRateError is the highest mean error of the rates that agents have learned from five
 	// seconds after a change on. With rates that follow a change over a hundred prompts it is
