route: choices among all targets don't depend on a map's order

Now the order is that of the ring from a place that the router draws, so that entries go on preferring different ones among equals.

TestChoicesAmongAllAreEqual failed on the code before. Package route: passed in 17 s, with the scene at unequal speeds.

--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -78,8 +78,13 @@
 // addAll adds all targets. A few drawn at random may all be at rest, or the adapter's holders
 // and hash candidates, while others of the pool aren't.
 func (r *Router) addAll(q *query) {
-	for _, p := range r.peers {
-		r.add(q, p, 0)
+	points := r.ring.points
+	if len(points) == 0 {
+		return
+	}
+	first := r.rand.IntN(len(points)) // entries prefer different ones among equals
+	for i := range points {
+		r.add(q, points[(first+i)%len(points)].peer, 0)
 	}
 }
 
