site: requests in progress are answered when the grace period ends

A caller whose request was at an upstream, or waited, when the grace period ended saw its connection close, and a caller that had closed its own half of the connection got an empty 200 without a signature.

Cause: Shutdown waits for 0.3 s and Close then ends the connections of all active requests; their handlers aren't told, so only requests that come during the drain are refused. A handler that returns without a word, as the relay does for a caller that has left, makes net/http send an empty 200.

Now the guard that answers a panic knows the answers in progress. Before Close it gives 502, which promises nothing, to all that have not begun; later writes of their handlers fail. Answers that have begun still end early. A handler that returns without an answer is answered 502 as well.

--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -66,21 +66,28 @@
 
 // Run serves callers until ctx ends.
 func (f *front) Run(ctx context.Context) error {
-	return serve(ctx, f.settings.CallerAddress, f.relay.LoadLevel, &http.Server{
-		Handler: f.handler(f.relay), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	handler, g := f.handler(f.relay)
+	return serveGuarded(ctx, f.settings.CallerAddress, f.relay.LoadLevel, &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		ConnContext: markRefused, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
-	}, finalAnswerTimeout)
+	}, finalAnswerTimeout, g.end)
 }
 
-// handler returns the handler of callers' requests that next answers.
-func (f *front) handler(next http.Handler) http.Handler {
-	return listen.WithWriteTimeout(&guard{next, f.log}, writeStallTimeout)
+// handler returns the handler of callers' requests that next answers, and its guard.
+func (f *front) handler(next http.Handler) (http.Handler, *guard) {
+	g := newGuard(next, f.log)
+	return listen.WithWriteTimeout(g, writeStallTimeout), g
 }
 
 // serve runs a server until ctx ends, and accepts connections as its level allows. It then accepts no more connections, and closes the
 // open ones after drainTimeout. Closing at once cut off requests that a slow machine had
 // read shortly before, and their callers couldn't know that they had not run.
 func serve(ctx context.Context, address string, level func() strain.Level, s *http.Server, drainTimeout magno.Millis) error {
+	return serveGuarded(ctx, address, level, s, drainTimeout, func() {})
+}
+
+// serveGuarded is serve that calls end before it closes connections whose requests are still in progress.
+func serveGuarded(ctx context.Context, address string, level func() strain.Level, s *http.Server, drainTimeout magno.Millis, end func()) error {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
@@ -96,6 +103,7 @@
 	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout.Duration())
 	defer cancel()
 	if s.Shutdown(wait) != nil { // close connections that are still active
+		end()
 		if err := s.Close(); err != nil {
 			return errors.Wrap(err, "close connections")
 		}
