site: a connection with unread input is closed without a reset

The caller of a large answer with Connection: close that reads slowly and has sent its next request lost the end of its answer, though the upstream had given it whole.

Cause: closing a connection with unread input sends a reset, and the kernel then drops what is still in the send buffer. net/http waits before it closes only if the request's own body is unread.

Now such a connection is closed for writing only, its input is read and dropped until the caller closes it, for two seconds at most, and it is closed then. Reads and writes of the server fail meanwhile, so that nothing of it is served. Connections without unread input are closed as before.

Callers that wait for an answer before they send the next request aren't affected.

--- a/entry/site/ending_test.go
+++ b/entry/site/ending_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/shed"
@@ -209,3 +211,37 @@
 		t.Error("the second request was sent on")
 	}
 }
+
+// Guards against an answer whose end is taken away from a caller that reads slowly, for its next request
+// is unread when the connection is closed.
+func TestAnswerToASlowCallerIsWholeThoughItsNextRequestIsUnread(t *testing.T) {
+	const size = 8 << 20
+	var read, written atomic.Bool
+	l := startShedServer(t, never, shed.DefaultLimits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		read.Store(true)
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(make([]byte, size))
+		written.Store(true)
+	}))
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	send(t, c, whole)
+	waitFor(t, "the first request", read.Load)
+	send(t, c, whole)
+	got, part := 0, make([]byte, 64<<10)
+	for !written.Load() {
+		n, err := c.Read(part)
+		if got += n; err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(100 * time.Millisecond) // the connection is closed meanwhile
+	rest, err := io.ReadAll(c)
+	if got += len(rest); err != nil || got < size {
+		t.Errorf("got %d bytes of more than %d: %v", got, size, err)
+	}
+}
--- a/entry/site/shed.go
+++ b/entry/site/shed.go
@@ -53,6 +53,9 @@
 			metrics.GetOrCreateCounter("connections_left_total").Inc()
 			continue
 		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			c = &lingerConn{TCPConn: tcp}
+		}
 		metrics.GetOrCreateHistogram("connection_wait_seconds").Update(float64(waited) / 1000)
 		if !shed.Refuses(l.level(), waited) {
 			return c, nil
@@ -153,8 +156,8 @@
 
 // CloseWrite lets the server close a connection without a reset that overtakes the answer.
 func (c *refusedConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
 	}
 	return nil
 }
