--- a/entry/site/ending_test.go
+++ b/entry/site/ending_test.go
@@ -33,7 +33,7 @@
 	release       func()
 }
 
-func startRig(t *testing.T, half, withPlan bool) *rig {
+func startRig(t *testing.T, half, stream, withPlan bool) *rig {
 	t.Helper()
 	r := &rig{reached: make(chan struct{}, 4), next: make(chan struct{})}
 	r.release = sync.OnceFunc(func() { close(r.next) })
@@ -41,6 +41,15 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		w.Header().Set("Id", req.Header.Get("Id"))
 		w.Header().Set("Signed", "1")
+		if stream {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+			r.reached <- struct{}{}
+			<-r.next
+			_, _ = io.WriteString(w, "id: 2\ndata: x\n\n")
+			return
+		}
 		w.Header().Set("Content-Length", "8")
 		if half {
 			_, _ = io.WriteString(w, "half")
@@ -59,7 +68,11 @@
 	r.entry.settings.Grace = magno.Minute
 	r.entry.front.settings.Grace = magno.Minute
 	if withPlan {
-		r.setPlan(1, planOf(1, "/p/", callerTime))
+		p := planOf(1, "/p/", callerTime)
+		if stream {
+			p.Routes[0].Kind = magno.RouteStream
+		}
+		r.setPlan(1, p)
 	}
 	handler, _ := r.entry.front.handler(r.entry.front.relay)
 	r.listener = startShedServer(t, r.entry.front.relay.LoadLevel, shed.DefaultLimits, handler)
@@ -115,6 +128,7 @@
 	},
 	"sent and unanswered": atUpstream,
 	"answering":           atUpstream,
+	"streaming":           atUpstream,
 	"second request": func(t *testing.T, r *rig, event func()) net.Conn {
 		c := r.connect(t)
 		r.release()
@@ -175,14 +189,14 @@
 	for state, bring := range states {
 		for event, happen := range events {
 			t.Run(state+"/"+event, func(t *testing.T) {
-				r := startRig(t, state == "answering", state != "first configuration")
+				r := startRig(t, state == "answering", state == "streaming", state != "first configuration")
 				c := bring(t, r, func() { happen(r) })
 				status, err := readAnswer(c)
 				if err != nil {
 					t.Fatalf("no whole answer: %d %v", status, err)
 				}
 				t.Logf("%s, %s: %d", state, event, status)
-				if (state == "sent and unanswered" || state == "answering") && status != http.StatusOK {
+				if (state == "sent and unanswered" || state == "answering" || state == "streaming") && status != http.StatusOK {
 					t.Errorf("got %d though the upstream answers", status)
 				}
 			})
@@ -193,7 +207,7 @@
 // Guards against a connection that closes behind its last answer and takes that away from a caller that
 // has sent its next request already. That request isn't read.
 func TestRequestBehindTheLastAnswerTakesNothingAway(t *testing.T) {
-	r := startRig(t, false, true)
+	r := startRig(t, false, false, true)
 	r.entry.front.relay.SetLoadLevel(strain.Strained)
 	c := r.connect(t)
 	send(t, c, whole)
