--- a/drive/soak/lost_test.go
+++ b/drive/soak/lost_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,9 +79,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	requests := 0
+	var requests atomic.Int64
 	serveOn(t.Context(), l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		requests++
+		requests.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
 		switch r.URL.Path {
 		case "/repeat/close":
@@ -98,8 +99,8 @@
 		complete bool
 	}{{"/repeat/x", http.StatusOK, true}, {"/repeat/close", 0, false}, {"/repeat/cut", http.StatusOK, false}, {"/repeat/x", http.StatusOK, true}} {
 		o, wholeAt := c.send(t.Context(), fake.Message{Target: want.target})
-		if o.Status != want.status || o.Complete != want.complete || wholeAt.IsZero() || requests != n+1 {
-			t.Errorf("%s: got %+v, sent at %s, %d requests so far", want.target, o, wholeAt, requests)
+		if o.Status != want.status || o.Complete != want.complete || wholeAt.IsZero() || requests.Load() != int64(n+1) {
+			t.Errorf("%s: got %+v, sent at %s, %d requests so far", want.target, o, wholeAt, requests.Load())
 		}
 	}
 	_ = l.Close()
