relay: the test of planned changes awaits accepted requests

TestPlannedChangeUnderAQueuedRequest failed once in a run of the package: a request that hadn't been authorized when its customer went got 401, which is true.

--- a/entry/relay/planned_test.go
+++ b/entry/relay/planned_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,16 +86,19 @@
 	plan.Customers = []magno.Customer{{
 		Name: "alpha", Keys: []magno.Digest{magno.DigestOf("key")}, Limit: &magno.Limit{Rate: 100, Burst: 100},
 	}}
-	s.Quotas = allowAll{}
+	s.Quotas = &allowAll{}
 	s.relist(len(ups), func(_ int, r *magno.Replica) { r.Build = "1" })
 	return s
 }
 
-// allowAll are limits that nobody exceeds.
-type allowAll struct{}
+// allowAll are limits that nobody exceeds. It counts the requests.
+type allowAll struct{ taken atomic.Int64 }
 
-func (allowAll) Take(context.Context, *magno.Customer, float64) *magno.Refusal { return nil }
-func (allowAll) Give(*magno.Customer, float64)                                 {}
+func (a *allowAll) Take(context.Context, *magno.Customer, float64) *magno.Refusal {
+	a.taken.Add(1)
+	return nil
+}
+func (a *allowAll) Give(*magno.Customer, float64) {}
 
 // request sends a request with the customer's key.
 func (s *testProxy) request(t *testing.T) (*responseHead, string, error) {
@@ -252,6 +256,8 @@
 				s := newPlannedProxy(t, magno.RouteOnce, false, u, v)
 				s.relist(2, func(_ int, r *magno.Replica) { r.Slots = 1 })
 				s.withQueues(t)
+				taken := &allowAll{}
+				s.Quotas = taken
 				const requests = 6
 				var wg sync.WaitGroup
 				for i := range requests {
@@ -267,7 +273,7 @@
 					})
 				}
 				<-held
-				waitFor(t, "all requests", func() bool { return s.Active() == requests })
+				waitFor(t, "all requests to be accepted", func() bool { return taken.taken.Load() == requests })
 				change(s)
 				s.Queues.(interface{ Update() }).Update()
 				close(free)
