relay: a hedge of a stream is awaited as long as the first upstream

A stream whose upstream hung for good ended with it if the second one needed more than 300 ms to its first event: the hedge was given up then, and its attempt and retry were spent.

A request begins to run with its first token, and who brings an event first stops the other, so that no bound is needed to keep a stream from running at two upstreams.

With it: an earlier limit no longer stays in force where no other upstream can be tried (the wait was renewed every 300 ms or less), a small answer is flushed before its hedge is waited for, and callers that have left are noticed right before each send.

--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"magnoliastall.example/entry/hop"
-	"magnoliastall.example/magno"
 )
 
 // Hedged requests: one whose upstream is silent is sent to another upstream as well.
@@ -22,12 +22,6 @@
 // the same. Another upstream that could be chosen may refuse, fail, break off or be silent too. So a connection
 // is given up only once another upstream has answered, or gone on with the stream.
 
-const (
-	// overlapTime is how long a stream is awaited at a second upstream while the first may still run it. An upstream
-	// that gets a stream later must not run it beside another for longer than 400 ms.
-	overlapTime = 300 * magno.Millis(1)
-)
-
 // race is a request that several upstreams may answer.
 type race struct {
 	// ctx ends with the request.
@@ -43,8 +37,6 @@
 	stop context.CancelFunc
 	// lost is true once another racer has claimed the response.
 	lost bool
-	// waiting is true while it has no request at an upstream and waits for its hedge.
-	waiting bool
 }
 
 // enter adds a racer, which runs until the returned context ends.
@@ -88,20 +80,6 @@
 	return one.lost
 }
 
-// setWaiting records whether a racer waits for its hedge only.
-func (r *race) setWaiting(one *racer, waiting bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	one.waiting = waiting
-}
-
-// othersRun reports whether another racer may have a request at an upstream.
-func (r *race) othersRun(one *racer) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.racers, func(other *racer) bool { return other != one && !other.waiting })
-}
-
 // hedge is the copy of a job that is tried at other upstreams.
 type hedge struct {
 	job *job
@@ -119,24 +97,13 @@
 	return j.claimed
 }
 
-// overlaps reports whether the job is a hedge of a stream that hasn't brought an event yet.
-func (j *job) overlaps() bool {
-	return j.hedged && !j.claimed && j.route.Kind == magno.RouteStream
-}
-
 // awaitsAnswer is called when the upstream has exceeded the read limit. It reports whether the answer is
-// still awaited: it is unless the incarnation is known to have ended, or the request was sent here while another
-// upstream was silent, and may go on there. Otherwise the request is sent to another upstream as well.
+// still awaited, as it is unless the incarnation is known to have ended. The request is sent to another upstream as
+// well.
 func (j *job) awaitsAnswer(ctx context.Context, conn *hop.Conn) bool {
 	if ctx.Err() != nil || j.replaced() {
 		return false
 	}
-	if j.overlaps() {
-		if j.race.othersRun(j.racer) {
-			return false
-		}
-		j.readLimit = minStallTimeout
-	}
 	j.silent = true
 	j.startHedge()
 	metrics.GetOrCreateCounter("late_answers_awaited_total").Inc()
@@ -177,7 +144,7 @@
 // copyForHedge returns a copy of the job that shares nothing with it that either changes.
 func (j *job) copyForHedge() *job {
 	c := *j
-	c.hedged, c.claimed, c.silent, c.hedge = true, false, false, nil
+	c.claimed, c.silent, c.hedge = false, false, nil
 	c.tried, c.declined = slices.Clone(j.tried), slices.Clone(j.declined)
 	c.responseMem = reservation{sem: j.ResponseMemory}
 	c.turn, c.stopAbort, c.refusal = nil, nil, nil
@@ -211,9 +178,10 @@
 	if h == nil {
 		return res
 	}
-	j.race.setWaiting(j.racer, true)
+	if res == resultDone {
+		_ = http.NewResponseController(j.w).Flush() // the answer doesn't wait for the hedge
+	}
 	<-h.ended
-	j.race.setWaiting(j.racer, false)
 	if !h.job.claimed {
 		j.mergeHedge()
 		return res
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -118,9 +118,9 @@
 	race  *race
 	racer *racer
 	hedge *hedge
-	// hedged is true if the job is itself a hedge. claimed is true once it has written an answer or an event, silent
-	// once the upstream of the last send exceeded the read limit.
-	hedged, claimed, silent bool
+	// claimed is true once the job has written an answer or an event, silent once the upstream of the last send
+	// exceeded the read limit.
+	claimed, silent bool
 	// lastReplica is the replica of the last send, lastAddress its address. permitWait is the total wait for permits,
 	// and waitCauses its causes as reported by agents.
 	lastReplica string
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -115,7 +115,7 @@
 		j.refusal = refusal
 		return resultRefused
 	}
-	if j.r.Context().Err() != nil {
+	if callerLeft(j.r.Context()) {
 		return resultAborted
 	}
 	if ctx.Err() != nil || j.deadline-j.Clock.Now() < j.minTimeLeft() {
@@ -254,14 +254,13 @@
 	setDeadline(ctx, conn, time.Now().Add(max(min(limit, j.deadline-j.Clock.Now()), 1).Duration()))
 }
 
-// setRetryLimit is setLimit if another upstream may be tried after the limit. A hedge of a stream has overlapTime.
+// setRetryLimit is setLimit if another upstream may be tried after the limit. There is none otherwise.
 func (j *job) setRetryLimit(ctx context.Context, conn *hop.Conn, limit magno.Millis) {
-	switch {
-	case j.overlaps():
-		j.setLimit(ctx, conn, max(j.sentAt+overlapTime-j.Clock.Now(), 1))
-	case j.canRetryElsewhere():
-		j.setLimit(ctx, conn, limit)
+	if !j.canRetryElsewhere() {
+		setDeadline(ctx, conn, time.Time{})
+		return
 	}
+	j.setLimit(ctx, conn, limit)
 }
 
 // setDeadline sets the deadline of reads and writes. The end of ctx, which aborts them by a deadline too,
