--- a/stand/endless/endless.go
+++ b/stand/endless/endless.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	r.write(conn, rw.Writer, own)
 }
 
--- a/stand/endless/endless_test.go
+++ b/stand/endless/endless_test.go
@@ -35,7 +35,7 @@
 	if n := h.Answers(); n != Rows {
 		t.Errorf("%d answers without end, want %d", n, Rows)
 	}
-	res, err := http.Get(s.URL) //nolint:noctx // a test
+	res, err := http.Get(s.URL)
 	if err != nil || res.StatusCode != http.StatusOK {
 		t.Fatalf("%v, %v", res, err)
 	}
--- a/stand/engine/endless_test.go
+++ b/stand/engine/endless_test.go
@@ -17,7 +17,7 @@
 	s.client.Transport = &http.Transport{DisableKeepAlives: true}
 	for row := range endless.Rows {
 		s.setFault(fault.Spec{Kind: fault.Endless, Value: float64(row)})
-		res, err := s.client.Get(s.server.URL + "/v1/report") //nolint:noctx // a test
+		res, err := s.client.Get(s.server.URL + "/v1/report")
 		if err != nil {
 			continue
 		}
@@ -28,7 +28,7 @@
 		_ = res.Body.Close()
 	}
 	s.setFault(fault.Spec{Kind: fault.Clear})
-	res, err := s.client.Get(s.server.URL + "/v1/report") //nolint:noctx // a test
+	res, err := s.client.Get(s.server.URL + "/v1/report")
 	if err != nil || res.StatusCode != http.StatusOK {
 		t.Fatalf("%v, %v", res, err)
 	}
