--- a/drive/soak/endless.go
+++ b/drive/soak/endless.go
@@ -10,18 +10,11 @@
 // startEndless makes an upstream answer without end and returns the name of the fault and the function that ends it.
 // Streams of valid events are left out: their callers have to read them.
 func (f *fleet) startEndless(u *upstream, rnd *rand.Rand) (string, func()) {
-	f.mu.Lock()
-	id := u.worker.ID
-	f.mu.Unlock()
+	w := f.current(u)
 	u.handler.mu.Lock()
 	defer u.handler.mu.Unlock()
 	next := u.handler.h
-	h := &endless.Handler{Next: next, Own: func(r *http.Request) http.Header {
-		return http.Header{
-			"X-Magnoliastall-Attempt-Id":       {r.Header.Get("X-Magnoliastall-Attempt-Id")},
-			"X-Magnoliastall-Server-Signature": {"by " + id},
-		}
-	}}
+	h := &endless.Handler{Next: next, Own: w.OwnHeader}
 	u.handler.h = h
 	row := endless.Row(rnd.IntN(int(endless.Events)))
 	h.Set(row)
--- a/drive/soak/lost_test.go
+++ b/drive/soak/lost_test.go
@@ -30,8 +30,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		req.Header.Set("X-Magnoliastall-Attempt-Id", path)
-		req.Header.Set("X-Magnoliastall-Expect-Instance", u.worker.ID)
+		u.worker.SetRequest(req.Header, path)
 		res, err := http.DefaultClient.Do(req)
 		if err != nil {
 			t.Fatal(err)
--- a/drive/soak/plan.go
+++ b/drive/soak/plan.go
@@ -1,9 +1,6 @@
 package soak
 
 import (
-	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"magnoliastall.example/platform/fake"
@@ -48,12 +45,6 @@
 			r.(map[string]any)["timeout_ms"] = f.limits[n-1].limit.Milliseconds()
 		}
 	}
-	first := routes[0].(map[string]any)
-	for n := range f.furtherRoutes {
-		further := maps.Clone(first)
-		further["name"], further["path_prefix"] = fmt.Sprintf("further-%d", n), fmt.Sprintf("/further-%d/", n)
-		routes = append(routes, further)
-	}
-	plan["routes"] = slices.Clip(routes)
+	fake.AddRoutes(plan, f.furtherRoutes)
 	return plan
 }
--- a/stand/endless/endless.go
+++ b/stand/endless/endless.go
@@ -48,7 +48,7 @@
 	Bytes:          {"bytes", "", "x"},
 	HeaderFields:   {"header fields", head, "A: b\r\n"},
 	Interim:        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-	OtherAnswers:   {"answers to other requests", "", head + "X-Magnoliastall-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n"},
+	OtherAnswers:   {"answers to other requests", "", head + "Content-Length: 0\r\n\r\n"},
 	Body:           {"body", head + "\r\n", "x"},
 	ChunkSize:      {"chunk size", chunked, "0"},
 	ChunkExtension: {"chunk extension", chunked + "1;", "x"},
@@ -79,6 +79,11 @@
 		_ = own.Write(&fields)
 		first = head + fields.String() + after
 	}
+	if r == OtherAnswers {
+		var fields strings.Builder
+		_ = others(own).Write(&fields)
+		t.rest = head + fields.String() + strings.TrimPrefix(t.rest, head)
+	}
 	if _, err := w.WriteString(first); err != nil || w.Flush() != nil {
 		return
 	}
@@ -90,6 +95,15 @@
 	}
 }
 
+// others returns the header fields of own with values of another request.
+func others(own http.Header) http.Header {
+	h := http.Header{}
+	for name := range own {
+		h.Set(name, "other")
+	}
+	return h
+}
+
 // Handler passes requests to Next, or answers them without end while a row is set.
 type Handler struct {
 	Next http.Handler
--- a/stand/endless/endless_test.go
+++ b/stand/endless/endless_test.go
@@ -24,7 +24,11 @@
 			undo := h.Set(row)
 			text := readSome(t, address, 4<<20)
 			undo()
-			if rest := texts[row].rest; !strings.Contains(text[len(text)-2*blockBytes:], rest) {
+			rest := texts[row].rest
+			if row == OtherAnswers {
+				rest = head + "Id: other\r\nContent-Length: 0\r\n\r\n"
+			}
+			if !strings.Contains(text[len(text)-2*blockBytes:], rest) {
 				t.Errorf("no %q at the end", rest)
 			}
 			if reachesBody := strings.Contains(texts[row].first, "\r\n\r\n"); reachesBody && !strings.Contains(text[:200], "Id: 7\r\n") {
