relay: a failing test of a hedge that starts another after it has lost

What callers saw: events of a stream that come twice (seen in this test only).

Cause: a hedge whose own upstream is silent checks that it hasn't lost, then chooses another upstream, and enters the racer of that in the race. If the first upstream goes on in between, its claim doesn't see the new racer, which is neither stopped nor lost, goes on from an older event and claims the response beside it.

--- a/entry/relay/hedge_test.go
+++ b/entry/relay/hedge_test.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,3 +57,66 @@
 		t.Errorf("got %v %q %v, want a broken stream", res, body, err)
 	}
 }
+
+// heldPermits calls onRestarted for each question whether an engine has restarted.
+type heldPermits struct {
+	Permits
+	onRestarted func(key string)
+}
+
+func (p heldPermits) Restarted(key string) bool {
+	p.onRestarted(key)
+	return p.Permits.Restarted(key)
+}
+
+// Guards against events that come twice: a hedge that has just lost starts one of its own, which goes on with the
+// stream beside the first upstream.
+func TestHedgeThatHasLostStartsNoOther(t *testing.T) {
+	asked, wentOn := make(chan struct{}), make(chan struct{})
+	u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		writeStreamHead(c, r.Header.Get("Id"))
+		writeChunk(c, eventText(1))
+		<-asked
+		writeChunk(c, eventText(2))
+		writeChunk(c, eventText(3))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	w := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		writeStreamHead(c, r.Header.Get("Id"))
+		writeChunk(c, eventText(2))
+		writeChunk(c, eventText(3))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	s := newSilentProxy(t, magno.RouteStream, true, u, startUpstream(t, waitUntilClosed), w)
+	s.Book.Current().Plan.Routes[0].Attempts = 3
+	var once sync.Once
+	s.Permits = heldPermits{s.permits, func(key string) {
+		if key == s.pools.replicas[1] {
+			once.Do(func() { close(asked) })
+			<-wentOn
+		}
+	}}
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Id", "1")
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	begin := make([]byte, len(eventText(1)+eventText(2)))
+	_, err = io.ReadFull(res.Body, begin)
+	close(wentOn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest, err := io.ReadAll(res.Body)
+	if body := string(begin) + string(rest); err != nil || body != eventText(1)+eventText(2)+eventText(3) {
+		t.Errorf("got %q %v, want each event once", body, err)
+	}
+}
