relay: a hedge that has lost starts no other

A caller could get events twice: a hedge whose own upstream is silent found that it hadn't lost, chose another upstream and entered the race for it, while the first upstream went on in between. The claim of the first didn't see the new racer, which went on from an older event and claimed the response too. A racer that is started by one that has lost has lost now. Found by review; TestHedgeThatHasLostStartsNoOther got the events 1, 2, 2, 3 before.

--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -39,12 +39,16 @@
 	lost bool
 }
 
-// enter adds a racer, which runs until the returned context ends.
-func (r *race) enter() (context.Context, *racer) {
+// enter adds a racer, which runs until the returned context ends. One that is started by another has lost if that has.
+func (r *race) enter(startedBy *racer) (context.Context, *racer) {
 	ctx, stop := context.WithCancel(r.ctx)
 	added := &racer{stop: stop}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if startedBy != nil && startedBy.lost {
+		added.lost = true
+		stop()
+	}
 	r.racers = append(r.racers, added)
 	return ctx, added
 }
@@ -129,7 +133,7 @@
 	}
 	h := &hedge{job: j.copyForHedge(), runs: j.runs, ended: make(chan struct{})}
 	j.retryReserved = false // it is the hedge's now
-	ctx, racer := j.race.enter()
+	ctx, racer := j.race.enter(j.racer)
 	h.job.racer = racer
 	j.hedge = h
 	metrics.GetOrCreateCounter("hedges_total").Inc()
@@ -144,7 +148,7 @@
 // copyForHedge returns a copy of the job that shares nothing with it that either changes.
 func (j *job) copyForHedge() *job {
 	c := *j
-	c.claimed, c.silent, c.hedge = false, false, nil
+	c.hedged, c.claimed, c.silent, c.hedge = true, false, false, nil
 	c.tried, c.declined = slices.Clone(j.tried), slices.Clone(j.declined)
 	c.responseMem = reservation{sem: j.ResponseMemory}
 	c.turn, c.stopAbort, c.refusal = nil, nil, nil
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -118,9 +118,9 @@
 	race  *race
 	racer *racer
 	hedge *hedge
-	// claimed is true once the job has written an answer or an event, silent once the upstream of the last send
-	// exceeded the read limit.
-	claimed, silent bool
+	// hedged is true if the job is itself a hedge. claimed is true once it has written an answer or an event, silent
+	// once the upstream of the last send exceeded the read limit.
+	hedged, claimed, silent bool
 	// lastReplica is the replica of the last send, lastAddress its address. permitWait is the total wait for permits,
 	// and waitCauses its causes as reported by agents.
 	lastReplica string
@@ -209,7 +209,7 @@
 	j.Pools.CountRequest(j.service.Name)
 	defer j.returnRetry()
 	j.race = &race{ctx: ctx}
-	own, racer := j.race.enter()
+	own, racer := j.race.enter(nil)
 	j.racer = racer
 	defer racer.stop()
 	res := j.tryUpstreams(own)
