relay: what another upstream rejects takes no stream away

A stream whose sound upstream was silent for a second ended as complete, with the body of another upstream's 404 behind its last event; so did one that was resumed after its upstream broke off. An answer that is neither an event nor a failure claimed the response, stopped the first upstream and was written into the stream.

Once the header was sent any whole answer is a failure now, and for a hedge each status from 300 on: what one upstream rejects the first may still answer.

--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -311,7 +311,7 @@
 		return j.connectionFailed(ctx, r, errors.Newf("status %d without the request's id or the upstream's signature", res.StatusCode))
 	}
 	a := &response{status: res.StatusCode, header: res.Header, body: body}
-	if res.StatusCode >= http.StatusInternalServerError || promisesNotRun(res.StatusCode) {
+	if j.failed(res.StatusCode) {
 		j.failure = a
 		j.logTry("failed", errors.Newf("status %d", res.StatusCode))
 		if j.authentic(res, &reply) {
@@ -328,6 +328,12 @@
 	return resultDone
 }
 
+// failed reports whether a whole response is a failure. Behind events there is no place for any, and what one upstream
+// rejects another one may still answer.
+func (j *job) failed(status int) bool {
+	return j.headSent || status >= http.StatusInternalServerError || promisesNotRun(status) || (j.hedged && status >= http.StatusMultipleChoices)
+}
+
 // readResponse reads a response that isn't streamed. It waits until there is memory for one
 // that states its length; memory is released as other responses are forwarded.
 func (j *job) readResponse(ctx context.Context, res *http.Response) ([]byte, error) {
