site: the end of the process doesn't wait for a caller that doesn't read

At the end of the grace period requests without an answer get one at once; a caller that doesn't read held the lock of its answer for up to five seconds, and all others waited behind it. An answer that is being written has begun, so that its lock needn't be waited for. Found by review; the test of the end beside a caller that doesn't read hung for 3 s before.

--- a/entry/site/guard.go
+++ b/entry/site/guard.go
@@ -86,9 +86,12 @@
 	begun, failed bool
 }
 
-// fail answers with a status that promises nothing, and returns false if another answer has begun.
+// fail answers with a status that promises nothing, and returns false if another answer has begun, such as one whose
+// caller doesn't read.
 func (w *guardedWriter) fail(status int) bool {
-	w.mu.Lock()
+	if !w.mu.TryLock() {
+		return false // it is being written
+	}
 	defer w.mu.Unlock()
 	if w.begun {
 		return false
