relay: a hedge that lost takes no upstream out of its queue

The turn of a hedge that was stopped, since the first upstream went on, ended as a failure of the upstream, which paused for 50 ms to 2 s: sound upstreams left their queue because of a silence elsewhere. Such a turn is void now. Found by review, by reading.

--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -80,7 +80,7 @@
 	case resultUnsent, resultFailed, resultSuperseded:
 		j.endTurn(queue.Result{})
 	case resultAborted:
-		if j.r.Context().Err() == nil {
+		if j.r.Context().Err() == nil && !j.race.hasLost(j.racer) {
 			j.endTurn(queue.Result{}) // no answer by the deadline
 		}
 	}
