relay: an upstream that repeats old events has the stream

Who brings an event first stops the other upstream. One that began a stream anew brought events that the caller has, which didn't count, so that the stream ran at both until it caught up. Found by review, by reading.

--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -76,12 +76,12 @@
 			}
 			return errors.Wrap(err, "stream")
 		}
+		if !j.claim() { // before the event is looked at: its upstream runs the stream
+			return errors.New("another upstream has gone on with the stream")
+		}
 		if !j.isNewEvent(event) {
 			continue
 		}
-		if !j.claim() {
-			return errors.New("another upstream has gone on with the stream")
-		}
 		if j.events == 0 {
 			j.recordOrigin(r)
 		}
