relay: a panic in a hedge is one of the handler

A panic on the hedge's goroutine ended the whole process with all its requests. The handler's goroutine goes on with it now, where it is answered, and a handler that panics itself waits for its hedge. Also from the review: arrivals that are taken back while a hedge is in progress, the log line of a superseded hedge, names and comments. TestPanicInAHedgeIsTheHandlers ended the test process before.

--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -11,7 +11,8 @@
 	"magnoliastall.example/entry/hop"
 )
 
-// Hedged requests: one whose upstream is silent is sent to another upstream as well.
+// Hedged requests: one whose upstream is silent is sent to another upstream as well. The job and each of its hedges,
+// with all their attempts, are racers for the response.
 //
 //	read limit passes --> awaitsAnswer --> startHedge --> tryUpstreams, of a copy of the job
 //	                                                              |
@@ -53,7 +54,7 @@
 	return ctx, added
 }
 
-// leave removes a racer that has ended.
+// leave removes a racer that has ended, or whose hedge answers in its place.
 func (r *race) leave(ended *racer) {
 	ended.stop()
 	r.mu.Lock()
@@ -86,12 +87,14 @@
 
 // hedge is the copy of a job that is tried at other upstreams.
 type hedge struct {
-	job *job
-	// runs is the number of the job's runs at its start.
-	runs int
-	// ended is closed once res is set and nothing of the hedge goes on.
+	copy *job
+	// runs and arrivals are those of the job at its start.
+	runs, arrivals int
+	// ended is closed once res or panicked is set and nothing of the hedge goes on.
 	ended chan struct{}
 	res   result
+	// panicked is what it panicked with, nil if it didn't.
+	panicked any
 }
 
 // claim is called before the first byte of an answer, and each event, is written. It returns false if another racer
@@ -131,17 +134,18 @@
 	if !j.reapHedge() || !j.canRetryElsewhere() || j.deadline-j.Clock.Now() < minRunTime/2 || len(j.choose().replicas) == 0 || !j.reserveRetry() {
 		return
 	}
-	h := &hedge{job: j.copyForHedge(), runs: j.runs, ended: make(chan struct{})}
+	h := &hedge{copy: j.copyForHedge(), runs: j.runs, arrivals: j.arrivals, ended: make(chan struct{})}
 	j.retryReserved = false // it is the hedge's now
 	ctx, racer := j.race.enter(j.racer)
-	h.job.racer = racer
+	h.copy.racer = racer
 	j.hedge = h
 	metrics.GetOrCreateCounter("hedges_total").Inc()
 	j.Log.Info("hedge", "request", j.id, "silent", j.lastReplica, "events", j.events, "tries", j.sends, "left", j.deadline-j.Clock.Now())
 	go func() {
 		defer close(h.ended)
-		defer h.job.responseMem.release()
-		h.res = h.job.tryUpstreams(ctx)
+		defer h.copy.responseMem.release()
+		defer func() { h.panicked = recover() }() // joinHedge goes on with it, on the goroutine of the handler
+		h.res = h.copy.tryUpstreams(ctx)
 	}()
 }
 
@@ -158,7 +162,7 @@
 	return &c
 }
 
-// reapHedge merges the hedge if it has ended. It returns false if one is still in progress, or has the response.
+// reapHedge merges the hedge if it has ended. It returns false if one is still in progress, has the response or panicked.
 func (j *job) reapHedge() bool {
 	if j.hedge == nil {
 		return true
@@ -168,7 +172,7 @@
 	default:
 		return false
 	}
-	if j.hedge.job.claimed {
+	if j.hedge.copy.claimed || j.hedge.panicked != nil {
 		return false
 	}
 	j.mergeHedge()
@@ -186,13 +190,18 @@
 		_ = http.NewResponseController(j.w).Flush() // the answer doesn't wait for the hedge
 	}
 	<-h.ended
-	if !h.job.claimed {
+	if h.panicked != nil {
+		j.hedge = nil
+		panic(h.panicked)
+	}
+	if !h.copy.claimed {
 		j.mergeHedge()
 		return res
 	}
+	// The copy has answered the request, or goes on with it. Memory stays with its owner.
 	j.race.leave(j.racer)
 	bodyMem, responseMem := j.bodyMem, j.responseMem
-	*j = *h.job
+	*j = *h.copy
 	j.bodyMem, j.responseMem = bodyMem, responseMem
 	return h.res
 }
@@ -200,10 +209,11 @@
 // mergeHedge takes over what a hedge that ended without the response has done.
 func (j *job) mergeHedge() {
 	h := j.hedge
-	c := h.job
+	c := h.copy
 	j.hedge = nil
 	j.race.leave(c.racer)
-	j.tried, j.declined, j.sends, j.arrivals = c.tried, c.declined, c.sends, c.arrivals
+	j.tried, j.declined, j.sends = c.tried, c.declined, c.sends
+	j.arrivals += c.arrivals - h.arrivals
 	j.runs += c.runs - h.runs
 	j.mayHaveRun = j.runs > 0
 	j.trial, j.unanswered, j.retryReserved = c.trial, c.unanswered, c.retryReserved
--- a/entry/relay/hedge_test.go
+++ b/entry/relay/hedge_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -120,3 +121,21 @@
 		t.Errorf("got %q %v, want each event once", body, err)
 	}
 }
+
+// Guards against a process that ends with a panic in a hedge, which the server doesn't recover.
+func TestPanicInAHedgeIsTheHandlers(t *testing.T) {
+	u := startUpstream(t, waitUntilClosed)
+	s := newSilentProxy(t, magno.RouteIdempotent, false, u, startUpstream(t, streamOneEvent))
+	s.pools.onSpend = func() bool { panic("of the hedge") }
+	r := httptest.NewRequest(http.MethodGet, "/p/1", http.NoBody)
+	r.Host, r.Header = "h.example", http.Header{"Id": {"1"}}
+	s.Dialect = testDialect{left: 1500}
+	panicked := make(chan any, 1)
+	go func() {
+		defer func() { panicked <- recover() }()
+		s.ServeHTTP(httptest.NewRecorder(), r)
+	}()
+	if v := <-panicked; v != "of the hedge" {
+		t.Errorf("the handler panicked with %v", v)
+	}
+}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -166,7 +166,7 @@
 	resultUnsent                   // nothing reached the upstream
 	resultNotRun                   // the upstream states that it did not run the request
 	resultFailed                   // the request ran, or may have
-	resultAborted                  // the caller is gone, or the deadline has passed
+	resultAborted                  // the caller is gone, the deadline has passed, or another upstream answered first
 	resultRefused                  // no replica or permit could be had
 	resultDeclined                 // another upstream is better now
 	resultSuperseded               // another upstream answered while this one was silent
@@ -175,7 +175,7 @@
 // resultErrors describes the results of a hedge that ended without the response.
 var resultErrors = map[result]error{
 	resultUnsent: errors.New("not sent"), resultNotRun: errors.New("not run"), resultFailed: errors.New("failed"),
-	resultAborted: errors.New("stopped"), resultRefused: errors.New("refused"), resultDeclined: errors.New("declined"),
+	resultAborted: errors.New("stopped"), resultSuperseded: errors.New("silent"), resultRefused: errors.New("refused"), resultDeclined: errors.New("declined"),
 }
 
 // worked reports whether the upstream served the request, as far as it could.
@@ -212,6 +212,12 @@
 	own, racer := j.race.enter(nil)
 	j.racer = racer
 	defer racer.stop()
+	defer func() {
+		if j.hedge != nil { // an attempt has panicked
+			cancel()
+			<-j.hedge.ended
+		}
+	}()
 	res := j.tryUpstreams(own)
 	if res == resultDone {
 		j.returns.served(j.service.Name, j.Clock)
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -108,8 +108,8 @@
 	return j.abortedOr(ctx, resultUnsent)
 }
 
-// maySendNow is maySend, unless the request is in doubt and another one is tried first, the caller is gone or too
-// little time is left for an answer.
+// maySendNow is maySend, but first refuses a request that is in doubt while another one is tried, and one with too
+// little time left for an answer, and aborts one whose caller has left.
 func (j *job) maySendNow(ctx context.Context, key string) result {
 	if refusal := j.askToSend(ctx); refusal != nil {
 		j.refusal = refusal
