--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -19,7 +19,6 @@
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
 
 	"magnoliastall.example/entry/hop"
@@ -294,44 +293,6 @@
 	}
 }
 
-// readBody reads the body, unless it was read while the request waited for the configuration.
-func (j *job) readBody() *magno.Refusal {
-	limit := int64(defaultMaxBody)
-	if plan := j.snap.Plan; plan != nil && plan.Body > 0 {
-		limit = plan.Body
-	}
-	if j.bodyRead {
-		return refuseLarge(int64(len(j.body)), limit)
-	}
-	if j.r.ContentLength > limit {
-		return magno.Refuse(magno.KindTooLarge, "a body of %d bytes", j.r.ContentLength)
-	}
-	body, err := j.readBodyInTime(limit)
-	if errors.Is(err, errBodyLate) {
-		j.bodyLate = true
-		return refuseLate()
-	}
-	if errors.Is(err, errNoMemory) {
-		return magno.Refuse(magno.KindBusy, "this instance holds as many bodies as it can").WithRetryAfter(busyRetryAfter)
-	}
-	if err != nil {
-		return magno.Refuse(magno.KindMalformed, "the body ended early: %v", err)
-	}
-	if refusal := refuseLarge(int64(len(body)), limit); refusal != nil {
-		return refusal
-	}
-	j.body, j.bodyRead = body, true
-	return nil
-}
-
-// refuseLarge returns the refusal of a body of more than limit bytes, nil for a smaller one.
-func refuseLarge(size, limit int64) *magno.Refusal {
-	if size <= limit {
-		return nil
-	}
-	return magno.Refuse(magno.KindTooLarge, "a body of over %d bytes", limit)
-}
-
 // statusMayHaveRun replaces a status that would guarantee that the request has not run, where
 // it may have.
 const statusMayHaveRun = http.StatusBadGateway
