--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -29,6 +29,7 @@
 	"magnoliastall.example/magno/keys"
 	"magnoliastall.example/magno/notice"
 	"magnoliastall.example/magno/paths"
+	"magnoliastall.example/magno/shed"
 	"magnoliastall.example/magno/strain"
 	"magnoliastall.example/magno/view"
 )
@@ -235,7 +236,12 @@
 	defer j.responseMem.release()
 	j.call = h.Dialect.Read(r.Header)
 	j.id = j.call.ID
-	if refusal := j.prepare(); refusal != nil {
+	refusal := j.prepare()
+	if !j.bodyLate && callerLeft(j.r.Context()) { // the server takes a late body for a caller that left
+		j.logOutcome(0, "cancelled", "the caller left before the request was read")
+		panic(http.ErrAbortHandler) // one that still reads must not get an empty success
+	}
+	if refusal != nil {
 		j.refuse(refusal)
 		return
 	}
@@ -252,8 +258,8 @@
 	}
 	j.route = j.tablesFor(j.snap.Plan).paths.Find(j.r.Host, j.r.URL.Path)
 	if j.route == nil {
-		if age := j.Book.Age(); age > staleConfigAge {
-			return magno.Refuse(magno.KindStarting, "no route, and the configuration is %d ms old", age).WithRetryAfter(minStartRetry)
+		if why := j.configDoubt(); why != "" {
+			return magno.Refuse(magno.KindStarting, "no route, and the configuration %s", why).WithRetryAfter(minStartRetry)
 		}
 		return magno.Refuse(magno.KindNoProfile, "no route for %s%s", j.r.Host, j.r.URL.Path)
 	}
@@ -261,8 +267,8 @@
 		return magno.Refuse(magno.KindMalformed, "the request has no id")
 	}
 	j.setDeadline()
-	if j.LoadLevel() == strain.Overloaded {
-		return magno.Refuse(magno.KindBusy, "this instance is far behind").WithRetryAfter(busyRetryAfter)
+	if j.LoadLevel() == strain.Overloaded || isRefused(j.r.Context()) {
+		return magno.Refuse(magno.KindBusy, "this instance is far behind").WithRetryAfter(shed.RetryAfter)
 	}
 	if j.drained(j.route.Kind) {
 		return magno.Refuse(magno.KindLeaving, "this instance stops").WithRetryAfter(0)
@@ -277,16 +283,6 @@
 	return nil
 }
 
-// startRetryAfter returns the Retry-After of a process without a configuration. A process that
-// starts beside others has one within a fraction of a second. Otherwise the platform's list is
-// unavailable and the other processes have none either. How long such an outage goes on is
-// unknown; the best estimate is about as long as it has lasted already. If callers were told to
-// retry after a second each time, their retries would fall into the outage and they would give
-// up.
-func (h *Handler) startRetryAfter() magno.Millis {
-	return min(max(outageFactor*(h.Clock.Now()-h.Started), minStartRetry), maxStartRetry)
-}
-
 // setDeadline sets the time by which the request must be answered.
 func (j *job) setDeadline() {
 	j.deadline = j.received + defaultTimeout
@@ -310,7 +306,11 @@
 	if j.r.ContentLength > limit {
 		return magno.Refuse(magno.KindTooLarge, "a body of %d bytes", j.r.ContentLength)
 	}
-	body, err := j.bodyMem.readAll(j.r.Body, limit)
+	body, err := j.readBodyInTime(limit)
+	if errors.Is(err, errBodyLate) {
+		j.bodyLate = true
+		return refuseLate()
+	}
 	if errors.Is(err, errNoMemory) {
 		return magno.Refuse(magno.KindBusy, "this instance holds as many bodies as it can").WithRetryAfter(busyRetryAfter)
 	}
@@ -373,9 +373,9 @@
 }
 
 // setConnectionClose asks the caller to close the connection while this process is draining or
-// strained.
+// strained, or refuses what comes over it.
 func (j *job) setConnectionClose(h http.Header) {
-	if j.Draining() || j.LoadLevel() != strain.Normal {
+	if j.Draining() || j.LoadLevel() != strain.Normal || isRefused(j.r.Context()) {
 		h.Set("Connection", "close")
 	}
 }
