--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"magnoliastall.example/entry/hop"
-	"magnoliastall.example/magno"
 )
 
-// Hedged requests: one whose upstream is silent is sent to another upstream as well.
+// Hedged requests: one whose upstream is silent is sent to another upstream as well. The job and each of its hedges,
+// with all their attempts, are racers for the response.
 //
 //	read limit passes --> awaitsAnswer --> startHedge --> tryUpstreams, of a copy of the job
 //	                                                              |
@@ -22,12 +23,6 @@
 // the same. Another upstream that could be chosen may refuse, fail, break off or be silent too. So a connection
 // is given up only once another upstream has answered, or gone on with the stream.
 
-const (
-	// overlapTime is how long a stream is awaited at a second upstream while the first may still run it. An upstream
-	// that gets a stream later must not run it beside another for longer than 400 ms.
-	overlapTime = 300 * magno.Millis(1)
-)
-
 // race is a request that several upstreams may answer.
 type race struct {
 	// ctx ends with the request.
@@ -43,21 +38,23 @@
 	stop context.CancelFunc
 	// lost is true once another racer has claimed the response.
 	lost bool
-	// waiting is true while it has no request at an upstream and waits for its hedge.
-	waiting bool
 }
 
-// enter adds a racer, which runs until the returned context ends.
-func (r *race) enter() (context.Context, *racer) {
+// enter adds a racer, which runs until the returned context ends. One that is started by another has lost if that has.
+func (r *race) enter(startedBy *racer) (context.Context, *racer) {
 	ctx, stop := context.WithCancel(r.ctx)
 	added := &racer{stop: stop}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if startedBy != nil && startedBy.lost {
+		added.lost = true
+		stop()
+	}
 	r.racers = append(r.racers, added)
 	return ctx, added
 }
 
-// leave removes a racer that has ended.
+// leave removes a racer that has ended, or whose hedge answers in its place.
 func (r *race) leave(ended *racer) {
 	ended.stop()
 	r.mu.Lock()
@@ -88,28 +85,16 @@
 	return one.lost
 }
 
-// setWaiting records whether a racer waits for its hedge only.
-func (r *race) setWaiting(one *racer, waiting bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	one.waiting = waiting
-}
-
-// othersRun reports whether another racer may have a request at an upstream.
-func (r *race) othersRun(one *racer) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.racers, func(other *racer) bool { return other != one && !other.waiting })
-}
-
 // hedge is the copy of a job that is tried at other upstreams.
 type hedge struct {
-	job *job
-	// runs is the number of the job's runs at its start.
-	runs int
-	// ended is closed once res is set and nothing of the hedge goes on.
+	copy *job
+	// runs and arrivals are those of the job at its start.
+	runs, arrivals int
+	// ended is closed once res or panicked is set and nothing of the hedge goes on.
 	ended chan struct{}
 	res   result
+	// panicked is what it panicked with, nil if it didn't.
+	panicked any
 }
 
 // claim is called before the first byte of an answer, and each event, is written. It returns false if another racer
@@ -119,24 +104,13 @@
 	return j.claimed
 }
 
-// overlaps reports whether the job is a hedge of a stream that hasn't brought an event yet.
-func (j *job) overlaps() bool {
-	return j.hedged && !j.claimed && j.route.Kind == magno.RouteStream
-}
-
 // awaitsAnswer is called when the upstream has exceeded the read limit. It reports whether the answer is
-// still awaited: it is unless the incarnation is known to have ended, or the request was sent here while another
-// upstream was silent, and may go on there. Otherwise the request is sent to another upstream as well.
+// still awaited, as it is unless the incarnation is known to have ended. The request is sent to another upstream as
+// well.
 func (j *job) awaitsAnswer(ctx context.Context, conn *hop.Conn) bool {
 	if ctx.Err() != nil || j.replaced() {
 		return false
 	}
-	if j.overlaps() {
-		if j.race.othersRun(j.racer) {
-			return false
-		}
-		j.readLimit = minStallTimeout
-	}
 	j.silent = true
 	j.startHedge()
 	metrics.GetOrCreateCounter("late_answers_awaited_total").Inc()
@@ -160,17 +134,18 @@
 	if !j.reapHedge() || !j.canRetryElsewhere() || j.deadline-j.Clock.Now() < minRunTime/2 || len(j.choose().replicas) == 0 || !j.reserveRetry() {
 		return
 	}
-	h := &hedge{job: j.copyForHedge(), runs: j.runs, ended: make(chan struct{})}
+	h := &hedge{copy: j.copyForHedge(), runs: j.runs, arrivals: j.arrivals, ended: make(chan struct{})}
 	j.retryReserved = false // it is the hedge's now
-	ctx, racer := j.race.enter()
-	h.job.racer = racer
+	ctx, racer := j.race.enter(j.racer)
+	h.copy.racer = racer
 	j.hedge = h
 	metrics.GetOrCreateCounter("hedges_total").Inc()
 	j.Log.Info("hedge", "request", j.id, "silent", j.lastReplica, "events", j.events, "tries", j.sends, "left", j.deadline-j.Clock.Now())
 	go func() {
 		defer close(h.ended)
-		defer h.job.responseMem.release()
-		h.res = h.job.tryUpstreams(ctx)
+		defer h.copy.responseMem.release()
+		defer func() { h.panicked = recover() }() // joinHedge goes on with it, on the goroutine of the handler
+		h.res = h.copy.tryUpstreams(ctx)
 	}()
 }
 
@@ -187,7 +162,7 @@
 	return &c
 }
 
-// reapHedge merges the hedge if it has ended. It returns false if one is still in progress, or has the response.
+// reapHedge merges the hedge if it has ended. It returns false if one is still in progress, has the response or panicked.
 func (j *job) reapHedge() bool {
 	if j.hedge == nil {
 		return true
@@ -197,7 +172,7 @@
 	default:
 		return false
 	}
-	if j.hedge.job.claimed {
+	if j.hedge.copy.claimed || j.hedge.panicked != nil {
 		return false
 	}
 	j.mergeHedge()
@@ -211,16 +186,22 @@
 	if h == nil {
 		return res
 	}
-	j.race.setWaiting(j.racer, true)
+	if res == resultDone {
+		_ = http.NewResponseController(j.w).Flush() // the answer doesn't wait for the hedge
+	}
 	<-h.ended
-	j.race.setWaiting(j.racer, false)
-	if !h.job.claimed {
+	if h.panicked != nil {
+		j.hedge = nil
+		panic(h.panicked)
+	}
+	if !h.copy.claimed {
 		j.mergeHedge()
 		return res
 	}
+	// The copy has answered the request, or goes on with it. Memory stays with its owner.
 	j.race.leave(j.racer)
 	bodyMem, responseMem := j.bodyMem, j.responseMem
-	*j = *h.job
+	*j = *h.copy
 	j.bodyMem, j.responseMem = bodyMem, responseMem
 	return h.res
 }
@@ -228,10 +209,11 @@
 // mergeHedge takes over what a hedge that ended without the response has done.
 func (j *job) mergeHedge() {
 	h := j.hedge
-	c := h.job
+	c := h.copy
 	j.hedge = nil
 	j.race.leave(c.racer)
-	j.tried, j.declined, j.sends, j.arrivals = c.tried, c.declined, c.sends, c.arrivals
+	j.tried, j.declined, j.sends = c.tried, c.declined, c.sends
+	j.arrivals += c.arrivals - h.arrivals
 	j.runs += c.runs - h.runs
 	j.mayHaveRun = j.runs > 0
 	j.trial, j.unanswered, j.retryReserved = c.trial, c.unanswered, c.retryReserved
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -108,14 +108,14 @@
 	return j.abortedOr(ctx, resultUnsent)
 }
 
-// maySendNow is maySend, unless the request is in doubt and another one is tried first, the caller is gone or too
-// little time is left for an answer.
+// maySendNow is maySend, but first refuses a request that is in doubt while another one is tried, and one with too
+// little time left for an answer, and aborts one whose caller has left.
 func (j *job) maySendNow(ctx context.Context, key string) result {
 	if refusal := j.askToSend(ctx); refusal != nil {
 		j.refusal = refusal
 		return resultRefused
 	}
-	if j.r.Context().Err() != nil {
+	if callerLeft(j.r.Context()) {
 		return resultAborted
 	}
 	if ctx.Err() != nil || j.deadline-j.Clock.Now() < j.minTimeLeft() {
@@ -254,14 +254,13 @@
 	setDeadline(ctx, conn, time.Now().Add(max(min(limit, j.deadline-j.Clock.Now()), 1).Duration()))
 }
 
-// setRetryLimit is setLimit if another upstream may be tried after the limit. A hedge of a stream has overlapTime.
+// setRetryLimit is setLimit if another upstream may be tried after the limit. There is none otherwise.
 func (j *job) setRetryLimit(ctx context.Context, conn *hop.Conn, limit magno.Millis) {
-	switch {
-	case j.overlaps():
-		j.setLimit(ctx, conn, max(j.sentAt+overlapTime-j.Clock.Now(), 1))
-	case j.canRetryElsewhere():
-		j.setLimit(ctx, conn, limit)
+	if !j.canRetryElsewhere() {
+		setDeadline(ctx, conn, time.Time{})
+		return
 	}
+	j.setLimit(ctx, conn, limit)
 }
 
 // setDeadline sets the deadline of reads and writes. The end of ctx, which aborts them by a deadline too,
@@ -312,7 +311,7 @@
 		return j.connectionFailed(ctx, r, errors.Newf("status %d without the request's id or the upstream's signature", res.StatusCode))
 	}
 	a := &response{status: res.StatusCode, header: res.Header, body: body}
-	if res.StatusCode >= http.StatusInternalServerError || promisesNotRun(res.StatusCode) {
+	if j.failed(res.StatusCode) {
 		j.failure = a
 		j.logTry("failed", errors.Newf("status %d", res.StatusCode))
 		if j.authentic(res, &reply) {
@@ -329,6 +328,12 @@
 	return resultDone
 }
 
+// failed reports whether a whole response is a failure. Behind events there is no place for any, and what one upstream
+// rejects another one may still answer.
+func (j *job) failed(status int) bool {
+	return j.headSent || status >= http.StatusInternalServerError || promisesNotRun(status) || (j.hedged && status >= http.StatusMultipleChoices)
+}
+
 // readResponse reads a response that isn't streamed. It waits until there is memory for one
 // that states its length; memory is released as other responses are forwarded.
 func (j *job) readResponse(ctx context.Context, res *http.Response) ([]byte, error) {
