--- a/entry/relay/hedge_test.go
+++ b/entry/relay/hedge_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -99,19 +98,10 @@
 			<-wentOn
 		}
 	}}
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", http.NoBody)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Host = "h.example"
-	r.Header.Set("Id", "1")
-	res, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		t.Fatal(err)
-	}
+	res := s.open(t, http.NoBody)
 	defer res.Body.Close()
 	begin := make([]byte, len(eventText(1)+eventText(2)))
-	_, err = io.ReadFull(res.Body, begin)
+	_, err := io.ReadFull(res.Body, begin)
 	close(wentOn)
 	if err != nil {
 		t.Fatal(err)
--- a/entry/relay/help_test.go
+++ b/entry/relay/help_test.go
@@ -468,6 +468,22 @@
 	return &responseHead{res.StatusCode, res.Header, res.Close}, string(text), err
 }
 
+// open sends a POST request with the id 1 and returns the response, which the caller of open reads and closes.
+func (s *testProxy) open(t testing.TB, body io.Reader) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Id", "1")
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
 // streamOneEvent responds with a stream of one event.
 func streamOneEvent(_ int, r *http.Request, c net.Conn) bool {
 	writeStreamHead(c, r.Header.Get("Id"))
--- a/entry/relay/retry_test.go
+++ b/entry/relay/retry_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -133,16 +132,7 @@
 		return true
 	})
 	s := newTestProxy(t, magno.RouteIdempotent, false, u, v)
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", bytes.NewReader(make([]byte, 3<<20)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Host = "h.example"
-	r.Header.Set("Id", "1")
-	res, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		t.Fatal(err)
-	}
+	res := s.open(t, bytes.NewReader(make([]byte, 3<<20)))
 	_ = res.Body.Close()
 	if n := arrivals.Load(); res.StatusCode != http.StatusOK || n != 1 || v.requestCount() != 1 {
 		t.Errorf("got %d after %d and %d arrivals, want one each", res.StatusCode, n, v.requestCount())
--- a/entry/relay/silent_test.go
+++ b/entry/relay/silent_test.go
@@ -267,16 +267,7 @@
 		}
 	}()
 	s := newSilentProxy(t, magno.RouteIdempotent, false, &fakeUpstream{addr: l.Addr().String()}, startUpstream(t, failRequest))
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", bytes.NewReader(make([]byte, size)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Host = "h.example"
-	r.Header.Set("Id", "1")
-	res, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		t.Fatal(err)
-	}
+	res := s.open(t, bytes.NewReader(make([]byte, size)))
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
 	if err != nil || res.StatusCode != http.StatusOK || string(body) != "yes" {
--- a/entry/relay/stream_test.go
+++ b/entry/relay/stream_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -157,16 +156,7 @@
 	})
 	s := newTestProxy(t, magno.RouteStream, false, u)
 	s.allowDelays()
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.server.URL+"/p/1", strings.NewReader("body"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Host = "h.example"
-	r.Header.Set("Id", "1")
-	res, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		t.Fatal(err)
-	}
+	res := s.open(t, strings.NewReader("body"))
 	defer res.Body.Close()
 	first := make([]byte, len(eventText(1)))
 	if _, err := io.ReadFull(res.Body, first); err != nil || string(first) != eventText(1) {
