--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -118,9 +118,9 @@
 	race  *race
 	racer *racer
 	hedge *hedge
-	// claimed is true once the job has written an answer or an event, silent once the upstream of the last send
-	// exceeded the read limit.
-	claimed, silent bool
+	// hedged is true if the job is itself a hedge. claimed is true once it has written an answer or an event, silent
+	// once the upstream of the last send exceeded the read limit.
+	hedged, claimed, silent bool
 	// lastReplica is the replica of the last send, lastAddress its address. permitWait is the total wait for permits,
 	// and waitCauses its causes as reported by agents.
 	lastReplica string
@@ -166,7 +166,7 @@
 	resultUnsent                   // nothing reached the upstream
 	resultNotRun                   // the upstream states that it did not run the request
 	resultFailed                   // the request ran, or may have
-	resultAborted                  // the caller is gone, or the deadline has passed
+	resultAborted                  // the caller is gone, the deadline has passed, or another upstream answered first
 	resultRefused                  // no replica or permit could be had
 	resultDeclined                 // another upstream is better now
 	resultSuperseded               // another upstream answered while this one was silent
@@ -175,7 +175,7 @@
 // resultErrors describes the results of a hedge that ended without the response.
 var resultErrors = map[result]error{
 	resultUnsent: errors.New("not sent"), resultNotRun: errors.New("not run"), resultFailed: errors.New("failed"),
-	resultAborted: errors.New("stopped"), resultRefused: errors.New("refused"), resultDeclined: errors.New("declined"),
+	resultAborted: errors.New("stopped"), resultSuperseded: errors.New("silent"), resultRefused: errors.New("refused"), resultDeclined: errors.New("declined"),
 }
 
 // worked reports whether the upstream served the request, as far as it could.
@@ -209,9 +209,15 @@
 	j.Pools.CountRequest(j.service.Name)
 	defer j.returnRetry()
 	j.race = &race{ctx: ctx}
-	own, racer := j.race.enter()
+	own, racer := j.race.enter(nil)
 	j.racer = racer
 	defer racer.stop()
+	defer func() {
+		if j.hedge != nil { // an attempt has panicked
+			cancel()
+			<-j.hedge.ended
+		}
+	}()
 	res := j.tryUpstreams(own)
 	if res == resultDone {
 		j.returns.served(j.service.Name, j.Clock)
@@ -245,58 +251,6 @@
 	return false
 }
 
-// finish sends the final response if none of an upstream was forwarded.
-func (j *job) finish(res result) {
-	callerGone := j.r.Context().Err() != nil
-	switch {
-	case res == resultDone:
-	case callerGone:
-		j.logOutcome(0, "cancelled", "the caller left")
-		panic(http.ErrAbortHandler) // one that still reads must not get an empty success
-	case j.headSent:
-		j.logOutcome(http.StatusOK, "interrupted", j.interruption())
-		panic(http.ErrAbortHandler) // a truncated stream must not look complete
-	case j.failure != nil:
-		j.failure.forward(j)
-	case j.Clock.Now() >= j.deadline-1:
-		j.refuse(j.deadlineRefusal())
-	case j.refusal != nil && !j.mayHaveRun:
-		j.refuse(j.refusal)
-	case !j.mayHaveRun:
-		j.refuse(magno.Refuse(magno.KindBusy, "no upstream took it").WithRetryAfter(j.retryAfter()))
-	default:
-		j.refuse(magno.Refuse(magno.KindUnknown, "the upstream's answer was lost"))
-	}
-}
-
-// interruption returns why a stream that has begun can't be completed.
-func (j *job) interruption() string {
-	if j.Clock.Now() >= j.deadline-1 {
-		return "its time is over"
-	}
-	why := "the last try: " + j.lastTry
-	if j.refusal != nil {
-		why += ", refused: " + j.refusal.Detail
-	}
-	return why
-}
-
-// retryAfter returns when an upstream of the service will accept requests, including those that
-// were tried.
-func (j *job) retryAfter() magno.Millis {
-	q := j.query()
-	q.Avoid = nil
-	return max(j.Pools.Router(j.service.Name).Choose(q).RetryAfter, busyRetryAfter)
-}
-
-// deadlineRefusal returns the refusal for a request whose deadline has passed.
-func (j *job) deadlineRefusal() *magno.Refusal {
-	if j.mayHaveRun {
-		return magno.Refuse(magno.KindDeadline, "its time is over")
-	}
-	return magno.Refuse(magno.KindBusy, "its time was over before it could begin").WithRetryAfter(busyRetryAfter)
-}
-
 // attempt chooses a replica, acquires a permit and sends the request once.
 func (j *job) attempt(ctx context.Context) result {
 	if j.service.Engine == nil {
