--- a/entry/site/help_test.go
+++ b/entry/site/help_test.go
@@ -201,7 +201,7 @@
 	t.Helper()
 	e := assemble(fakeSite{list}, &magno.SiteSettings{
 		Name: name, DataCentre: name, PeerAddress: address, InternalPort: agentPort, Seeds: seeds, RetryRatio: 1, RetrySlack: 100, RetryWindow: magno.Second,
-	}, slog.New(slog.NewTextHandler(&failures{t: t}, nil)))
+	}, slog.New(slog.NewTextHandler(newFailures(t), nil)))
 	if err := e.mesh.Open(); err != nil {
 		t.Fatal(err)
 	}
@@ -226,10 +226,31 @@
 }
 
 // failures writes the lines of requests that were not served, and of sends without an answer, to the
-// log of the test.
-type failures struct{ t *testing.T }
+// log of the test, until the test ends: handlers of a server that was closed may still run then.
+type failures struct {
+	t *testing.T
+
+	mu    sync.Mutex
+	ended bool
+}
+
+func newFailures(t *testing.T) *failures {
+	t.Helper()
+	f := &failures{t: t}
+	t.Cleanup(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.ended = true
+	})
+	return f
+}
 
 func (f *failures) Write(p []byte) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		return len(p), nil
+	}
 	if line := string(p); strings.Contains(line, "msg=try ") || strings.Contains(line, "msg=request ") && !strings.Contains(line, "status=200") {
 		f.t.Log(strings.TrimSpace(line))
 	}
