site: a stream counts as begun in tests once its first event has come

TestRequestInProgressIsAnsweredAtTheEnd/streaming ended the grace period when the upstream had sent the first event, which the entry may not have passed on yet: then 502 is the right answer, and the test wants a cut stream. The state is stricter than before: a caller has the event.

--- a/entry/site/ending_test.go
+++ b/entry/site/ending_test.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -128,7 +130,16 @@
 	},
 	"sent and unanswered": atUpstream,
 	"answering":           atUpstream,
-	"streaming":           atUpstream,
+	"streaming": func(t *testing.T, r *rig, event func()) net.Conn {
+		c := r.connect(t)
+		send(t, c, whole)
+		<-r.reached
+		begun := bufferedConn{Conn: c, in: bufio.NewReader(c)}
+		begun.awaitEvent(t)
+		event()
+		r.release()
+		return begun
+	},
 	"second request": func(t *testing.T, r *rig, event func()) net.Conn {
 		c := r.connect(t)
 		r.release()
@@ -142,6 +153,28 @@
 	},
 }
 
+// bufferedConn is a connection of whose input a part was read ahead.
+type bufferedConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (c bufferedConn) Read(p []byte) (int, error) { return c.in.Read(p) }
+
+// awaitEvent reads ahead until the first event of a stream has come.
+func (c bufferedConn) awaitEvent(t *testing.T) {
+	t.Helper()
+	for n := 1; ; n++ {
+		b, err := c.in.Peek(n)
+		if err != nil {
+			t.Fatalf("no event came, got %q: %v", b, err)
+		}
+		if bytes.HasSuffix(b, []byte("data: x\n\n")) {
+			return
+		}
+	}
+}
+
 // atUpstream calls event while the upstream has a request.
 func atUpstream(t *testing.T, r *rig, event func()) net.Conn {
 	t.Helper()
