--- a/drive/soak/endless.go
+++ b/drive/soak/endless.go
@@ -18,7 +18,9 @@
 	u.handler.h = h
 	row := endless.Row(rnd.IntN(int(endless.Events)))
 	h.Set(row)
+	f.endless.Add(1)
 	return "endless " + row.String(), func() {
+		f.endless.Add(-1)
 		u.handler.mu.Lock()
 		defer u.handler.mu.Unlock()
 		if u.handler.h == http.Handler(h) { // no other incarnation serves there by now
--- a/drive/soak/fault.go
+++ b/drive/soak/fault.go
@@ -37,7 +37,7 @@
 	x := f.proxies[rnd.IntN(len(f.proxies))]
 	u := f.upstreams()[rnd.IntN(len(f.upstreams()))]
 	none := func() {}
-	switch n := rnd.IntN(27); n {
+	switch n := rnd.IntN(28); n {
 	case 0, 1:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.kind, none
@@ -120,6 +120,8 @@
 	case 24:
 		go f.endUntil(u, f.current(u), "", minAway, f.rebuild)
 		return "upstream comes back with another build", none
+	case 27:
+		return f.startEndless(u, rnd)
 	default:
 		f.current(u).AbortNext(1 + rnd.IntN(4))
 		return "answers broken", none
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -22,6 +22,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -76,12 +77,19 @@
 	furtherRoutes int
 	limits        []timeLimit
 	planned       []planned
+	// endless is the number of upstreams that answer without end.
+	endless atomic.Int32
 	// listDisturbedAt are the times at which the list failed, recovered or lost its history.
 	listDisturbedAt []time.Time
 }
 
-func address(net, host, port int) string {
-	return fmt.Sprintf("127.0.%d.%d:%d", net, host, portBase+port)
+// ip returns the address of a machine.
+func (f *fleet) ip(net, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", f.size.Network, net, host)
+}
+
+func (f *fleet) address(net, host, port int) string {
+	return fmt.Sprintf("%s:%d", f.ip(net, host), portBase+port)
 }
 
 func newFleet(dir, bin string, size Size) *fleet {
@@ -111,10 +119,10 @@
 // startList starts the list with the first configuration. All else runs until ctx ends, too.
 func (f *fleet) startList(ctx context.Context) error {
 	f.ctx = ctx
-	if err := serve(ctx, address(5, 1, 30), f.store); err != nil {
+	if err := serve(ctx, f.address(5, 1, 30), f.store); err != nil {
 		return err
 	}
-	if err := f.proxy(ctx, address(5, 2, 30), address(5, 1, 30)); err != nil {
+	if err := f.proxy(ctx, f.address(5, 2, 30), f.address(5, 1, 30)); err != nil {
 		return err
 	}
 	f.publish()
@@ -125,7 +133,7 @@
 func (f *fleet) startPlains(n int) error {
 	for range n {
 		i := len(f.plains)
-		u := &upstream{service: fake.PlainService, listed: address(3, 100+i, 20), listen: address(4, i+1, 20), handler: &swapHandler{}, build: f.buildOf(i)}
+		u := &upstream{service: fake.PlainService, listed: f.address(3, 100+i, 20), listen: f.address(4, i+1, 20), handler: &swapHandler{}, build: f.buildOf(i)}
 		f.plains = append(f.plains, u)
 		if err := f.serve(u); err != nil {
 			return err
@@ -138,12 +146,12 @@
 func (f *fleet) startEntries(ctx context.Context, n int) error {
 	var seeds []string
 	for i := range min(n, maxSeeds) {
-		seeds = append(seeds, address(1, i+1, 3))
+		seeds = append(seeds, f.address(1, i+1, 3))
 	}
 	for i := range n {
 		m := &fake.Machine{
-			Name: entryName(i), Zone: f.size.dataCentre(i), IP: fmt.Sprintf("127.0.1.%d", i+1), Callers: address(1, i+1, 1),
-			Ready: address(1, i+1, 2), Peers: address(1, i+1, 3), InternalPort: portBase + 10, Store: address(5, 2, 30), Seeds: seeds, RetrySlack: f.size.RetrySlack,
+			Name: entryName(i), Zone: f.size.dataCentre(i), IP: f.ip(1, i+1), Callers: f.address(1, i+1, 1),
+			Ready: f.address(1, i+1, 2), Peers: f.address(1, i+1, 3), InternalPort: portBase + 10, Store: f.address(5, 2, 30), Seeds: seeds, RetrySlack: f.size.RetrySlack,
 		}
 		f.entries = append(f.entries, m.Callers)
 		if err := f.run(ctx, "entry", m); err != nil {
--- a/drive/soak/restore.go
+++ b/drive/soak/restore.go
@@ -119,7 +119,7 @@
 			return false
 		}
 	}
-	return !slices.ContainsFunc(f.proxies, func(p *proxy) bool { return p.listen == address(5, 2, 30) && p.faultyIn(from, to) })
+	return !slices.ContainsFunc(f.proxies, func(p *proxy) bool { return p.listen == f.address(5, 2, 30) && p.faultyIn(from, to) })
 }
 
 // checkDraining returns the requests that were sent to an upstream, and reached it, too long after
--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -73,6 +73,8 @@
 	// reported holds the violations already in violations. Their times count from started.
 	reported map[string]bool
 	started  time.Time
+	// largest is the largest resident memory of an entry, in bytes, beside answers without end.
+	largest int64
 	// streamed is what became of the streams of streamers.
 	streamed streamed
 }
@@ -285,6 +287,7 @@
 		case <-ticks.C:
 			s.mu.Lock()
 			s.checkUpstreams()
+			s.checkMemory()
 			s.mu.Unlock()
 		}
 	}
--- a/drive/soak/summary.go
+++ b/drive/soak/summary.go
@@ -13,6 +13,9 @@
 	printCounts(s.Out, "  faults:", s.faults)
 	fmt.Fprintf(s.Out, "  long streams: %d of %d begin, %d of %d that are taken up go on, %d of two builds\n",
 		s.streamed.begun, s.streamed.sent, s.streamed.goneOn, s.streamed.resumed, len(s.streamed.mixed))
+	if s.largest > 0 {
+		fmt.Fprintf(s.Out, "  largest entry beside answers without end: %.1f MB\n", float64(s.largest)/(1<<20))
+	}
 	for _, what := range s.violations {
 		fmt.Fprintln(s.Out, "  BROKEN:", what)
 	}
--- a/drive/soak/upstream.go
+++ b/drive/soak/upstream.go
@@ -83,18 +83,18 @@
 
 // engine starts an engine with its proxies and its agent.
 func (f *fleet) engine(ctx context.Context, n int) error {
-	u := &upstream{service: fake.EngineService, listed: address(3, n, 20), listen: address(2, n, 20), handler: &swapHandler{}}
+	u := &upstream{service: fake.EngineService, listed: f.address(3, n, 20), listen: f.address(2, n, 20), handler: &swapHandler{}}
 	u.build = f.buildOf(n)
 	f.engines = append(f.engines, u)
 	if err := f.serve(u); err != nil {
 		return err
 	}
-	if err := f.proxy(ctx, address(3, n, 10), address(2, n, 10)); err != nil {
+	if err := f.proxy(ctx, f.address(3, n, 10), f.address(2, n, 10)); err != nil {
 		return err
 	}
 	return f.run(ctx, "agent", &fake.Machine{
-		Name: agentName(n - 1), Zone: f.size.dataCentre(n - 1), IP: fmt.Sprintf("127.0.2.%d", n), Worker: u.listen,
-		InternalPort: portBase + 10, Store: address(5, 2, 30), RetrySlack: f.size.RetrySlack,
+		Name: agentName(n - 1), Zone: f.size.dataCentre(n - 1), IP: f.ip(2, n), Worker: u.listen,
+		InternalPort: portBase + 10, Store: f.address(5, 2, 30), RetrySlack: f.size.RetrySlack,
 	})
 }
 
--- a/drive/soakcmd.go
+++ b/drive/soakcmd.go
@@ -25,6 +25,7 @@
 	flags.IntVar(&size.Plains, "plains", 0, "how many upstreams of the plain service, 0 for the usual number")
 	flags.IntVar(&size.DataCentres, "centres", 0, "over how many data centres they are spread, 0 for one")
 	flags.IntVar(&size.RetrySlack, "slack", 0, "the retry budget's part that doesn't depend on the requests, 0 for the usual one")
+	flags.IntVar(&size.Network, "network", 0, "the second byte of all addresses, 127.NETWORK.0.0/16")
 	flags.Float64Var(&size.Share, "share", 0, "the share of the time for which each process runs, 0 for all of it")
 	silences := flags.Bool("silences", false, "play only upstreams that fall silent, with planned work or failures beside them")
 	if err := flags.Parse(args); err != nil {
