relay: a response takes the memory that is reserved for it

What callers saw: nothing yet. Bodies without end that look like the answer of a plain service are kept up to 35 MB together, and an entry took 72 to 116 MB for them, of the 128 MB that a daemon may have.

Cause: bytes are reserved as they are read, but io.ReadAll copies what it has read once more at the end: 2.04 times the size of a body of 8 MB is allocated.

Change: a response is read into blocks that stay where they are, into one if its length is known.

Evidence: TestBodyTakesTheMemoryThatIsReservedForIt wants 1.1 times the size (2.04 with io.ReadAll).

Bodies of callers are still read by io.ReadAll: a block of the stated length would be held before its bytes come.

--- a/entry/relay/memory.go
+++ b/entry/relay/memory.go
@@ -11,6 +11,12 @@
 // errNoMemory means that the limit of BodyMemory or ResponseMemory is reached.
 var errNoMemory = errors.New("memory budget exhausted")
 
+// Sizes in bytes of the blocks of a body whose length isn't known: the first, and the largest.
+const (
+	minBlock = 512
+	maxBlock = 256 << 10
+)
+
 // reservation is the part of a memory limit that is reserved for one body or response.
 //
 // Load pattern: many callers send long bodies at once, or many upstreams send long responses
@@ -48,6 +54,54 @@
 	return io.ReadAll(&reservingReader{reservation: r, prereserved: r.reserved, src: io.LimitReader(src, limit+1)})
 }
 
+// readBlocks is readAll that doesn't move what it has read, so that a body takes no more memory than is reserved for it.
+// It reads a body of a known length into one block; length is negative if it isn't known.
+func (r *reservation) readBlocks(src io.Reader, length, limit int64) ([][]byte, error) {
+	in := &reservingReader{reservation: r, prereserved: r.reserved, src: io.LimitReader(src, limit+1)}
+	next := int64(minBlock)
+	if length >= 0 {
+		next = length + 1 // the last read finds the end
+	}
+	var blocks [][]byte
+	for {
+		block := make([]byte, next)
+		n, err := fillBlock(in, block)
+		if n > 0 {
+			blocks = append(blocks, block[:n])
+		}
+		if errors.Is(err, io.EOF) {
+			return blocks, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		next = min(2*max(next, minBlock), maxBlock)
+	}
+}
+
+// fillBlock reads until the block is full or src ends. Unlike io.ReadFull it returns the very error of src: that of a
+// body which is cut must differ from its end.
+func fillBlock(src io.Reader, block []byte) (int, error) {
+	n := 0
+	for n < len(block) {
+		m, err := src.Read(block[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// sizeOf returns the number of bytes in blocks.
+func sizeOf(blocks [][]byte) int {
+	n := 0
+	for _, b := range blocks {
+		n += len(b)
+	}
+	return n
+}
+
 // reservingReader reserves memory for the bytes that it reads.
 type reservingReader struct {
 	*reservation
--- a/entry/relay/memory_test.go
+++ b/entry/relay/memory_test.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"golang.org/x/sync/semaphore"
 
@@ -81,30 +84,76 @@
 	}
 }
 
+// Guards against bodies that take several times the memory that is reserved for them, so that bodies within the limit
+// fill a small machine.
+func TestBodyTakesTheMemoryThatIsReservedForIt(t *testing.T) {
+	const size, tolerance = 8 << 20, 1.1
+	for _, known := range []bool{false, true} {
+		src := &io.LimitedReader{R: zeros{}, N: size}
+		var r reservation
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		length := int64(-1)
+		if known {
+			length = size
+		}
+		blocks, err := r.readBlocks(src, length, maxResponseSize)
+		runtime.ReadMemStats(&after)
+		if n := sizeOf(blocks); err != nil || n != size {
+			t.Fatalf("got %d bytes, %v", n, err)
+		}
+		if n := after.TotalAlloc - before.TotalAlloc; float64(n) > tolerance*size {
+			t.Errorf("length known %t: %d bytes were allocated for a body of %d", known, n, size)
+		}
+	}
+}
+
+// zeros is a source without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// text returns a source that ends with an error, or at its end if that is nil.
+func text(s string, err error) func() io.Reader {
+	if err == nil {
+		err = io.EOF
+	}
+	return func() io.Reader { return io.MultiReader(strings.NewReader(s), iotest.ErrReader(err)) }
+}
+
 // Guards against a response over the limit that is truncated and forwarded as complete.
 func TestReservationCountsBytesRead(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		room, ready int64
-		src         io.Reader
+		src         func() io.Reader
 		want        string
 		fails       bool
 	}{
-		{"fits", 10, 0, strings.NewReader("12345"), "12345", false},
-		{"reserved before", 5, 5, strings.NewReader("12345"), "12345", false},
-		{"longer than reserved", 6, 5, strings.NewReader("1234567"), "", true},
-		{"not enough memory", 4, 0, strings.NewReader("12345"), "", true},
-		{"one over the limit", 100, 0, strings.NewReader("1234567890"), "123456789", false},
+		{"fits", 10, 0, text("12345", nil), "12345", false},
+		{"reserved before", 5, 5, text("12345", nil), "12345", false},
+		{"longer than reserved", 6, 5, text("1234567", nil), "", true},
+		{"not enough memory", 4, 0, text("12345", nil), "", true},
+		{"one over the limit", 100, 0, text("1234567890", nil), "123456789", false},
+		{"cut", 100, 0, text("1234", io.ErrUnexpectedEOF), "", true},
 	} {
 		s := &reservation{sem: semaphore.NewWeighted(c.room)}
 		if err := s.acquire(t.Context(), c.ready); err != nil {
 			t.Fatal(err)
 		}
-		got, err := s.readAll(c.src, 8)
+		got, err := s.readAll(c.src(), 8)
 		if (err != nil) != c.fails || (!c.fails && string(got) != c.want) {
 			t.Errorf("%s: got %q, %v", c.name, got, err)
 		}
 		s.release()
+		if err := s.acquire(t.Context(), c.ready); err != nil {
+			t.Fatal(err)
+		}
+		blocks, err := s.readBlocks(c.src(), -1, 8)
+		if (err != nil) != c.fails || (!c.fails && string(bytes.Join(blocks, nil)) != c.want) {
+			t.Errorf("%s in blocks: got %q, %v", c.name, blocks, err)
+		}
+		s.release()
 		if !s.sem.TryAcquire(c.room) {
 			t.Errorf("%s: not all memory was released", c.name)
 		}
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -15,7 +15,8 @@
 type response struct {
 	status int
 	header http.Header
-	body   []byte
+	// body is in blocks, one after the other.
+	body [][]byte
 }
 
 // failed reports whether a whole response is a failure. Behind events there is no place for any, and what one upstream
@@ -26,7 +27,7 @@
 
 // readResponse reads a response that isn't streamed. It waits until there is memory for one
 // that states its length; memory is released as other responses are forwarded.
-func (j *job) readResponse(ctx context.Context, res *http.Response) ([]byte, error) {
+func (j *job) readResponse(ctx context.Context, res *http.Response) ([][]byte, error) {
 	j.responseMem.release() // reserved by an earlier attempt
 	if res.ContentLength > maxResponseSize {
 		return nil, errors.Newf("response of %d bytes is too large", res.ContentLength)
@@ -34,8 +35,8 @@
 	if err := j.responseMem.acquire(ctx, max(res.ContentLength, 0)); err != nil {
 		return nil, err
 	}
-	body, err := j.responseMem.readAll(res.Body, maxResponseSize)
-	if err == nil && len(body) > maxResponseSize {
+	body, err := j.responseMem.readBlocks(res.Body, res.ContentLength, maxResponseSize)
+	if err == nil && sizeOf(body) > maxResponseSize {
 		err = errors.Newf("response is larger than %d bytes", maxResponseSize)
 	}
 	return body, err
@@ -58,14 +59,17 @@
 	copyHeader(h, a.header)
 	disableSniffing(h)
 	j.setConnectionClose(h)
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	h.Set("Content-Length", strconv.Itoa(sizeOf(a.body)))
 	j.w.WriteHeader(a.status)
 	outcome := "served"
 	if a.status >= http.StatusInternalServerError {
 		outcome = "failed"
 	}
-	if _, err := j.w.Write(a.body); err != nil {
-		outcome = "cancelled"
+	for _, block := range a.body {
+		if _, err := j.w.Write(block); err != nil {
+			outcome = "cancelled"
+			break
+		}
 	}
 	j.logOutcome(a.status, outcome, "")
 }
