--- a/drive/soak/memory.go
+++ b/drive/soak/memory.go
@@ -5,9 +5,8 @@
 	"os"
 )
 
-// maxEntryMemory is the resident memory, in bytes, that an entry may have while upstreams answer without end. A machine
-// of the smallest deployment has 284 MB.
-const maxEntryMemory = 60 << 20
+// maxEntryMemory is the resident memory, in bytes, that a daemon may have at the users' target size.
+const maxEntryMemory = 128 << 20
 
 // checkMemory checks the entries' memory while upstreams answer without end. The caller holds mu.
 func (s *Soak) checkMemory() {
