--- a/entry/site/last_test.go
+++ b/entry/site/last_test.go
@@ -74,24 +74,35 @@
 }
 
 // Guards against a request that waits for an engine whose agent can't be reached, and has no answer at the end of the
-// grace period.
+// grace period, or ends as the settings are reloaded.
 func TestWaitingRequestIsAnsweredAtTheEnd(t *testing.T) {
-	r := startRig(t, false, false, false)
-	p := testPlan()
-	p.Routes[0].Aim = magno.Minute
-	r.setPlan(1, p)
-	end := r.serveUntilTheEnd(t)
-	waited := metrics.GetOrCreateCounter("waited_for_upstream_total")
-	before := waited.Get()
-	c := r.connect(t)
-	send(t, c, whole)
-	waitFor(t, "a waiting request", func() bool { return waited.Get() > before })
-	end()
-	if status, err := readAnswer(c); err != nil || status != http.StatusBadGateway {
-		t.Errorf("got %d %v", status, err)
-	}
-	if len(r.reached) != 0 {
-		t.Error("the request was sent on")
+	for name, happen := range map[string]func(t *testing.T, r *rig){
+		"end":            func(*testing.T, *rig) {},
+		"reload and end": func(t *testing.T, r *rig) { startReloadable(t, r.entry.settings)() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := startRig(t, false, false, false)
+			p := testPlan()
+			p.Routes[0].Aim = magno.Minute
+			r.setPlan(1, p)
+			end := r.serveUntilTheEnd(t)
+			waited := metrics.GetOrCreateCounter("waited_for_upstream_total")
+			before := waited.Get()
+			c := r.connect(t)
+			send(t, c, whole)
+			waitFor(t, "a waiting request", func() bool { return waited.Get() > before })
+			happen(t, r)
+			if n := r.entry.front.relay.Active(); n != 1 {
+				t.Errorf("%d requests are in progress", n)
+			}
+			end()
+			if status, err := readAnswer(c); err != nil || status != http.StatusBadGateway {
+				t.Errorf("got %d %v", status, err)
+			}
+			if len(r.reached) != 0 {
+				t.Error("the request was sent on")
+			}
+		})
 	}
 }
 
