--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -67,10 +67,15 @@
 // Run serves callers until ctx ends.
 func (f *front) Run(ctx context.Context) error {
 	handler, g := f.handler(f.relay)
-	return serveGuarded(ctx, f.settings.CallerAddress, f.relay.LoadLevel, &http.Server{
+	return serveGuarded(ctx, f.settings.CallerAddress, f.relay.LoadLevel, f.server(handler), finalAnswerTimeout, g.end)
+}
+
+// server returns the server of callers' requests.
+func (f *front) server(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		ConnContext: connContext, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
-	}, finalAnswerTimeout, g.end)
+	}
 }
 
 // handler returns the handler of callers' requests that next answers, and its guard.
