--- a/magno/listen/listen_test.go
+++ b/magno/listen/listen_test.go
@@ -18,7 +18,10 @@
 func start(t *testing.T, s *Server) string {
 	t.Helper()
 	bound := make(chan string, 1)
-	s.Listen, s.OnBound, s.ReadTimeout, s.ShutdownTimeout = "127.0.0.1:0", func(a string) { bound <- a }, magno.Minute, magno.Second
+	s.Listen, s.OnBound, s.ShutdownTimeout = "127.0.0.1:0", func(a string) { bound <- a }, magno.Second
+	if s.ReadTimeout == 0 {
+		s.ReadTimeout = magno.Minute
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Run(ctx) }()
@@ -92,6 +95,24 @@
 	}
 }
 
+// Guards against a client that stops within its body and holds a connection and a handler for ever.
+func TestBodyThatStopsIsReadForAWhileOnly(t *testing.T) {
+	ended := make(chan error, 1)
+	address := start(t, &Server{MaxConns: 4, ReadTimeout: 50, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		ended <- err
+	})})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\npart")
+	if err := <-ended; err == nil {
+		t.Error("a part of a body was taken for the whole")
+	}
+}
+
 // A header over the limit is rejected.
 func TestHeader(t *testing.T) {
 	address := start(t, &Server{MaxConns: 4, Handler: http.NotFoundHandler()})
