--- a/entry/relay/planned_test.go
+++ b/entry/relay/planned_test.go
@@ -148,6 +148,39 @@
 	}
 }
 
+// changingLimits grants each request, after a change.
+type changingLimits struct {
+	fakeLimits
+	change func()
+}
+
+func (l *changingLimits) Take(context.Context, string, float64) magno.LimitGrant {
+	l.change()
+	return magno.LimitGrant{Granted: true, Rate: 10}
+}
+
+// Guards against a request that ends without an answer because a planned change came while it waited for the grant of its
+// upstream's limit.
+func TestPlannedChangeUnderARequestThatAsksForAGrant(t *testing.T) {
+	for _, changes := range []map[string]func(*testProxy){planChanges, firstChanges, otherChanges} {
+		for name, change := range changes {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				s := newPlannedProxy(t, magno.RouteOnce, false, startUpstream(t, answerRequest), startUpstream(t, answerRequest))
+				for _, key := range s.pools.replicas {
+					s.Notices.Record(key, magno.Notice{Limited: true, Rate: 10}, 0)
+				}
+				var once sync.Once
+				s.Limits = &changingLimits{change: func() { once.Do(func() { change(s) }) }}
+				res, body, err := s.request(t)
+				if err != nil || res.StatusCode != http.StatusOK || body != "yes" {
+					t.Errorf("got %v %q %v", res, body, err)
+				}
+			})
+		}
+	}
+}
+
 // Guards against an answer that is lost because a planned change came while an upstream worked on the request.
 func TestPlannedChangeUnderASentRequest(t *testing.T) {
 	for service, c := range map[string]struct {
