--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -65,7 +65,7 @@
 	defer memory.release()
 	written := false
 	for {
-		memory.release()                    // the event before has been written
+		memory.release() // the event before has been written
 		if written && !holdsEvent(events) { // the next read may wait
 			if err := flush.Flush(); err != nil {
 				return errors.Mark(err, errCallerGone)
