soak: the end of the grace period excuses only what an upstream was at work on

The check of kept connections left out every request around the end of the grace period that had reached an upstream. The platform's rule asks more: that the worker was still at work on it in the last sixth of the period. So a request that an upstream had declined, or whose answer was made before and left an upstream that wasn't silent, was not counted though the entry ended it. Stand-ins now record when they end their work on a request, and whether with a whole answer. That of a silent one counts as ended once the silence is over. A closed connection counts as well if no upstream had read the request by then; one that got 502 has an answer, which the rule doesn't ask about, and is excused as before.

The request of the existing test that may end then now runs, as one that has only arrived was declined, and its arrivals have the times of its requests.

Run: go test -count=1 -run 'TestLostCheck' ./drive/soak passes. TestLostCheckAsksWhetherUpstreamWasAtWork fails with each of five changes of the condition: without Ran ("declined"), without the time of arrival ("read too late"), without workedAt ("silent until before", "had ended before the last sixth"), without leftAt ("silent until the last sixth"), without the exception for whole answers ("read too late, and got 502").

--- a/drive/soak/lost.go
+++ b/drive/soak/lost.go
@@ -14,7 +14,7 @@
 // request counts if an upstream had the request, or if it ends later than lossSlack after the request was sent. At most
 // lostSlack may do so at any time, and none around planned work: until stopWindow after a SIGTERM of the entry,
 // reloadWindow after its SIGHUP and planWindow after a configuration. A request that was sent up to
-// lateStop after a SIGTERM doesn't count in the last sixth of the grace period.
+// lateStop after a SIGTERM doesn't count in the last sixth of the grace period if an upstream was still at work on it then.
 const (
 	lossSlack    = 200 * time.Millisecond
 	lostSlack    = 3
@@ -66,7 +66,7 @@
 		if r.outcome.Complete && !failed {
 			continue
 		}
-		if why := s.excuse(r, len(byID[id])); why != "" {
+		if why := s.excuse(r, byID[id]); why != "" {
 			excused[why]++
 			continue
 		}
@@ -80,23 +80,42 @@
 }
 
 // excuse returns why a request may end without an answer, empty if it may not. The caller holds mu.
-func (s *Soak) excuse(r *request, arrivals int) string {
+func (s *Soak) excuse(r *request, arrivals []arrivalAt) string {
 	if r.doneAt.Sub(r.at) >= s.fleet.leastTimeout(r.at, r.doneAt)-limitMargin {
 		return "its time was over"
 	}
-	if arrivals == 0 && r.outcome.Status == 0 && r.doneAt.Sub(r.wholeAt) <= lossSlack {
+	if len(arrivals) == 0 && r.outcome.Status == 0 && r.doneAt.Sub(r.wholeAt) <= lossSlack {
 		return "it crossed the end of its connection"
 	}
 	late := slices.ContainsFunc(s.fleet.plannedChanges(), func(p planned) bool {
 		return p.what == changeStop && s.fleet.entries[p.entry] == r.entry && r.at.Sub(p.at) <= lateStop &&
-			r.doneAt.Sub(p.at) >= lateGrace && r.doneAt.Sub(p.at) <= stopWindow
+			r.doneAt.Sub(p.at) >= lateGrace && r.doneAt.Sub(p.at) <= stopWindow &&
+			slices.ContainsFunc(arrivals, func(a arrivalAt) bool {
+				// The rule doesn't ask about answers such as 502. A connection that is closed must have been so under the work.
+				return a.Ran && (r.outcome.Complete || a.At.Before(r.doneAt)) && s.fleet.workedAt(a, p.at.Add(lateGrace))
+			})
 	})
-	if late && arrivals > 0 {
+	if late {
 		return "the grace period was over"
 	}
 	return ""
 }
 
+// workedAt reports whether the worker that ran a request was still at work on it at a time. A silent one is at work until
+// it is no longer silent: what it made before then hasn't left it.
+func (f *fleet) workedAt(a arrivalAt, at time.Time) bool {
+	return a.EndedAt.IsZero() || f.leftAt(a).After(at)
+}
+
+// leftAt returns when the end of a worker's answer left it.
+func (f *fleet) leftAt(a arrivalAt) time.Time {
+	end := a.EndedAt
+	for _, p := range f.gateOf(a.worker).silentIn(period{end, end.Add(1)}) {
+		end = p.to
+	}
+	return end
+}
+
 // plannedBeside returns the planned changes that a request falls into. The caller holds mu.
 func (s *Soak) plannedBeside(r *request) []string {
 	var list []string
--- a/drive/soak/lost_test.go
+++ b/drive/soak/lost_test.go
@@ -125,7 +125,8 @@
 		r.outcome = fake.Outcome{Status: status, Complete: whole}
 		s.sent[id] = r
 		if arrived {
-			w.Arrive(id, fake.PathOnce)
+			w.Run(id, fake.PathOnce, -1)
+			w.ArriveAt(r.at)
 		}
 	}
 	const ms = time.Millisecond
@@ -158,6 +159,65 @@
 	}
 }
 
+// Guards against a check that excuses the end of the grace period for requests that no upstream was still at work on then.
+func TestLostCheckAsksWhetherUpstreamWasAtWork(t *testing.T) {
+	const ms = time.Millisecond
+	began := time.Now().Add(-time.Minute)
+	for name, c := range map[string]struct {
+		// sent, ended and done count from the stop. Ended is when the upstream ended its work, zero if it didn't.
+		sent, ended, done time.Duration
+		// silent is when the upstream's silence ended in which it ended its work, zero if it wasn't silent.
+		silent   time.Duration
+		declined bool
+		// unread is true if the upstream read the request only after its connection had ended, status that of a whole answer.
+		unread  bool
+		status  int
+		excused int
+	}{
+		"at work":                          {sent: lateStop, done: lateGrace, excused: 1},
+		"at work until the last sixth":     {sent: -ms, ended: lateGrace + ms, done: lateGrace + ms, excused: 1},
+		"silent until the last sixth":      {ended: lateGrace - 500*ms, silent: lateGrace + ms, done: lateGrace + ms, excused: 1},
+		"silent until before":              {ended: lateGrace - 500*ms, silent: lateGrace - ms, done: lateGrace + ms},
+		"had ended before the last sixth":  {ended: lateGrace - ms, done: lateGrace + ms},
+		"declined":                         {declined: true, done: lateGrace + ms},
+		"ended before the last sixth":      {done: lateGrace - ms},
+		"sent too late":                    {sent: lateStop + ms, done: lateGrace + ms},
+		"read too late":                    {unread: true, done: lateGrace + ms},
+		"read too late, and got 502":       {unread: true, status: http.StatusBadGateway, done: lateGrace + ms, excused: 1},
+		"ended after the entry had to end": {sent: lateStop, done: stopWindow + ms},
+	} {
+		f := newFleet(t.TempDir(), programDir, Size{})
+		f.entries = []string{"e1"}
+		w := &fake.Worker{ID: "up-1"}
+		w.Start()
+		u := &upstream{listed: "up", worker: w}
+		f.allWorkers, f.plains = []*fake.Worker{w}, []*upstream{u}
+		f.planned = []planned{{at: began, what: changeStop, entry: 0, window: stopWindow}}
+		s := &Soak{Out: io.Discard, fleet: f, sent: map[string]*request{}}
+		s.sent["r"] = &request{path: fake.PathOnce, target: fake.PathOnce, entry: "e1",
+			at: began.Add(c.sent), wholeAt: began.Add(c.sent), doneAt: began.Add(c.done),
+			outcome: fake.Outcome{Status: c.status, Complete: c.status != 0}}
+		if c.declined {
+			w.Arrive("r", fake.PathOnce)
+		} else {
+			w.Run("r", fake.PathOnce, -1)
+		}
+		if !c.unread {
+			w.ArriveAt(began.Add(c.sent))
+		}
+		if c.ended != 0 {
+			w.EndAt(began.Add(c.ended))
+		}
+		if c.silent != 0 {
+			u.gate.silences = []period{{began.Add(c.ended - ms), began.Add(c.silent)}}
+		}
+		list, excused := s.losses()
+		if excused["the grace period was over"] != c.excused || len(list) != 1-c.excused {
+			t.Errorf("%s: got %v and %+v", name, excused, list)
+		}
+	}
+}
+
 // Guards against an answer in progress that ends since its upstream is silent, beside upstreams that fail, that refuse,
 // and beside planned work.
 func TestSoundSilenceLosesNoRequest(t *testing.T) {
