--- a/entry/relay/memory.go
+++ b/entry/relay/memory.go
@@ -40,21 +40,12 @@
 	return nil
 }
 
-// tryAcquire reserves a number of bytes, or fails at once if they aren't available.
-func (r *reservation) tryAcquire(bytes int64) error {
-	if r.sem != nil && !r.sem.TryAcquire(bytes) {
-		return errNoMemory
-	}
-	r.reserved += bytes
-	return nil
-}
-
 // release returns all reserved bytes.
 func (r *reservation) release() {
 	if r.sem != nil {
 		r.sem.Release(r.reserved)
+		r.reserved = 0
 	}
-	r.reserved = 0
 }
 
 // readAll reads src up to limit bytes, and one byte more if src is longer. It reserves bytes as
@@ -124,11 +115,12 @@
 	n, err := r.src.Read(p)
 	more := int64(n) - r.prereserved
 	r.prereserved = max(-more, 0)
-	if more <= 0 {
+	if more <= 0 || r.sem == nil {
 		return n, err
 	}
-	if err := r.tryAcquire(more); err != nil {
-		return n, err
+	if !r.sem.TryAcquire(more) {
+		return n, errNoMemory
 	}
+	r.reserved += more
 	return n, err
 }
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -23,9 +23,8 @@
 	// firstEventTimeoutAims is the timeout for the first event, as a multiple of the route's
 	// aim.
 	firstEventTimeoutAims = 2
-	// maxEventSize bounds one event, in bytes. Beyond eventBlock memory is reserved for it, a block at a time.
+	// maxEventSize bounds one event, in bytes.
 	maxEventSize = 1 << 20
-	eventBlock   = 64 << 10
 	// beginTime is how long after its first event a stream has begun for good: a part of its prompt that ends
 	// upstreams does so as they begin to answer.
 	beginTime = 500 * magno.Millis(1)
@@ -61,11 +60,8 @@
 func (j *job) copyEvents(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) error {
 	events := bufio.NewReaderSize(res.Body, streamBufferSize)
 	flush := http.NewResponseController(j.w)
-	memory := &reservation{sem: j.ResponseMemory}
-	defer memory.release()
 	written := false
 	for {
-		memory.release() // the event before has been written
 		if written && !holdsEvent(events) { // the next read may wait
 			if err := flush.Flush(); err != nil {
 				return errors.Mark(err, errCallerGone)
@@ -73,7 +69,7 @@
 			written = false
 		}
 		j.setStallTimeout(ctx, conn)
-		event, err := readEvent(events, memory)
+		event, err := readEvent(events)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
 				return nil
@@ -179,12 +175,9 @@
 	j.w.WriteHeader(res.StatusCode)
 }
 
-// readEvent reads up to the empty line that ends an event, and reserves memory for a long one. With io.EOF it returns
-// the start of a truncated event, empty if there is none.
-//
-// Load pattern: upstreams send events without end to many streams at once. Each is within its bound, but together they
-// exceed the memory of a small machine.
-func readEvent(r *bufio.Reader, memory *reservation) ([]byte, error) {
+// readEvent reads up to the empty line that ends an event. With io.EOF it returns the start of
+// a truncated event, empty if there is none.
+func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
@@ -198,11 +191,6 @@
 		if len(event) > maxEventSize {
 			return event, errors.Newf("event is larger than %d bytes", maxEventSize)
 		}
-		for int64(len(event)) > memory.reserved+eventBlock {
-			if err := memory.tryAcquire(eventBlock); err != nil {
-				return event, err
-			}
-		}
 	}
 }
 
