listen: the end of an answer is written within a time of its own

What callers saw: all events of a stream and then a cut, if its end came more than 5 s after its last event.

Cause: the deadline of writes is set before each write of a handler and stays. net/http writes the last chunk after the handler has returned, against the deadline of the last event.

TestAnswerThatEndsLateIsWhole fails before ("unexpected EOF") and passes now. The other test, of an answer without a body on a kept connection, passed before as well. Class: a time limit that outlives what it bounds.

--- a/magno/listen/listen.go
+++ b/magno/listen/listen.go
@@ -92,7 +92,9 @@
 		timeout = defaultWriteTimeout
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.ServeHTTP(&deadlineWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: timeout.Duration()}, r)
+		t := &deadlineWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: timeout.Duration()}
+		h.ServeHTTP(t, r)
+		t.extend() // the server writes what is left of the answer, and its end
 	})
 }
 
--- a/magno/listen/listen_test.go
+++ b/magno/listen/listen_test.go
@@ -1,10 +1,12 @@
 package listen
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -63,6 +65,60 @@
 	waitFor(t, "the context's end", ended)
 }
 
+// Guards against a whole answer that looks cut to a caller that reads all the while, as its end comes later after its last
+// write than a write may take.
+func TestAnswerThatEndsLateIsWhole(t *testing.T) {
+	const timeout = 100 * magno.Millis(1)
+	for name, pause := range map[string]time.Duration{"at once": 0, "after a pause": 3 * timeout.Duration()} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(WithWriteTimeout(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "data: x\n\n")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(pause)
+			}), timeout))
+			defer s.Close()
+			res, err := http.Get(s.URL)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer res.Body.Close()
+			if body, err := io.ReadAll(res.Body); err != nil || string(body) != "data: x\n\n" {
+				t.Errorf("got %q, %v, want the whole answer", body, err)
+			}
+		})
+	}
+}
+
+// Guards against an answer without a body that is lost on a kept connection, as an earlier answer's time to write is over.
+func TestAnswerWithoutABodyOnAKeptConnection(t *testing.T) {
+	const timeout = 50 * magno.Millis(1)
+	requests := 0
+	s := httptest.NewServer(WithWriteTimeout(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if requests++; requests == 1 {
+			_, _ = io.WriteString(w, "first")
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}), timeout))
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for _, want := range []int{http.StatusOK, http.StatusNoContent} {
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		res, err := http.ReadResponse(in, nil)
+		if err != nil || res.StatusCode != want {
+			t.Fatalf("got %v, %v, want %d", res, err, want)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		time.Sleep(2 * timeout.Duration())
+	}
+}
+
 // Connections beyond MaxConns wait until another one ends. They are neither refused nor
 // served concurrently.
 func TestConnections(t *testing.T) {
