shed: connections over which nothing is sent hold no places for seconds

What callers saw: a whole request at an overloaded instance lay unread for 5 s and was refused then, if 64 connections before it had sent nothing.

Cause: a place for a connection to refuse became free with its answer, or at the time limit of its header.

Change: a connection counts as unanswered for 200 ms at most; 512 open ones are still the bound.

--- a/entry/site/shed.go
+++ b/entry/site/shed.go
@@ -97,7 +97,9 @@
 // refuse counts a connection until it is closed.
 func (l *shedListener) refuse(c net.Conn) net.Conn {
 	l.add(1, 1)
-	return &refusedConn{Conn: c, l: l}
+	refused := &refusedConn{Conn: c, l: l}
+	time.AfterFunc(shed.PlaceTime.Duration(), refused.release)
+	return refused
 }
 
 func (l *shedListener) add(unanswered, open int) {
--- a/entry/site/shed_test.go
+++ b/entry/site/shed_test.go
@@ -76,6 +76,29 @@
 	return res.StatusCode, err
 }
 
+// Guards against a whole request that waits unread for seconds, as connections over which nothing was sent hold all
+// places of an overloaded instance.
+func TestSilentConnectionsTakeNoPlaces(t *testing.T) {
+	e, addr := startOverloadable(t)
+	e.front.relay.SetLoadLevel(strain.Overloaded)
+	for range shed.DefaultLimits.Unanswered {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	begun := time.Now()
+	c, err := sendWhole(addr, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if status, err := readAnswer(c); err != nil || time.Since(begun) >= readHeaderTimeout-time.Second {
+		t.Errorf("got %d, %v after %v", status, err, time.Since(begun))
+	}
+}
+
 // Guards against callers of an overloaded instance that have sent a whole request and get neither an
 // answer nor a refusal.
 func TestWholeRequestIsAnsweredWhateverTheLoadLevel(t *testing.T) {
--- a/magno/shed/shed.go
+++ b/magno/shed/shed.go
@@ -24,6 +24,8 @@
 	// RetryAfter is when a caller that was refused may return. Its next connection goes to another
 	// instance.
 	RetryAfter = 200 * magno.Millis(1)
+	// PlaceTime is how long a connection counts as unanswered at most: over some of them nothing is sent.
+	PlaceTime = 200 * magno.Millis(1)
 	// lateAfter is how long a request may have waited in the accept queue of a strained instance and
 	// still be served.
 	lateAfter = 500 * magno.Millis(1)
@@ -31,7 +33,7 @@
 
 // Limits bound the connections that are refused.
 type Limits struct {
-	// Unanswered bounds those without an answer yet.
+	// Unanswered bounds those without an answer yet, of the last PlaceTime.
 	Unanswered int
 	// Open bounds those that are open: some callers still send their body after the answer.
 	Open int
