relay: a hedge doesn't wait for memory that its own request holds

What callers saw: 500 at the end of the request's time, though another upstream's whole answer was there after 1.4 s.

Cause: a first upstream that was silent and then failed leaves the memory of its failure reserved while its hedge is awaited, whose answer waits for memory. Without a hedge an attempt gives that back before the next begins.

The test got 500 after 6 s before, and 200 now.

--- a/entry/relay/answermem_test.go
+++ b/entry/relay/answermem_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 
@@ -57,3 +59,27 @@
 		})
 	}
 }
+
+// Guards against an answer that waits for the memory that a failure of the same request holds, until its time is over.
+func TestHedgeDoesNotWaitForMemoryOfItsOwnRequest(t *testing.T) {
+	const room, size = 1000, 600
+	failed := make(chan struct{})
+	u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		time.Sleep(silence)
+		writeResponse(c, r.Header.Get("Id"), http.StatusInternalServerError, strings.Repeat("f", size))
+		close(failed)
+		return true
+	})
+	v := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		<-failed
+		time.Sleep(100 * time.Millisecond)
+		writeResponse(c, r.Header.Get("Id"), http.StatusOK, strings.Repeat("y", size))
+		return true
+	})
+	s := newSilentProxy(t, magno.RouteIdempotent, false, u, v)
+	s.ResponseMemory = semaphore.NewWeighted(room)
+	res, body, err := s.get(t, http.MethodGet, "1")
+	if err != nil || res.StatusCode != http.StatusOK || len(body) != size {
+		t.Errorf("got %v, %d bytes, %v, want the answer of the second upstream", res, len(body), err)
+	}
+}
--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -189,6 +189,7 @@
 	if res == resultDone {
 		_ = http.NewResponseController(j.w).Flush() // the answer doesn't wait for the hedge
 	}
+	j.responseMem.release() // the hedge may wait for memory
 	<-h.ended
 	if h.panicked != nil {
 		j.hedge = nil
