soak: two upstream faults without end that overlap both end

Two faults had made one upstream answer without end. The first ended while the second one's handler stood before its own, so that it did nothing, and the end of the second brought the first back for good.

Its end now also stops the handler. The test of two that overlap failed before.

--- a/drive/soak/endless.go
+++ b/drive/soak/endless.go
@@ -22,10 +22,11 @@
 	next := u.handler.h
 	h := &endless.Handler{Next: next, Own: w.OwnHeader}
 	u.handler.h = h
-	h.Set(row)
+	end := h.Set(row)
 	f.endless.Add(1)
 	return func() {
 		f.endless.Add(-1)
+		end() // a later fault may have it behind its own handler
 		u.handler.mu.Lock()
 		defer u.handler.mu.Unlock()
 		if u.handler.h == http.Handler(h) { // no other incarnation serves there by now
--- a/drive/soak/endless_test.go
+++ b/drive/soak/endless_test.go
@@ -142,6 +142,13 @@
 			t.Errorf("after %s: got %q", name, got)
 		}
 	}
+	_, first := f.startEndless(u, rnd)
+	_, second := f.startEndless(u, rnd)
+	first()
+	second()
+	if got := get(); got != "sound" {
+		t.Errorf("after two faults that overlapped: got %q", got)
+	}
 	_, undo := f.startEndless(u, rnd)
 	u.handler.set(http.NotFoundHandler()) // the next incarnation
 	undo()
