--- a/entry/relay/build.go
+++ b/entry/relay/build.go
@@ -21,10 +21,8 @@
 type Origins interface {
 	// Record records where the stream of a caller's attempt began.
 	Record(attempt string, o origin.Origin)
-	// Find returns where the stream began that an attempt brought the first event of, nil if that
-	// isn't known. The attempt is empty if the caller doesn't state it. Streams of the service last no
-	// longer than the given time.
-	Find(ctx context.Context, attempt, service string, lasts magno.Millis) *origin.Origin
+	// Find returns where a stream began, nil if that isn't known.
+	Find(ctx context.Context, q origin.Query) *origin.Origin
 }
 
 // findOrigin finds out where a stream began that the caller takes up, and refuses it if that isn't known:
@@ -37,7 +35,7 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	j.began = j.Origins.Find(ctx, j.call.Resumes, j.service.Name, streamTimeouts*timeout)
+	j.began = j.Origins.Find(ctx, origin.Query{Request: j.id, Attempt: j.call.Resumes, Service: j.service.Name, Lasts: streamTimeouts * timeout})
 	if j.began == nil {
 		return magno.Refuse(magno.KindNoUpstream, "it isn't known at which build the stream began").WithRetryAfter(originRetryAfter)
 	}
--- a/entry/relay/build_test.go
+++ b/entry/relay/build_test.go
@@ -25,10 +25,10 @@
 	o.known[attempt] = at
 }
 
-func (o *fakeOrigins) Find(_ context.Context, attempt, _ string, _ magno.Millis) *origin.Origin {
+func (o *fakeOrigins) Find(_ context.Context, q origin.Query) *origin.Origin {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if at, ok := o.known[attempt]; ok {
+	if at, ok := o.known[q.Attempt]; ok {
 		return &at
 	}
 	return nil
--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -89,6 +89,9 @@
 	Sole   *origin.Origin `json:"sole,omitempty"`
 	// Several is true if the service had several builds while the stream may have begun.
 	Several bool `json:"several,omitempty"`
+
+	// asked and answered count the entries whose answers this one joins.
+	asked, answered int
 }
 
 // Manager records and finds the origins of streams. Exported fields are set before Open.
@@ -229,22 +232,35 @@
 	return nil, nil
 }
 
-// Find returns where a stream began that a caller takes up, nil if no entry knows. The stream is that of
-// the attempt, and lasts as in call.
+// Find returns where a stream began that a caller takes up, nil if no entry knows.
 //
 // A caller may not state the attempt. Its stream began at the only build of the service if none of the
 // entries that are asked has seen another one.
-func (m *Manager) Find(ctx context.Context, attempt, service string, lasts magno.Millis) *origin.Origin {
-	o, how := m.find(ctx, attempt, call{Service: service, Lasts: lasts})
+func (m *Manager) Find(ctx context.Context, q origin.Query) *origin.Origin {
+	start := m.Table.Clock.Now()
+	var r reply
+	o, how := m.find(ctx, q.Attempt, call{Service: q.Service, Lasts: q.Lasts}, &r)
 	if o == nil {
 		how = "unknown"
 	}
 	metrics.GetOrCreateCounter(`streams_taken_up_total{origin="` + how + `"}`).Inc()
+	m.logFind(&q, o, how, &r, m.Table.Clock.Now()-start)
 	return o
 }
 
-// find is Find, and tells how the origin is known.
-func (m *Manager) find(ctx context.Context, attempt string, c call) (o *origin.Origin, how string) {
+// logFind logs how it was found out where a stream began. Asked and answered count other processes, several is
+// true if this one or another one has seen several builds, took is in ms.
+func (m *Manager) logFind(q *origin.Query, o *origin.Origin, how string, r *reply, took magno.Millis) {
+	build := ""
+	if o != nil {
+		build = o.Build
+	}
+	m.Log.Info("stream taken up", "request", q.Request, "resumes", q.Attempt, "service", q.Service, "origin", how, "build", build,
+		"asked", r.asked, "answered", r.answered, "several", r.Several || m.Table.Several(q.Service, q.Lasts), "took", took)
+}
+
+// find is Find, and tells how the origin is known. It stores what others answered in r.
+func (m *Manager) find(ctx context.Context, attempt string, c call, r *reply) (o *origin.Origin, how string) {
 	if attempt != "" {
 		c.Stream = origin.StreamID(attempt)
 		if o := m.Table.Find(c.Stream); o != nil {
@@ -255,7 +271,7 @@
 	}
 	// This process may not have heard yet of a build that joined a moment ago, so others go before what
 	// it takes for the only one.
-	r := m.ask(ctx, &c)
+	*r = m.ask(ctx, &c)
 	switch {
 	case r.Origin != nil:
 		return r.Origin, "asked"
@@ -292,18 +308,21 @@
 	answers := make(chan reply, len(entries))
 	for _, addr := range entries {
 		go func() {
-			var r reply
+			r := reply{answered: 1}
 			if err := m.Mesh.Call(ctx, addr, MethodFind, c, &r); err != nil {
 				m.Log.Debug("origin not asked", "addr", addr, "error", err)
+				r.answered = 0
 			}
 			answers <- r
 		}()
 	}
-	var all reply
+	all := reply{asked: len(entries)}
 	for range entries {
 		r := <-answers
+		all.answered += r.answered
 		if r.Origin != nil {
-			return r
+			all.Origin = r.Origin
+			return all
 		}
 		all.Several = all.Several || r.Several
 		if r.Sole != nil {
--- a/entry/resume/resume_test.go
+++ b/entry/resume/resume_test.go
@@ -104,7 +104,7 @@
 				living = living[1:]
 			}
 			for i, k := range living {
-				if o := k.Find(context.Background(), attempt, service, lasts); o == nil || o.Build != "v1" {
+				if o := k.Find(context.Background(), origin.Query{Attempt: attempt, Service: service, Lasts: lasts}); o == nil || o.Build != "v1" {
 					t.Errorf("entry %d of those left finds %v, want v1", i, o)
 				}
 			}
@@ -121,7 +121,7 @@
 	asker.Table.Update(one)
 	other.Table.Update(two)
 	third.Table.Update(two)
-	find := func(attempt string) *origin.Origin { return asker.Find(context.Background(), attempt, service, lasts) }
+	find := func(attempt string) *origin.Origin { return asker.Find(context.Background(), origin.Query{Attempt: attempt, Service: service, Lasts: lasts}) }
 	if o := find("lost"); o != nil {
 		t.Errorf("a lost record is taken for %v", o)
 	}
@@ -193,11 +193,11 @@
 	for _, k := range nodes {
 		k.Table.Update(map[string][]string{service: {"v1"}})
 	}
-	find := func() *origin.Origin { return nodes[0].Find(context.Background(), "", service, lasts) }
+	find := func() *origin.Origin { return nodes[0].Find(context.Background(), origin.Query{Attempt: "", Service: service, Lasts: lasts}) }
 	if o := find(); o == nil || o.Build != "v1" {
 		t.Errorf("all have just started and see one build: got %v, want v1", o)
 	}
-	if o := nodes[0].Find(context.Background(), "lost", service, lasts); o != nil {
+	if o := nodes[0].Find(context.Background(), origin.Query{Attempt: "lost", Service: service, Lasts: lasts}); o != nil {
 		t.Errorf("the caller states an attempt that nobody knows: got %v", o)
 	}
 	nodes[1].Table.Update(map[string][]string{service: {"v1", "v2"}})
--- a/magno/origin/origin.go
+++ b/magno/origin/origin.go
@@ -35,6 +35,16 @@
 	Build string `json:"build,omitempty"`
 }
 
+// Query asks where a stream began that a caller takes up.
+type Query struct {
+	// Request is the ID of the caller's attempt. Attempt is that of the one which brought the stream's first
+	// event, empty if the caller doesn't state it.
+	Request, Attempt string
+	Service          string
+	// Lasts is how long a stream of the service lasts at most, with all tries of its caller, in ms.
+	Lasts magno.Millis
+}
+
 // StreamIDBytes is the size of a StreamID in messages: small, and enough to tell MaxRecords streams apart.
 const StreamIDBytes = 5
 
