--- a/entry/resume/resume_test.go
+++ b/entry/resume/resume_test.go
@@ -121,7 +121,9 @@
 	asker.Table.Update(one)
 	other.Table.Update(two)
 	third.Table.Update(two)
-	find := func(attempt string) *origin.Origin { return asker.Find(context.Background(), origin.Query{Attempt: attempt, Service: service, Lasts: lasts}) }
+	find := func(attempt string) *origin.Origin {
+		return asker.Find(context.Background(), origin.Query{Attempt: attempt, Service: service, Lasts: lasts})
+	}
 	if o := find("lost"); o != nil {
 		t.Errorf("a lost record is taken for %v", o)
 	}
@@ -193,7 +195,9 @@
 	for _, k := range nodes {
 		k.Table.Update(map[string][]string{service: {"v1"}})
 	}
-	find := func() *origin.Origin { return nodes[0].Find(context.Background(), origin.Query{Attempt: "", Service: service, Lasts: lasts}) }
+	find := func() *origin.Origin {
+		return nodes[0].Find(context.Background(), origin.Query{Attempt: "", Service: service, Lasts: lasts})
+	}
 	if o := find(); o == nil || o.Build != "v1" {
 		t.Errorf("all have just started and see one build: got %v, want v1", o)
 	}
