gate: requests that the engine no longer has keep no places

Cause: an agent counts an admitted request until its entry reports its end, or until its deadline. Once the entries were killed nobody reports, and each engine counts as full of requests that it dropped with their connections. The class is that of the origins: state at one kind of process that is kept right by the other kind alone.

Change: the engine's own report bounds them. If it has counted fewer requests for 0.3 s than were admitted over a second ago, those that have answered and don't any more are ended first, then the oldest that don't answer. An engine that preempts counts what it preempted; one whose reports have never counted a request isn't judged by them.

--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -77,6 +77,10 @@
 	// if it didn't. reportsLeaving is true if a report did.
 	leavingAt      magno.Millis
 	reportsLeaving bool
+	// lostSince is since when the engine reports fewer requests than were admitted, zero if it doesn't.
+	lostSince magno.Millis
+	// countsRequests is true once a report of the engine has counted any.
+	countsRequests bool
 	// restartedAt is when the engine was last seen to have restarted, zero if it wasn't.
 	restartedAt magno.Millis
 	// meanRunTime is the moving average of run times, in ms.
@@ -144,6 +148,7 @@
 	g.inventory.reset()
 	g.limiter, g.reportsLimit = pace.Limiter{}, false
 	g.leavingAt, g.reportsLeaving = 0, false
+	g.lostSince, g.countsRequests = 0, false
 }
 
 // ApplyReport takes the engine's report, which was requested at the time asked.
@@ -155,6 +160,7 @@
 	}
 	g.inventory.applyReport(r, asked)
 	g.updateProgress(r, asked)
+	g.endLost(r, asked)
 	g.applyNotice(&r.Notice, asked)
 }
 
