--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -27,9 +27,6 @@
 	"magnoliastall.example/magno/wire"
 )
 
-// askTimeout bounds the calls to other processes, some of which may have just been killed.
-const askTimeout = 200 * magno.Millis(1)
-
 // Manager records and finds the origins of streams. Exported fields are set before Open.
 type Manager struct {
 	// Self is this entry's address.
@@ -48,6 +45,8 @@
 	recent  recent
 	keepers map[string]*told
 	holders holders
+	// round is the one that collects streams, nil if there is none.
+	round *round
 }
 
 // Open registers the methods on the mesh. It must be called before the mesh runs.
@@ -85,55 +84,58 @@
 // other one as long as it may have lasted.
 func (m *Manager) Find(ctx context.Context, q origin.Query) *origin.Origin {
 	start := m.Clock.Now()
-	var a asked
-	o, how := m.find(ctx, &q, &a)
+	o, how, r := m.find(ctx, &q)
 	if o == nil {
 		how = "unknown"
 	}
 	metrics.GetOrCreateCounter(`streams_taken_up_total{origin="` + how + `"}`).Inc()
-	m.logFind(&q, o, how, &a, m.Clock.Now()-start)
+	m.logFind(&q, o, how, r, m.Clock.Now()-start)
 	return o
 }
 
 // logFind logs how it was found out where a stream began. Asked and answered count other processes, builds
 // are those within the time that a stream lasts, watched is for how long they are known, took is in ms.
-func (m *Manager) logFind(q *origin.Query, o *origin.Origin, how string, a *asked, took magno.Millis) {
+func (m *Manager) logFind(q *origin.Query, o *origin.Origin, how string, r *round, took magno.Millis) {
 	build := ""
 	if o != nil {
 		build = o.Build
 	}
+	if r == nil {
+		r = &round{}
+	}
 	watched, versions := m.Builds.Watched(q.Service, q.Lasts)
 	m.Log.Info("stream taken up", "request", q.Request, "resumes", q.Attempt, "service", q.Service, "origin", how, "build", build,
-		"asked", a.processes, "answered", a.answers, "builds", versions, "watched", watched, "current", m.Current(), "took", took)
+		"asked", r.processes, "answered", r.answers, "builds", versions, "watched", watched, "current", m.Current(), "took", took)
 }
 
-// find is Find, and tells how the origin is known.
-func (m *Manager) find(ctx context.Context, q *origin.Query, a *asked) (o *origin.Origin, how string) {
+// find is Find, and tells how the origin is known. It returns the round in which others were asked, nil if none
+// were.
+func (m *Manager) find(ctx context.Context, q *origin.Query) (o *origin.Origin, how string, r *round) {
 	stream := uint64(0)
 	if q.Attempt != "" {
 		stream = origin.StreamID(q.Attempt)
 		if o := m.Table.Find(stream); o != nil {
-			return o, "recorded"
+			return o, "recorded", nil
 		}
 	} else if o := m.sole(q, false); o != nil {
-		return o, "sole"
+		return o, "sole", nil
 	} else if m.Builds.Several(q.Service, q.Lasts) {
-		return nil, ""
+		return nil, "", nil
 	}
 	// This process may not have heard yet of a build that joined a moment ago, so others go before what
 	// it takes for the only one.
-	m.ask(ctx, stream, m.holders.ofAll(m.Agents()), a)
-	if a.origin == nil {
-		m.ask(ctx, stream, m.others(), a)
+	r = m.ask(ctx, stream)
+	if r == nil {
+		return nil, "", nil
 	}
-	if a.origin != nil {
-		m.remember(stream, *a.origin)
-		return a.origin, "asked"
+	if o := r.found[stream]; o != nil {
+		m.remember(stream, *o)
+		return o, "asked", r
 	}
-	if o := m.sole(q, a.answers > 0); o != nil {
-		return o, "sole"
+	if o := m.sole(q, r.answers > 0); o != nil {
+		return o, "sole", r
 	}
-	return nil, ""
+	return nil, "", r
 }
 
 // sole returns the build that a service has had alone for as long as a stream lasts, nil if that isn't known
--- a/entry/resume/resume_test.go
+++ b/entry/resume/resume_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 
 // fleet is a number of entries and agents that take all others for alive.
 type fleet struct {
+	// mu is held while the fields are read by running nodes, or replaced.
+	mu              sync.Mutex
 	entries, agents []*node
 }
 
@@ -63,15 +66,17 @@
 		t.Fatal(err)
 	}
 	clock := magno.NewClock(magno.Hour)
-	addrs := func(list []*node) (addrs []string) {
-		for _, k := range list {
+	addrs := func(list *[]*node) (addrs []string) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, k := range *list {
 			addrs = append(addrs, k.Self)
 		}
 		return addrs
 	}
 	m := &Manager{
 		Self: mesh.Addr(), Mesh: mesh, Current: func() bool { return true }, Table: &origin.Table{}, Builds: &builds.History{Clock: clock}, Clock: clock,
-		Log: slog.New(slog.DiscardHandler), Entries: func() []string { return addrs(f.entries) }, Agents: func() []string { return addrs(f.agents) },
+		Log: slog.New(slog.DiscardHandler), Entries: func() []string { return addrs(&f.entries) }, Agents: func() []string { return addrs(&f.agents) },
 	}
 	m.Open()
 	return &node{Manager: m, clock: clock}
@@ -384,8 +389,11 @@
 	waitUntil(t, "two agents know it", func() bool { return knowing(f.agents, "began") == keeperCount })
 	for i, k := range f.agents {
 		k.end()
-		f.agents[i] = f.newNode(t)
-		f.agents[i].start(t, false)
+		next := f.newNode(t)
+		next.start(t, false)
+		f.mu.Lock()
+		f.agents[i] = next
+		f.mu.Unlock()
 	}
 	if got := f.entries[1].find("began"); got != "v1" {
 		t.Errorf("got %q while no agent knows it, want v1", got)
@@ -440,9 +448,9 @@
 			rest = append(rest, k)
 		}
 	}
-	f.entries[0].mu.Lock()
-	f.entries[0].Agents = func() []string { return []string{rest[0].Self, rest[1].Self} }
-	f.entries[0].mu.Unlock()
+	f.mu.Lock()
+	f.agents = rest
+	f.mu.Unlock()
 	waitUntil(t, "their successors know it", func() bool { return knowing(rest, "began") == keeperCount })
 }
 
@@ -479,12 +487,6 @@
 		// envelope is what a message takes beside its content, with the headers of its packet.
 		envelope = 120
 	)
-	clock := magno.NewClock(magno.Hour)
-	m := &Manager{Table: &origin.Table{}, Builds: &builds.History{Clock: clock}, Clock: clock}
-	m.Builds.Update(map[string][]string{"llm-pool": {"v1", "v1.1"}})
-	flushes := int(2 * magno.Second / flushInterval)
-	bytes := 0
-	k := &told{}
 	size := func(v any) int {
 		data, err := json.Marshal(v)
 		if err != nil {
@@ -492,21 +494,77 @@
 		}
 		return len(data) + envelope
 	}
-	for flush := range flushes {
-		for n := range 2 * streams / flushes {
-			m.Record(fmt.Sprintf("%d-%d", flush, n), origin.Origin{Service: "llm-pool", Build: []string{"v1", "v1.1"}[n%2]})
+	for _, c := range []struct {
+		name     string
+		interval magno.Millis
+		// directions is two if the keepers tell as much.
+		directions int
+	}{{"agents", flushInterval, 1}, {"entries", entryFlushInterval, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := magno.NewClock(magno.Hour)
+			m := &Manager{Table: &origin.Table{}, Builds: &builds.History{Clock: clock}, Clock: clock}
+			m.Builds.Update(map[string][]string{"llm-pool": {"v1", "v1.1"}})
+			flushes := int(2 * magno.Second / c.interval)
+			bytes := 0
+			k := &told{}
+			for flush := range flushes {
+				for n := range 2 * streams / flushes {
+					m.Record(fmt.Sprintf("%d-%d", flush, n), origin.Origin{Service: "llm-pool", Build: []string{"v1", "v1.1"}[n%2]})
+				}
+				clock.Advance(c.interval)
+				n := m.newNews(k, []string{"llm-pool"})
+				*k = n.next
+				bytes += keeperCount * size(n.batches)
+				if n.builds != nil {
+					bytes += keeperCount * (size(n.builds) + size(keeper.BuildsReply{Life: 1 << 63, Builds: n.builds}))
+				}
+			}
+			bytes = c.directions * bytes / 2 // two seconds
+			t.Logf("%d bytes per second in all", bytes)
+			if bytes > limit {
+				t.Errorf("%d bytes per second in all, at most %d", bytes, limit)
+			}
+		})
+	}
+}
+
+// Guards against a call to each keeper for each of the streams that are taken up after a kill.
+func TestStreamsTakenUpAtOnceAreAskedForTogether(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	var calls atomic.Int32
+	mesh := &wire.Mesh{Listen: "127.0.0.1:0"}
+	if err := mesh.Open(); err != nil {
+		t.Fatal(err)
+	}
+	mesh.Handle(keeper.MethodFind, func(_ context.Context, _ *wire.Peer, params json.RawMessage) (any, error) {
+		calls.Add(1)
+		var c keeper.Call
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, err
 		}
-		clock.Advance(flushInterval)
-		n := m.newNews(k, []string{"llm-pool"})
-		*k = n.next
-		bytes += keeperCount * size(n.batches)
-		if n.builds != nil {
-			bytes += keeperCount * (size(n.builds) + size(keeper.BuildsReply{Life: 1 << 63, Builds: n.builds}))
+		var r keeper.Reply
+		for _, stream := range c.Streams {
+			r.Found = keeper.Append(r.Found, stream, origin.Origin{Service: service, Build: fmt.Sprint("v", stream%2)})
+		}
+		return r, nil
+	})
+	agent := &node{Manager: &Manager{Self: mesh.Addr(), Mesh: mesh}}
+	agent.start(t, false)
+	f.mu.Lock()
+	f.agents = []*node{agent}
+	f.mu.Unlock()
+	k := f.entries[0]
+	r := &round{found: map[uint64]*origin.Origin{}, ended: make(chan struct{})}
+	for stream := range uint64(100) {
+		r.streams = append(r.streams, stream+1)
+	}
+	k.runRound(r)
+	for stream := range uint64(100) {
+		if o := r.found[stream+1]; o == nil || o.Build != fmt.Sprint("v", (stream+1)%2) {
+			t.Fatalf("stream %d began at %v", stream+1, o)
 		}
 	}
-	bytes /= 2 // of two seconds
-	t.Logf("%d bytes per second told; without agents as many are received", bytes)
-	if 2*bytes > limit {
-		t.Errorf("%d bytes per second in both directions, at most %d", 2*bytes, limit)
+	if n := calls.Load(); n != 1 {
+		t.Errorf("%d calls for 100 streams, want 1", n)
 	}
 }
--- a/entry/resume/tell.go
+++ b/entry/resume/tell.go
@@ -15,9 +15,10 @@
 	// keeperCount is the number of agents that an entry tells where its streams began, other entries if there
 	// are fewer agents.
 	keeperCount = 2
-	// flushInterval is how often records are passed on: a kill loses those of the streams that began
-	// within it.
-	flushInterval = 100 * magno.Millis(1)
+	// flushInterval is how often records are passed on to agents: a kill of all entries loses those of the
+	// streams that began within it. Entries are told less often, for they tell each other as much.
+	flushInterval      = 40 * magno.Millis(1)
+	entryFlushInterval = 100 * magno.Millis(1)
 	// buildsInterval is how often keepers are told of the builds, besides when one joins.
 	buildsInterval = 2 * magno.Second
 	// keepTime is how long a service must have had one build for records not to be passed on, and how long
@@ -39,6 +40,8 @@
 // recent holds the newest records of this process, in the order in which they were added.
 type recent struct {
 	list []record
+	// services holds when the newest record of each service was added.
+	services map[string]magno.Millis
 	// end is the number of records that were ever added.
 	end uint64
 }
@@ -50,6 +53,10 @@
 	}
 	r.list = append(r.list, x)
 	r.end++
+	if r.services == nil {
+		r.services = map[string]magno.Millis{}
+	}
+	r.services[x.Service] = x.at
 }
 
 // after returns the records that were added after the first n.
@@ -69,7 +76,8 @@
 	shared []string
 	// life is that of the keeper's process, zero if it isn't known.
 	life uint64
-	// sending is true while a message is on its way.
+	// sentAt is when the last message was sent, sending is true while it is on its way.
+	sentAt  magno.Millis
 	sending bool
 }
 
@@ -86,42 +94,46 @@
 	m.recent.add(record{Origin: o, stream: stream, at: m.Clock.Now()})
 }
 
-// keepersNow returns the addresses of the processes that this one tells.
-func (m *Manager) keepersNow() []string {
-	agents := m.holders.of(m.Agents(), m.Self)
-	return slices.Concat(agents, preferred(m.Self, m.others(), keeperCount-len(agents)))
-}
-
 // tell tells each keeper what it lacks.
 func (m *Manager) tell(ctx context.Context, sending *sync.WaitGroup) {
-	addrs := m.keepersNow()
+	agents := m.holders.of(m.Agents(), m.Self)
+	entries := preferred(m.Self, m.others(), keeperCount-len(agents))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	shared := m.sharedServices()
 	for addr := range m.keepers {
-		if !slices.Contains(addrs, addr) {
+		if !slices.Contains(agents, addr) && !slices.Contains(entries, addr) {
 			delete(m.keepers, addr)
 		}
 	}
-	for _, addr := range addrs {
-		k := m.keepers[addr]
-		if k == nil {
-			k = &told{}
-			m.keepers[addr] = k
-		}
-		if k.sending {
-			continue
-		}
-		n := m.newNews(k, shared)
-		if n.isEmpty() {
-			*k = n.next
-			continue
-		}
-		k.sending = true
-		sending.Go(func() { m.send(ctx, addr, k, n) })
+	shared := m.sharedServices()
+	for _, addr := range agents {
+		m.tellOne(ctx, sending, addr, flushInterval, shared)
+	}
+	for _, addr := range entries {
+		m.tellOne(ctx, sending, addr, entryFlushInterval, shared)
 	}
 }
 
+// tellOne tells one keeper what it lacks, unless it was told less than the interval ago. The caller holds mu.
+func (m *Manager) tellOne(ctx context.Context, sending *sync.WaitGroup, addr string, interval magno.Millis, shared []string) {
+	k := m.keepers[addr]
+	if k == nil {
+		k = &told{}
+		m.keepers[addr] = k
+	}
+	now := m.Clock.Now()
+	if k.sending || (k.sentAt > 0 && now-k.sentAt < interval) {
+		return
+	}
+	n := m.newNews(k, shared)
+	if n.isEmpty() {
+		*k = n.next
+		return
+	}
+	k.sending, k.sentAt, n.next.sentAt = true, now, now
+	sending.Go(func() { m.send(ctx, addr, k, n) })
+}
+
 // news is what a keeper lacks.
 type news struct {
 	batches []keeper.Records
@@ -146,7 +158,7 @@
 	}
 	for _, x := range m.recent.after(from) {
 		if now-x.at <= keepTime && slices.Contains(shared, x.Service) {
-			n.batches = appendRecord(n.batches, x)
+			n.batches = keeper.Append(n.batches, x.stream, x.Origin)
 		}
 	}
 	return n
@@ -155,29 +167,18 @@
 // sharedServices returns the services whose records are passed on: those that haven't had one build for
 // long. Of the others any entry knows where their streams began. The caller holds mu.
 func (m *Manager) sharedServices() []string {
-	known := map[string]bool{}
 	var shared []string
-	for _, x := range m.recent.after(0) {
-		if known[x.Service] {
+	for service, at := range m.recent.services {
+		if m.Clock.Now()-at > keepTime {
 			continue
 		}
-		known[x.Service] = true
-		if _, sole := m.Builds.Sole(x.Service, keepTime); !sole {
-			shared = append(shared, x.Service)
+		if _, sole := m.Builds.Sole(service, keepTime); !sole {
+			shared = append(shared, service)
 		}
 	}
 	return shared
 }
 
-func appendRecord(list []keeper.Records, x record) []keeper.Records {
-	i := slices.IndexFunc(list, func(b keeper.Records) bool { return b.Origin == x.Origin })
-	if i < 0 {
-		i, list = len(list), append(list, keeper.Records{Origin: x.Origin})
-	}
-	list[i].Add(x.stream)
-	return list
-}
-
 // send sends a keeper what it lacks. What can't be sent is sent again with the next news.
 func (m *Manager) send(ctx context.Context, addr string, k *told, n *news) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
--- a/magno/keeper/keeper.go
+++ b/magno/keeper/keeper.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/builds"
@@ -35,15 +36,25 @@
 	Streams []byte `json:"streams"`
 }
 
-// Add adds a stream.
-func (r *Records) Add(stream uint64) {
+// add adds a stream.
+func (r *Records) add(stream uint64) {
 	var id [8]byte
 	binary.BigEndian.PutUint64(id[:], stream)
 	r.Streams = append(r.Streams, id[8-origin.StreamIDBytes:]...)
 }
 
-// ids returns the IDs of the streams.
-func (r *Records) ids() (list []uint64) {
+// Append adds a stream to the records with its origin.
+func Append(list []Records, stream uint64, o origin.Origin) []Records {
+	i := slices.IndexFunc(list, func(r Records) bool { return r.Origin == o })
+	if i < 0 {
+		i, list = len(list), append(list, Records{Origin: o})
+	}
+	list[i].add(stream)
+	return list
+}
+
+// IDs returns the IDs of the streams.
+func (r *Records) IDs() (list []uint64) {
 	for rest := r.Streams; len(rest) >= origin.StreamIDBytes; rest = rest[origin.StreamIDBytes:] {
 		var id [8]byte
 		copy(id[8-origin.StreamIDBytes:], rest)
@@ -52,14 +63,15 @@
 	return list
 }
 
-// Call asks where a stream began, zero if the caller doesn't state that.
+// Call asks where streams began.
 type Call struct {
-	Stream uint64 `json:"stream"`
+	Streams []uint64 `json:"streams"`
 }
 
-// Reply is what a keeper knows. Each part is nil if that is nothing.
+// Reply is what a keeper knows: those of the streams that it has records of, and the builds that it has seen, nil
+// if there are none.
 type Reply struct {
-	Origin *origin.Origin `json:"origin,omitempty"`
+	Found  []Records      `json:"found,omitempty"`
 	Builds *builds.Report `json:"builds,omitempty"`
 }
 
@@ -95,7 +107,7 @@
 		return nil, err
 	}
 	for i := range list {
-		for _, stream := range list[i].ids() {
+		for _, stream := range list[i].IDs() {
 			k.Table.Record(stream, list[i].Origin)
 		}
 	}
@@ -108,8 +120,10 @@
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
 	r := Reply{Builds: k.Builds.Report()}
-	if c.Stream != 0 {
-		r.Origin = k.Table.Find(c.Stream)
+	for _, stream := range c.Streams {
+		if o := k.Table.Find(stream); o != nil {
+			r.Found = Append(r.Found, stream, *o)
+		}
 	}
 	return r, nil
 }
