gate: the ends of requests that are on their way are awaited

What the engine no longer names is ended only once no report has named it for 0.3 s, each request by itself. Before, a steady stream of ends on their way counted as lost ones, and what their lengths show was dropped (TestEndsOnTheirWayAreAwaited: request 4 was ended by a report).

--- a/magno/gate/ask.go
+++ b/magno/gate/ask.go
@@ -104,6 +104,9 @@
 	prefillBy     magno.Millis
 	// events is the number of events that the engine has reported for it.
 	events int
+	// unnamedSince is when the first of the latest reports was requested that don't name it, zero if the last
+	// one does.
+	unnamedSince magno.Millis
 	// shareCost is what was charged to the customer's share.
 	shareCost int
 }
--- a/magno/gate/gate.go
+++ b/magno/gate/gate.go
@@ -77,8 +77,6 @@
 	// if it didn't. reportsLeaving is true if a report did.
 	leavingAt      magno.Millis
 	reportsLeaving bool
-	// lostSince is since when the engine reports fewer requests than were admitted, zero if it doesn't.
-	lostSince magno.Millis
 	// countsRequests is true once a report of the engine has counted any.
 	countsRequests bool
 	// restartedAt is when the engine was last seen to have restarted, zero if it wasn't.
@@ -148,7 +146,7 @@
 	g.inventory.reset()
 	g.limiter, g.reportsLimit = pace.Limiter{}, false
 	g.leavingAt, g.reportsLeaving = 0, false
-	g.lostSince, g.countsRequests = 0, false
+	g.countsRequests = false
 }
 
 // ApplyReport takes the engine's report, which was requested at the time asked.
--- a/magno/gate/lost.go
+++ b/magno/gate/lost.go
@@ -10,49 +10,49 @@
 const (
 	// arrivalTime is how long an admitted request may take to reach the engine and to be counted in its reports.
 	arrivalTime = magno.Second
-	// lostDelay is for how long the engine must report fewer requests than were admitted: the ends of some may
-	// be on their way.
+	// lostDelay is for how long no report of the engine must name a request: its end may be on its way.
 	lostDelay = 300 * magno.Millis(1)
 )
 
 // endLost ends admitted requests that the engine no longer has, though nobody reported their ends: their
 // entries were killed. The report was requested at the time asked.
 func (g *Gate) endLost(r *magno.Report, asked magno.Millis) {
-	g.countsRequests = g.countsRequests || r.Running+r.Queued > 0
+	count := r.Running + r.Queued
+	g.countsRequests = g.countsRequests || count > 0
 	if !g.countsRequests {
 		return
 	}
-	running := map[string]bool{}
+	named := make(map[string]bool, len(r.Streams))
 	for _, s := range r.Streams {
-		running[s.ID] = true
+		named[s.ID] = true
 	}
-	var arrived, silent []string
+	arrived := 0
+	var lost []string
 	for id, a := range g.active {
+		switch {
+		case named[attemptID(id)]:
+			a.unnamedSince = 0
+		case a.unnamedSince == 0:
+			a.unnamedSince = asked
+		}
 		if a.grantedAt+arrivalTime > asked {
 			continue
 		}
-		arrived = append(arrived, id)
-		if !running[attemptID(id)] {
-			silent = append(silent, id)
+		arrived++
+		if a.unnamedSince > 0 && asked-a.unnamedSince >= lostDelay {
+			lost = append(lost, id)
 		}
 	}
-	excess := min(len(arrived)-r.Running-r.Queued, len(silent))
+	excess := min(arrived-count, len(lost))
 	if excess <= 0 {
-		g.lostSince = 0
-		return
-	}
-	if g.lostSince == 0 {
-		g.lostSince = asked
-	}
-	if asked-g.lostSince < lostDelay {
 		return
 	}
 	// Those that have answered and don't any more come first, then the oldest.
-	slices.SortFunc(silent, func(a, b string) int {
+	slices.SortFunc(lost, func(a, b string) int {
 		x, y := g.active[a], g.active[b]
 		return cmp.Or(cmp.Compare(min(y.events, 1), min(x.events, 1)), cmp.Compare(x.grantedAt, y.grantedAt), cmp.Compare(a, b))
 	})
-	for _, id := range silent[:excess] {
+	for _, id := range lost[:excess] {
 		g.Done(id, false)
 	}
 }
--- a/magno/gate/lost_test.go
+++ b/magno/gate/lost_test.go
@@ -53,3 +53,29 @@
 		})
 	}
 }
+
+// Guards against ending requests whose ends are on their way: what their lengths show would be lost.
+func TestEndsOnTheirWayAreAwaited(t *testing.T) {
+	h := newHarness(t, 16)
+	g := h.gate
+	for i := range 40 {
+		id := fmt.Sprintf("e/%d/a%d", i, i)
+		g.active[id] = &activeRequest{request: Request{ID: id}, grantedAt: h.clock.Now() - 2*magno.Second, expiresAt: h.clock.Now() + magno.Minute}
+	}
+	// Each report lacks the two requests that ended last; their ends arrive before the third one.
+	for ended := 2; ended < 40; ended += 2 {
+		r := &magno.Report{StartedAt: 1, Running: 40 - ended, Loaded: map[string]map[string]int64{model: {}}}
+		for i := ended; i < 40; i++ {
+			r.Streams = append(r.Streams, magno.Stream{ID: fmt.Sprintf("a%d", i), Events: ended})
+		}
+		h.clock.Advance(100)
+		g.ApplyReport(r, h.clock.Now())
+		for i := max(ended-4, 0); i < max(ended-2, 0); i++ {
+			id := fmt.Sprintf("e/%d/a%d", i, i)
+			if !g.Started(id) {
+				t.Fatalf("request %d was ended by a report", i)
+			}
+			g.Done(id, true)
+		}
+	}
+}
