resume: rounds of questions are bounded, entries are told with each third flush

A round that asks begins while four others do at most; what is taken up meanwhile is asked for with the next one, so that the number of calls follows the processor, not the number of streams.

--- a/entry/resume/ask.go
+++ b/entry/resume/ask.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// askTimeout bounds the calls to other processes, some of which may have just been killed.
-	askTimeout = 200 * magno.Millis(1)
+	defaultAskTimeout = 200 * magno.Millis(1)
 	// askDelay is how long streams that are taken up are collected before others are asked for all of them.
 	askDelay = 10 * magno.Millis(1)
+	// maxRounds bounds the rounds at once: further streams are collected until one of them ends.
+	maxRounds = 4
 )
 
 // round asks other processes where streams began.
@@ -59,6 +60,8 @@
 func (m *Manager) runRound(r *round) {
 	defer close(r.ended)
 	time.Sleep(askDelay.Duration())
+	m.rounds <- struct{}{}
+	defer func() { <-m.rounds }()
 	m.mu.Lock()
 	m.round = nil
 	m.mu.Unlock()
@@ -79,7 +82,7 @@
 	if len(missing) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), m.AskTimeout.Duration())
 	defer cancel()
 	call := keeper.Call{Streams: missing}
 	answers := make(chan *keeper.Reply, len(addrs))
--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -39,19 +39,28 @@
 	Table   *origin.Table
 	Builds  *builds.History
 	Clock   *magno.Clock
-	Log     *slog.Logger
+	// AskTimeout bounds the calls to other processes, some of which may have just been killed; zero for 200 ms.
+	AskTimeout magno.Millis
+	Log        *slog.Logger
 
 	mu      sync.Mutex
 	recent  recent
 	keepers map[string]*told
+	// flushes counts the calls of tell.
+	flushes int
 	holders holders
 	// round is the one that collects streams, nil if there is none.
 	round *round
+	// rounds holds a token for each round that asks.
+	rounds chan struct{}
 }
 
 // Open registers the methods on the mesh. It must be called before the mesh runs.
 func (m *Manager) Open() {
-	m.keepers = map[string]*told{}
+	if m.AskTimeout == 0 {
+		m.AskTimeout = defaultAskTimeout
+	}
+	m.keepers, m.rounds = map[string]*told{}, make(chan struct{}, maxRounds)
 	k := &keeper.Keeper{Mesh: m.Mesh, Table: m.Table, Builds: m.Builds, Log: m.Log}
 	k.Open()
 }
--- a/entry/resume/tell.go
+++ b/entry/resume/tell.go
@@ -16,9 +16,9 @@
 	// are fewer agents.
 	keeperCount = 2
 	// flushInterval is how often records are passed on to agents: a kill of all entries loses those of the
-	// streams that began within it. Entries are told less often, for they tell each other as much.
-	flushInterval      = 40 * magno.Millis(1)
-	entryFlushInterval = 100 * magno.Millis(1)
+	// streams that began within it. Entries are told with each third flush, for they tell each other as much.
+	flushInterval = 40 * magno.Millis(1)
+	entryFlushes  = 3
 	// buildsInterval is how often keepers are told of the builds, besides when one joins.
 	buildsInterval = 2 * magno.Second
 	// keepTime is how long a service must have had one build for records not to be passed on, and how long
@@ -76,8 +76,7 @@
 	shared []string
 	// life is that of the keeper's process, zero if it isn't known.
 	life uint64
-	// sentAt is when the last message was sent, sending is true while it is on its way.
-	sentAt  magno.Millis
+	// sending is true while a message is on its way.
 	sending bool
 }
 
@@ -107,22 +106,25 @@
 	}
 	shared := m.sharedServices()
 	for _, addr := range agents {
-		m.tellOne(ctx, sending, addr, flushInterval, shared)
+		m.tellOne(ctx, sending, addr, shared)
+	}
+	m.flushes++
+	if m.flushes%entryFlushes != 0 {
+		return
 	}
 	for _, addr := range entries {
-		m.tellOne(ctx, sending, addr, entryFlushInterval, shared)
+		m.tellOne(ctx, sending, addr, shared)
 	}
 }
 
-// tellOne tells one keeper what it lacks, unless it was told less than the interval ago. The caller holds mu.
-func (m *Manager) tellOne(ctx context.Context, sending *sync.WaitGroup, addr string, interval magno.Millis, shared []string) {
+// tellOne tells one keeper what it lacks. The caller holds mu.
+func (m *Manager) tellOne(ctx context.Context, sending *sync.WaitGroup, addr string, shared []string) {
 	k := m.keepers[addr]
 	if k == nil {
 		k = &told{}
 		m.keepers[addr] = k
 	}
-	now := m.Clock.Now()
-	if k.sending || (k.sentAt > 0 && now-k.sentAt < interval) {
+	if k.sending {
 		return
 	}
 	n := m.newNews(k, shared)
@@ -130,7 +132,7 @@
 		*k = n.next
 		return
 	}
-	k.sending, k.sentAt, n.next.sentAt = true, now, now
+	k.sending = true
 	sending.Go(func() { m.send(ctx, addr, k, n) })
 }
 
