resume: an answer without builds doesn't show that none served before

Callers that don't state the attempt could be answered at another build: an entry started without reaching those that served before, and after the time that callers wait took its fleet for a new one, since somebody answered.

Cause: any answer counted as having met another process, also that of an agent that nobody has told, and that of an entry of the version before, which doesn't exchange builds (a rolling update).

Evidence: TestAnswerWithoutBuildsProvesNothing failed before (got "v2", though nobody has told what served before).

Only an answer with builds counts now. A fleet whose processes have all started has these, since its entries tell agents and each other.

--- a/entry/resume/ask.go
+++ b/entry/resume/ask.go
@@ -11,7 +11,9 @@
 // asked is what other processes answered. All builds that they have seen are joined in the history.
 type asked struct {
 	processes, answers int
-	origin             *origin.Origin
+	// watched is true if some of them know of the builds.
+	watched bool
+	origin  *origin.Origin
 }
 
 // others returns the addresses of the other live entries.
@@ -43,6 +45,7 @@
 		}
 		a.answers++
 		if r.Builds != nil {
+			a.watched = true
 			m.Builds.Merge(r.Builds)
 		}
 		if r.Origin != nil {
--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -130,15 +130,15 @@
 		m.remember(stream, *a.origin)
 		return a.origin, "asked"
 	}
-	if o := m.sole(q, a.answers > 0); o != nil {
+	if o := m.sole(q, a.watched); o != nil {
 		return o, "sole"
 	}
 	return nil, ""
 }
 
 // sole returns the build that a service has had alone for as long as a stream lasts, nil if that isn't known
-// or the list may be out of date. Met is true if other processes have just answered: one that met nobody
-// can't know that none served before it.
+// or the list may be out of date. Met is true if other processes that know of builds have just answered: one
+// that met none can't know that none served before it.
 func (m *Manager) sole(q *origin.Query, met bool) *origin.Origin {
 	if !m.Current() {
 		return nil
--- a/entry/resume/unwatched_test.go
+++ b/entry/resume/unwatched_test.go
@@ -32,3 +32,18 @@
 		t.Errorf("got %q, though an agent knows of two builds", got)
 	}
 }
+
+// Guards against guessing as only processes answer that know nothing of the builds: agents that nobody told,
+// or those of a version that doesn't exchange them.
+func TestAnswerWithoutBuildsProvesNothing(t *testing.T) {
+	f, asker, young := startSilentPair(t)
+	asker.Builds.Update(map[string][]string{service: {"v2"}})
+	f.advance(patience)
+	if got := asker.find(""); got != "" {
+		t.Errorf("got %q, though nobody has told what served before", got)
+	}
+	young.Builds.Update(map[string][]string{service: {"v2"}})
+	if got := asker.find(""); got != "v2" {
+		t.Errorf("got %q once another process knows of v2 only, want v2", got)
+	}
+}
