resume: tests change the lists of nodes under a lock

`go test -race ./resume` failed: TestAllAgentsAreKilled and TestRecordsFollowTheAgents replaced agents while the entries read the list of them. The race was in the tests alone. The lists have a lock; what the tests demand is the same.

--- a/entry/resume/resume_test.go
+++ b/entry/resume/resume_test.go
@@ -34,6 +34,8 @@
 
 // fleet is a number of entries and agents that take all others for alive.
 type fleet struct {
+	// mu guards the lists against tests that change them while the nodes run.
+	mu              sync.Mutex
 	entries, agents []*node
 }
 
@@ -63,15 +65,19 @@
 		t.Fatal(err)
 	}
 	clock := magno.NewClock(magno.Hour)
-	addrs := func(list []*node) (addrs []string) {
-		for _, k := range list {
-			addrs = append(addrs, k.Self)
+	addrs := func(list *[]*node) func() []string {
+		return func() (addrs []string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, k := range *list {
+				addrs = append(addrs, k.Self)
+			}
+			return addrs
 		}
-		return addrs
 	}
 	m := &Manager{
 		Self: mesh.Addr(), Mesh: mesh, Current: func() bool { return true }, Table: &origin.Table{}, Builds: &builds.History{Clock: clock}, Clock: clock,
-		Log: slog.New(slog.DiscardHandler), Entries: func() []string { return addrs(f.entries) }, Agents: func() []string { return addrs(f.agents) },
+		Log: slog.New(slog.DiscardHandler), Entries: addrs(&f.entries), Agents: addrs(&f.agents),
 	}
 	m.Open()
 	return &node{Manager: m, clock: clock}
@@ -384,8 +390,11 @@
 	waitUntil(t, "two agents know it", func() bool { return knowing(f.agents, "began") == keeperCount })
 	for i, k := range f.agents {
 		k.end()
-		f.agents[i] = f.newNode(t)
-		f.agents[i].start(t, false)
+		started := f.newNode(t)
+		started.start(t, false)
+		f.mu.Lock()
+		f.agents[i] = started
+		f.mu.Unlock()
 	}
 	if got := f.entries[1].find("began"); got != "v1" {
 		t.Errorf("got %q while no agent knows it, want v1", got)
@@ -440,9 +449,9 @@
 			rest = append(rest, k)
 		}
 	}
-	f.entries[0].mu.Lock()
-	f.entries[0].Agents = func() []string { return []string{rest[0].Self, rest[1].Self} }
-	f.entries[0].mu.Unlock()
+	f.mu.Lock()
+	f.agents = rest
+	f.mu.Unlock()
 	waitUntil(t, "their successors know it", func() bool { return knowing(rest, "began") == keeperCount })
 }
 
