--- a/entry/resume/ask.go
+++ b/entry/resume/ask.go
@@ -27,6 +27,8 @@
 	ended chan struct{}
 	// processes and answers count those that were asked and those that answered.
 	processes, answers int
+	// watched is true if some of them know of the builds.
+	watched bool
 }
 
 // others returns the addresses of the other live entries.
@@ -104,6 +106,7 @@
 		}
 		r.answers++
 		if reply.Builds != nil {
+			r.watched = true
 			m.Builds.Merge(reply.Builds)
 		}
 		for i := range reply.Found {
--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -126,7 +126,7 @@
 		if o := m.Table.Find(stream); o != nil {
 			return o, "recorded", nil
 		}
-	} else if o := m.sole(q, false); o != nil {
+	} else if o := m.sole(q, false); o != nil && m.Builds.Follows(q.Lasts) {
 		return o, "sole", nil
 	} else if m.Builds.Several(q.Service, q.Lasts) {
 		return nil, "", nil
@@ -141,15 +141,15 @@
 		m.remember(stream, *o)
 		return o, "asked", r
 	}
-	if o := m.sole(q, r.answers > 0); o != nil {
+	if o := m.sole(q, r.watched); o != nil {
 		return o, "sole", r
 	}
 	return nil, "", r
 }
 
 // sole returns the build that a service has had alone for as long as a stream lasts, nil if that isn't known
-// or the list may be out of date. Met is true if other processes have just answered: one that met nobody
-// can't know that none served before it.
+// or the list may be out of date. Met is true if other processes that know of builds have just answered: one
+// that met none can't know that none served before it.
 func (m *Manager) sole(q *origin.Query, met bool) *origin.Origin {
 	if !m.Current() {
 		return nil
