limit: what is news to one entry is told to all again

Seen: most entries, but not the home, are killed after an upstream stated that it leaves, or named a limit. Each entry that starts sends to it until its own answer says so, so the upstream gets a request of each, and all that are sent meanwhile.

Cause: the home tells all entries of changes only. Its predecessors' processes knew, the new ones are told nothing, and a report of one of them is no change to the home. Where all are killed the first report is a change, and all are told.

Change: a report of what the home knows already has all told once more, a second after the last time at the earliest. Entries report only what was news to them, so nothing is sent while all know.

Tests: TestEntriesThatRestartTogetherLearnFromOneAnswer on the code before: "all but the home" and "two" time out, "all" and "the home" pass; now all four. TestKnownStatementIsToldSeldom bounds the messages.

--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -57,6 +57,9 @@
 	// homeTTL is how long a home remembers an upstream that nobody asked for.
 	homeTTL       = magno.Minute
 	pruneInterval = 10 * magno.Second
+	// retellInterval is the least time after which all entries are told again of what was news to one of
+	// them: those that started since don't know it either.
+	retellInterval = magno.Second
 )
 
 // takeCall asks for one request to an upstream. Rate is its limit as far as the caller knows.
@@ -143,7 +146,8 @@
 	limiter pace.Limiter
 	// leaving is true once all entries were told that the upstream leaves.
 	leaving bool
-	usedAt  magno.Millis
+	// usedAt is when the upstream was last asked for, toldAt when all entries were last told of it.
+	usedAt, toldAt magno.Millis
 }
 
 // Open registers the methods on the mesh. It must be called before the mesh runs.
@@ -256,6 +260,22 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
+	if !m.learn(&call, now) {
+		return
+	}
+	h := m.home(call.Key, now)
+	select {
+	case m.changes <- change{key: call.Key, state: h.limiter.State(now), leaving: h.leaving, at: now}:
+	default: // entries learn of it from their own answers
+		m.Log.Warn("queue of upstream states is full", "replica", call.Key)
+	}
+}
+
+// learn records what an answer stated, and reports whether all entries are to be told. The caller holds mu.
+//
+// Load pattern: most entries are killed at once, but not the home. Each that starts reports what is news to
+// it alone, and the others that started would have to find out for themselves.
+func (m *Manager) learn(call *reportCall, now magno.Millis) bool {
 	h := m.home(call.Key, now)
 	l := &h.limiter
 	changed := call.Leaving != h.leaving
@@ -266,14 +286,12 @@
 	case call.Grant.Process == m.process: // other processes have other clocks
 		changed = l.End(call.Grant.At, now) || changed
 	}
-	if !changed {
-		return
-	}
-	select {
-	case m.changes <- change{key: call.Key, state: l.State(now), leaving: h.leaving, at: now}:
-	default: // entries learn of it from their own answers
-		m.Log.Warn("queue of upstream states is full", "replica", call.Key)
+	again := (call.Leaving || call.Limited) && now-h.toldAt >= retellInterval
+	if !changed && !again {
+		return false
 	}
+	h.toldAt = now
+	return true
 }
 
 // home returns the accounting of an upstream. The caller holds mu.
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -240,6 +240,64 @@
 	f.waitLeaving(f.nodes)
 }
 
+// restart replaces entries by new processes, which know nothing. Others know them by their addresses.
+func (f *fleet) restart(nodes ...int) {
+	for _, i := range nodes {
+		f.nodes[i].stop()
+		f.nodes[i] = startNode(f.t, f.clock)
+	}
+	addrs := make([]string, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		addrs = append(addrs, n.Self)
+	}
+	for _, n := range f.nodes {
+		n.Homes = func(string) []string { return addrs[:min(4, len(addrs))] }
+		n.Entries = func() []string { return slices.Clone(addrs) }
+	}
+}
+
+// Guards against entries that were killed together, all or all but the home, and go on to send to an upstream
+// that leaves or names a limit, each until its own answer says so: the home has told its predecessors.
+func TestEntriesThatRestartTogetherLearnFromOneAnswer(t *testing.T) {
+	for name, killed := range map[string][]int{"all": {0, 1, 2, 3, 4}, "all but the home": {1, 2, 3, 4}, "the home": {0}, "two": {3, 4}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 5)
+			n := magno.Notice{Leaving: true, Limited: true, Rate: 2}
+			answer := func(at *node) {
+				if at.Notices.Record(key, n, f.clock.Now()) {
+					at.Report(key, n, magno.LimitGrant{})
+				}
+			}
+			answer(f.nodes[4])
+			f.waitLeaving(f.nodes)
+			f.clock.Advance(10 * magno.Second)
+			f.restart(killed...)
+			answer(f.nodes[killed[len(killed)-1]])
+			f.waitLeaving(f.nodes)
+			f.waitAll(true)
+		})
+	}
+}
+
+// Guards against messages to all entries for each answer that says what all know.
+func TestKnownStatementIsToldSeldom(t *testing.T) {
+	f := newFleet(t, 2)
+	home := f.nodes[0]
+	call := reportCall{Key: key, Leaving: true}
+	told := 0
+	for range 20 {
+		home.mu.Lock()
+		if home.learn(&call, f.clock.Now()) {
+			told++
+		}
+		home.mu.Unlock()
+		f.clock.Advance(100)
+	}
+	if told != 2 {
+		t.Errorf("all entries were told %d times within 2 s, want 2", told)
+	}
+}
+
 // waitLeaving waits until entries know that the upstream leaves.
 func (f *fleet) waitLeaving(nodes []*node) {
 	f.t.Helper()
