relay: what a first listing lacks isn't denied before it is confirmed

Seen: an entry that has just started answers 404 for a route, or 401 for a key, that was added some seconds before. Callers don't send again after these. After all entries were killed beside a configuration all of them do so.

Cause: where keys needn't be fresh, a process starts from a listing that may be some seconds old, and took it for the present state (Age is zero then). Class: a process that has just started takes what it hasn't seen for what isn't.

Change: until a watch or another entry has confirmed the state, what it lacks is refused with 503 and a time to return.

--- a/entry/relay/arrive.go
+++ b/entry/relay/arrive.go
@@ -217,11 +217,15 @@
 	return min(max(outageFactor*(h.Clock.Now()-h.Started), minStartRetry), maxStartRetry)
 }
 
-// configDoubt returns why what the configuration lacks may be in a later one, or "".
+// configDoubt returns why what the configuration lacks may be in a later one, or "". A process that has
+// just started may have it from a listing that is some seconds old.
 func (h *Handler) configDoubt() string {
+	confirmedAt, _ := h.Book.FreshAt()
 	switch age := h.Book.Age(); {
 	case h.Book.Behind():
 		return "isn't the newest"
+	case confirmedAt == 0:
+		return "was never confirmed"
 	case age > staleConfigAge:
 		return fmt.Sprintf("is %d ms old", age)
 	}
