gate: versions of an agent's first spec are in force at once

Seen: an agent that has just started grants requests on an old version of an adapter for up to 2.5 s, however long ago a newer one was declared: an engine that didn't need the adapter since still holds the old one. After all agents were killed all of them do so, beside a version that was declared some seconds before, longer than the users' pages allow.

Cause: the time in which engines change over one after the other began with the first spec that names the version. Class: a process that has just started takes what it hasn't seen for what wasn't: the version for one that is declared now.

Change: what the first spec names may be older than the process, and counts as in force.

Test: TestStartedAgentGivesOutNoOldVersion on the code before: admitted on version 1, no load.

--- a/magno/gate/orders_test.go
+++ b/magno/gate/orders_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// Guards against an agent that has just started beside an engine with an old version of an adapter, and takes a
+// version that was declared long ago for one that is declared now.
+func TestStartedAgentGivesOutNoOldVersion(t *testing.T) {
+	h := newHarness(t, 2)
+	h.held["a"] = 1
+	h.gate = &Gate{Clock: h.clock}
+	spec := h.spec()
+	spec.Pins = map[string]int64{"m/a": 2}
+	h.gate.SetSpec(spec)
+	h.report()
+	h.offer(h.request("1", "a", 100))
+	if s := h.gate.Decide(); len(s.Grants) > 0 {
+		t.Errorf("a request was admitted on version %d", s.Grants[0].Version)
+	}
+	c := h.gate.Commands()
+	if len(c) != 1 || !c[0].Load || c[0].Version != 2 {
+		t.Errorf("commands are %v, want the load of version 2", c)
+	}
+}
+
 // After a restart all engines load at once, and each load takes longer than usual; at other
 // times the store has spare bandwidth. The number of concurrent loads of an engine follows the
 // load times.
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -162,14 +162,19 @@
 }
 
 // setSpec takes the spec and notes new versions. This engine admits requests to the outdated
-// version until a time of its own within updateSpread.
+// version until a time of its own within updateSpread. Those of the first spec may have been declared
+// long before this process started, and are in force.
 func (inv *inventory) setSpec(spec *Spec, now magno.Millis) {
+	first := inv.spec == nil
 	inv.spec = spec
 	for name, version := range spec.Pins {
 		if inv.pinned[name] == version {
 			continue
 		}
 		inv.pinned[name] = version
+		if first {
+			continue
+		}
 		delay := magno.Millis(xxhash.Sum64String(spec.Replica+name) % uint64(updateSpread))
 		inv.switchAt[name] = now + delay
 	}
