relay: a hedge takes a stream over with a new event or its end only

Callers' streams were cut although their upstream was sound: it was silent for a second, the stream was sent to another upstream as well, and that one sent a comment or an event that the caller had already and then broke off. The same happened the other way round: a comment of the silent upstream ended the hedge, and the upstream broke off.

Cause: copyEvents claimed the response, which stops all other racers, with whatever it had read, before it looked whether that was new.

Now an event is classified first. One that the caller has is left out and claims nothing. A comment, or an event without an id of which it isn't known whether the caller has it, is held while another upstream may still go on, and precedes the next new event; more than 1 MB of it ends the attempt. The claim comes with a new event, or with the end of the stream. So what works is stopped only once its replacement has brought the stream on, and comments of an upstream that lost don't reach the caller.

Comments are taken out of what it compares, as no draw had any.

--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -15,13 +15,14 @@
 // with all their attempts, are racers for the response.
 //
 //	read limit passes --> awaitsAnswer --> startHedge --> tryUpstreams, of a copy of the job
-//	                                                              |
-//	first answer or event of either --> claim: stops the others <-'
+//	                                                                            |
+//	first whole answer or event that the caller lacks --> claim: stops others <-'
 //	hedge ends without a claim --> mergeHedge --> the first is still awaited
 //
 // Load pattern: sound upstreams are silent for a second and go on, others hang for good, and from outside they look
 // the same. Another upstream that could be chosen may refuse, fail, break off or be silent too. So a connection
-// is given up only once another upstream has answered, or gone on with the stream.
+// is given up only once another upstream has answered, or gone on with the stream: a header, a comment or an event that
+// the caller has already may be followed by nothing.
 
 // race is a request that several upstreams may answer.
 type race struct {
@@ -38,6 +39,8 @@
 	stop context.CancelFunc
 	// lost is true once another racer has claimed the response.
 	lost bool
+	// waits is true while nothing of it is left but its hedge.
+	waits bool
 }
 
 // enter adds a racer, which runs until the returned context ends. One that is started by another has lost if that has.
@@ -78,6 +81,20 @@
 	return true
 }
 
+// isAlone reports whether no other racer may answer.
+func (r *race) isAlone(one *racer) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !slices.ContainsFunc(r.racers, func(other *racer) bool { return other != one && !other.waits })
+}
+
+// setWaits records whether nothing of a racer is left but its hedge.
+func (r *race) setWaits(one *racer, waits bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	one.waits = waits
+}
+
 // hasLost reports whether another racer has claimed the response.
 func (r *race) hasLost(one *racer) bool {
 	r.mu.Lock()
@@ -190,7 +207,9 @@
 		_ = http.NewResponseController(j.w).Flush() // the answer doesn't wait for the hedge
 	}
 	j.responseMem.release() // the hedge may wait for memory
+	j.race.setWaits(j.racer, true)
 	<-h.ended
+	j.race.setWaits(j.racer, false)
 	if h.panicked != nil {
 		j.hedge = nil
 		panic(h.panicked)
--- a/entry/relay/mixture_test.go
+++ b/entry/relay/mixture_test.go
@@ -33,11 +33,13 @@
 	ends
 )
 
-// run is what the second and later upstreams of a stream do: they send some events, after a while, and then end.
+// run is what the second and later upstreams of a stream do: they send some events, after a while, and then end. Before
+// them they send a comment, or the events that the caller has, if said so.
 type run struct {
-	delay  time.Duration
-	events int
-	end    end
+	delay            time.Duration
+	events           int
+	end              end
+	comment, restart bool
 }
 
 // serve sends the events after those that the caller has. It counts them in progress.
@@ -57,6 +59,12 @@
 		}
 	}
 	writeStreamHead(c, r.Header.Get("Id"))
+	if x.comment {
+		writeChunk(c, comment)
+	}
+	for n := 1; x.restart && n <= from; n++ {
+		writeChunk(c, eventText(n))
+	}
 	for n := from + 1; n <= min(from+x.events, mixtureEvents); n++ {
 		progress.Add(1)
 		writeChunk(c, eventText(n))
@@ -81,12 +89,15 @@
 	for seed := range uint64(mixtures) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			rnd := rand.New(rand.NewPCG(seed, 0))
+			rnd, before := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1))
 			silentAfter := rnd.IntN(mixtureEvents+1) - 1 // -1: before its header
 			length := silence + time.Duration(rnd.IntN(400))*time.Millisecond
 			var later []run
 			for range 4 {
-				later = append(later, run{time.Duration(rnd.IntN(3)*150) * time.Millisecond, rnd.IntN(2) * rnd.IntN(mixtureEvents+1), end(rnd.IntN(int(ends)))})
+				later = append(later, run{
+					time.Duration(rnd.IntN(3)*150) * time.Millisecond, rnd.IntN(2) * rnd.IntN(mixtureEvents+1), end(rnd.IntN(int(ends))),
+					before.IntN(2) == 0, before.IntN(2) == 0,
+				})
 			}
 			var runs, progress atomic.Int32
 			play := func(_ int, r *http.Request, c net.Conn) bool {
@@ -110,6 +121,7 @@
 			s := newSilentProxy(t, magno.RouteStream, seed%2 == 0, startUpstream(t, play), startUpstream(t, play), startUpstream(t, play))
 			s.changes[0].Plan.Routes[0].Attempts = 2 + int(seed/2%3)
 			res, body, err := s.get(t, http.MethodPost, "1")
+			body = strings.ReplaceAll(body, comment, "")
 			want, got := "", 0
 			for got < mixtureEvents && strings.HasPrefix(body, want+eventText(got+1)) {
 				got++
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -40,10 +40,9 @@
 // stream can be resumed elsewhere after the last of them.
 func (j *job) forwardStream(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) result {
 	err := j.copyEvents(ctx, r, conn, res)
-	if err == nil && j.claim() {
+	if err == nil {
 		j.Suspects.Clear(j.prints...)
 		j.putConn(conn, res)
-		j.sendHead(res) // a stream without events has a header as well
 		j.logOutcome(http.StatusOK, "served", "")
 		return resultDone
 	}
@@ -56,15 +55,19 @@
 	return j.connectionFailed(ctx, r, err)
 }
 
-// copyEvents forwards events until the end of the stream.
+// errGoesOnElsewhere means that another upstream has claimed the stream.
+var errGoesOnElsewhere = errors.New("another upstream has gone on with the stream")
+
+// copyEvents forwards events until the whole end of the stream. It claims the stream with the first event that the
+// caller lacks: what doesn't bring the stream on is held until then, as the other upstream may still do so.
 func (j *job) copyEvents(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) error {
 	events := bufio.NewReaderSize(res.Body, streamBufferSize)
-	flush := http.NewResponseController(j.w)
 	written := false
+	var held []byte
 	for {
 		if written && !holdsEvent(events) { // the next read may wait
-			if err := flush.Flush(); err != nil {
-				return errors.Mark(err, errCallerGone)
+			if err := j.flush(); err != nil {
+				return err
 			}
 			written = false
 		}
@@ -72,27 +75,71 @@
 		event, err := readEvent(events)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
-				return nil
+				return j.endStream(res, held)
 			}
 			return errors.Wrap(err, "stream")
 		}
-		if !j.claim() { // before the event is looked at: its upstream runs the stream
-			return errors.New("another upstream has gone on with the stream")
-		}
-		if !j.isNewEvent(event) {
+		switch news := j.classify(event); {
+		case news == newsKnown:
+			held = nil // the caller has what came before as well
+			continue
+		case news == newsUnknown && !j.race.isAlone(j.racer):
+			if held = append(held, event...); len(held) > maxEventSize {
+				return errors.Newf("more than %d bytes without a new event", maxEventSize)
+			}
 			continue
 		}
-		if j.events == 0 {
-			j.recordOrigin(r)
+		if !j.claim() {
+			return errGoesOnElsewhere
 		}
-		j.noteProgress()
-		j.sendHead(res)
-		if _, err := j.w.Write(event); err != nil {
-			return errors.Mark(err, errCallerGone)
+		if err := j.writeEvent(r, res, held, event); err != nil {
+			return err
 		}
-		j.recordEventTime()
-		written = true
+		held, written = nil, true
+	}
+}
+
+// flush sends what was written to the caller.
+func (j *job) flush() error {
+	return errors.Mark(http.NewResponseController(j.w).Flush(), errCallerGone)
+}
+
+// writeEvent forwards an event behind what was held before it.
+func (j *job) writeEvent(r *magno.Replica, res *http.Response, held, event []byte) error {
+	if id := eventID(event); id != "" {
+		j.lastEvent = id
+	}
+	if j.events == 0 {
+		j.recordOrigin(r)
 	}
+	j.noteProgress()
+	j.sendHead(res)
+	if err := j.write(held); err != nil {
+		return err
+	}
+	if err := j.write(event); err != nil {
+		return err
+	}
+	j.recordEventTime()
+	return nil
+}
+
+// write forwards a part of a stream, if it isn't empty.
+func (j *job) write(part []byte) error {
+	if len(part) == 0 {
+		return nil
+	}
+	_, err := j.w.Write(part)
+	return errors.Mark(err, errCallerGone)
+}
+
+// endStream claims a stream at its end and forwards what was held. A stream without events has a header as well.
+func (j *job) endStream(res *http.Response, held []byte) error {
+	if !j.claim() {
+		return errGoesOnElsewhere
+	}
+	j.sendHead(res)
+	return j.write(held)
 }
 
 // holdsEvent reports whether a whole event was read ahead.
@@ -147,18 +194,27 @@
 	j.setRetryLimit(ctx, conn, limit)
 }
 
-// isNewEvent records an event's id. It returns false if the caller already has the event, for
-// example because the upstream started the stream from the beginning.
-func (j *job) isNewEvent(event []byte) bool {
+// news is what an event brings to the caller.
+type news int
+
+const (
+	newsKnown   news = iota // the caller has it, as the upstream started the stream from the beginning
+	newsUnknown             // a comment, or an event without an id that the caller may have
+	newsNew
+)
+
+// classify returns what an event brings to the caller.
+func (j *job) classify(event []byte) news {
 	id := eventID(event)
-	if id == "" {
-		return true
-	}
-	if eventNumber(id) <= eventNumber(j.lastEvent) && j.lastEvent != "" {
-		return false
+	switch {
+	case id != "" && j.lastEvent != "" && eventNumber(id) <= eventNumber(j.lastEvent):
+		return newsKnown
+	case id != "":
+		return newsNew
+	case hasData(event) && (j.events == 0 || j.begunAt != 0):
+		return newsNew
 	}
-	j.lastEvent = id
-	return true
+	return newsUnknown
 }
 
 // sendHead sends the header of the response, once: that of the first upstream whose event is
@@ -206,6 +262,11 @@
 	return ""
 }
 
+// hasData reports whether an event has data. Comments have none.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // eventNumber parses an event's id. An invalid id sorts before all others.
 func eventNumber(id string) int64 {
 	n, err := strconv.ParseInt(id, 10, 64)
