relay: an upstream that ends before the caller's last event has not ended the stream

Callers got half a stream that looked whole: another upstream, to which it was sent while its own was silent or after that had broken off, began it anew and ended within the events that the caller had already, or ended with nothing but its connection while the first was only silent.

Cause: any end of the body without an error counted as the end of the stream.

Now the end of an upstream that brought nothing new counts only if its last event isn't before the caller's last, and, while another upstream may still go on, if it was framed: the end of a connection without a length or chunks looks the same as one that broke off.

Before, both cases of TestHedgeThatMayHaveBrokenOffEndsNoStream and TestRetryThatEndsBeforeWhatTheCallerHasIsNoEnd failed: two of three events without an error.

--- a/entry/relay/goeson_test.go
+++ b/entry/relay/goeson_test.go
@@ -195,3 +195,44 @@
 		t.Errorf("got %q %v, want the next event", body, err)
 	}
 }
+
+// Guards against half a stream that looks whole, since the second upstream ended before what the caller has, or with
+// nothing but its connection, while the first one was only silent.
+func TestHedgeThatMayHaveBrokenOffEndsNoStream(t *testing.T) {
+	for name, other := range map[string]func(int, *http.Request, net.Conn) bool{
+		"before what the caller has": streamOneEvent,
+		"with its connection": func(_ int, r *http.Request, c net.Conn) bool {
+			writeUnframed(c, r.Header.Get("Id"), "")
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+				writeStreamHead(c, r.Header.Get("Id"))
+				writeChunk(c, eventText(1))
+				writeChunk(c, eventText(2))
+				time.Sleep(silence)
+				writeChunk(c, eventText(3))
+				fmt.Fprint(c, "0\r\n\r\n")
+				return true
+			})
+			s := newSilentProxy(t, magno.RouteStream, true, u, startUpstream(t, other))
+			_, body, err := s.get(t, http.MethodPost, "1")
+			if err != nil || body != eventText(1)+eventText(2)+eventText(3) {
+				t.Errorf("got %q %v, want the whole stream", body, err)
+			}
+		})
+	}
+}
+
+// Guards against half a stream that looks whole, since it was sent again, from its beginning, and ended before what the
+// caller has.
+func TestRetryThatEndsBeforeWhatTheCallerHasIsNoEnd(t *testing.T) {
+	u := startUpstream(t, streamUpTo(2, 3))
+	s := newSilentProxy(t, magno.RouteStream, true, u, startUpstream(t, streamOneEvent))
+	_, body, err := s.get(t, http.MethodPost, "1")
+	if err == nil || body != eventText(1)+eventText(2) {
+		t.Errorf("got %q %v, want a broken stream", body, err)
+	}
+}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -62,7 +62,7 @@
 // caller lacks: what doesn't bring the stream on is held until then, as the other upstream may still do so.
 func (j *job) copyEvents(ctx context.Context, r *magno.Replica, conn *hop.Conn, res *http.Response) error {
 	events := bufio.NewReaderSize(res.Body, streamBufferSize)
-	written := false
+	written, behind := false, false
 	var held []byte
 	for {
 		if written && !holdsEvent(events) { // the next read may wait
@@ -75,13 +75,14 @@
 		event, err := readEvent(events)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
-				return j.endStream(res, held)
+				return j.endStream(res, held, behind)
 			}
 			return errors.Wrap(err, "stream")
 		}
 		switch news := j.classify(event); {
 		case news == newsKnown:
 			held = nil // the caller has what came before as well
+			behind = eventNumber(eventID(event)) < eventNumber(j.lastEvent)
 			continue
 		case news == newsUnknown && !j.race.isAlone(j.racer):
 			if held = append(held, event...); len(held) > maxEventSize {
@@ -133,8 +134,12 @@
 	return errors.Mark(err, errCallerGone)
 }
 
-// endStream claims a stream at its end and forwards what was held. A stream without events has a header as well.
-func (j *job) endStream(res *http.Response, held []byte) error {
+// endStream claims a stream at its end and forwards what was held. A stream without events has a header as well. Behind
+// is true if the last event was one before the caller's last.
+func (j *job) endStream(res *http.Response, held []byte, behind bool) error {
+	if j.begunAt == 0 && (behind || (endsWithConn(res) && !j.race.isAlone(j.racer))) {
+		return errors.New("the stream may not have ended where its upstream did")
+	}
 	if !j.claim() {
 		return errGoesOnElsewhere
 	}
@@ -142,6 +147,11 @@
 	return j.write(held)
 }
 
+// endsWithConn reports whether nothing but the end of the connection tells the end of a response.
+func endsWithConn(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // holdsEvent reports whether a whole event was read ahead.
 func holdsEvent(r *bufio.Reader) bool {
 	ahead, _ := r.Peek(r.Buffered()) // no error, as these are buffered
