resume: all streams that are asked for at once go into one message to each process

Callers whose entries were all killed were refused, although agents held where their streams began: the agents, and the entry that asks, answered none of the calls within their 200 ms.

Cause: each stream that was taken up was a call of its own to every agent that may know, 78 at the size planned for, some 1,100 streams at each of 96 entries that have just started.

The first stream of a message is where it was, for processes of the version before.

--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -48,6 +48,8 @@
 	recent  recent
 	keepers map[string]*told
 	holders holders
+	// questions are those for other processes.
+	questions questions
 }
 
 // Open registers the methods on the mesh. It must be called before the mesh runs.
--- a/entry/resume/tell.go
+++ b/entry/resume/tell.go
@@ -146,7 +146,7 @@
 	}
 	for _, x := range m.recent.after(from) {
 		if now-x.at <= keepTime && slices.Contains(shared, x.Service) {
-			n.batches = appendRecord(n.batches, x)
+			n.batches = keeper.Append(n.batches, x.Origin, x.stream)
 		}
 	}
 	return n
@@ -169,15 +169,6 @@
 	return shared
 }
 
-func appendRecord(list []keeper.Records, x record) []keeper.Records {
-	i := slices.IndexFunc(list, func(b keeper.Records) bool { return b.Origin == x.Origin })
-	if i < 0 {
-		i, list = len(list), append(list, keeper.Records{Origin: x.Origin})
-	}
-	list[i].Add(x.stream)
-	return list
-}
-
 // send sends a keeper what it lacks. What can't be sent is sent again with the next news.
 func (m *Manager) send(ctx context.Context, addr string, k *told, n *news) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
--- a/magno/keeper/keeper.go
+++ b/magno/keeper/keeper.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/builds"
@@ -35,34 +36,73 @@
 	Streams []byte `json:"streams"`
 }
 
-// Add adds a stream.
-func (r *Records) Add(stream uint64) {
+// Append adds a stream to the records of its origin in a list.
+func Append(list []Records, o origin.Origin, stream uint64) []Records {
+	i := slices.IndexFunc(list, func(r Records) bool { return r.Origin == o })
+	if i < 0 {
+		i, list = len(list), append(list, Records{Origin: o})
+	}
+	list[i].Streams = appendID(list[i].Streams, stream)
+	return list
+}
+
+// appendID adds the ID of a stream, of origin.StreamIDBytes.
+func appendID(b []byte, stream uint64) []byte {
 	var id [8]byte
 	binary.BigEndian.PutUint64(id[:], stream)
-	r.Streams = append(r.Streams, id[8-origin.StreamIDBytes:]...)
+	return append(b, id[8-origin.StreamIDBytes:]...)
 }
 
-// ids returns the IDs of the streams.
-func (r *Records) ids() (list []uint64) {
-	for rest := r.Streams; len(rest) >= origin.StreamIDBytes; rest = rest[origin.StreamIDBytes:] {
+// parseIDs returns the IDs in b.
+func parseIDs(b []byte) (list []uint64) {
+	for ; len(b) >= origin.StreamIDBytes; b = b[origin.StreamIDBytes:] {
 		var id [8]byte
-		copy(id[8-origin.StreamIDBytes:], rest)
+		copy(id[8-origin.StreamIDBytes:], b)
 		list = append(list, binary.BigEndian.Uint64(id[:]))
 	}
 	return list
 }
 
-// Call asks where a stream began, zero if the caller doesn't state that.
+// Call asks where streams began. Stream is zero if none is asked for.
 type Call struct {
 	Stream uint64 `json:"stream"`
+	// Others holds the IDs of further streams, of origin.StreamIDBytes each.
+	Others []byte `json:"others,omitempty"`
+}
+
+// Add adds a stream, unless it is zero.
+func (c *Call) Add(stream uint64) {
+	switch {
+	case stream == 0:
+	case c.Stream == 0:
+		c.Stream = stream
+	default:
+		c.Others = appendID(c.Others, stream)
+	}
 }
 
 // Reply is what a keeper knows. Each part is nil if that is nothing.
 type Reply struct {
+	// Origin is that of the first stream, Others those of the others that are known.
 	Origin *origin.Origin `json:"origin,omitempty"`
+	Others []Records      `json:"others,omitempty"`
 	Builds *builds.Report `json:"builds,omitempty"`
 }
 
+// Origins returns the origins of the streams of a call that are known.
+func (r *Reply) Origins(c *Call) map[uint64]*origin.Origin {
+	known := map[uint64]*origin.Origin{}
+	if r.Origin != nil && c.Stream != 0 {
+		known[c.Stream] = r.Origin
+	}
+	for i := range r.Others {
+		for _, stream := range parseIDs(r.Others[i].Streams) {
+			known[stream] = &r.Others[i].Origin
+		}
+	}
+	return known
+}
+
 // BuildsReply is what a keeper knew before the call.
 type BuildsReply struct {
 	// Life identifies the keeper's process: a later one holds no records of before.
@@ -95,7 +135,7 @@
 		return nil, err
 	}
 	for i := range list {
-		for _, stream := range list[i].ids() {
+		for _, stream := range parseIDs(list[i].Streams) {
 			k.Table.Record(stream, list[i].Origin)
 		}
 	}
@@ -111,6 +151,11 @@
 	if c.Stream != 0 {
 		r.Origin = k.Table.Find(c.Stream)
 	}
+	for _, stream := range parseIDs(c.Others) {
+		if o := k.Table.Find(stream); o != nil {
+			r.Others = Append(r.Others, *o, stream)
+		}
+	}
 	return r, nil
 }
 
