resume: records are told again once the connection to a keeper broke

A stream's callers could be refused, or none found its record, although its entry had told two agents: the link to them was dark for a second, or their channels were reset, and the entry was killed later.

Cause: records are notifications, for which no error means only that the kernel has them. What was on its way as the connection broke was taken for told; it was told again only to another process of the keeper.

Connections have numbers now (wire.Mesh.Connection). A keeper that was told over another connection than before is told all records that are kept, as one that has just started; records that it has already are the same again.

--- a/entry/resume/tell.go
+++ b/entry/resume/tell.go
@@ -69,6 +69,8 @@
 	shared []string
 	// life is that of the keeper's process, zero if it isn't known.
 	life uint64
+	// conn is the connection over which all of this was told.
+	conn uint64
 	// sending is true while a message is on its way.
 	sending bool
 }
@@ -135,7 +137,7 @@
 // newNews returns what a keeper lacks. The caller holds mu.
 func (m *Manager) newNews(k *told, shared []string) *news {
 	now := m.Clock.Now()
-	n := &news{next: told{records: m.recent.end, change: m.Builds.Change(), buildsAt: k.buildsAt, shared: shared, life: k.life}}
+	n := &news{next: told{records: m.recent.end, change: m.Builds.Change(), buildsAt: k.buildsAt, shared: shared, life: k.life, conn: k.conn}}
 	if k.buildsAt == 0 || k.change != n.next.change || now-k.buildsAt >= buildsInterval {
 		n.builds = m.Builds.Report()
 		n.next.buildsAt = now
@@ -174,14 +176,16 @@
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
 	defer cancel()
 	err := m.sendNews(ctx, addr, n)
+	n.next.conn = m.Mesh.Connection(addr)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
 	case err != nil:
 		m.Log.Debug("origins not passed on", "addr", addr, "error", err)
 		k.buildsAt, k.sending = m.Clock.Now(), false
-	case k.life != 0 && n.next.life != k.life:
-		*k = told{life: n.next.life} // what its earlier process was told is lost
+	case k.life != 0 && n.next.life != k.life, n.next.conn != k.conn || n.next.conn == 0:
+		// What its earlier process was told is lost, what was sent over an earlier connection may be.
+		*k = told{life: n.next.life, conn: n.next.conn}
 	default:
 		*k = n.next
 	}
--- a/magno/wire/call.go
+++ b/magno/wire/call.go
@@ -263,6 +263,8 @@
 			return nil, errNoFreeConn
 		}
 		c = newPeerConn(m, addr)
+		m.dialled++
+		c.number = m.dialled
 		m.outgoing[addr] = c
 	}
 	c.acquire()
--- a/magno/wire/conn.go
+++ b/magno/wire/conn.go
@@ -18,6 +18,8 @@
 type peerConn struct {
 	mesh *Mesh
 	addr string
+	// number tells outgoing connections apart.
+	number uint64
 	// incoming connections have a longer idle timeout.
 	incoming bool
 	// denied is true if the peer is not allowed; all its calls are refused.
--- a/magno/wire/mesh.go
+++ b/magno/wire/mesh.go
@@ -82,6 +82,8 @@
 	// outgoing maps an address to its connection, also while it is being dialled. It
 	// has at most MaxConns entries.
 	outgoing map[string]*peerConn
+	// dialled is the number of outgoing connections so far.
+	dialled uint64
 	// incoming has at most maxIncoming connections of allowed peers and maxDenied of
 	// others; denied counts the latter.
 	incoming map[*peerConn]struct{}
@@ -255,6 +257,17 @@
 	}
 }
 
+// Connection identifies the connection that calls and notifications to addr use now, zero if there is none. As long
+// as it stays the same, all notifications went over it, and a later answer shows that they arrived.
+func (m *Mesh) Connection(addr string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := m.outgoing[addr]; c != nil {
+		return c.number
+	}
+	return 0
+}
+
 // sweep closes connections that reached their idle timeout, until ctx ends.
 func (m *Mesh) sweep(ctx context.Context) {
 	for magno.Sleep(ctx, sweepInterval) {
