resume: a keeper of the version before is told once

While entries are updated one after the other, each new one told two entries of the version before all its records and its builds ten times a second, more with each stream: up to 4,096 records in each message.

Cause: a keeper that doesn't know the method of builds refuses it, which counted as not delivered, for the records too.

Such a refusal is an answer: the records before it arrived. The builds are offered again every two seconds, as to others.

--- a/entry/resume/tell.go
+++ b/entry/resume/tell.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/builds"
 	"magnoliastall.example/magno/keeper"
@@ -180,7 +182,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case err != nil:
+	case err != nil && !exchangesNoBuilds(err):
 		m.Log.Debug("origins not passed on", "addr", addr, "error", err)
 		k.buildsAt, k.sending = m.Clock.Now(), false
 	case k.life != 0 && n.next.life != k.life, n.next.conn != k.conn || n.next.conn == 0:
@@ -191,6 +193,12 @@
 	}
 }
 
+// exchangesNoBuilds reports whether a keeper answered that it lacks the method: it is of an earlier version.
+func exchangesNoBuilds(err error) bool {
+	var refusal *magno.Refusal
+	return errors.As(err, &refusal) && refusal.Kind == magno.KindInternal
+}
+
 func (m *Manager) sendNews(ctx context.Context, addr string, n *news) error {
 	if len(n.batches) > 0 {
 		if err := m.Mesh.Notify(ctx, addr, keeper.MethodRecord, n.batches); err != nil {
