--- a/entry/resume/ask.go
+++ b/entry/resume/ask.go
@@ -3,119 +3,129 @@
 import (
 	"context"
 	"slices"
-	"time"
+	"sync"
 
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/keeper"
 	"magnoliastall.example/magno/origin"
 )
 
-const (
-	defaultAskTimeout = 200 * magno.Millis(1)
-	// askDelay is how long streams that are taken up are collected before others are asked for all of them.
-	askDelay = 10 * magno.Millis(1)
-	// maxRounds bounds the rounds at once: further streams are collected until one of them ends.
-	maxRounds = 4
-)
+// defaultAskTimeout bounds the calls to other processes.
+const defaultAskTimeout = 200 * magno.Millis(1)
 
-// round asks other processes where streams began.
-type round struct {
-	// streams are the IDs of the streams, zero for those whose callers don't state that.
-	streams []uint64
-	// found is set, and ended closed, once the round has ended.
-	found map[uint64]*origin.Origin
-	ended chan struct{}
-	// processes and answers count those that were asked and those that answered.
+// asked is what other processes answered. All builds that they have seen are joined in the history.
+type asked struct {
 	processes, answers int
 	// watched is true if some of them know of the builds.
 	watched bool
+	origin  *origin.Origin
 }
 
-// others returns the addresses of the other live entries.
-func (m *Manager) others() []string {
-	return slices.DeleteFunc(m.Entries(), func(addr string) bool { return addr == m.Self })
+// question is where a stream began, zero if only the builds are asked for.
+type question struct {
+	stream uint64
+	// answers has room for one answer of each process that is asked.
+	answers chan answer
 }
 
-// ask asks others where a stream began, zero if only for the builds that they have seen. It returns the round
-// once that has ended, or nil if ctx ends before. All builds that others have seen are in the history then.
-//
-// Load pattern: hundreds of streams are taken up within the second after a kill.
-func (m *Manager) ask(ctx context.Context, stream uint64) *round {
-	m.mu.Lock()
-	r := m.round
-	if r == nil {
-		r = &round{found: map[uint64]*origin.Origin{}, ended: make(chan struct{})}
-		m.round = r
-		go m.runRound(r)
-	}
-	r.streams = append(r.streams, stream)
-	m.mu.Unlock()
-	select {
-	case <-r.ended:
-		return r
-	case <-ctx.Done():
-		return nil
-	}
+// answer is what one process answered, zero if it didn't.
+type answer struct {
+	answered, watched bool
+	origin            *origin.Origin
 }
 
-// runRound collects the streams of a round and asks for them, agents first.
-func (m *Manager) runRound(r *round) {
-	defer close(r.ended)
-	time.Sleep(askDelay.Duration())
-	m.rounds <- struct{}{}
-	defer func() { <-m.rounds }()
-	m.mu.Lock()
-	m.round = nil
-	m.mu.Unlock()
-	slices.Sort(r.streams)
-	r.streams = slices.Compact(r.streams)
-	m.askAll(r, m.holders.ofAll(m.Agents()))
-	m.askAll(r, m.others())
+// questions holds what is asked of each address after the call that runs. An address without one has no entry.
+type questions struct {
+	mu      sync.Mutex
+	waiting map[string][]*question
 }
 
-// missing returns the streams of a round that aren't found yet.
-func (r *round) missing() []uint64 {
-	return slices.DeleteFunc(slices.Clone(r.streams), func(stream uint64) bool { return r.found[stream] != nil })
+// add adds a question, and reports whether no call to the address runs.
+func (w *questions) add(addr string, q *question) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.waiting == nil {
+		w.waiting = map[string][]*question{}
+	}
+	list, running := w.waiting[addr]
+	w.waiting[addr] = append(list, q)
+	return !running
 }
 
-// askAll asks processes for what is missing, until nothing is.
-func (m *Manager) askAll(r *round, addrs []string) {
-	missing := r.missing()
-	if len(missing) == 0 {
-		return
+// take takes the questions for an address, none once there are none: no call to it runs then.
+func (w *questions) take(addr string) []*question {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := w.waiting[addr]
+	if len(list) == 0 {
+		delete(w.waiting, addr)
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), m.AskTimeout.Duration())
+	w.waiting[addr] = nil
+	return list
+}
+
+// others returns the addresses of the other live entries.
+func (m *Manager) others() []string {
+	return slices.DeleteFunc(m.Entries(), func(addr string) bool { return addr == m.Self })
+}
+
+// ask asks processes where a stream began, zero if only for the builds that they have seen. It returns with
+// the first answer that has the origin of the stream.
+//
+// Load pattern: the callers of all streams of a killed entry, or of all entries, ask at once. What is asked
+// while a call to a process runs goes into one message after it.
+func (m *Manager) ask(ctx context.Context, stream uint64, addrs []string, a *asked) {
+	ctx, cancel := context.WithTimeout(ctx, m.AskTimeout.Duration())
 	defer cancel()
-	call := keeper.Call{Streams: missing}
-	answers := make(chan *keeper.Reply, len(addrs))
+	q := &question{stream: stream, answers: make(chan answer, len(addrs))}
 	for _, addr := range addrs {
-		go func() {
-			reply := &keeper.Reply{}
-			if err := m.Mesh.Call(ctx, addr, keeper.MethodFind, call, reply); err != nil {
-				m.Log.Debug("origins not asked", "addr", addr, "streams", len(missing), "error", err)
-				reply = nil
-			}
-			answers <- reply
-		}()
+		if m.questions.add(addr, q) {
+			go m.askInTurn(context.WithoutCancel(ctx), addr)
+		}
 	}
-	r.processes += len(addrs)
+	a.processes += len(addrs)
 	for range addrs {
-		reply := <-answers
-		if reply == nil {
-			continue
-		}
-		r.answers++
-		if reply.Builds != nil {
-			r.watched = true
-			m.Builds.Merge(reply.Builds)
-		}
-		for i := range reply.Found {
-			for _, stream := range reply.Found[i].IDs() {
-				r.found[stream] = &reply.Found[i].Origin
-			}
-		}
-		if len(r.missing()) == 0 {
+		select {
+		case <-ctx.Done():
 			return
+		case r := <-q.answers:
+			if r.answered {
+				a.answers++
+			}
+			a.watched = a.watched || r.watched
+			if r.origin != nil {
+				a.origin = r.origin
+				return
+			}
 		}
 	}
 }
+
+// askInTurn asks a process all that waits for that.
+func (m *Manager) askInTurn(ctx context.Context, addr string) {
+	for list := m.questions.take(addr); len(list) > 0; list = m.questions.take(addr) {
+		m.askOnce(ctx, addr, list)
+	}
+}
+
+// askOnce asks a process in one message.
+func (m *Manager) askOnce(ctx context.Context, addr string, list []*question) {
+	ctx, cancel := context.WithTimeout(ctx, m.AskTimeout.Duration())
+	defer cancel()
+	var c keeper.Call
+	for _, q := range list {
+		c.Add(q.stream)
+	}
+	var r keeper.Reply
+	err := m.Mesh.Call(ctx, addr, keeper.MethodFind, &c, &r)
+	if err != nil {
+		m.Log.Debug("origin not asked", "addr", addr, "error", err)
+	} else if r.Builds != nil {
+		m.Builds.Merge(r.Builds)
+	}
+	origins := r.Origins(&c)
+	for _, q := range list {
+		q.answers <- answer{answered: err == nil, watched: r.Builds != nil, origin: origins[q.stream]}
+	}
+}
--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -49,10 +49,8 @@
 	// flushes counts the calls of tell.
 	flushes int
 	holders holders
-	// round is the one that collects streams, nil if there is none.
-	round *round
-	// rounds holds a token for each round that asks.
-	rounds chan struct{}
+	// questions are those for other processes.
+	questions questions
 }
 
 // Open registers the methods on the mesh. It must be called before the mesh runs.
@@ -60,7 +58,7 @@
 	if m.AskTimeout == 0 {
 		m.AskTimeout = defaultAskTimeout
 	}
-	m.keepers, m.rounds = map[string]*told{}, make(chan struct{}, maxRounds)
+	m.keepers = map[string]*told{}
 	k := &keeper.Keeper{Mesh: m.Mesh, Table: m.Table, Builds: m.Builds, Log: m.Log}
 	k.Open()
 }
@@ -93,58 +91,55 @@
 // other one as long as it may have lasted.
 func (m *Manager) Find(ctx context.Context, q origin.Query) *origin.Origin {
 	start := m.Clock.Now()
-	o, how, r := m.find(ctx, &q)
+	var a asked
+	o, how := m.find(ctx, &q, &a)
 	if o == nil {
 		how = "unknown"
 	}
 	metrics.GetOrCreateCounter(`streams_taken_up_total{origin="` + how + `"}`).Inc()
-	m.logFind(&q, o, how, r, m.Clock.Now()-start)
+	m.logFind(&q, o, how, &a, m.Clock.Now()-start)
 	return o
 }
 
 // logFind logs how it was found out where a stream began. Asked and answered count other processes, builds
 // are those within the time that a stream lasts, watched is for how long they are known, took is in ms.
-func (m *Manager) logFind(q *origin.Query, o *origin.Origin, how string, r *round, took magno.Millis) {
+func (m *Manager) logFind(q *origin.Query, o *origin.Origin, how string, a *asked, took magno.Millis) {
 	build := ""
 	if o != nil {
 		build = o.Build
 	}
-	if r == nil {
-		r = &round{}
-	}
 	watched, versions := m.Builds.Watched(q.Service, q.Lasts)
 	m.Log.Info("stream taken up", "request", q.Request, "resumes", q.Attempt, "service", q.Service, "origin", how, "build", build,
-		"asked", r.processes, "answered", r.answers, "builds", versions, "watched", watched, "current", m.Current(), "took", took)
+		"asked", a.processes, "answered", a.answers, "builds", versions, "watched", watched, "current", m.Current(), "took", took)
 }
 
-// find is Find, and tells how the origin is known. It returns the round in which others were asked, nil if none
-// were.
-func (m *Manager) find(ctx context.Context, q *origin.Query) (o *origin.Origin, how string, r *round) {
+// find is Find, and tells how the origin is known. It stores what others answered in a.
+func (m *Manager) find(ctx context.Context, q *origin.Query, a *asked) (o *origin.Origin, how string) {
 	stream := uint64(0)
 	if q.Attempt != "" {
 		stream = origin.StreamID(q.Attempt)
 		if o := m.Table.Find(stream); o != nil {
-			return o, "recorded", nil
+			return o, "recorded"
 		}
 	} else if o := m.sole(q, false); o != nil && m.Builds.Follows(q.Lasts) {
-		return o, "sole", nil
+		return o, "sole"
 	} else if m.Builds.Several(q.Service, q.Lasts) {
-		return nil, "", nil
+		return nil, ""
 	}
 	// This process may not have heard yet of a build that joined a moment ago, so others go before what
 	// it takes for the only one.
-	r = m.ask(ctx, stream)
-	if r == nil {
-		return nil, "", nil
+	m.ask(ctx, stream, m.holders.ofAll(m.Agents()), a)
+	if a.origin == nil {
+		m.ask(ctx, stream, m.others(), a)
 	}
-	if o := r.found[stream]; o != nil {
-		m.remember(stream, *o)
-		return o, "asked", r
+	if a.origin != nil {
+		m.remember(stream, *a.origin)
+		return a.origin, "asked"
 	}
-	if o := m.sole(q, r.watched); o != nil {
-		return o, "sole", r
+	if o := m.sole(q, a.watched); o != nil {
+		return o, "sole"
 	}
-	return nil, "", r
+	return nil, ""
 }
 
 // sole returns the build that a service has had alone for as long as a stream lasts, nil if that isn't known
--- a/entry/resume/tell.go
+++ b/entry/resume/tell.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/builds"
 	"magnoliastall.example/magno/keeper"
@@ -76,6 +78,8 @@
 	shared []string
 	// life is that of the keeper's process, zero if it isn't known.
 	life uint64
+	// conn is the connection over which all of this was told.
+	conn uint64
 	// sending is true while a message is on its way.
 	sending bool
 }
@@ -149,7 +153,7 @@
 // newNews returns what a keeper lacks. The caller holds mu.
 func (m *Manager) newNews(k *told, shared []string) *news {
 	now := m.Clock.Now()
-	n := &news{next: told{records: m.recent.end, change: m.Builds.Change(), buildsAt: k.buildsAt, shared: shared, life: k.life}}
+	n := &news{next: told{records: m.recent.end, change: m.Builds.Change(), buildsAt: k.buildsAt, shared: shared, life: k.life, conn: k.conn}}
 	if k.buildsAt == 0 || k.change != n.next.change || now-k.buildsAt >= buildsInterval {
 		n.builds = m.Builds.Report()
 		n.next.buildsAt = now
@@ -160,7 +164,7 @@
 	}
 	for _, x := range m.recent.after(from) {
 		if now-x.at <= keepTime && slices.Contains(shared, x.Service) {
-			n.batches = keeper.Append(n.batches, x.stream, x.Origin)
+			n.batches = keeper.Append(n.batches, x.Origin, x.stream)
 		}
 	}
 	return n
@@ -186,19 +190,27 @@
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
 	defer cancel()
 	err := m.sendNews(ctx, addr, n)
+	n.next.conn = m.Mesh.Connection(addr)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case err != nil:
+	case err != nil && !exchangesNoBuilds(err):
 		m.Log.Debug("origins not passed on", "addr", addr, "error", err)
 		k.buildsAt, k.sending = m.Clock.Now(), false
-	case k.life != 0 && n.next.life != k.life:
-		*k = told{life: n.next.life} // what its earlier process was told is lost
+	case k.life != 0 && n.next.life != k.life, n.next.conn != k.conn || n.next.conn == 0:
+		// What its earlier process was told is lost, what was sent over an earlier connection may be.
+		*k = told{life: n.next.life, conn: n.next.conn}
 	default:
 		*k = n.next
 	}
 }
 
+// exchangesNoBuilds reports whether a keeper answered that it lacks the method: it is of an earlier version.
+func exchangesNoBuilds(err error) bool {
+	var refusal *magno.Refusal
+	return errors.As(err, &refusal) && refusal.Kind == magno.KindInternal
+}
+
 func (m *Manager) sendNews(ctx context.Context, addr string, n *news) error {
 	if len(n.batches) > 0 {
 		if err := m.Mesh.Notify(ctx, addr, keeper.MethodRecord, n.batches); err != nil {
--- a/magno/keeper/keeper.go
+++ b/magno/keeper/keeper.go
@@ -36,45 +36,73 @@
 	Streams []byte `json:"streams"`
 }
 
-// add adds a stream.
-func (r *Records) add(stream uint64) {
-	var id [8]byte
-	binary.BigEndian.PutUint64(id[:], stream)
-	r.Streams = append(r.Streams, id[8-origin.StreamIDBytes:]...)
-}
-
-// Append adds a stream to the records with its origin.
-func Append(list []Records, stream uint64, o origin.Origin) []Records {
+// Append adds a stream to the records of its origin in a list.
+func Append(list []Records, o origin.Origin, stream uint64) []Records {
 	i := slices.IndexFunc(list, func(r Records) bool { return r.Origin == o })
 	if i < 0 {
 		i, list = len(list), append(list, Records{Origin: o})
 	}
-	list[i].add(stream)
+	list[i].Streams = appendID(list[i].Streams, stream)
 	return list
 }
 
-// IDs returns the IDs of the streams.
-func (r *Records) IDs() (list []uint64) {
-	for rest := r.Streams; len(rest) >= origin.StreamIDBytes; rest = rest[origin.StreamIDBytes:] {
+// appendID adds the ID of a stream, of origin.StreamIDBytes.
+func appendID(b []byte, stream uint64) []byte {
+	var id [8]byte
+	binary.BigEndian.PutUint64(id[:], stream)
+	return append(b, id[8-origin.StreamIDBytes:]...)
+}
+
+// parseIDs returns the IDs in b.
+func parseIDs(b []byte) (list []uint64) {
+	for ; len(b) >= origin.StreamIDBytes; b = b[origin.StreamIDBytes:] {
 		var id [8]byte
-		copy(id[8-origin.StreamIDBytes:], rest)
+		copy(id[8-origin.StreamIDBytes:], b)
 		list = append(list, binary.BigEndian.Uint64(id[:]))
 	}
 	return list
 }
 
-// Call asks where streams began.
+// Call asks where streams began. Stream is zero if none is asked for.
 type Call struct {
-	Streams []uint64 `json:"streams"`
+	Stream uint64 `json:"stream"`
+	// Others holds the IDs of further streams, of origin.StreamIDBytes each.
+	Others []byte `json:"others,omitempty"`
 }
 
-// Reply is what a keeper knows: those of the streams that it has records of, and the builds that it has seen, nil
-// if there are none.
+// Add adds a stream, unless it is zero.
+func (c *Call) Add(stream uint64) {
+	switch {
+	case stream == 0:
+	case c.Stream == 0:
+		c.Stream = stream
+	default:
+		c.Others = appendID(c.Others, stream)
+	}
+}
+
+// Reply is what a keeper knows. Each part is nil if that is nothing.
 type Reply struct {
-	Found  []Records      `json:"found,omitempty"`
+	// Origin is that of the first stream, Others those of the others that are known.
+	Origin *origin.Origin `json:"origin,omitempty"`
+	Others []Records      `json:"others,omitempty"`
 	Builds *builds.Report `json:"builds,omitempty"`
 }
 
+// Origins returns the origins of the streams of a call that are known.
+func (r *Reply) Origins(c *Call) map[uint64]*origin.Origin {
+	known := map[uint64]*origin.Origin{}
+	if r.Origin != nil && c.Stream != 0 {
+		known[c.Stream] = r.Origin
+	}
+	for i := range r.Others {
+		for _, stream := range parseIDs(r.Others[i].Streams) {
+			known[stream] = &r.Others[i].Origin
+		}
+	}
+	return known
+}
+
 // BuildsReply is what a keeper knew before the call.
 type BuildsReply struct {
 	// Life identifies the keeper's process: a later one holds no records of before.
@@ -107,7 +135,7 @@
 		return nil, err
 	}
 	for i := range list {
-		for _, stream := range list[i].IDs() {
+		for _, stream := range parseIDs(list[i].Streams) {
 			k.Table.Record(stream, list[i].Origin)
 		}
 	}
@@ -120,9 +148,12 @@
 		return nil, magno.Refuse(magno.KindMalformed, "%v", err)
 	}
 	r := Reply{Builds: k.Builds.Report()}
-	for _, stream := range c.Streams {
+	if c.Stream != 0 {
+		r.Origin = k.Table.Find(c.Stream)
+	}
+	for _, stream := range parseIDs(c.Others) {
 		if o := k.Table.Find(stream); o != nil {
-			r.Found = Append(r.Found, stream, *o)
+			r.Others = Append(r.Others, *o, stream)
 		}
 	}
 	return r, nil
