soak: callers of the streams that are taken up begin at different times

All 80 callers began at once, streams of plain services last alike, and the kill fell between the fourth and the fifth of each (316 of 320 had ended). What is demanded is the same.

--- a/drive/soak/rejoin_test.go
+++ b/drive/soak/rejoin_test.go
@@ -20,6 +20,9 @@
 	// rejoinStart is the time in which streams run before a build joins: longer than callers wait for a
 	// stream that broke off, so that processes know that none ran before them.
 	rejoinStart = 5 * time.Second
+	// rejoinSpread is the time within which callers begin: else all streams end, and begin, at once, and a kill
+	// between may find few under way.
+	rejoinSpread = 2 * time.Second
 	// rejoinAgents is the time after the kill of all agents: they are back, and told what they held.
 	rejoinAgents = 4 * time.Second
 	// rejoinTime is for how long callers take up what broke off.
@@ -129,6 +132,7 @@
 		playing.Go(func() {
 			rnd := rand.New(rand.NewPCG(s.Seed, 1<<37+uint64(n))) //nolint:gosec // not used as a secret
 			caller := &fake.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}, Key: fake.Key}
+			time.Sleep(time.Duration(rnd.Int64N(int64(rejoinSpread))))
 			for ctx.Err() == nil {
 				st := s.newStream(path, rnd)
 				st.unstated = n%2 == 0
