builds: all builds that are listed are kept

Callers that don't state the attempt were refused for good on a platform with more than 256 services, each of one build, as was any whose record was lost: the history was never complete.

Cause: the bound of 256 builds of all services dropped builds that are listed, and each time what is known began anew.

Evidence: TestAllListedBuildsAreKept failed before, with 512 services (entry and agent: the only build is "", false).

The bound follows the number of builds that are listed, or that a process which lists them reports as listed now.

--- a/magno/builds/builds.go
+++ b/magno/builds/builds.go
@@ -22,8 +22,9 @@
 	maxGap = 5 * magno.Second
 	// reportSpan bounds what a report covers: longer than streams last.
 	reportSpan = 5 * magno.Minute
-	// maxSeen bounds the builds of all services.
-	maxSeen = 256
+	// maxSeen bounds the builds of all services, unless so many are listed that listedFactor times these are more.
+	maxSeen      = 256
+	listedFactor = 2
 )
 
 // Build is one version of a service's software.
@@ -70,6 +71,8 @@
 	listed bool
 	// watchedSince is when this process began to follow the list, without a lapse since.
 	watchedSince magno.Millis
+	// room is how many builds are kept.
+	room int
 	// change counts the builds that joined.
 	change int
 }
@@ -84,6 +87,11 @@
 	h.present = listed
 	h.touch(now)
 	h.change += len(h.seen) - before
+	count := 0
+	for _, versions := range listed {
+		count += len(versions)
+	}
+	h.room = listedFactor * count
 	if !h.listed {
 		h.listed, h.watchedSince = true, now
 		h.join(span{now, now, true})
@@ -136,9 +144,16 @@
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
 	h.touch(now)
+	count := 0
 	for _, s := range r.Seen {
+		if s.Age == 0 {
+			count++ // it is listed
+		}
 		h.seen[s.Build] = max(h.seen[s.Build], now-s.Age)
 	}
+	if !h.listed {
+		h.room = max(h.room, listedFactor*count)
+	}
 	h.join(span{now - r.Since, now - r.Until, r.First})
 	h.trim()
 }
@@ -165,7 +180,7 @@
 
 // trim drops the builds beyond the bound, those that were seen last longest ago. The caller holds mu.
 func (h *History) trim() {
-	for len(h.seen) > maxSeen {
+	for len(h.seen) > max(maxSeen, h.room) {
 		var oldest Build
 		at := magno.Millis(-1)
 		for b, seen := range h.seen {
--- a/magno/builds/builds_test.go
+++ b/magno/builds/builds_test.go
@@ -184,3 +184,23 @@
 		t.Error("complete, though a build was dropped")
 	}
 }
+
+// Guards against a history that is never complete, as more services are listed than builds are kept: neither
+// where the list is followed nor at an agent that is told of it.
+func TestAllListedBuildsAreKept(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	entry, agent := &History{Clock: clock}, &History{Clock: clock}
+	listed := map[string][]string{}
+	for n := range 2 * maxSeen {
+		listed[fmt.Sprint("s", n)] = []string{"v1"}
+	}
+	entry.Update(listed)
+	agent.Merge(entry.Report())
+	clock.Advance(window)
+	agent.Merge(entry.Report())
+	for name, h := range map[string]*History{"entry": entry, "agent": agent} {
+		if got, known := h.Sole("s0", window); !known || got != "v1" {
+			t.Errorf("%s: the only build is %q, %v, want v1", name, got, known)
+		}
+	}
+}
