relay: answers don't wait behind a large one that waits for memory

Callers got 504, though their upstreams had answered and most of the memory for answers was free: semaphore.Weighted grants nothing, not even no bytes, while an earlier request waits for more than is free. An answer without a length asks for no bytes before its first, so it waited until its time was over; one with a length did too.

The memory of answers and bodies is a budget.Budget now, at the same sizes: what fits passes a large answer that waits, and that waits for as much as the budget at most before its turn is kept for it, with a quarter left to others meanwhile. Bodies of callers never waited, so the fault didn't act on them; they use the same reservation.

TestAnswersAreServedWhileALargeOneWaits plays twice as many answers as the budget has bytes, with a length and in chunks, beside one that waits for all of the memory and for three quarters: with the order of arrival it fails at the first answer, and with no room beside a turn at the seventh (both tried in a scratch copy).

Tests that took memory by TryAcquire and Release of the semaphore call Grow and Release. Two waited until TryAcquire(0) failed, which is how the semaphore showed that somebody waits; they wait for Waiting() == 1, which says just that. What they demand is unchanged.

--- a/entry/relay/answermem_test.go
+++ b/entry/relay/answermem_test.go
@@ -8,9 +8,8 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/budget"
 )
 
 // Guards against a request that ends without an answer because its upstream's answer finds no memory: it is awaited, and
@@ -38,16 +37,16 @@
 			if c.freed {
 				s.allowDelays()
 			}
-			s.ResponseMemory = semaphore.NewWeighted(room)
-			if !s.ResponseMemory.TryAcquire(room) {
+			s.ResponseMemory = &budget.Budget{Size: room}
+			seq, ok := s.ResponseMemory.Grow(0, room)
+			if !ok {
 				t.Fatal("no memory")
 			}
 			got := s.getStatus(t)
 			<-answered
 			if c.freed {
-				// Nothing more is granted, not even no bytes, while another one waits.
-				waitFor(t, "a wait for memory", func() bool { return !s.ResponseMemory.TryAcquire(0) })
-				s.ResponseMemory.Release(room)
+				waitFor(t, "a wait for memory", func() bool { return s.ResponseMemory.Waiting() == 1 })
+				s.ResponseMemory.Release(seq, room)
 			}
 			status := <-got
 			for _, want := range c.statuses {
@@ -60,6 +59,47 @@
 	}
 }
 
+// Guards against answers that aren't served while a large one waits for memory, however many there are.
+func TestAnswersAreServedWhileALargeOneWaits(t *testing.T) {
+	const room = 16
+	for name, rest := range map[string]string{
+		"with a length": "Content-Length: 3\r\n\r\nyes", "in chunks": "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n",
+	} {
+		for _, large := range []int64{room, room - room/4} {
+			t.Run(fmt.Sprintf("%s beside %d of %d", name, large, room), func(t *testing.T) {
+				u := startUpstream(t, func(_ int, r *http.Request, conn net.Conn) bool {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n%s", r.Header.Get("Id"), rest)
+					return true
+				})
+				s := newTestProxy(t, magno.RouteOnce, false, u)
+				s.allowDelays()
+				s.ResponseMemory = &budget.Budget{Size: room}
+				seq, ok := s.ResponseMemory.Grow(0, room/2)
+				if !ok {
+					t.Fatal("no memory")
+				}
+				granted := make(chan error, 1)
+				go func() {
+					_, err := s.ResponseMemory.Acquire(t.Context(), large)
+					granted <- err
+				}()
+				waitFor(t, "a wait for memory", func() bool { return s.ResponseMemory.Waiting() == 1 })
+				for n := range 2 * room {
+					res, body, err := s.get(t, http.MethodPost, fmt.Sprint(n))
+					if err != nil || res.StatusCode != http.StatusOK || body != "yes" {
+						t.Fatalf("answer %d: got %v %q %v", n, res, body, err)
+					}
+					waitFor(t, "its memory to be released", func() bool { return s.Active() == 0 })
+				}
+				s.ResponseMemory.Release(seq, room/2)
+				if err := <-granted; err != nil {
+					t.Errorf("the large one: %v", err)
+				}
+			})
+		}
+	}
+}
+
 // Guards against an answer that waits for the memory that a failure of the same request holds, until its time is over.
 func TestHedgeDoesNotWaitForMemoryOfItsOwnRequest(t *testing.T) {
 	const room, size = 1000, 600
@@ -77,7 +117,7 @@
 		return true
 	})
 	s := newSilentProxy(t, magno.RouteIdempotent, false, u, v)
-	s.ResponseMemory = semaphore.NewWeighted(room)
+	s.ResponseMemory = &budget.Budget{Size: room}
 	res, body, err := s.get(t, http.MethodGet, "1")
 	if err != nil || res.StatusCode != http.StatusOK || len(body) != size {
 		t.Errorf("got %v, %d bytes, %v, want the answer of the second upstream", res, len(body), err)
--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -154,7 +154,7 @@
 	c := *j
 	c.hedged, c.claimed, c.silent, c.hedge = true, false, false, nil
 	c.tried, c.declined = slices.Clone(j.tried), slices.Clone(j.declined)
-	c.responseMem = reservation{sem: j.ResponseMemory}
+	c.responseMem = reservation{budget: j.ResponseMemory}
 	c.turn, c.stopAbort, c.refusal = nil, nil, nil
 	if !j.responding {
 		c.unanswered = j.lastReplica
--- a/entry/relay/memory.go
+++ b/entry/relay/memory.go
@@ -5,7 +5,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/semaphore"
+
+	"magnoliastall.example/magno/budget"
 )
 
 // errNoMemory means that the limit of BodyMemory or ResponseMemory is reached.
@@ -23,28 +24,30 @@
 // while callers read slowly. Each is within its own limit, but together they exceed the memory
 // of a small machine, and the process would be killed with all its requests.
 type reservation struct {
-	// sem is nil where memory isn't limited.
-	sem      *semaphore.Weighted
-	reserved int64
+	// budget is nil where memory isn't limited.
+	budget *budget.Budget
+	// seq is the holder's sequence number, zero before bytes are reserved.
+	seq, reserved int64
 }
 
-// acquire reserves a number of bytes, and waits until they are available.
+// acquire reserves a number of bytes where none are reserved, and waits until they are available.
 func (r *reservation) acquire(ctx context.Context, bytes int64) error {
-	if r.sem == nil {
+	if r.budget == nil {
 		return nil
 	}
-	if err := r.sem.Acquire(ctx, bytes); err != nil {
+	seq, err := r.budget.Acquire(ctx, bytes)
+	if err != nil {
 		return errors.Mark(err, errNoMemory)
 	}
-	r.reserved += bytes
+	r.seq, r.reserved = seq, bytes
 	return nil
 }
 
 // release returns all reserved bytes.
 func (r *reservation) release() {
-	if r.sem != nil {
-		r.sem.Release(r.reserved)
-		r.reserved = 0
+	if r.budget != nil {
+		r.budget.Release(r.seq, r.reserved)
+		r.seq, r.reserved = 0, 0
 	}
 }
 
@@ -115,12 +118,14 @@
 	n, err := r.src.Read(p)
 	more := int64(n) - r.prereserved
 	r.prereserved = max(-more, 0)
-	if more <= 0 || r.sem == nil {
+	if more <= 0 || r.budget == nil {
 		return n, err
 	}
-	if !r.sem.TryAcquire(more) {
+	seq, ok := r.budget.Grow(r.seq, more)
+	if !ok {
 		return n, errNoMemory
 	}
+	r.seq = seq
 	r.reserved += more
 	return n, err
 }
--- a/entry/relay/memory_test.go
+++ b/entry/relay/memory_test.go
@@ -12,9 +12,8 @@
 	"testing"
 	"testing/iotest"
 
-	"golang.org/x/sync/semaphore"
-
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/budget"
 	"magnoliastall.example/magno/listen"
 )
 
@@ -59,7 +58,7 @@
 	})
 	s := newTestProxy(t, magno.RouteIdempotent, false, u)
 	s.Book.Current().Plan.Routes[0].Aim = 10_000
-	s.BodyMemory = semaphore.NewWeighted(6) // one body of four bytes, not two
+	s.BodyMemory = &budget.Budget{Size: 6} // one body of four bytes, not two
 	slow := make(chan int, 1)
 	go func() {
 		res, _, err := s.get(t, http.MethodPost, "slow")
@@ -137,7 +136,7 @@
 		{"one over the limit", 100, 0, text("1234567890", nil), "123456789", false},
 		{"cut", 100, 0, text("1234", io.ErrUnexpectedEOF), "", true},
 	} {
-		s := &reservation{sem: semaphore.NewWeighted(c.room)}
+		s := &reservation{budget: &budget.Budget{Size: c.room}}
 		if err := s.acquire(t.Context(), c.ready); err != nil {
 			t.Fatal(err)
 		}
@@ -154,7 +153,7 @@
 			t.Errorf("%s in blocks: got %q, %v", c.name, blocks, err)
 		}
 		s.release()
-		if !s.sem.TryAcquire(c.room) {
+		if _, ok := s.budget.Grow(0, c.room); !ok {
 			t.Errorf("%s: not all memory was released", c.name)
 		}
 	}
--- a/entry/relay/pool_test.go
+++ b/entry/relay/pool_test.go
@@ -16,9 +16,8 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/budget"
 	"magnoliastall.example/magno/route"
 )
 
@@ -97,14 +96,14 @@
 
 // playPool has callers send requests for a while through an entry with the memory budgets of a machine of 128 MB.
 func playPool(t testing.TB, row endlessRow, callers, each int, setup func(*testProxy)) *load {
-	const pool, bad, budget = 24, 12, 16 << 20
+	const pool, bad, memory = 24, 12, 16 << 20
 	ups, most := startPool(t, pool, bad, row)
 	s := newTestProxy(t, row.kind, true, ups...)
 	setup(s)
 	s.Book.Current().Plan.Routes[0].Attempts = 3
 	s.pools.retries = callers * each * 3
 	s.routeBy(1)
-	s.BodyMemory, s.ResponseMemory = semaphore.NewWeighted(budget), semaphore.NewWeighted(budget)
+	s.BodyMemory, s.ResponseMemory = &budget.Budget{Size: memory}, &budget.Budget{Size: memory}
 	l := &load{}
 	ctx, stop := context.WithCancel(t.Context())
 	peak := make(chan float64)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -19,10 +19,10 @@
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sync/semaphore"
 
 	"magnoliastall.example/entry/hop"
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/budget"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/gate"
 	"magnoliastall.example/magno/keys"
@@ -147,7 +147,7 @@
 	// BodyMemory and ResponseMemory limit the bytes of request bodies and of upstreams'
 	// responses that are held in memory at the same time. They are nil where memory isn't
 	// limited.
-	BodyMemory, ResponseMemory *semaphore.Weighted
+	BodyMemory, ResponseMemory *budget.Budget
 
 	tables atomic.Pointer[configTables]
 	// tablesMu is held while tables are built. For thousands of routes this takes a small
@@ -230,7 +230,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	j := &job{Handler: h, w: w, r: r, received: h.Clock.Now(), snap: h.Book.Current()}
-	j.bodyMem.sem, j.responseMem.sem = h.BodyMemory, h.ResponseMemory
+	j.bodyMem.budget, j.responseMem.budget = h.BodyMemory, h.ResponseMemory
 	defer j.bodyMem.release()
 	defer j.responseMem.release()
 	j.call = h.Dialect.Read(r.Header)
--- a/entry/relay/replaced_test.go
+++ b/entry/relay/replaced_test.go
@@ -8,9 +8,8 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/budget"
 )
 
 // Guards against a sound upstream that is given up for one that brings nothing new, and then fails.
@@ -52,12 +51,12 @@
 		return true
 	})
 	s := newSilentProxy(t, magno.RouteOnce, false, u)
-	s.ResponseMemory = semaphore.NewWeighted(room)
-	if !s.ResponseMemory.TryAcquire(room / 4) {
+	s.ResponseMemory = &budget.Budget{Size: room}
+	if _, ok := s.ResponseMemory.Grow(0, room/4); !ok {
 		t.Fatal("no memory")
 	}
-	go func() { _ = s.ResponseMemory.Acquire(t.Context(), room) }()
-	waitFor(t, "a wait for memory", func() bool { return !s.ResponseMemory.TryAcquire(0) })
+	go func() { _, _ = s.ResponseMemory.Acquire(t.Context(), room) }()
+	waitFor(t, "a wait for memory", func() bool { return s.ResponseMemory.Waiting() == 1 })
 	res, body, err := s.get(t, http.MethodPost, "1")
 	if err != nil || res.StatusCode != http.StatusOK || body != "yes" {
 		t.Errorf("got %v %q %v, want the answer", res, body, err)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -15,7 +15,6 @@
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sync/semaphore"
 
 	"magnoliastall.example/entry/desk"
 	"magnoliastall.example/entry/hop"
@@ -29,6 +28,7 @@
 	"magnoliastall.example/entry/trial"
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/admin"
+	"magnoliastall.example/magno/budget"
 	"magnoliastall.example/magno/builds"
 	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/event"
@@ -154,11 +154,11 @@
 
 // memoryBudget bounds the bytes that requests hold at the same time; nil if memory isn't
 // limited.
-func memoryBudget(memory int64) *semaphore.Weighted {
+func memoryBudget(memory int64) *budget.Budget {
 	if memory <= 0 {
 		return nil
 	}
-	return semaphore.NewWeighted(max(memory/memoryShare, minMemoryBudget))
+	return &budget.Budget{Size: max(memory/memoryShare, minMemoryBudget)}
 }
 
 func (e *entry) tasks() []magno.Task {
--- a/entry/site/ways_test.go
+++ b/entry/site/ways_test.go
@@ -12,9 +12,8 @@
 	"strconv"
 	"testing"
 
-	"golang.org/x/sync/semaphore"
-
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/budget"
 	"magnoliastall.example/magno/shed"
 	"magnoliastall.example/magno/strain"
 )
@@ -116,12 +115,14 @@
 // takeMemory leaves no memory for further bodies and answers until the returned function is called.
 func (r *rig) takeMemory() (free func()) {
 	var taken []func()
-	for _, m := range []*semaphore.Weighted{r.entry.front.relay.BodyMemory, r.entry.front.relay.ResponseMemory} {
-		n := int64(0)
-		for m.TryAcquire(1) {
-			n++
+	for _, m := range []*budget.Budget{r.entry.front.relay.BodyMemory, r.entry.front.relay.ResponseMemory} {
+		seq, n := int64(0), int64(0)
+		for ok := true; ok; {
+			if seq, ok = m.Grow(seq, 1); ok {
+				n++
+			}
 		}
-		taken = append(taken, func() { m.Release(n) })
+		taken = append(taken, func() { m.Release(seq, n) })
 	}
 	return func() {
 		for _, release := range taken {
@@ -140,7 +141,7 @@
 		t.Run(state, func(t *testing.T) {
 			r := startRig(t, state == "answering", state == "streaming", state != "first configuration")
 			relay := r.entry.front.relay
-			relay.BodyMemory, relay.ResponseMemory = semaphore.NewWeighted(1<<16), semaphore.NewWeighted(1<<16)
+			relay.BodyMemory, relay.ResponseMemory = &budget.Budget{Size: 1 << 16}, &budget.Budget{Size: 1 << 16}
 			var free func()
 			c := states[state](t, r, func() { free = r.takeMemory() })
 			if state == "second request" {
