relay: a caller's body takes the memory that is reserved for it

The bodies of callers took twice what the entry counts for them: io.ReadAll moves what it has read each time its buffer is full, and what it held before stays until it is collected. Bodies within the limit could so fill a small machine, which ends an entry with all its requests.

A body is read into blocks that stay where they are, as answers are. The blocks grow with what arrives, also where the caller states a length, for one that states much and sends nothing must take nothing; the last is no longer than what is left of that length. An answer of a stated length is reserved as a whole and still read into one block.

TestBodyOfACallerTakesTheMemoryThatIsReservedForIt failed before: 17.1 MB were allocated for a body of 8.4 MB, of a stated length and without; it demands a tenth more than the body at most. TestFingerprintIsThatOfTheWholeBody keeps the same request recognised.

readAll is gone, and TestReservationCountsBytesRead demands of readBlocks, for each of nine lengths, what it demanded of both. Other tests build bodies of one block.

--- a/entry/hop/send_test.go
+++ b/entry/hop/send_test.go
@@ -1,6 +1,8 @@
 package hop
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -35,3 +37,32 @@
 		t.Errorf("%d bytes were allocated for a body of %d", n, size)
 	}
 }
+
+// Guards against a body that arrives cut, doubled or out of order because it is sent in several writes.
+func TestBodyInBlocksArrivesWhole(t *testing.T) {
+	for _, sizes := range [][]int{{}, {0}, {1}, {maxJoined}, {maxJoined + 1}, {1, maxJoined, 1}, {maxJoined - 1, 1, 1}, {maxJoined + 1, 0, 1, 1}} {
+		var blocks [][]byte
+		for i, size := range sizes {
+			blocks = append(blocks, bytes.Repeat([]byte{byte('a' + i)}, size))
+		}
+		local, remote := net.Pipe()
+		failed := make(chan error, 1)
+		go func() {
+			c := &Conn{Conn: local}
+			failed <- c.Send(&Request{Method: http.MethodPost, Target: "/", Host: "h", Body: blocks})
+			local.Close()
+		}()
+		r, err := http.ReadRequest(bufio.NewReader(remote))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(r.Body)
+		if err != nil || !bytes.Equal(got, bytes.Join(blocks, nil)) {
+			t.Errorf("%v: got %d bytes, %v", sizes, len(got), err)
+		}
+		if err := <-failed; err != nil {
+			t.Error(err)
+		}
+		remote.Close()
+	}
+}
--- a/entry/relay/body.go
+++ b/entry/relay/body.go
@@ -17,7 +17,7 @@
 //
 // Load pattern: callers stop within their bodies, or send a byte a second. Each would hold a connection, its goroutine
 // and the memory of what has come.
-func (j *job) readBodyInTime(limit int64) ([]byte, error) {
+func (j *job) readBodyInTime(limit int64) ([][]byte, error) {
 	if j.r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -28,7 +28,7 @@
 	control := http.NewResponseController(j.w)
 	// Not all writers of tests have a connection.
 	_ = control.SetReadDeadline(time.Now().Add(max(due-j.Clock.Now(), 1).Duration()))
-	body, err := j.bodyMem.readAll(j.r.Body, limit)
+	body, err := j.bodyMem.readBlocks(j.r.Body, j.r.ContentLength, limit)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// The deadline stays: what is left of the body isn't waited for before the connection is closed.
 		return nil, errors.Mark(err, errBodyLate)
@@ -49,7 +49,7 @@
 		limit = plan.Body
 	}
 	if j.bodyRead {
-		return refuseLarge(int64(len(j.body)), limit)
+		return refuseLarge(int64(sizeOf(j.body)), limit)
 	}
 	if j.r.ContentLength > limit {
 		return magno.Refuse(magno.KindTooLarge, "a body of %d bytes", j.r.ContentLength)
@@ -65,7 +65,7 @@
 	if err != nil {
 		return magno.Refuse(magno.KindMalformed, "the body ended early: %v", err)
 	}
-	if refusal := refuseLarge(int64(len(body)), limit); refusal != nil {
+	if refusal := refuseLarge(int64(sizeOf(body)), limit); refusal != nil {
 		return refusal
 	}
 	j.body, j.bodyRead = body, true
--- a/entry/relay/body_test.go
+++ b/entry/relay/body_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -136,3 +137,40 @@
 		})
 	}
 }
+
+// Guards against bodies of callers that take several times the memory that is reserved for them.
+func TestBodyOfACallerTakesTheMemoryThatIsReservedForIt(t *testing.T) {
+	const size, tolerance = 8 << 20, 1.1
+	for _, length := range []int64{-1, size} {
+		j := &job{Handler: &Handler{Clock: magno.NewMonotonic()}, w: httptest.NewRecorder()}
+		j.r = httptest.NewRequest(http.MethodPost, "/", &io.LimitedReader{R: zeros{}, N: size})
+		j.r.ContentLength = length
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		body, err := j.readBodyInTime(size)
+		runtime.ReadMemStats(&after)
+		if n := sizeOf(body); err != nil || n != size {
+			t.Fatalf("got %d bytes, %v", n, err)
+		}
+		if n := after.TotalAlloc - before.TotalAlloc; float64(n) > tolerance*size {
+			t.Errorf("length %d: %d bytes were allocated for a body of %d", length, n, size)
+		}
+	}
+}
+
+// Guards against a request that isn't recognised when it comes again in other pieces, and so ends one upstream after
+// the other.
+func TestFingerprintIsThatOfTheWholeBody(t *testing.T) {
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	prints := map[uint64]bool{}
+	for _, body := range [][]string{{"body"}, {"b", "ody"}, {"bod", "", "y"}} {
+		j := &job{r: r}
+		for _, block := range body {
+			j.body = append(j.body, []byte(block))
+		}
+		prints[j.computeFingerprint()] = true
+	}
+	if len(prints) != 1 {
+		t.Errorf("%d fingerprints of one body", len(prints))
+	}
+}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -50,7 +50,8 @@
 	// id identifies the caller's attempt.
 	id    string
 	route *magno.Route
-	body  []byte
+	// body is in blocks, one after the other.
+	body [][]byte
 	// bodyRead is true once body was read, bodyLate if it wasn't complete in time.
 	bodyRead, bodyLate bool
 	// bodyMem and responseMem are the memory reserved for the body and for an upstream's
--- a/entry/relay/memory.go
+++ b/entry/relay/memory.go
@@ -12,7 +12,7 @@
 // errNoMemory means that the limit of BodyMemory or ResponseMemory is reached.
 var errNoMemory = errors.New("memory budget exhausted")
 
-// Sizes in bytes of the blocks of a body whose length isn't known: the first, and the largest.
+// Sizes in bytes of the blocks of a body that isn't reserved before: the first, and the largest.
 const (
 	minBlock = 512
 	maxBlock = 256 << 10
@@ -33,6 +33,7 @@
 // acquire reserves a number of bytes where none are reserved, and waits until they are available.
 func (r *reservation) acquire(ctx context.Context, bytes int64) error {
 	if r.budget == nil {
+		r.reserved = bytes
 		return nil
 	}
 	seq, err := r.budget.Acquire(ctx, bytes)
@@ -47,26 +48,25 @@
 func (r *reservation) release() {
 	if r.budget != nil {
 		r.budget.Release(r.seq, r.reserved)
-		r.seq, r.reserved = 0, 0
 	}
+	r.seq, r.reserved = 0, 0
 }
 
-// readAll reads src up to limit bytes, and one byte more if src is longer. It reserves bytes as
-// they arrive, beyond those reserved before, and fails with errNoMemory if none are available.
-func (r *reservation) readAll(src io.Reader, limit int64) ([]byte, error) {
-	return io.ReadAll(&reservingReader{reservation: r, prereserved: r.reserved, src: io.LimitReader(src, limit+1)})
-}
-
-// readBlocks is readAll that doesn't move what it has read, so that a body takes no more memory than is reserved for it.
-// It reads a body of a known length into one block; length is negative if it isn't known.
+// readBlocks reads src up to limit bytes, and one byte more if src is longer. It reserves bytes as they arrive, beyond
+// those reserved before, and fails with errNoMemory if none are available. It doesn't move what it has read, so that a
+// body takes no more memory than is reserved for it. Length is that of src, negative if it isn't known. If all of that
+// is reserved, it is read into one block; else the blocks grow with what arrives.
 func (r *reservation) readBlocks(src io.Reader, length, limit int64) ([][]byte, error) {
 	in := &reservingReader{reservation: r, prereserved: r.reserved, src: io.LimitReader(src, limit+1)}
 	next := int64(minBlock)
-	if length >= 0 {
+	if length >= 0 && r.reserved >= length {
 		next = length + 1 // the last read finds the end
 	}
 	var blocks [][]byte
-	for {
+	for got := int64(0); ; {
+		if got <= length {
+			next = min(next, length-got+1)
+		}
 		block := make([]byte, next)
 		n, err := fillBlock(in, block)
 		if n > 0 {
@@ -78,6 +78,7 @@
 		if err != nil {
 			return nil, err
 		}
+		got += next
 		next = min(2*max(next, minBlock), maxBlock)
 	}
 }
--- a/entry/relay/memory_test.go
+++ b/entry/relay/memory_test.go
@@ -137,24 +137,20 @@
 		{"cut", 100, 0, text("1234", io.ErrUnexpectedEOF), "", true},
 	} {
 		s := &reservation{budget: &budget.Budget{Size: c.room}}
-		if err := s.acquire(t.Context(), c.ready); err != nil {
-			t.Fatal(err)
-		}
-		got, err := s.readAll(c.src(), 8)
-		if (err != nil) != c.fails || (!c.fails && string(got) != c.want) {
-			t.Errorf("%s: got %q, %v", c.name, got, err)
-		}
-		s.release()
-		if err := s.acquire(t.Context(), c.ready); err != nil {
-			t.Fatal(err)
-		}
-		blocks, err := s.readBlocks(c.src(), -1, 8)
-		if (err != nil) != c.fails || (!c.fails && string(bytes.Join(blocks, nil)) != c.want) {
-			t.Errorf("%s in blocks: got %q, %v", c.name, blocks, err)
-		}
-		s.release()
-		if _, ok := s.budget.Grow(0, c.room); !ok {
-			t.Errorf("%s: not all memory was released", c.name)
+		for _, length := range []int64{-1, c.ready, 1, 4, 5, 7, 8, 10, 1000} {
+			if err := s.acquire(t.Context(), c.ready); err != nil {
+				t.Fatal(err)
+			}
+			blocks, err := s.readBlocks(c.src(), length, 8)
+			if (err != nil) != c.fails || (!c.fails && string(bytes.Join(blocks, nil)) != c.want) {
+				t.Errorf("%s, length %d: got %q, %v", c.name, length, blocks, err)
+			}
+			s.release()
+			seq, ok := s.budget.Grow(0, c.room)
+			if !ok {
+				t.Fatalf("%s, length %d: not all memory was released", c.name, length)
+			}
+			s.budget.Release(seq, c.room)
 		}
 	}
 }
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -216,7 +216,7 @@
 		Replica: r.ID, Left: j.deadline - j.Clock.Now(), Urgency: min(max(urgency, 0), 9), From: j.lastEvent,
 		Customer: j.customerName(), Keyed: len(j.snap.Plan.Customers) > 0,
 	})
-	return &hop.Request{Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: [][]byte{j.body}}
+	return &hop.Request{Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body}
 }
 
 // headTimeout returns the time after which another upstream is tried, if one may be.
--- a/entry/relay/suspect.go
+++ b/entry/relay/suspect.go
@@ -34,7 +34,9 @@
 		_, _ = d.WriteString(part) // a Digest returns no errors
 		_, _ = d.WriteString("\n")
 	}
-	_, _ = d.Write(j.body)
+	for _, block := range j.body {
+		_, _ = d.Write(block)
+	}
 	return crash.RequestPrint(d.Sum64())
 }
 
--- a/entry/relay/suspect_test.go
+++ b/entry/relay/suspect_test.go
@@ -255,7 +255,7 @@
 		r := httptest.NewRequest(method, target, nil)
 		r.RemoteAddr = remote
 		r.Header.Set("Id", rand.Text())
-		return (&job{r: r, customer: &magno.Customer{Name: customer}, body: []byte(body)}).computeFingerprint()
+		return (&job{r: r, customer: &magno.Customer{Name: customer}, body: [][]byte{[]byte(body)}}).computeFingerprint()
 	}
 	base := fingerprint("GET", "/p/1?q=a", "10.0.0.1:1000", "k", "")
 	if got := fingerprint("GET", "/p/1?q=a", "10.0.0.2:2000", "k", ""); got != base || got == 0 {
@@ -419,7 +419,7 @@
 			s.awaitChecks(t)
 			r := httptest.NewRequest(http.MethodPost, "/p/fatal", nil)
 			r.Host = "h.example"
-			fatal := &job{Handler: s.Handler, r: r, body: []byte("body")}
+			fatal := &job{Handler: s.Handler, r: r, body: [][]byte{[]byte("body")}}
 			if n := s.Suspects.Count(fatal.computeFingerprint()); n != 1 {
 				t.Errorf("%d ends are known under the request, want one", n)
 			}
--- a/entry/relay/waiting_test.go
+++ b/entry/relay/waiting_test.go
@@ -108,7 +108,7 @@
 		s.Trials = &eventTrials{event: func() { event(s) }}
 		r := httptest.NewRequest(http.MethodPost, "/p/1", nil)
 		r.Host = "h.example"
-		j := &job{Handler: s.Handler, r: r, body: []byte("body"), customer: &s.changes[0].Plan.Customers[0]}
+		j := &job{Handler: s.Handler, r: r, body: [][]byte{[]byte("body")}, customer: &s.changes[0].Plan.Customers[0]}
 		for n := range uint64(3) {
 			s.Suspects.RecordEnd(j.computeFingerprint(), magno.UpstreamEnd{Upstream: n + 1})
 		}
