--- a/entry/relay/memory_test.go
+++ b/entry/relay/memory_test.go
@@ -12,9 +12,8 @@
 	"testing"
 	"testing/iotest"
 
-	"golang.org/x/sync/semaphore"
-
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/budget"
 	"magnoliastall.example/magno/listen"
 )
 
@@ -59,7 +58,7 @@
 	})
 	s := newTestProxy(t, magno.RouteIdempotent, false, u)
 	s.Book.Current().Plan.Routes[0].Aim = 10_000
-	s.BodyMemory = semaphore.NewWeighted(6) // one body of four bytes, not two
+	s.BodyMemory = &budget.Budget{Size: 6} // one body of four bytes, not two
 	slow := make(chan int, 1)
 	go func() {
 		res, _, err := s.get(t, http.MethodPost, "slow")
@@ -137,25 +136,21 @@
 		{"one over the limit", 100, 0, text("1234567890", nil), "123456789", false},
 		{"cut", 100, 0, text("1234", io.ErrUnexpectedEOF), "", true},
 	} {
-		s := &reservation{sem: semaphore.NewWeighted(c.room)}
-		if err := s.acquire(t.Context(), c.ready); err != nil {
-			t.Fatal(err)
-		}
-		got, err := s.readAll(c.src(), 8)
-		if (err != nil) != c.fails || (!c.fails && string(got) != c.want) {
-			t.Errorf("%s: got %q, %v", c.name, got, err)
-		}
-		s.release()
-		if err := s.acquire(t.Context(), c.ready); err != nil {
-			t.Fatal(err)
-		}
-		blocks, err := s.readBlocks(c.src(), -1, 8)
-		if (err != nil) != c.fails || (!c.fails && string(bytes.Join(blocks, nil)) != c.want) {
-			t.Errorf("%s in blocks: got %q, %v", c.name, blocks, err)
-		}
-		s.release()
-		if !s.sem.TryAcquire(c.room) {
-			t.Errorf("%s: not all memory was released", c.name)
+		s := &reservation{budget: &budget.Budget{Size: c.room}}
+		for _, length := range []int64{-1, c.ready, 1, 4, 5, 7, 8, 10, 1000} {
+			if err := s.acquire(t.Context(), c.ready); err != nil {
+				t.Fatal(err)
+			}
+			blocks, err := s.readBlocks(c.src(), length, 8)
+			if (err != nil) != c.fails || (!c.fails && string(bytes.Join(blocks, nil)) != c.want) {
+				t.Errorf("%s, length %d: got %q, %v", c.name, length, blocks, err)
+			}
+			s.release()
+			seq, ok := s.budget.Grow(0, c.room)
+			if !ok {
+				t.Fatalf("%s, length %d: not all memory was released", c.name, length)
+			}
+			s.budget.Release(seq, c.room)
 		}
 	}
 }
