route: a rest that an upstream stated ends at its time

Seen: the only engine that holds an adapter, and is free, was not chosen for minutes after the rest that it had stated (Retry-After) had ended. With two customers it was also the other way round: one without queued jobs there was sent to an agent whose engine rests, and waited there.

Cause: an agent's backlog states a rest as a wait like any other, and the router halves a wait every 20 s, as queues turn over: 7.5 s of 60 s were left after 60 s. Nothing is sent there meanwhile, so no answer replaces the report. Of customers' waits only those with queued jobs are listed, and the others counted as zero.

Change: the backlog states its rest, and the router counts that down, whoever the customer is; what a wait has beyond it decays as before. An agent of the version before doesn't state it, and an entry of the version before passes it over: there the wait decays as before.

TestReportedRestEndsAtItsTime failed before in its cases of a rest alone, a short queue, others' queue and an own queue; those of a long queue and of an agent of the version before keep what was right.

--- a/magno/iface.go
+++ b/magno/iface.go
@@ -82,6 +82,9 @@
 type Backlog struct {
 	// Wait is the expected time until a new job would start if its adapter is loaded.
 	Wait Millis `json:"wait,omitempty"`
+	// Rest is the time until the upstream accepts jobs again by what it stated, zero if it does
+	// now or if the agent is of a version that doesn't send it. Wait contains it, and so do Waits.
+	Rest Millis `json:"rest,omitempty"`
 	// Queued and Running count jobs.
 	Queued  int `json:"queued,omitempty"`
 	Running int `json:"running,omitempty"`
--- a/magno/route/choose.go
+++ b/magno/route/choose.go
@@ -249,9 +249,12 @@
 }
 
 // expectedWait returns the wait that p reported for a place in the batch and for the
-// adapter. The wait for a place decays with the age of the report.
+// adapter. The wait for a place decays with the age of the report, except for the part that
+// is a rest of the upstream: that lasts until its end, and not longer.
 func (r *Router) expectedWait(q *query, p *peer) float64 {
-	wait := float64(p.queueWait(q.Customer)) * decay(q.now-p.reportedAt, reportHalfLife)
+	age := q.now - p.reportedAt
+	beyondRest := max(p.queueWait(q.Customer)-p.report.Rest, 0)
+	wait := float64(beyondRest)*decay(age, reportHalfLife) + float64(max(p.report.Rest-age, 0))
 	if q.hash == 0 {
 		return wait
 	}
--- a/magno/route/rest_test.go
+++ b/magno/route/rest_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"testing"
 
 	"magnoliastall.example/magno"
@@ -64,3 +65,44 @@
 		}
 	}
 }
+
+// routedAt returns the first choices for an adapter at the given times after the report of its
+// only holder, u0.
+func routedAt(b magno.Backlog, customer string, times ...magno.Millis) []string {
+	r, clock := newRoute(2)
+	b.Warm = []uint32{ref(1).Hash()}
+	r.Report("u0", b)
+	start := clock.Now()
+	var names []string
+	for _, at := range times {
+		clock.Advance(start + at - clock.Now())
+		names = append(names, r.Route(magno.Query{Ref: ref(1), Customer: customer})[0])
+	}
+	return names
+}
+
+// Guards against work for an upstream during the rest that it stated, and against work that is
+// kept away by that afterwards. Work that is queued there, and the wait that an agent states
+// without its rest, counts less with the age of the report.
+func TestReportedRestEndsAtItsTime(t *testing.T) {
+	times := []magno.Millis{0, 55 * magno.Second, 61 * magno.Second}
+	queue := map[string]magno.Millis{"queued": magno.Minute + 100}
+	tests := []struct {
+		name     string
+		backlog  magno.Backlog
+		customer string
+		want     []string
+	}{
+		{"rest alone", magno.Backlog{Wait: magno.Minute, Rest: magno.Minute}, "", []string{"u1", "u1", "u0"}},
+		{"short queue", magno.Backlog{Wait: magno.Minute + 100, Rest: magno.Minute}, "", []string{"u1", "u1", "u0"}},
+		{"long queue", magno.Backlog{Wait: 3 * magno.Minute, Rest: magno.Minute}, "", []string{"u1", "u1", "u1"}},
+		{"others' queue", magno.Backlog{Wait: magno.Minute, Rest: magno.Minute, Waits: queue}, "other", []string{"u1", "u1", "u0"}},
+		{"own queue", magno.Backlog{Wait: magno.Minute, Rest: magno.Minute, Waits: queue}, "queued", []string{"u1", "u1", "u0"}},
+		{"agent of an earlier version", magno.Backlog{Wait: magno.Minute}, "", []string{"u1", "u1", "u1"}},
+	}
+	for _, tt := range tests {
+		if got := routedAt(tt.backlog, tt.customer, times...); !slices.Equal(got, tt.want) {
+			t.Errorf("%s: chose %v at %v ms, want %v", tt.name, got, times, tt.want)
+		}
+	}
+}
--- a/magno/sched/report.go
+++ b/magno/sched/report.go
@@ -36,16 +36,18 @@
 	for _, r := range s.runs {
 		work += max(r.job.Prompt+r.job.Output-r.generated, 0)
 	}
+	now := s.Clock.Now()
 	b := magno.Backlog{
 		Wait: max(s.gate.EstimateWait(s.queue.ReadyRun(), s.batcher.FreePlaces(len(s.runs)), magno.Millis(s.meanRun)),
-			s.noticeDelay(s.queue.Len()+1, s.Clock.Now())),
+			s.noticeDelay(s.queue.Len()+1, now)),
+		Rest:   max(s.restUntil-now, 0),
 		Queued: s.queue.Len(), Running: len(s.runs), Work: work,
 		Pinned: s.slots.Pinned(), Held: s.slots.Held(),
 		Customer: s.queue.Customers(), Waits: s.waitsByCustomer(),
 	}
 	if s.Limits.Slots > 0 {
 		b.Loads = s.queue.Unready()
-		b.LoadWait = s.loadWait(magno.Ref{Adapter: "?"}, magno.Millis(s.meanPatience), s.Clock.Now()) + s.Limits.Load
+		b.LoadWait = s.loadWait(magno.Ref{Adapter: "?"}, magno.Millis(s.meanPatience), now) + s.Limits.Load
 		b.Warm = s.slots.Warm()
 	}
 	return b
