loop: an agent doesn't state the whole of a rest that is partly over

Seen: a request that an agent refuses at once, as its time ends within the rest or as the agent is leaving, got the rest stated anew in its reply, at full length, and its entry kept requests away for as long after the end.

Cause: the backlog in a reply is that of the scheduler's last decision, and none is taken while nothing happens.

Change: the backlog is kept with its time, and a rest, with the waits that contain it, is shorter by what has passed since.

--- a/agent/loop/loop.go
+++ b/agent/loop/loop.go
@@ -85,7 +85,13 @@
 	// loadsInFlight counts the loads among ordersInFlight.
 	loadsInFlight int
 	// backlog is the scheduler's latest backlog, for other goroutines.
-	backlog atomic.Pointer[magno.Backlog]
+	backlog atomic.Pointer[backlogAt]
+}
+
+// backlogAt is a backlog and when it was taken.
+type backlogAt struct {
+	magno.Backlog
+	at magno.Millis
 }
 
 // pending is a job that waits to be started.
@@ -204,7 +210,7 @@
 		}
 	}
 	backlog := l.Scheduler.Backlog()
-	l.backlog.Store(&backlog)
+	l.backlog.Store(&backlogAt{Backlog: backlog, at: l.Clock.Now()})
 	if backlog.Loads > 0 {
 		select {
 		case l.loadWanted <- struct{}{}:
--- a/agent/loop/state.go
+++ b/agent/loop/state.go
@@ -67,10 +67,11 @@
 	})
 }
 
-// Backlog returns the scheduler's latest backlog.
+// Backlog returns the scheduler's latest backlog. That may be long ago, for it changes with steps
+// only, while a rest goes by without any.
 func (l *Loop) Backlog() magno.Backlog {
 	if b := l.backlog.Load(); b != nil {
-		return *b
+		return b.Aged(l.Clock.Now() - b.at)
 	}
 	return magno.Backlog{}
 }
