serve: entries are told when a restart ends the rest of an upstream

Seen: an engine that asked for minutes of rest and was restarted got no requests until the time that it had named, though its agent accepted them at once.

Cause: an entry learns the state of an agent of the product's own interface from replies only, and sends nothing there within a rest. The restart ends the rest at the agent, and no reply tells it.

Change: a call says where its entry takes reports. The agent keeps which entries it told of a rest, and reports its backlog to them once that has ended before its time. That is at most one message for each that was told. An entry or an agent of the version before passes the field and the notification over: there the rest lasts for the time that was named.

--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -104,6 +104,7 @@
 		ConfigVersion: a.Store.Version, Retired: a.retired, Ready: a.ready, Build: a.build,
 	}
 	a.server.Register(a.Mesh)
+	a.loop.OnRestCut = a.server.ReportRestCut
 	a.Fleet.OnChange = a.applyListedState
 	a.turns = &turns.Turns{
 		Self: opts.Name, Pool: opts.Pool, Clock: a.Clock, Loop: a.loop, Mesh: a.Mesh, Fleet: a.Fleet, Log: log,
--- a/agent/loop/loop.go
+++ b/agent/loop/loop.go
@@ -52,6 +52,9 @@
 	Log    *slog.Logger
 	// Suspects records requests under which the upstream ended. It may be nil.
 	Suspects *crash.Suspects
+	// OnRestCut is called when a rest of the upstream ends before its time, by a restart. It may be
+	// nil and must not block.
+	OnRestCut func()
 	// Self is the name of this instance, Pool the pool of the upstream. They identify the upstream
 	// among others.
 	Self, Pool string
@@ -209,8 +212,12 @@
 			l.order(ctx, order)
 		}
 	}
+	now := l.Clock.Now()
 	backlog := l.Scheduler.Backlog()
-	l.backlog.Store(&backlogAt{Backlog: backlog, at: l.Clock.Now()})
+	before := l.backlog.Swap(&backlogAt{Backlog: backlog, at: now})
+	if before != nil && before.Aged(now-before.at).Rest > 0 && backlog.Rest == 0 && l.OnRestCut != nil {
+		l.OnRestCut()
+	}
 	if backlog.Loads > 0 {
 		select {
 		case l.loadWanted <- struct{}{}:
--- a/agent/loop/state_test.go
+++ b/agent/loop/state_test.go
@@ -38,3 +38,38 @@
 		t.Error("the scheduler's own backlog was changed")
 	}
 }
+
+// Guards against entries that leave an upstream alone long after a restart that ended its rest,
+// and against reports of rests that end at their time.
+func TestRestThatARestartEndsIsReported(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	sched := &restingSched{}
+	l := New()
+	l.Clock, l.Scheduler = clock, sched
+	cuts := 0
+	l.OnRestCut = func() { cuts++ }
+	for _, tt := range []struct {
+		name       string
+		after      magno.Millis
+		rest       magno.Millis
+		cutsByThen int
+	}{
+		{"none yet", 0, 0, 0},
+		{"begins", 0, magno.Minute, 0},
+		{"goes on", 20_000, 40_000, 0},
+		{"has ended", 40_000, 0, 0},
+		{"begins again", 0, magno.Minute, 0},
+		{"is cut", 59_000, 0, 1},
+		{"stays cut", 500, 0, 1},
+	} {
+		clock.Advance(tt.after)
+		sched.backlog = magno.Backlog{Wait: tt.rest, Rest: tt.rest}
+		l.applyOrders(context.Background())
+		if cuts != tt.cutsByThen {
+			t.Errorf("%d reports when a rest %s, want %d", cuts, tt.name, tt.cutsByThen)
+		}
+		if rest := l.Backlog().Rest; rest != tt.rest {
+			t.Errorf("a rest of %d ms is stated when it %s", rest, tt.name)
+		}
+	}
+}
--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -61,6 +61,10 @@
 	// busy counts the runs under way. A planned stop waits until it is zero.
 	busy atomic.Int64
 
+	mesh *wire.Mesh
+	// toldRests are the entries that were told of a rest of the upstream.
+	toldRests toldRests
+
 	mu sync.Mutex
 	// cancels maps the ID of a call to the cancel function of its context.
 	cancels map[string]context.CancelFunc
@@ -69,6 +73,7 @@
 // Register registers the handlers on a mesh.
 func (s *Server) Register(m *wire.Mesh) {
 	s.cancels = map[string]context.CancelFunc{}
+	s.mesh = m
 	m.Handle(magno.MethodRun, s.run)
 	m.Handle(magno.MethodCancel, s.cancel)
 	m.Handle(magno.MethodTicket, s.ticket)
@@ -120,6 +125,7 @@
 	defer s.busy.Add(-1)
 	reply := s.dispatch(ctx, peer, &call)
 	reply.Backlog = s.Loop.Backlog()
+	s.toldRests.add(call.From, s.Clock.Now(), reply.Backlog.Rest)
 	reply.Config = s.ConfigVersion()
 	outcome := "ok"
 	if reply.Refusal != nil {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -67,8 +67,9 @@
 	e.Fleet.OnChange, e.OnConfig = e.routers.update, e.follow
 	sender := &send.Sender{
 		Clock: e.Clock, Mesh: e.Mesh, Fleet: e.Fleet, Router: e.routers.pool, Budget: e.routers.budget, Suspects: e.Suspects,
-		Events: e.Events, Attempts: opts.Attempts, DataCentre: opts.DataCentre,
+		Events: e.Events, Self: opts.Peer, Attempts: opts.Attempts, DataCentre: opts.DataCentre,
 	}
+	sender.Register()
 	homes := &quotaHomes{self: e.Self, fleet: e.Fleet, store: e.Store}
 	e.lease = &lease.Manager{
 		Self: opts.Peer, Mesh: e.Mesh, Homes: homes.forCustomer, Count: homes.count, Limit: homes.limit, Clock: e.Clock, Log: log,
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -57,6 +57,8 @@
 	// Suspects records requests during which upstreams failed.
 	Suspects *crash.Suspects
 	Events   *event.Ring
+	// Self is the address at which this process takes reports of agents.
+	Self string
 	// Attempts is the maximum number of attempts per request.
 	Attempts   int
 	DataCentre string
@@ -254,6 +256,7 @@
 	call := magno.RunCall{
 		Call: fmt.Sprintf("%s/%d", id, n), Key: r.Key, Work: r.Work, Stream: r.Stream,
 		Config: r.ConfigVersion, Left: r.Deadline - s.Clock.Now(), Ends: s.Suspects.Ends(r.Work.Job.Fingerprint),
+		From: s.Self,
 	}
 	call.Work.Job.ID = fmt.Sprintf("%s.%d", id, n)
 	if call.Left <= 0 {
--- a/entry/send/send_test.go
+++ b/entry/send/send_test.go
@@ -25,7 +25,11 @@
 const testTimeout = 30 * magno.Second
 
 // router returns the agents in order, without those to be avoided.
-type router struct{ names []string }
+type router struct {
+	names []string
+	// reports gets each report if it isn't nil.
+	reports chan magno.BacklogReport
+}
 
 func (r *router) Update([]magno.Target) {}
 func (r *router) Route(q magno.Query) []string {
@@ -36,7 +40,11 @@
 	}
 	return nil
 }
-func (r *router) Report(string, magno.Backlog)          {}
+func (r *router) Report(name string, b magno.Backlog) {
+	if r.reports != nil {
+		r.reports <- magno.BacklogReport{Agent: name, Backlog: b}
+	}
+}
 func (r *router) Sent(string, int)                      {}
 func (r *router) Ended(string, int, magno.Millis, bool) {}
 func (r *router) Homes(_ magno.Query, _ string, n int) []string {
@@ -50,6 +58,8 @@
 	budget *retry.Budget
 	// stream sends the parts after the first; if nil, none are sent.
 	stream func(ctx context.Context, peer *wire.Peer)
+	// from gets where the caller of each run takes reports, if it isn't nil.
+	from chan string
 
 	mu sync.Mutex
 	// calls lists the agents called, in order; scripts holds the answers of each, the
@@ -74,7 +84,8 @@
 		in := magno.Instance{Name: name, Role: magno.RoleAgent, Pool: "p", State: magno.InstanceLive, Address: "127.0.0.1:1"}
 		if name != "x" {
 			m := &wire.Mesh{Listen: "127.0.0.1:0"}
-			m.Handle(magno.MethodRun, func(ctx context.Context, peer *wire.Peer, _ json.RawMessage) (any, error) {
+			m.Handle(magno.MethodRun, func(ctx context.Context, peer *wire.Peer, params json.RawMessage) (any, error) {
+				h.note(params)
 				if h.stream != nil {
 					_ = peer.Notify(ctx, magno.MethodPart, magno.RunPart{Seq: 1, Piece: magno.Piece{Text: "t"}})
 					h.stream(ctx, peer)
@@ -113,6 +124,15 @@
 	return h
 }
 
+func (h *harness) note(params json.RawMessage) {
+	if h.from == nil {
+		return
+	}
+	var call magno.RunCall
+	_ = json.Unmarshal(params, &call)
+	h.from <- call.From
+}
+
 func (h *harness) answer(ctx context.Context, name string) (any, error) {
 	h.mu.Lock()
 	h.calls = append(h.calls, name)
--- a/magno/wire.go
+++ b/magno/wire.go
@@ -7,10 +7,13 @@
 	MethodRun    = "run"    // entry to agent: RunCall, answered by RunReply
 	MethodPart   = "part"   // agent to entry: RunPart, one piece of a stream
 	MethodCancel = "cancel" // entry to agent: CancelCall
-	MethodGrant  = "grant"  // agent to agent as witness: GrantCall, answered by GrantReply
-	MethodTicket = "ticket" // entry to agent, answered by a ticket.Ticket
-	MethodGossip = "gossip" // between any two processes: digests and deltas
-	MethodTurn   = "turn"   // agent to the coordinator of load turns
+	// MethodBacklog is a notification to the entries that an agent told of a rest of its upstream
+	// which ended early: BacklogReport.
+	MethodBacklog = "backlog"
+	MethodGrant   = "grant"  // agent to agent as witness: GrantCall, answered by GrantReply
+	MethodTicket  = "ticket" // entry to agent, answered by a ticket.Ticket
+	MethodGossip  = "gossip" // between any two processes: digests and deltas
+	MethodTurn    = "turn"   // agent to the coordinator of load turns
 	// MethodTurnEnd is a notification that releases a turn.
 	MethodTurnEnd = "turnend"
 	MethodDelta   = "delta" // request to a peer for configuration records
@@ -33,6 +36,15 @@
 	// Left is the time to the deadline when the call was sent. Being relative, it doesn't
 	// need synchronized clocks.
 	Left Millis `json:"left"`
+	// From is the address at which the entry takes a BacklogReport, empty if it takes none.
+	From string `json:"from,omitempty"`
+}
+
+// BacklogReport is the backlog of an agent that no call of the receiver asked for.
+type BacklogReport struct {
+	// Agent is the name of the agent's instance.
+	Agent   string  `json:"agent"`
+	Backlog Backlog `json:"backlog"`
 }
 
 // RunPart transfers a piece of a streamed answer.
