--- a/magno/notice/notice_test.go
+++ b/magno/notice/notice_test.go
@@ -115,3 +115,22 @@
 		t.Errorf("%d ms are left after the end", left)
 	}
 }
+
+// Guards against an upstream being left alone after the restart that ended its rest, and against
+// a rest that it stated after the restart being cut.
+func TestRestartEndsARest(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	b := &Board{Clock: clock}
+	b.Record("u", magno.Notice{RetryAfter: magno.Minute}, clock.Now())
+	clock.Advance(100)
+	b.Restarted("u", clock.Now()-50)
+	if left := b.RestLeft("u"); left != 0 {
+		t.Errorf("%d ms are left after the restart", left)
+	}
+	b.Record("u", magno.Notice{RetryAfter: 3000}, clock.Now())
+	clock.Advance(100)
+	b.Restarted("u", clock.Now()-150)
+	if left := b.RestLeft("u"); left != 2900 {
+		t.Errorf("%d ms are left of a rest that began after the restart, want 2900", left)
+	}
+}
