relay: a hedge that panics takes its own hedges with it

A hedge that had started one of its own and then panicked counted as ended while the latter went on: the handler panicked in its place and returned, and what went on could still use the response and the memory of a request that was over. Callers saw nothing of it in a test; the process would have worked for nobody, or written to a response that had ended.

Cause: only the handler's own attempt awaited its hedge after a panic.

A panicking hedge now stops the racers that come from it and awaits them before it counts as ended. TestHedgeOfAHedgeThatPanicsEndsBeforeTheHandler failed before: the handler returned while the hedge's hedge asked for a permit.

--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -37,6 +37,8 @@
 type racer struct {
 	// stop ends its attempts.
 	stop context.CancelFunc
+	// startedBy is the racer whose hedge it is, nil if it is none.
+	startedBy *racer
 	// lost is true once another racer has claimed the response.
 	lost bool
 	// waits is true while nothing of it is left but its hedge.
@@ -46,7 +48,7 @@
 // enter adds a racer, which runs until the returned context ends. One that is started by another has lost if that has.
 func (r *race) enter(startedBy *racer) (context.Context, *racer) {
 	ctx, stop := context.WithCancel(r.ctx)
-	added := &racer{stop: stop}
+	added := &racer{stop: stop, startedBy: startedBy}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if startedBy != nil && startedBy.lost {
@@ -81,6 +83,20 @@
 	return true
 }
 
+// abandon stops a racer and all hedges that come from it.
+func (r *race) abandon(one *racer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range r.racers {
+		for from := other; from != nil; from = from.startedBy {
+			if from == one {
+				other.lost = true
+				other.stop()
+			}
+		}
+	}
+}
+
 // isAlone reports whether no other racer may answer.
 func (r *race) isAlone(one *racer) bool {
 	r.mu.Lock()
@@ -161,7 +177,10 @@
 	go func() {
 		defer close(h.ended)
 		defer h.copy.responseMem.release()
-		defer func() { h.panicked = recover() }() // joinHedge goes on with it, on the goroutine of the handler
+		defer func() {
+			h.panicked = recover() // joinHedge goes on with it, on the goroutine of the handler
+			h.copy.abandonHedge()
+		}()
 		h.res = h.copy.tryUpstreams(ctx)
 	}()
 }
@@ -226,6 +245,14 @@
 	return h.res
 }
 
+// abandonHedge ends the hedge of an attempt that has panicked, if there is one.
+func (j *job) abandonHedge() {
+	if j.hedge != nil {
+		j.race.abandon(j.hedge.copy.racer)
+		<-j.hedge.ended
+	}
+}
+
 // mergeHedge takes over what a hedge that ended without the response has done.
 func (j *job) mergeHedge() {
 	h := j.hedge
--- a/entry/relay/hedge_test.go
+++ b/entry/relay/hedge_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/gate"
 )
 
 // Guards against a stream that is cut, with another upstream's error within it, because its sound upstream was silent
@@ -129,3 +131,56 @@
 		t.Errorf("the handler panicked with %v", v)
 	}
 }
+
+// recoverFrom handles a request and sends what the handler panicked with, nil if it didn't.
+func (s *testProxy) recoverFrom(w http.ResponseWriter) <-chan any {
+	r := httptest.NewRequest(http.MethodPost, "/p/1", http.NoBody)
+	r.Host, r.Header = "h.example", http.Header{"Id": {"1"}}
+	panicked := make(chan any, 1)
+	go func() {
+		defer func() { panicked <- recover() }()
+		s.ServeHTTP(w, r)
+	}()
+	return panicked
+}
+
+// Guards against a request that goes on after its handler has returned: a hedge panics that has started one of its own.
+func TestHedgeOfAHedgeThatPanicsEndsBeforeTheHandler(t *testing.T) {
+	asked, free, panicking := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	u := startUpstream(t, func(int, *http.Request, net.Conn) bool {
+		<-panicking
+		return false
+	})
+	s := newSilentProxy(t, magno.RouteStream, true, u, startUpstream(t, waitUntilClosed), startUpstream(t, streamOneEvent))
+	s.Book.Current().Plan.Routes[0].Attempts = 3
+	s.permits.decide = func(_ context.Context, key string) *gate.PermitReply {
+		if key == s.pools.replicas[2] {
+			close(asked)
+			<-free
+		}
+		return nil
+	}
+	first := true
+	s.Permits = heldPermits{s.permits, func(key string) {
+		switch {
+		case key != s.pools.replicas[1]:
+		case first:
+			first = false
+		default:
+			<-asked
+			close(panicking)
+			panic("of the hedge")
+		}
+	}}
+	returned := s.recoverFrom(httptest.NewRecorder())
+	<-panicking
+	select {
+	case v := <-returned:
+		t.Fatalf("the handler returned with %v while a hedge goes on", v)
+	case <-time.After(300 * time.Millisecond):
+	}
+	close(free)
+	if v := <-returned; v != "of the hedge" {
+		t.Errorf("the handler panicked with %v", v)
+	}
+}
