relay: a hedge that panics cuts no whole answer

A caller's answer was cut at its end although its upstream had sent all of it, for a hedge that had lost had panicked and the handler goes on with the panic.

It does so only where the answer isn't complete now; otherwise the panic is logged. TestPanicInAHedgeCutsNoAnswer failed before: the handler panicked behind both events. TestPanicInAHedgeIsTheHandlers is as it was.

--- a/entry/relay/hedge.go
+++ b/entry/relay/hedge.go
@@ -230,8 +230,11 @@
 	<-h.ended
 	j.race.setWaits(j.racer, false)
 	if h.panicked != nil {
-		j.hedge = nil
-		panic(h.panicked)
+		if res != resultDone {
+			j.hedge = nil
+			panic(h.panicked)
+		}
+		j.Log.Error("a hedge panicked", "request", j.id, "panic", h.panicked)
 	}
 	if !h.copy.claimed {
 		j.mergeHedge()
--- a/entry/relay/hedge_test.go
+++ b/entry/relay/hedge_test.go
@@ -184,3 +184,25 @@
 		t.Errorf("the handler panicked with %v", v)
 	}
 }
+
+// Guards against a whole answer of a silent upstream that is cut because the hedge panicked.
+func TestPanicInAHedgeCutsNoAnswer(t *testing.T) {
+	panicking := make(chan struct{})
+	u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		writeStreamHead(c, r.Header.Get("Id"))
+		writeChunk(c, eventText(1))
+		<-panicking
+		writeChunk(c, eventText(2))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	})
+	s := newSilentProxy(t, magno.RouteStream, true, u, startUpstream(t, streamOneEvent))
+	s.pools.onSpend = func() bool {
+		close(panicking)
+		panic("of the hedge")
+	}
+	w := httptest.NewRecorder()
+	if v := <-s.recoverFrom(w); v != nil || w.Body.String() != eventText(1)+eventText(2) {
+		t.Errorf("got %q, and the handler panicked with %v", w.Body, v)
+	}
+}
