relay: the end of an answer doesn't wait for the agent of a hedge

Callers had all events of a stream but not its end for up to a second: it came once a hedge that had lost had told its agent that the request had ended, and that agent was slow.

The agent is told beside the hedge now; the request counts as in progress until then, so that a stop waits for it as before. A request without a hedge still tells its agent first.

TestEndOfAStreamDoesNotWaitForTheHedgesAgent failed before: no end of the stream until the release was let go. That desk.callPermit itself tells the agent when a wait for a permit is cut short is left.

--- a/entry/relay/hedge_test.go
+++ b/entry/relay/hedge_test.go
@@ -206,3 +206,57 @@
 		t.Errorf("got %q, and the handler panicked with %v", w.Body, v)
 	}
 }
+
+// slowReleases holds the releases of one replica's permits until free is closed.
+type slowReleases struct {
+	Permits
+	replica string
+	free    chan struct{}
+}
+
+func (p slowReleases) Release(key string, call gate.EndCall) {
+	if key == p.replica {
+		<-p.free
+	}
+	p.Permits.Release(key, call)
+}
+
+// Guards against a stream whose end waits for the agent of a hedge that has lost, which is told that its request ended.
+func TestEndOfAStreamDoesNotWaitForTheHedgesAgent(t *testing.T) {
+	for name, sent := range map[string]bool{"the hedge was sent": true, "the hedge waits for its permit": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			began := make(chan struct{})
+			u := startUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+				writeStreamHead(c, r.Header.Get("Id"))
+				writeChunk(c, eventText(1))
+				<-began
+				writeChunk(c, eventText(2))
+				fmt.Fprint(c, "0\r\n\r\n")
+				return true
+			})
+			v := startUpstream(t, func(n int, r *http.Request, c net.Conn) bool {
+				close(began)
+				return waitUntilClosed(n, r, c)
+			})
+			s := newSilentProxy(t, magno.RouteStream, true, u, v)
+			other := s.pools.replicas[1]
+			s.permits.decide = func(ctx context.Context, key string) *gate.PermitReply {
+				if key == other && !sent {
+					close(began)
+					<-ctx.Done()
+				}
+				return nil
+			}
+			free := make(chan struct{})
+			s.Permits = slowReleases{s.permits, other, free}
+			_, body, err := s.get(t, http.MethodPost, "1")
+			close(free)
+			if err != nil || body != eventText(1)+eventText(2) {
+				t.Errorf("got %q %v, want the whole stream", body, err)
+			}
+			waitFor(t, "both permits to be released", func() bool { return s.permits.released.Load() == 2 })
+			waitFor(t, "the request to end", func() bool { return s.Active() == 0 })
+		})
+	}
+}
--- a/entry/relay/permit.go
+++ b/entry/relay/permit.go
@@ -113,7 +113,7 @@
 	res = j.send(ctx, r, j.rank())
 	j.answered = j.answered || res == resultRefused // by this entry
 	router.Ended(key, work, j.Clock.Now()-sent, res.worked())
-	j.Permits.Release(key, gate.EndCall{ID: id, OK: res == resultDone, MaxPause: j.longestPause, Output: j.output()})
+	j.releasePermit(key, gate.EndCall{ID: id, OK: res == resultDone, MaxPause: j.longestPause, Output: j.output()})
 	return res, true
 }
 
@@ -133,7 +133,7 @@
 	switch {
 	case ctx.Err() != nil || callerLeft(j.r.Context()):
 		if err == nil {
-			j.Permits.Release(key, gate.EndCall{ID: req.ID})
+			j.releasePermit(key, gate.EndCall{ID: req.ID})
 		}
 		return "", resultAborted
 	case err != nil:
@@ -155,7 +155,7 @@
 	}
 	if err == nil && reply.Status.Replica != "" && reply.Status.Replica != key {
 		// The engine was replaced after the permit was granted.
-		j.Permits.Release(key, gate.EndCall{ID: req.ID})
+		j.releasePermit(key, gate.EndCall{ID: req.ID})
 		j.recordUnusable(key, reply)
 		j.deferRefusal(magno.Refuse(magno.KindNoUpstream, "another incarnation is there: %q", reply.Status.Replica).WithRetryAfter(busyRetryAfter))
 		return "", resultRefused
@@ -167,7 +167,7 @@
 	}
 	if len(j.findReplicas([]string{key})) == 0 {
 		// The replica began to leave, or to turn requests away, while the request waited.
-		j.Permits.Release(key, gate.EndCall{ID: req.ID})
+		j.releasePermit(key, gate.EndCall{ID: req.ID})
 		if left := j.Notices.RestLeft(key); left > 0 {
 			j.deferRefusal(magno.Refuse(magno.KindBusy, "the upstream turns requests away").WithRetryAfter(left))
 		}
@@ -179,6 +179,21 @@
 	return req.ID, resultDone
 }
 
+// releasePermit ends a permit. A hedge doesn't wait until its agent knows: another upstream's answer may be complete, and
+// ends once the hedge has.
+func (j *job) releasePermit(key string, call gate.EndCall) {
+	h := j.Handler
+	if !j.hedged {
+		h.Permits.Release(key, call)
+		return
+	}
+	h.active.Add(1)
+	go func() {
+		defer h.active.Add(-1)
+		h.Permits.Release(key, call)
+	}()
+}
+
 // permitRequest returns the request in the form that the agent's gate expects.
 func (j *job) permitRequest(now magno.Millis) gate.Request {
 	left := j.deadline - now
