relay: what a caller had before it took a stream up isn't sent again

A caller that took a broken stream up got the events that it had a second time where an upstream began the stream anew, and a sound upstream that was silent was given up for one that did so and broke off.

Cause: what the caller has counted from the first event of this answer; the event that the caller named was only passed on.

It counts as the caller's last event from the start now, on routes whose streams may be resumed. Both cases of TestTakenUpStreamRepeatsNothing failed before.

--- a/entry/relay/goeson_test.go
+++ b/entry/relay/goeson_test.go
@@ -236,3 +236,35 @@
 		t.Errorf("got %q %v, want a broken stream", body, err)
 	}
 }
+
+// Guards against events that a caller gets again as it takes a stream up: the second upstream begins it anew, while the
+// first one is only silent, or is the only one that serves it.
+func TestTakenUpStreamRepeatsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		first func(int, *http.Request, net.Conn) bool
+		other func(int, *http.Request, net.Conn) bool
+	}{
+		"the first is silent": {func(n int, r *http.Request, c net.Conn) bool {
+			time.Sleep(silence)
+			return streamUpTo(3, 3)(n, r, c)
+		}, streamAnewUpTo(2)},
+		"the first fails": {failRequest, streamAnewUpTo(3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilentProxy(t, magno.RouteStream, true, startUpstream(t, c.first), startUpstream(t, c.other))
+			_, body, err := s.doWith(t, http.MethodPost, "/p/1", http.Header{"Id": {"1"}, "From": {"2"}})
+			if err != nil || body != eventText(3) {
+				t.Errorf("got %q %v, want the third event", body, err)
+			}
+		})
+	}
+}
+
+// streamAnewUpTo returns a script that streams from the first event up to last, of three, whatever was asked for.
+func streamAnewUpTo(last int) func(int, *http.Request, net.Conn) bool {
+	return func(n int, r *http.Request, c net.Conn) bool {
+		r.Header.Del("From")
+		return streamUpTo(last, 3)(n, r, c)
+	}
+}
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -130,7 +130,7 @@
 	permitWait magno.Millis
 	waitCauses gate.Waits
 	// headSent is true once the header of the response was sent to the caller. lastEvent is the
-	// id of the newest event that was sent, events their number.
+	// id of the newest event that was sent, or that the caller had before, events the number of those sent.
 	headSent  bool
 	lastEvent string
 	events    int
@@ -192,6 +192,9 @@
 	}
 	ctx, cancel := context.WithTimeout(j.r.Context(), (j.deadline - j.Clock.Now()).Duration())
 	defer cancel()
+	if j.route.Kind == magno.RouteStream && j.route.Repeatable() && eventNumber(j.call.From) >= 0 {
+		j.lastEvent = j.call.From
+	}
 	if refusal := j.findOrigin(ctx); refusal != nil {
 		j.refuse(refusal)
 		return
