--- a/drive/soak/rejoin_test.go
+++ b/drive/soak/rejoin_test.go
@@ -254,3 +254,62 @@
 		}
 	}
 }
+
+// Guards against a request that ends upstreams and is sent on after all entries, most of them or all agents were
+// killed: if nobody knows any more what it has ended, each kill costs three further upstreams. Its callers come
+// back once the entries count as running.
+func TestRequestThatEndsUpstreamsIsHeldBackThoughAllAreKilled(t *testing.T) {
+	const sendTime = 4 * time.Second
+	for _, c := range []struct {
+		kind         string
+		spare, kills int
+	}{{"entry", 0, 2}, {"entry", 1, 2}, {"agent", 0, 1}} {
+		t.Run(fmt.Sprintf("%s, %d spared", c.kind, c.spare), func(t *testing.T) {
+			s := startSoak(t)
+			targets := map[string]string{fake.PathRepeat + "fatal-1": "", fake.PathResume + "fatal-2": "a1"}
+			send := func(until func() bool) {
+				ctx, cancel := context.WithCancel(context.Background())
+				var sending sync.WaitGroup
+				for target, adapter := range targets {
+					for n := range maxCopies {
+						rnd := rand.New(rand.NewPCG(s.Seed, uint64(n))) //nolint:gosec // not used as a secret
+						sending.Go(func() { s.sendFatal(ctx, target, "b", adapter, rnd) })
+					}
+				}
+				for !until() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				cancel()
+				sending.Wait()
+			}
+			for target := range targets {
+				s.fleet.fatal.set(target, true)
+			}
+			limit := time.Now().Add(readyTimeout)
+			send(func() bool {
+				known := true
+				for target := range targets {
+					known = known && len(s.fleet.fatal.of(target)) >= fatalEnds
+				}
+				return known || time.Now().After(limit)
+			})
+			time.Sleep(fatalDelay)
+			for range c.kills {
+				s.fleet.killAtOnce(c.kind, c.spare)
+				time.Sleep(fatalDelay + 500*time.Millisecond)
+				end := time.Now().Add(sendTime)
+				send(func() bool { return time.Now().After(end) })
+			}
+			for target := range targets {
+				ends := len(s.fleet.fatal.of(target))
+				t.Logf("%s ended %d upstreams", target, ends)
+				if ends < fatalEnds {
+					t.Errorf("%s ended too few upstreams to tell", target)
+				}
+			}
+			for _, what := range s.observer().checkFatal(s.fleet.fatal, s.fleet.workers()) {
+				t.Error(what)
+			}
+		})
+	}
+}
