ended: agents hold under which requests upstreams ended, and tell entries that start

Seen: after all entries are killed at once, a request that ends upstreams is sent on as if it were new, and ends three further ones or more with each kill: later than 3 s after the third end it reached upstreams 16 and 17 times, 3 are allowed.

Cause: records of ends were held by entries alone, and no record counts as no suspect. Class: state held by processes of one kind, which end together.

Change: the first two entries tell three agents what changed, at most twice a second, and all with several ends each 5 s. An entry that starts asks these agents until one answers. Agents join records as entries do; what completes is told, too, as the next generation of its record. What ended within the last half second before all are killed is still lost.

--- a/agent/site/site.go
+++ b/agent/site/site.go
@@ -1,7 +1,7 @@
 // Package site assembles an agent for a platform, which a site plug-in implements.
 //
 //	entries <--> mesh <--> keep <--> engine on this machine
-//	              '--> keeper: what entries know of streams
+//	              '--> keeper: what entries know of streams and ends
 package site
 
 import (
@@ -12,6 +12,7 @@
 	"magnoliastall.example/magno"
 	"magnoliastall.example/magno/admin"
 	"magnoliastall.example/magno/builds"
+	"magnoliastall.example/magno/crash"
 	"magnoliastall.example/magno/event"
 	"magnoliastall.example/magno/keeper"
 	"magnoliastall.example/magno/lines"
@@ -45,6 +46,8 @@
 	k.Open()
 	records := &keeper.Keeper{Mesh: mesh, Table: &origin.Table{}, Builds: &builds.History{Clock: clock}, Log: log}
 	records.Open()
+	ends := &keeper.Ends{Mesh: mesh, Suspects: &crash.Suspects{Clock: clock}, Log: log}
+	ends.Open()
 	log.Info("start", "dc", set.DataCentre, "peers", mesh.Addr(), "upstream", set.UpstreamAddress, "service", set.Service)
 	d := start.Daemon{
 		Tasks: []magno.Task{mesh, k, out, &admin.Server{
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"magnoliastall.example/entry/desk"
+	"magnoliastall.example/entry/ended"
 	"magnoliastall.example/entry/hop"
 	"magnoliastall.example/entry/lease"
 	"magnoliastall.example/entry/limit"
@@ -77,6 +78,7 @@
 	lease    *lease.Manager
 	limit    *limit.Manager
 	builds   *builds.History
+	ended    *ended.Manager
 	resume   *resume.Manager
 	front    *front
 	log      *slog.Logger
@@ -113,6 +115,7 @@
 		Self: settings.PeerAddress, Mesh: e.mesh, Homes: e.peers.Homes, Entries: e.peers.Entries, Count: e.peers.Count, Notices: e.notices, Clock: clock, Log: log,
 	}
 	e.limit.Open()
+	e.ended = &ended.Manager{Self: settings.PeerAddress, Mesh: e.mesh, Entries: e.peers.Entries, Agents: e.desk.Addresses, Suspects: suspects, Clock: clock, Log: log}
 	trials := &trial.Manager{Self: settings.PeerAddress, Mesh: e.mesh, Homes: e.peers.Homes, Suspects: suspects, Clock: clock, Log: log}
 	trials.Open()
 	e.builds = &builds.History{Clock: clock}
@@ -163,7 +166,7 @@
 
 func (e *entry) tasks() []magno.Task {
 	return []magno.Task{
-		e.mesh, e.reader, e.peers, e.desk, e.lease, e.limit, e.resume, e.queues, &follower{e}, e.front, &readiness{e.front}, &lagMonitor{e.front},
+		e.mesh, e.reader, e.peers, e.desk, e.lease, e.limit, e.resume, e.ended, e.queues, &follower{e}, e.front, &readiness{e.front}, &lagMonitor{e.front},
 		&admin.Server{
 			Listen: net.JoinHostPort(e.settings.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.AnyAddress},
 			Ready: e.front.ready, Status: func() any { return e.book.Current() }, Events: &event.Ring{Process: e.settings.Name, Size: 1},
