builds: a list that was out of date for a while refuses no stream of the only build

Cause: the history began anew at each lapse of the list, and held for no fleet of before.

Change: the history also counts time in which the list was out of date. No stream begins at a build that no process has in its list, and each that has it tells the keepers; so a process that has just asked all others, and was there or knows one that was, may go by what they have seen. What it answers without asking, and where the attempt is stated, needs a list without a lapse, as before.

TestListThatWasOutOfDateRefusesNoStreamOfTheOnlyBuild failed before (got nothing, want v1).

--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -139,6 +139,11 @@
 	if o := m.sole(q, a.watched); o != nil {
 		return o, "sole"
 	}
+	if q.Attempt == "" && a.watched && m.Current() {
+		if version, ok := m.Builds.SoleAsSeen(q.Service, q.Lasts, q.Patience); ok {
+			return &origin.Origin{Service: q.Service, Build: version}, "sole"
+		}
+	}
 	return nil, ""
 }
 
--- a/entry/resume/unwatched_test.go
+++ b/entry/resume/unwatched_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"magnoliastall.example/magno"
 )
 
 // startSilentPair starts an entry and an agent, which tell each other nothing unless asked.
@@ -47,3 +49,23 @@
 		t.Errorf("got %q once another process knows of v2 only, want v2", got)
 	}
 }
+
+// Guards against refusing callers that don't state the attempt for as long as a stream lasts after each time in
+// which the list was out of date, though nobody has seen another build; and against going on if somebody has.
+func TestListThatWasOutOfDateRefusesNoStreamOfTheOnlyBuild(t *testing.T) {
+	f, asker, agent := startSilentPair(t)
+	for _, k := range []*node{asker, agent} {
+		k.Builds.Update(map[string][]string{service: {"v1"}})
+	}
+	f.advance(lasts)
+	asker.Builds.Forget()
+	f.advance(magno.Second)
+	if got := asker.find(""); got != "v1" {
+		t.Errorf("got %q, though nobody has seen another build, want v1", got)
+	}
+	agent.Builds.Update(map[string][]string{service: {"v1", "v2"}})
+	agent.Builds.Update(map[string][]string{service: {"v1"}})
+	if got := asker.find(""); got != "" {
+		t.Errorf("got %q, though an agent has just seen another build", got)
+	}
+}
--- a/magno/builds/builds.go
+++ b/magno/builds/builds.go
@@ -49,6 +49,9 @@
 	Until magno.Millis `json:"until,omitempty"`
 	// First is true if no process is known to have served before Since.
 	First bool `json:"first,omitempty"`
+	// Ran and RanFirst are as Since and First, but count time in which the list was out of date.
+	Ran      magno.Millis `json:"ran,omitempty"`
+	RanFirst bool         `json:"ranfirst,omitempty"`
 }
 
 // span is the time in which a history is complete.
@@ -67,7 +70,9 @@
 	present map[string][]string
 	// known is what is complete, nil before anything is. Until is meaningless if listed is true: this
 	// process follows the list itself.
-	known  *span
+	known *span
+	// ran is as known, but goes on while the list is out of date.
+	ran    *span
 	listed bool
 	// watchedSince is when this process began to follow the list, without a lapse since.
 	watchedSince magno.Millis
@@ -94,7 +99,8 @@
 	h.room = listedFactor * count
 	if !h.listed {
 		h.listed, h.watchedSince = true, now
-		h.join(span{now, now, true})
+		join(&h.known, span{now, now, true})
+		join(&h.ran, span{now, now, true})
 	}
 	h.trim()
 }
@@ -110,7 +116,7 @@
 		}
 	}
 	if h.listed && h.known != nil {
-		h.known.until = now
+		h.known.until, h.ran.until = now, now
 	}
 }
 
@@ -154,28 +160,29 @@
 	if !h.listed {
 		h.room = max(h.room, listedFactor*count)
 	}
-	h.join(span{now - r.Since, now - r.Until, r.First})
+	join(&h.known, span{now - r.Since, now - r.Until, r.First})
+	join(&h.ran, span{now - max(r.Ran, r.Since), now - r.Until, r.RanFirst})
 	h.trim()
 }
 
-// join extends the time in which the history is complete by that of another one, whose builds it has. If
-// there is a gap between the two, the later one holds. The caller holds mu.
-func (h *History) join(s span) {
-	if h.known == nil {
-		h.known = &s
+// join extends the time in which a history is complete by that of another one, whose builds it has. If there
+// is a gap between the two, the later one holds.
+func join(known **span, s span) {
+	if *known == nil {
+		*known = &s
 		return
 	}
-	early, late := *h.known, s
+	early, late := **known, s
 	if late.since < early.since {
 		early, late = late, early
 	}
 	if late.since > early.until+maxGap {
 		late.first = false
-		h.known = &late
+		*known = &late
 		return
 	}
 	early.until = max(early.until, late.until)
-	h.known = &early
+	*known = &early
 }
 
 // trim drops the builds beyond the bound, those that were seen last longest ago. The caller holds mu.
@@ -189,8 +196,10 @@
 			}
 		}
 		delete(h.seen, oldest)
-		if h.known != nil && h.known.since <= at {
-			h.known.since, h.known.first = at+1, false
+		for _, known := range []*span{h.known, h.ran} {
+			if known != nil && known.since <= at {
+				known.since, known.first = at+1, false
+			}
 		}
 	}
 }
@@ -204,10 +213,15 @@
 	}
 	now := h.Clock.Now()
 	h.touch(now)
-	r := &Report{Since: now - h.known.since, Until: now - h.known.until, First: h.known.first}
+	r := &Report{
+		Since: now - h.known.since, Until: now - h.known.until, First: h.known.first, Ran: now - h.ran.since, RanFirst: h.ran.first,
+	}
 	if r.Since > reportSpan {
 		r.Since, r.First = reportSpan, false
 	}
+	if r.Ran > reportSpan {
+		r.Ran, r.RanFirst = reportSpan, false
+	}
 	for b, at := range h.seen {
 		if now-at <= reportSpan {
 			r.Seen = append(r.Seen, Seen{b, now - at})
@@ -238,6 +252,21 @@
 	return h.only(service, lasts)
 }
 
+// SoleAsSeen is Sole, or SoleSinceFirst, for a process that has just asked all others: time in which its list
+// was out of date counts. No stream begins at a build that no process has in its list.
+func (h *History) SoleAsSeen(service string, lasts, patience magno.Millis) (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ran == nil {
+		return "", false
+	}
+	ran := h.Clock.Now() - h.ran.since
+	if ran < lasts && !(h.ran.first && ran >= patience) {
+		return "", false
+	}
+	return h.only(service, lasts)
+}
+
 // only returns the version that is the only one that was seen within the given time, and false if there are
 // several, or none. One whose upstreams are all gone counts as present. The caller holds mu.
 func (h *History) only(service string, lasts magno.Millis) (string, bool) {
