--- a/entry/resume/unwatched_test.go
+++ b/entry/resume/unwatched_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"magnoliastall.example/magno"
+	"magnoliastall.example/magno/builds"
 )
 
 // startSilentPair starts an entry and an agent, which tell each other nothing unless asked.
@@ -54,17 +54,16 @@
 // which the list was out of date, though nobody has seen another build; and against going on if somebody has.
 func TestListThatWasOutOfDateRefusesNoStreamOfTheOnlyBuild(t *testing.T) {
 	f, asker, agent := startSilentPair(t)
-	for _, k := range []*node{asker, agent} {
-		k.Builds.Update(map[string][]string{service: {"v1"}})
-	}
+	asker.Builds.Update(map[string][]string{service: {"v1"}})
 	f.advance(lasts)
+	agent.Builds.Merge(asker.Builds.Report())
+	asker.Builds.Forget()
+	f.advance(lasts / 2)
 	asker.Builds.Forget()
-	f.advance(magno.Second)
 	if got := asker.find(""); got != "v1" {
 		t.Errorf("got %q, though nobody has seen another build, want v1", got)
 	}
-	agent.Builds.Update(map[string][]string{service: {"v1", "v2"}})
-	agent.Builds.Update(map[string][]string{service: {"v1"}})
+	agent.Builds.Merge(&builds.Report{Seen: []builds.Seen{{Build: builds.Build{Service: service, Version: "v2"}}}})
 	if got := asker.find(""); got != "" {
 		t.Errorf("got %q, though an agent has just seen another build", got)
 	}
--- a/magno/builds/builds.go
+++ b/magno/builds/builds.go
@@ -261,7 +261,7 @@
 		return "", false
 	}
 	ran := h.Clock.Now() - h.ran.since
-	if ran < lasts && !(h.ran.first && ran >= patience) {
+	if ran < lasts && (!h.ran.first || ran < patience) {
 		return "", false
 	}
 	return h.only(service, lasts)
