builds: a fleet of young processes is not taken for a new one

Cause: both agents that had been told were those of engines of the old build, and left the list with them. Only entries that had just started answered; once callers wait no longer that counted as a fleet in which nobody served before (SoleSinceFirst). The inference holds for a loss of all processes, not for one of all that knew.

Change: it is taken out. A build is the only one only if somebody has seen so for as long as a stream lasts. A fleet that has just started refuses callers that don't state the attempt until then.

TestAllProcessesAreKilled and TestAnswerWithoutBuildsProvesNothing demand more than before: nothing after the time that callers wait, the build after the time that a stream lasts.

--- a/entry/resume/resume.go
+++ b/entry/resume/resume.go
@@ -121,7 +121,7 @@
 		if o := m.Table.Find(stream); o != nil {
 			return o, "recorded"
 		}
-	} else if o := m.sole(q, false); o != nil && m.Builds.Follows(q.Lasts) {
+	} else if o := m.sole(q); o != nil && m.Builds.Follows(q.Lasts) {
 		return o, "sole"
 	} else if m.Builds.Several(q.Service, q.Lasts) {
 		return nil, ""
@@ -136,11 +136,11 @@
 		m.remember(stream, *a.origin)
 		return a.origin, "asked"
 	}
-	if o := m.sole(q, a.watched); o != nil {
+	if o := m.sole(q); o != nil {
 		return o, "sole"
 	}
 	if q.Attempt == "" && a.watched && m.Current() {
-		if version, ok := m.Builds.SoleAsSeen(q.Service, q.Lasts, q.Patience); ok {
+		if version, ok := m.Builds.SoleAsSeen(q.Service, q.Lasts); ok {
 			return &origin.Origin{Service: q.Service, Build: version}, "sole"
 		}
 	}
@@ -148,16 +148,12 @@
 }
 
 // sole returns the build that a service has had alone for as long as a stream lasts, nil if that isn't known
-// or the list may be out of date. Met is true if other processes that know of builds have just answered: one
-// that met none can't know that none served before it.
-func (m *Manager) sole(q *origin.Query, met bool) *origin.Origin {
+// or the list may be out of date.
+func (m *Manager) sole(q *origin.Query) *origin.Origin {
 	if !m.Current() {
 		return nil
 	}
 	version, ok := m.Builds.Sole(q.Service, q.Lasts)
-	if !ok && met {
-		version, ok = m.Builds.SoleSinceFirst(q.Service, q.Lasts, q.Patience)
-	}
 	if !ok {
 		return nil
 	}
--- a/entry/resume/unwatched_test.go
+++ b/entry/resume/unwatched_test.go
@@ -45,6 +45,10 @@
 		t.Errorf("got %q, though nobody has told what served before", got)
 	}
 	young.Builds.Update(map[string][]string{service: {"v2"}})
+	if got := asker.find(""); got != "" {
+		t.Errorf("got %q from processes that have just started", got)
+	}
+	f.advance(lasts)
 	if got := asker.find(""); got != "v2" {
 		t.Errorf("got %q once another process knows of v2 only, want v2", got)
 	}
@@ -68,3 +72,24 @@
 		t.Errorf("got %q, though an agent has just seen another build", got)
 	}
 }
+
+// Guards against guessing once all entries were killed and the agents that were told left with their engines: the
+// others have started too, or know nothing.
+func TestKeepersLeaveWhileAllEntriesAreAway(t *testing.T) {
+	f := startFleet(t, 3, 2)
+	f.update(map[string][]string{service: {"v1", "v2"}})
+	f.waitForBuilds(t, "v1", "v2")
+	stranger := f.newNode(t)
+	stranger.clock.Advance(f.entries[0].clock.Now() - stranger.clock.Now())
+	stranger.start(t, false)
+	f.mu.Lock()
+	f.agents = []*node{stranger}
+	f.mu.Unlock()
+	f.restartEntries(t, map[string][]string{service: {"v2"}})
+	f.advance(patience)
+	for i, k := range f.entries {
+		if got := k.find(""); got != "" {
+			t.Errorf("entry %d takes a stream that v1 may have begun for %q", i, got)
+		}
+	}
+}
--- a/magno/builds/builds.go
+++ b/magno/builds/builds.go
@@ -241,27 +241,15 @@
 	return h.only(service, lasts)
 }
 
-// SoleSinceFirst is Sole for a fleet that is younger than the given time: no process served before. Until
-// its processes have run for longer than callers wait that isn't known, for all of them may have been lost.
-func (h *History) SoleSinceFirst(service string, lasts, patience magno.Millis) (string, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.known == nil || !h.known.first || h.Clock.Now()-h.known.since < patience {
-		return "", false
-	}
-	return h.only(service, lasts)
-}
-
-// SoleAsSeen is Sole, or SoleSinceFirst, for a process that has just asked all others: time in which its list
+// SoleAsSeen is Sole for a process that has just asked all others: time in which its list
 // was out of date counts. No stream begins at a build that no process has in its list.
-func (h *History) SoleAsSeen(service string, lasts, patience magno.Millis) (string, bool) {
+func (h *History) SoleAsSeen(service string, lasts magno.Millis) (string, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.ran == nil {
 		return "", false
 	}
-	ran := h.Clock.Now() - h.ran.since
-	if ran < lasts && (!h.ran.first || ran < patience) {
+	if h.Clock.Now()-h.ran.since < lasts {
 		return "", false
 	}
 	return h.only(service, lasts)
