review: case 4, entries that started with old seeds each grant the whole allowance

Two entries start with seeds that are out of date. Their settings have the right ones 3 s later, and both get a SIGHUP, which changes nothing: the entries never meet, and each acts as the one home of a tenant.

--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -28,6 +28,8 @@
 	seeds   string
 	procs   []*proc
 	started time.Time
+	// bounds are further fields of the settings, empty where they aren\'t in force.
+	bounds map[string]string
 
 	mu     sync.Mutex
 	record *os.File
@@ -85,6 +87,7 @@
 type proc struct {
 	world                    *world
 	name, kind, settings, ip string
+	fields                   map[string]string
 	mu                       sync.Mutex
 	cmd                      *exec.Cmd
 	stopped                  bool
@@ -114,15 +117,23 @@
 func (w *world) callers(i int) string { return w.ip(10+i) + ":7509" }
 
 func (w *world) start(kind, ip string, fields map[string]string) (*proc, error) {
+	for _, name := range []string{"quota", "overshoot", "slack", "failclosed", "revoke"} {
+		fields[name] = w.bounds[name]
+	}
 	fields["first"], fields["last"], fields["seeds"], fields["store"] = "7580", "7595", w.seeds, w.ip(2)+":7502"
-	p := &proc{world: w, name: fields["name"], kind: kind, ip: ip, settings: filepath.Join(w.dir, fields["name"]+".conf")}
-	if err := os.WriteFile(p.settings, []byte(settings(fields)), 0o600); err != nil {
+	p := &proc{world: w, name: fields["name"], kind: kind, ip: ip, settings: filepath.Join(w.dir, fields["name"]+".conf"), fields: fields}
+	if err := p.writeSettings(); err != nil {
 		return nil, err
 	}
 	w.procs = append(w.procs, p)
 	return p, p.run()
 }
 
+// writeSettings writes the settings file of the process.
+func (p *proc) writeSettings() error {
+	return os.WriteFile(p.settings, []byte(settings(p.fields)), 0o600)
+}
+
 // run starts the process, and again whenever it ends by itself.
 func (p *proc) run() error {
 	log, err := os.OpenFile(filepath.Join(p.world.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
