--- a/review/stand/added.go
+++ b/review/stand/added.go
@@ -71,9 +71,9 @@
 			for k := 0; time.Now().Before(end); k++ {
 				time.Sleep(500 * time.Millisecond)
 				id := fmt.Sprintf("%08x%08x", n+1, k+1)
-				path, name, t := "/lines/", "base/", &first
+				path, name, t := "/lines/x", "base/", &first
 				if n%4 >= 2 {
-					path, name, t = "/vendor/", model+"/", &added
+					path, name, t = "/vendor/x", model+"/", &added
 				}
 				status := w.sendOn(path, 1+n%2, id, name+adapterName(n%adapters))
 				mu.Lock()
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -101,7 +101,7 @@
 		return true
 	}
 	e.crashedAt, e.born = time.Time{}, time.Now().UnixMilli()
-	e.models, e.adapters, e.sequence, e.fence = map[string]time.Time{}, map[string]*adapter{}, 0, 0
+	e.models, e.adapters, e.sequence, e.fence, e.active = map[string]time.Time{}, map[string]*adapter{}, 0, 0, 0
 	return false
 }
 
@@ -142,6 +142,9 @@
 	return http.StatusAccepted
 }
 
+// longFactor is how many times as long as others the streams are whose targets end in long.
+const longFactor = 40
+
 // modelLoadTime is the load_time_s of the configuration.
 const modelLoadTime = 3200 * time.Millisecond
 
@@ -280,23 +283,32 @@
 	}
 	a.runs++
 	e.active++
-	version := a.version
+	version, born := a.version, e.born
 	e.mu.Unlock()
 	e.onRun(id, name, version)
 	defer func() {
 		e.mu.Lock()
-		a.runs--
-		e.active--
-		e.mu.Unlock()
+		defer e.mu.Unlock()
+		if e.born == born { // else it has crashed
+			a.runs--
+			e.active--
+		}
 	}()
 	res.Header().Set(names["signature"], "by "+e.id)
 	res.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= e.events; n++ {
+	events := e.events
+	if strings.HasSuffix(r.RequestURI, "long") {
+		events *= longFactor
+	}
+	for n := 1; n <= events; n++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(e.eventTime):
 		}
+		if e.away() {
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = io.WriteString(res, "id: "+strconv.Itoa(n)+"\ndata: "+id+"\n\n")
 		res.(http.Flusher).Flush()
 	}
--- a/review/stand/model.go
+++ b/review/stand/model.go
@@ -44,7 +44,7 @@
 	var model atomic.Value
 	model.Store("base")
 	var mu sync.Mutex
-	served := map[string]int{}
+	served, cut := map[string]int{}, 0
 	stop := make(chan struct{})
 	var senders sync.WaitGroup
 	for n := range 2 * adapters {
@@ -57,12 +57,19 @@
 					return
 				case <-time.After(250 * time.Millisecond):
 				}
-				name := model.Load().(string)
-				if w.sendTo(1+n%2, fmt.Sprintf("%08x%08x", n+1, k+1), name+"/"+adapterName(n%adapters)) == 200 {
-					mu.Lock()
+				name, path := model.Load().(string), "/lines/x"
+				if n%4 == 0 {
+					path = "/lines/long"
+				}
+				status := w.sendOn(path, 1+n%2, fmt.Sprintf("%08x%08x", n+1, k+1), name+"/"+adapterName(n%adapters))
+				mu.Lock()
+				switch status {
+				case 200:
 					served[name]++
-					mu.Unlock()
+				case 0:
+					cut++
 				}
+				mu.Unlock()
 			}
 		}()
 	}
@@ -85,8 +92,8 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	w.logf("%d orders over the memory; served of base %d, of next %d", broken, served["base"], served["next"])
-	fmt.Printf("%d orders over the memory; served of base %d, of next %d\n", broken, served["base"], served["next"])
+	w.logf("%d orders over the memory; served of base %d, of next %d; %d answers were cut", broken, served["base"], served["next"], cut)
+	fmt.Printf("%d orders over the memory; served of base %d, of next %d; %d answers were cut\n", broken, served["base"], served["next"], cut)
 	if served["base"] < 100 {
 		return false, errors.New("too few requests were served before")
 	}
--- a/review/stand/plan.go
+++ b/review/stand/plan.go
@@ -46,12 +46,12 @@
 
 // sendTo is send with the model of the adapter.
 func (w *world) sendTo(entry int, id, adapter string) int {
-	return w.sendOn("/lines/", entry, id, adapter)
+	return w.sendOn("/lines/x", entry, id, adapter)
 }
 
 // sendOn is sendTo on the route with a path.
 func (w *world) sendOn(path string, entry int, id, adapter string) int {
-	req, err := http.NewRequest(http.MethodPost, "http://"+w.callers(entry)+path+"x", strings.NewReader("receipt "+id))
+	req, err := http.NewRequest(http.MethodPost, "http://"+w.callers(entry)+path, strings.NewReader("receipt "+id))
 	if err != nil {
 		return 0
 	}
