--- a/review/stand/slow.go
+++ b/review/stand/slow.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -20,9 +18,7 @@
 // slowCase runs clients that ask for a long answer over kept connections. With trouble, they read it slowly, but all the
 // time.
 func slowCase(w *world, trouble bool) (held bool, err error) {
-	const clients, chunk = 6, 4 << 10
-	size, rate := atoi(os.Getenv("SIZE")), atoi(os.Getenv("RATE"))
-	pause := time.Duration(float64(time.Second) * chunk / float64(rate))
+	const clients, size, chunk, pause = 6, 5 << 20, 10 << 10, 100 * time.Millisecond
 	r := route("vendor-report", "/report/", "non_idempotent", "claims-desk", 1)
 	r["timeout_ms"], r["target_latency_ms"] = 100000, 1000
 	w.store.Put("op/config", map[string]any{
@@ -102,5 +98,3 @@
 	}
 	return lost <= 3, nil
 }
-
-func atoi(s string) int { n, _ := strconv.Atoi(s); return n }
