--- a/review/stand/plan.go
+++ b/review/stand/plan.go
@@ -60,6 +60,7 @@
 	req.Header.Set(names["model"], adapter)
 	req.Header.Set(names["tokens"], "400,50")
 	req.Header.Set(names["deadline"], "12000")
+	w.logf("sent %s to entry %d: %s for %s", id, entry, path, adapter)
 	begun := time.Now()
 	res, err := client.Do(req)
 	if err != nil {
--- a/review/stand/seeds.go
+++ b/review/stand/seeds.go
@@ -132,6 +132,7 @@
 	req.Header.Set("Authorization", "Bearer k-north-1")
 	req.Header.Set(names["tokens"], "600,400")
 	req.Header.Set(names["deadline"], "1500")
+	w.logf("sent %s to entry %d, %d tokens", id, entry, quotaCost)
 	res, err := client.Do(req)
 	if err != nil {
 		w.logf("answer %s none: %v", id, err)
--- a/review/stand/slow.go
+++ b/review/stand/slow.go
@@ -59,6 +59,7 @@
 					path = "/report/long"
 				}
 				fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 100000\r\nContent-Length: 2\r\n\r\nok", path, host, names["attempt"], id, names["deadline"])
+				w.logf("sent %s to entry 1: %s", id, path)
 				res, err := http.ReadResponse(in, nil)
 				if err != nil {
 					w.logf("answer %s none: %v", id, err)
