--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,7 @@
 	mu         sync.Mutex
 	born       int64
 	models     map[string]time.Time // by when they are loaded
+	recent     []string             // the adapters that were loaded, the newest last
 	crashedAt  time.Time
 	adapters   map[string]*adapter
 	newest     map[string]int64
@@ -102,6 +104,7 @@
 	}
 	e.crashedAt, e.born = time.Time{}, time.Now().UnixMilli()
 	e.models, e.adapters, e.sequence, e.fence, e.active = map[string]time.Time{}, map[string]*adapter{}, 0, 0, 0
+	e.recent = nil
 	return false
 }
 
@@ -214,6 +217,23 @@
 	res.WriteHeader(status)
 }
 
+// keptAdapters is how many adapters load from the worker's host memory.
+const keptAdapters = 256
+
+// takes returns how long a load takes: adapters that the worker held recently load ten times as fast. The caller holds mu.
+func (e *engine) takes(key string) time.Duration {
+	i := slices.Index(e.recent, key)
+	if i >= 0 {
+		e.recent = slices.Delete(e.recent, i, i+1)
+	}
+	e.recent = append(e.recent, key)
+	e.recent = e.recent[max(len(e.recent)-keptAdapters, 0):]
+	if i >= 0 {
+		return e.loadTime / 10
+	}
+	return e.loadTime
+}
+
 func (e *engine) apply(instance string, load bool, model, name string, version, fence int64) int {
 	e.settle()
 	switch {
@@ -238,7 +258,7 @@
 		return http.StatusMisdirectedRequest
 	case load && a == nil:
 		e.sequence++
-		e.adapters[key] = &adapter{next: version, ready: time.Now().Add(e.loadTime)}
+		e.adapters[key] = &adapter{next: version, ready: time.Now().Add(e.takes(key))}
 		if len(e.adapters) > e.slots {
 			e.violations = append(e.violations, fmt.Sprintf("%.3f s: ordered to load %s: %d adapters in %d slots", e.world.now().Seconds(), name, len(e.adapters), e.slots))
 			e.world.logf("BROKEN %s is ordered to load %s: %d adapters in %d slots", e.id, name, len(e.adapters), e.slots)
