--- a/review/stand/stuck.go
+++ b/review/stand/stuck.go
@@ -13,8 +13,8 @@
 	cases["stuck"] = stuckCase
 }
 
-// stuckTime is how long the agent stands still, the time that the kinds of disruptions state.
-const stuckTime = 5 * time.Second
+// stuckTime is how long the agent stands still, as long as a machine that freezes on the site.
+const stuckTime = 3500 * time.Millisecond
 
 // stuckCase asks for many rare adapters. With trouble, the agent beside the worker stands still once.
 func stuckCase(w *world, trouble bool) (held bool, err error) {
