peers: an entry that can't know how many others there are grants nothing

Both entries had answered "north is over its limit" at the rate of a whole limit each.

Cause: an entry that had met no other assumed others for its first 2 s only. After that, seeds that refuse connections counted as "no entry runs there", so the entry took itself for the whole fleet. The logs of the case show it: no line "entry found" in either, and both homes of the customer grant. The same count forgot peers out of reach after 30 s, so the two sides of a longer partition each granted all; the retry budget gave such an entry a third of its slack.

Now the seeds say how sure an entry is to be in touch with the fleet: more than half of those that don't refuse connections are met, or another entry says that it is in touch. An entry without any contact grants nothing of a limit, takes no part of the retry slack and passes on nothing to an upstream that names a limit; a side with less than half of the seeds or of the entries takes half of its share. The side with more than half forgets the others after 30 s as before, the others keep counting for an hour. An entry that started within a partition takes the count of the one that has run longest. An entry that is alone by right (no seeds, or itself a seed and the others refuse connections) grants all.

--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -236,7 +236,7 @@
 // take grants a request as the upstream's home.
 //
 // While entries are partitioned each part has a home of its own, and each grants only the share
-// of the entries that it sees.
+// of the entries that it sees, or nothing if it can't know how many others there are.
 func (m *Manager) take(call takeCall) takeReply {
 	alive, known := m.Count()
 	m.mu.Lock()
@@ -250,6 +250,9 @@
 	if !l.Allows(now) {
 		return takeReply{LimitGrant: magno.LimitGrant{RetryAfter: l.RetryAfter(now)}, State: state}
 	}
+	if state.Limited && !grant.Grants(alive, known) {
+		return takeReply{LimitGrant: magno.LimitGrant{RetryAfter: homeRetryAfter}, State: state}
+	}
 	l.Take(1 / grant.Share(alive, known))
 	return takeReply{LimitGrant: magno.LimitGrant{Granted: true, Rate: state.Rate, At: now, Process: m.process}, State: state}
 }
--- a/entry/peers/due.go
+++ b/entry/peers/due.go
@@ -10,7 +10,7 @@
 
 // due returns the peers to send a hello to now. Only maxProbes of those that aren't alive
 // are contacted at a time, and they are removed after forgetAfterMisses, unless they are
-// seeds.
+// seeds or may be beyond a partition.
 func (p *Peers) due() map[string]*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -26,8 +26,13 @@
 	hasMet := p.hasMet()
 	for addr, k := range p.known {
 		if k.misses > forgetAfterMisses && !slices.Contains(p.Seeds, addr) {
-			delete(p.known, addr)
-			continue
+			if !k.isSilent(now) {
+				delete(p.known, addr)
+				continue
+			}
+			if now-k.askedAt < silentProbeInterval {
+				continue
+			}
 		}
 		if !k.due(now, interval, hasMet) {
 			continue
--- a/entry/peers/message.go
+++ b/entry/peers/message.go
@@ -31,6 +31,11 @@
 	DataCentre string `json:"dc,omitempty"`
 	// LinkMbps is its machine's bandwidth in Mbit/s.
 	LinkMbps float64 `json:"link,omitempty"`
+	// Joined is true while it is in touch with the fleet, or knows how many entries that had. Uptime is
+	// how long it has run, Total the number of entries that it counts, those out of reach included.
+	Joined bool         `json:"joined,omitempty"`
+	Uptime magno.Millis `json:"up,omitempty"`
+	Total  int          `json:"total,omitempty"`
 	// KnownCount is the number of addresses of other entries that it knows.
 	KnownCount int `json:"known,omitempty"`
 	// MemberHash is a hash of the addresses of all entries that are alive to it, its own
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -39,6 +39,8 @@
 	// considered lost, forgetAfterMisses that after which it is no longer contacted.
 	lostAfterMisses   = 2
 	forgetAfterMisses = 150
+	// silentProbeInterval is the time between two hellos to a peer after forgetAfterMisses.
+	silentProbeInterval = 5 * magno.Second
 	// Readers is the number of entries that read the list. With a single reader, its loss
 	// would delay a change by the second that the others need to detect it.
 	Readers = 2
@@ -58,14 +60,6 @@
 	maxProbes = 32
 	// maxSampledPeers bounds the entries listed in a hello to one that knows most of them.
 	maxSampledPeers = 16
-	// memberTTL is how long a peer that was alive still counts among those that share a
-	// limit: it may be unreachable from here only.
-	memberTTL = 30 * magno.Second
-	// discoveryTime is how long an entry that has met no other assumes that assumedEntries
-	// exist. Until it meets one it looks for peers every discoveryInterval.
-	discoveryTime     = 2 * magno.Second
-	discoveryInterval = 100 * magno.Millis(1)
-	assumedEntries    = 16
 	// suspectMaxAge is how long a change of a suspect is repeated in hellos.
 	// maxSuspects bounds the suspects in one hello: a crash makes every request that ran
 	// there a suspect, and sending the whole list in each hello would saturate the links of
@@ -96,10 +90,11 @@
 	Self, Addr string
 	LinkMbps   float64
 	DataCentre string
-	Seeds      []string
-	Mesh       *wire.Mesh
-	Book       *view.Store
-	Suspects   *crash.Suspects
+	// Seeds are the addresses that the settings name. SetSeeds replaces them.
+	Seeds    []string
+	Mesh     *wire.Mesh
+	Book     *view.Store
+	Suspects *crash.Suspects
 	// Leaving reports whether this entry is shutting down. May be nil, for never.
 	Leaving func() bool
 	// Demand returns this entry's own Hello.Demand. May be nil.
@@ -114,6 +109,12 @@
 
 	mu    sync.Mutex
 	known map[string]*peer
+	// joined is true while this entry is in touch with the fleet, or knows how many entries that had.
+	// contactAt is when the last hello was received.
+	joined    bool
+	contactAt magno.Millis
+	// loggedContact is the contact to the fleet that was last logged.
+	loggedContact contact
 	// listReachable is true while the list answers this process. While it doesn't,
 	// listTriedAt is the time of the last attempt.
 	listReachable bool
@@ -149,8 +150,10 @@
 	initiator bool
 	// refused is true if its machine refuses connections, so no process runs there.
 	refused bool
-	seenAt  magno.Millis
-	pending bool
+	// forgotten is true if it is silent and no longer counts among those beyond a partition.
+	forgotten bool
+	seenAt    magno.Millis
+	pending   bool
 	// askedAt is the time of the last hello to it, learnedAt that at which its address
 	// became known, lostAt that at which it was last found to be no longer alive.
 	askedAt, learnedAt, lostAt magno.Millis
@@ -196,6 +199,7 @@
 			}()
 		}
 		p.spreadEnds(ctx, &pending)
+		p.updateContact()
 		wait := p.pollInterval()
 		if delay, changed := p.spreadDelay(); changed {
 			wait = min(wait, delay)
@@ -235,7 +239,7 @@
 // hasMet reports whether a hello of another entry was ever received, or none is expected.
 // The caller holds mu.
 func (p *Peers) hasMet() bool {
-	if !slices.ContainsFunc(p.Seeds, func(addr string) bool { return addr != p.Addr }) {
+	if !p.expectsOthers() {
 		return true
 	}
 	for _, k := range p.known {
@@ -259,6 +263,23 @@
 	}
 }
 
+// SetSeeds replaces the seeds, which the platform may put right at any time. New ones are contacted at
+// once. An empty list is ignored: without seeds this entry would be alone by right.
+func (p *Peers) SetSeeds(seeds []string) {
+	if len(seeds) == 0 {
+		return
+	}
+	p.mu.Lock()
+	for _, addr := range p.Seeds {
+		if k := p.known[addr]; k != nil && k.seenAt == 0 && !slices.Contains(seeds, addr) {
+			delete(p.known, addr) // no entry is known to run there
+		}
+	}
+	p.Seeds = slices.Clone(seeds)
+	p.mu.Unlock()
+	p.addAddrs(seeds)
+}
+
 // wake makes Run contact the peers that are due now.
 func (p *Peers) wake() {
 	select {
@@ -310,6 +331,8 @@
 	defer p.mu.Unlock()
 	h.ListReachable, h.Leaving = p.listReachable, p.leaving()
 	h.Stamp = p.stamp()
+	t := p.tally(0)
+	h.Joined, h.Uptime, h.Total = p.joined, p.Clock.Now()-p.startedAt, t.total()
 	h.KnownCount = len(p.known)
 	h.MemberHash = xxhash.Sum64String(p.Addr)
 	alive := 0
@@ -364,7 +387,8 @@
 		p.wake()
 	}
 	k.hello, k.rank = *h, h.rank()
-	k.misses, k.alive, k.refused, k.seenAt = 0, true, false, p.Clock.Now()
+	k.misses, k.alive, k.refused, k.forgotten, k.seenAt = 0, true, false, false, p.Clock.Now()
+	p.contactAt, p.joined = k.seenAt, p.joined || h.Joined
 	if h.Stamp.Incarnation != k.lastStamp.stamp.Incarnation {
 		k.digests = [2]uint64{} // what its earlier process was sent is lost
 	}
--- a/entry/peers/role.go
+++ b/entry/peers/role.go
@@ -133,54 +133,6 @@
 	return cmp.Or(cmp.Compare(b.linkMbps, a.linkMbps), cmp.Compare(b.hash, a.hash), cmp.Compare(b.name, a.name))
 }
 
-// Processes returns the number of entries that share a budget, this one included: those that
-// may be alive or have spent within the window, and at least as many as there are seeds.
-func (p *Peers) Processes(window magno.Millis) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return max(p.countKnown(window), len(p.Seeds))
-}
-
-// counts reports whether a peer shares a budget that counts over the window: it is alive, may be
-// alive beyond a partition, or was until recently and what it spent still counts.
-func (k *peer) counts(now, window magno.Millis) bool {
-	gone := now - max(k.lostAt, k.learnedAt)
-	switch {
-	case k.alive:
-		return true
-	case k.refused:
-		return gone < window
-	}
-	return gone < max(window, memberTTL)
-}
-
-// Part returns this entry's part of a budget that all entries share, from 0 to 1.
-//
-// Load pattern: partitions last for minutes, and entries that start within one know only those on
-// their side. If each side divided the whole budget among its entries, all sides together would
-// spend it several times. So each seed carries an equal part, which the entries on its side share;
-// a seed whose machine refuses connections counts on every side.
-func (p *Peers) Part(window magno.Millis) float64 {
-	return p.seedShare() / float64(p.Processes(window))
-}
-
-// seedShare returns the share of the seeds that are on this side of a partition, 1 if there are
-// none.
-func (p *Peers) seedShare() float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.Seeds) == 0 {
-		return 1
-	}
-	n := 0
-	for _, addr := range p.Seeds {
-		if k := p.known[addr]; addr == p.Addr || (k != nil && (k.alive || k.refused)) {
-			n++
-		}
-	}
-	return float64(n) / float64(len(p.Seeds))
-}
-
 // Entries returns the addresses of all live entries, this one's included, in the order of
 // readers.
 func (p *Peers) Entries() []string { return p.rankedAddrs(anyEntry) }
@@ -217,32 +169,3 @@
 	addrs := p.rankedAddrs(anyEntry)
 	return grant.SortHomes(customer, addrs[:min(len(addrs), maxHomes)])
 }
-
-// Count returns how many entries are alive, this one included, and how many may be.
-func (p *Peers) Count() (alive, known int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	alive = 1
-	for _, k := range p.known {
-		if k.alive {
-			alive++
-		}
-	}
-	return alive, p.countKnown(0)
-}
-
-// countKnown returns how many entries share a budget that counts over the window, this one included.
-// An entry that has just started and met no other assumes that there are many: all of them may have
-// started, and none knows yet what the others grant. The caller holds mu.
-func (p *Peers) countKnown(window magno.Millis) int {
-	n, now := 1, p.Clock.Now()
-	for _, k := range p.known {
-		if k.counts(now, window) {
-			n++
-		}
-	}
-	if !p.hasMet() && now-p.startedAt < discoveryTime {
-		n = max(n, assumedEntries)
-	}
-	return n
-}
--- a/magno/grant/grant.go
+++ b/magno/grant/grant.go
@@ -9,7 +9,8 @@
 //
 // When processes are partitioned, each side has homes of its own. A home then grants only
 // a share of the limit: the processes that it sees, divided by all that it knows.
-// Together the sides stay near the limit.
+// Together the sides stay near the limit. A process that can't know how many others there are grants
+// nothing: each of them would be a side of its own.
 package grant
 
 import (
@@ -36,6 +37,10 @@
 	// spareDivisor divides the tokens left beyond a need; other processes ask as well.
 	spareDivisor  = 4
 	maxRetryAfter = 10 * magno.Second
+	// minShare is the smallest share of a limit that is granted. It is less only for a process that
+	// doesn't know how many others there are; unknownRetryAfter is the time in which it may meet them.
+	minShare          = 1e-4
+	unknownRetryAfter = magno.Second
 )
 
 // Request is a process's request to a customer's home for tokens.
@@ -101,6 +106,9 @@
 	now := g.Clock.Now()
 	h := g.homeFor(req.Customer, limit, Share(alive, known), now)
 	h.charge(-max(req.Returned, 0), now)
+	if !Grants(alive, known) {
+		return Reply{RetryAfter: unknownRetryAfter}
+	}
 	if free := h.available(now); free >= req.Need {
 		granted := req.Need + min(max(req.Want-req.Need, 0), (free-req.Need)/spareDivisor)
 		h.charge(granted, now)
@@ -183,6 +191,9 @@
 	return max(at-now, 1)
 }
 
+// Grants reports whether a home grants any share of a limit.
+func Grants(alive, known int) bool { return Share(alive, known) >= minShare }
+
 // Share returns the share of a limit that a home grants.
 func Share(alive, known int) float64 {
 	share := float64(alive) / float64(max(known, alive, 1))
--- a/magno/quota/quota.go
+++ b/magno/quota/quota.go
@@ -153,6 +153,9 @@
 	if v, _ := acc.take(cost, now); v == Allowed {
 		return Allowed, 0
 	}
+	if !grant.Grants(1, known) {
+		return Refused, fallbackRetryAfter
+	}
 	fresh := acc.fallback.Burst == 0
 	acc.fallback.Level(now)
 	acc.fallback.Rate = limit.Rate / float64(max(known, 1))
