start: seeds that change take effect in running processes

The platform had put the seeds right 3 s after the start, with a SIGHUP; the entry logged "settings changed=true" and went on with the old ones until its next start, so that entries never met.

Cause: a reload read the settings and compared them, nothing took them over, and nobody looked without a signal, though the file may change without one.

--- a/agent/site/site.go
+++ b/agent/site/site.go
@@ -49,13 +49,14 @@
 	ends := &keeper.Ends{Mesh: mesh, Suspects: &crash.Suspects{Clock: clock}, Log: log}
 	ends.Open()
 	log.Info("start", "dc", set.DataCentre, "peers", mesh.Addr(), "upstream", set.UpstreamAddress, "service", set.Service)
+	watch := &start.Watch{Site: site, Settings: set, Log: log}
 	d := start.Daemon{
-		Tasks: []magno.Task{mesh, k, out, &admin.Server{
+		Tasks: []magno.Task{mesh, k, watch, out, &admin.Server{
 			Listen: net.JoinHostPort(set.IP, strconv.Itoa(start.MetricsPort)), Allow: []string{start.AnyAddress},
 			Ready: func() bool { return true }, Status: func() any { return k.Self },
 			Events: &event.Ring{Process: set.Name, Size: 1},
 		}},
-		Log: log, Leave: k.Leave, Busy: func() int64 { return 0 }, DrainTimeout: stopTimeout, Reload: start.Reloader(site, set, log),
+		Log: log, Leave: k.Leave, Busy: func() int64 { return 0 }, DrainTimeout: stopTimeout, Reload: watch.Reload,
 	}
 	return d.Run()
 }
--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -149,18 +149,28 @@
 		seeds = append(seeds, f.address(1, i+1, 3))
 	}
 	for i := range n {
-		m := &fake.Machine{
-			Name: entryName(i), Zone: f.size.dataCentre(i), IP: f.ip(1, i+1), Callers: f.address(1, i+1, 1),
-			Ready: f.address(1, i+1, 2), Peers: f.address(1, i+1, 3), InternalPort: portBase + 10, Store: f.address(5, 2, 30), Seeds: seeds, RetrySlack: f.size.RetrySlack,
-		}
-		f.entries = append(f.entries, m.Callers)
-		if err := f.run(ctx, "entry", m); err != nil {
+		if err := f.startEntry(ctx, i, seeds); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// startEntry starts the entry with an index.
+func (f *fleet) startEntry(ctx context.Context, i int, seeds []string) error {
+	m := f.entryMachine(i, seeds)
+	f.entries = append(f.entries, m.Callers)
+	return f.run(ctx, "entry", m)
+}
+
+// entryMachine returns the machine of the entry with an index.
+func (f *fleet) entryMachine(i int, seeds []string) *fake.Machine {
+	return &fake.Machine{
+		Name: entryName(i), Zone: f.size.dataCentre(i), IP: f.ip(1, i+1), Callers: f.address(1, i+1, 1),
+		Ready: f.address(1, i+1, 2), Peers: f.address(1, i+1, 3), InternalPort: portBase + 10, Store: f.address(5, 2, 30), Seeds: seeds, RetrySlack: f.size.RetrySlack,
+	}
+}
+
 // publish writes the next version of the configuration, with a new additional key.
 func (f *fleet) publish() {
 	f.mu.Lock()
--- a/entry/site/reload_test.go
+++ b/entry/site/reload_test.go
@@ -29,11 +29,11 @@
 	reloaded, ended := make(chan struct{}), make(chan int, 1)
 	task := startedTask{make(chan struct{})}
 	log := slog.New(slog.DiscardHandler)
-	read := start.Reloader(fakeSite{}, settings, log)
+	watch := &start.Watch{Site: fakeSite{}, Settings: settings, Log: log}
 	d := start.Daemon{
 		Tasks: []magno.Task{task}, Log: log, Leave: func() {}, Busy: func() int64 { return 0 }, DrainTimeout: magno.Minute,
 		Reload: func() {
-			read()
+			watch.Reload()
 			reloaded <- struct{}{}
 		},
 	}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -56,9 +56,13 @@
 	}
 	log.Info("start", "dc", settings.DataCentre, "callers", settings.CallerAddress, "ready", settings.ReadyAddress, "peers", settings.PeerAddress,
 		"seeds", len(settings.Seeds), "list", settings.ListAddress)
+	watch := &start.Watch{
+		Site: site, Settings: settings, Log: log,
+		Applied: []string{"Seeds"}, Apply: func(set *magno.SiteSettings) { e.peers.SetSeeds(set.Seeds) },
+	}
 	d := start.Daemon{
-		Tasks: append(e.tasks(), out), Log: log, Leave: e.front.leave, Busy: e.front.busy, DrainTimeout: settings.Grace,
-		Reload: start.Reloader(site, settings, log),
+		Tasks: append(e.tasks(), watch, out), Log: log, Leave: e.front.leave, Busy: e.front.busy, DrainTimeout: settings.Grace,
+		Reload: watch.Reload,
 	}
 	return d.Run()
 }
--- a/magno/start/site.go
+++ b/magno/start/site.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"os"
-	"reflect"
 	"runtime/debug"
 
 	"magnoliastall.example/magno"
@@ -56,16 +54,3 @@
 	set, err := site.Settings()
 	return site, set, err
 }
-
-// Reloader returns a function for Daemon.Reload. It reads the settings again and logs whether
-// they changed; changes take effect at the next start.
-func Reloader(site magno.Site, set *magno.SiteSettings, log *slog.Logger) func() {
-	return func() {
-		current, err := site.Settings()
-		if err != nil {
-			log.Warn("settings", "error", err)
-			return
-		}
-		log.Info("settings", "changed", !reflect.DeepEqual(current, set))
-	}
-}
