relay: what can't end before a planned stop does is refused at once

Cause: requests to plain services were accepted until two seconds before the end of the grace period, streams for 2.8 s, whatever they take, and only as their header came: not after a slow body or a wait for a turn or a permit. What still waited as the process ended got 502 too, though it had not run.

The relay learns how long requests of a route take (magno/took: nine of ten of the last 24). While the process stops, a request that would take longer than is left is refused when its header comes and once more right before it is sent. Of a route that nothing is known of, requests go on as before. What waits as answers must end is refused with 503, which is true, before the guard gives it 502.

--- a/drive/soak/kept.go
+++ b/drive/soak/kept.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -21,8 +22,27 @@
 type keptCaller struct {
 	caller  *fake.Caller
 	address string
-	conn    net.Conn
-	reader  *bufio.Reader
+	// bodyTime is the time over which the bodies arrive, zero for at once.
+	bodyTime time.Duration
+	conn     net.Conn
+	reader   *bufio.Reader
+}
+
+// slowBody is a body that arrives byte by byte.
+type slowBody struct {
+	rest  string
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.rest == "" {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	n := copy(p[:1], b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
 }
 
 // send sends a request and reads the response. WholeAt is when the whole request was sent, zero if it wasn't.
@@ -35,6 +55,9 @@
 		c.drop()
 		return fake.Outcome{}, time.Time{}
 	}
+	if c.bodyTime > 0 {
+		req.Body = io.NopCloser(&slowBody{rest: m.Body, pause: c.bodyTime / time.Duration(len(m.Body))})
+	}
 	if req.Write(c.conn) == nil {
 		wholeAt = time.Now()
 	}
--- a/entry/relay/finish.go
+++ b/entry/relay/finish.go
@@ -21,6 +21,8 @@
 		j.failure.forward(j)
 	case j.Clock.Now() >= j.deadline-1:
 		j.refuse(j.deadlineRefusal())
+	case !j.mayHaveRun && j.exitOver():
+		j.refuse(refuseLeaving())
 	case j.refusal != nil && !j.mayHaveRun:
 		j.refuse(j.refusal)
 	case !j.mayHaveRun:
--- a/entry/relay/job.go
+++ b/entry/relay/job.go
@@ -193,6 +193,7 @@
 	}
 	ctx, cancel := context.WithTimeout(j.r.Context(), (j.deadline - j.Clock.Now()).Duration())
 	defer cancel()
+	defer j.exit.await(cancel)()
 	if j.route.Kind == magno.RouteStream && j.route.Repeatable() && eventNumber(j.call.From) >= 0 {
 		j.lastEvent = j.call.From
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -31,6 +31,7 @@
 	"magnoliastall.example/magno/paths"
 	"magnoliastall.example/magno/shed"
 	"magnoliastall.example/magno/strain"
+	"magnoliastall.example/magno/took"
 	"magnoliastall.example/magno/view"
 )
 
@@ -160,6 +161,10 @@
 	// streamsUntil and plainUntil are the times until which requests of each kind are accepted
 	// during a planned shutdown, zero before it.
 	streamsUntil, plainUntil atomic.Int64
+	// exit is the end of that shutdown.
+	exit exit
+	// times are how long requests take, by route.
+	times took.Times
 	// loadLevel is a strain.Level.
 	loadLevel atomic.Int32
 	permitSeq atomic.Uint64
@@ -183,13 +188,14 @@
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
-// Drain begins a planned shutdown: responses ask callers to close their connections. New
+// Drain begins a planned shutdown that leaves answers the time end: responses ask callers to close their connections. New
 // streams are still accepted for a while, and requests to plain services, which take
 // milliseconds, for longer. New connections arrive for some more seconds, or until the end if
 // no other instance of the data centre is ready, and each refusal costs its caller one of few
-// retries.
-func (h *Handler) Drain(streams, plain magno.Millis) {
+// retries. What can't end in time is refused.
+func (h *Handler) Drain(streams, plain, end magno.Millis) {
 	now := h.Clock.Now()
+	h.exit.begin(now+end, end)
 	h.plainUntil.Store(int64(now + plain))
 	h.streamsUntil.Store(int64(now + streams))
 }
@@ -272,8 +278,8 @@
 	if j.LoadLevel() == strain.Overloaded || isRefused(j.r.Context()) {
 		return magno.Refuse(magno.KindBusy, "this instance is far behind").WithRetryAfter(shed.RetryAfter)
 	}
-	if j.drained(j.route.Kind) {
-		return magno.Refuse(magno.KindLeaving, "this instance stops").WithRetryAfter(0)
+	if j.drained(j.route.Kind) || !j.endsBeforeExit() {
+		return refuseLeaving()
 	}
 	if refusal := j.readBody(); refusal != nil {
 		return refusal
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -303,7 +303,7 @@
 	})
 	plain, stream := newTestProxy(t, magno.RouteOnce, false, u), newTestProxy(t, magno.RouteStream, false, u)
 	for _, s := range []*testProxy{plain, stream} {
-		s.Drain(-1, magno.Minute)
+		s.Drain(-1, magno.Minute, magno.Minute)
 	}
 	res, _, err := plain.get(t, http.MethodPost, "1")
 	if err != nil || res.StatusCode != 200 || !res.Close {
--- a/entry/relay/send.go
+++ b/entry/relay/send.go
@@ -84,7 +84,7 @@
 		j.abort(conn)
 		return j.connectionFailed(ctx, r, err)
 	}
-	return j.handleResponse(ctx, r, conn, res)
+	return j.recordTime(j.handleResponse(ctx, r, conn, res))
 }
 
 // connectFailed handles an upstream to which no connection could be had.
@@ -101,7 +101,7 @@
 }
 
 // maySendNow is maySend, but first refuses a request that is in doubt while another one is tried, and one with too
-// little time left for an answer, and aborts one whose caller has left.
+// little time left for an answer before its deadline or the end of this process, and aborts one whose caller has left.
 func (j *job) maySendNow(ctx context.Context, key string) result {
 	if refusal := j.askToSend(ctx); refusal != nil {
 		j.refusal = refusal
@@ -110,6 +110,10 @@
 	if caller.Left(j.r.Context()) {
 		return resultAborted
 	}
+	if !j.headSent && !j.endsBeforeExit() {
+		j.deferRefusal(refuseLeaving())
+		return resultRefused
+	}
 	if ctx.Err() != nil || j.deadline-j.Clock.Now() < j.minTimeLeft() {
 		j.deferRefusal(j.deadlineRefusal())
 		return resultRefused
--- a/entry/relay/waiting_test.go
+++ b/entry/relay/waiting_test.go
@@ -136,8 +136,8 @@
 var waitEvents = map[string]func(*testProxy){
 	"overload":                    func(s *testProxy) { s.SetLoadLevel(strain.Overloaded) },
 	"strain":                      func(s *testProxy) { s.SetLoadLevel(strain.Strained) },
-	"stop":                        func(s *testProxy) { s.Drain(magno.Minute, magno.Minute) },
-	"stop, nothing more accepted": func(s *testProxy) { s.Drain(-1, -1) },
+	"stop":                        func(s *testProxy) { s.Drain(magno.Minute, magno.Minute, magno.Minute) },
+	"stop, nothing more accepted": func(s *testProxy) { s.Drain(-1, -1, magno.Minute) },
 }
 
 // Guards against a request that waits, and is refused or ends without an answer because its instance is overloaded or
--- a/entry/site/front.go
+++ b/entry/site/front.go
@@ -48,6 +48,8 @@
 	// answered; they are refused, which takes milliseconds unless the machine is overloaded.
 	exitReserve        = 700 * magno.Millis(1)
 	finalAnswerTimeout = 300 * magno.Millis(1)
+	// answerReserve is how much of the grace period is left when requests that have no answer yet get one.
+	answerReserve = exitReserve - finalAnswerTimeout/2
 )
 
 // front serves callers and the load balancer's readiness check.
@@ -157,7 +159,7 @@
 // leave begins a planned stop.
 func (f *front) leave() {
 	f.leftAt.Store(int64(f.clock.Now()))
-	f.relay.Drain(acceptStreamsFor, max(f.settings.Grace-plainReserve, acceptStreamsFor))
+	f.relay.Drain(acceptStreamsFor, max(f.settings.Grace-plainReserve, acceptStreamsFor), max(f.settings.Grace-answerReserve, acceptStreamsFor))
 }
 
 // busy returns what a planned stop waits for: the requests in progress, plus one until the
