--- a/drive/soak/fleet.go
+++ b/drive/soak/fleet.go
@@ -47,11 +47,13 @@
 	dir, bin string
 	size     Size
 	store    *fake.Store
-	procs    []*process
-	proxies  []*proxy
-	engines  []*upstream
-	plains   []*upstream
-	entries  []string
+	// storeHandler answers in the place of store.
+	storeHandler swapHandler
+	procs        []*process
+	proxies      []*proxy
+	engines      []*upstream
+	plains       []*upstream
+	entries      []string
 
 	mu sync.Mutex
 	// allWorkers are the workers of all incarnations.
@@ -119,7 +121,8 @@
 // startList starts the list with the first configuration. All else runs until ctx ends, too.
 func (f *fleet) startList(ctx context.Context) error {
 	f.ctx = ctx
-	if err := serve(ctx, f.address(5, 1, 30), f.store); err != nil {
+	f.storeHandler.set(f.store)
+	if err := serve(ctx, f.address(5, 1, 30), &f.storeHandler); err != nil {
 		return err
 	}
 	if err := f.proxy(ctx, f.address(5, 2, 30), f.address(5, 1, 30)); err != nil {
@@ -167,7 +170,7 @@
 func (f *fleet) entryMachine(i int, seeds []string) *fake.Machine {
 	return &fake.Machine{
 		Name: entryName(i), Zone: f.size.dataCentre(i), IP: f.ip(1, i+1), Callers: f.address(1, i+1, 1),
-		Ready: f.address(1, i+1, 2), Peers: f.address(1, i+1, 3), InternalPort: portBase + 10, Store: f.address(5, 2, 30), Seeds: seeds, RetrySlack: f.size.RetrySlack,
+		Ready: f.address(1, i+1, 2), Peers: f.address(1, i+1, 3), InternalPort: portBase + 10, Store: f.address(5, 2, 30), Seeds: seeds, RetrySlack: f.size.RetrySlack, Memory: f.size.Memory,
 	}
 }
 
--- a/drive/soak/size.go
+++ b/drive/soak/size.go
@@ -9,6 +9,8 @@
 	DataCentres int
 	// RetrySlack is the part of the retry budget that doesn't depend on the requests.
 	RetrySlack int
+	// Memory is the limit of each process's memory in megabytes, zero for none.
+	Memory int
 	// Network is the second byte of all addresses. Soaks of different networks can run at once.
 	Network int
 	// Share is the share of the time for which each process runs, as on a small part of a processor; zero for all
--- a/drive/soak/upstream.go
+++ b/drive/soak/upstream.go
@@ -94,7 +94,7 @@
 	}
 	return f.run(ctx, "agent", &fake.Machine{
 		Name: agentName(n - 1), Zone: f.size.dataCentre(n - 1), IP: f.ip(2, n), Worker: u.listen,
-		InternalPort: portBase + 10, Store: f.address(5, 2, 30), RetrySlack: f.size.RetrySlack,
+		InternalPort: portBase + 10, Store: f.address(5, 2, 30), RetrySlack: f.size.RetrySlack, Memory: f.size.Memory,
 	})
 }
 
