--- a/drive/soak/rejoin_test.go
+++ b/drive/soak/rejoin_test.go
@@ -25,6 +25,8 @@
 	rejoinSpread = 2 * time.Second
 	// rejoinAgents is the time after the kill of all agents: they are back, and told what they held.
 	rejoinAgents = 4 * time.Second
+	// firstStepNetwork is the network of the first fleet with an entry out of step.
+	firstStepNetwork = 130
 	// rejoinTime is for how long callers take up what broke off.
 	rejoinTime = 3 * time.Second
 )
@@ -40,10 +42,22 @@
 	spare int
 	// agents is true if all agents are killed some time before the entries.
 	agents bool
+	// step is how the last entry is out of step. Streams then begin through the others, and are taken up there.
+	step outOfStep
 	// goesOn is true if streams of callers that state the attempt must go on, unstated if those of others must.
 	goesOn, unstated bool
 }
 
+// outOfStep is how an entry is out of step with the others.
+type outOfStep int
+
+const (
+	inStep    outOfStep = iota
+	standing            // it stands still while a build joins
+	apart               // it never meets the others, and reads the list itself
+	returning           // it stood still before the build joins, and wakes up as that serves
+)
+
 // rejoined counts what became of streams that broke off in the kill.
 type rejoined struct {
 	begun, sent int
@@ -55,9 +69,15 @@
 
 // startRejoinSoak starts entries and the upstreams of a route, all of one build.
 func startRejoinSoak(t *testing.T, path string, seed uint64) *Soak {
+	t.Helper()
+	return startRejoinSoakOf(t, path, seed, Size{}, inStep)
+}
+
+// startRejoinSoakOf is startRejoinSoak for a size, and for an entry that may be apart from the others.
+func startRejoinSoakOf(t *testing.T, path string, seed uint64, size Size, step outOfStep) *Soak {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Soak{Seed: seed, Dir: t.TempDir(), Bin: programDir, Out: io.Discard, sent: map[string]*request{}, reported: map[string]bool{}}
+	s := &Soak{Seed: seed, Dir: t.TempDir(), Bin: programDir, Out: io.Discard, Size: size, sent: map[string]*request{}, reported: map[string]bool{}}
 	f := newFleet(s.Dir, s.Bin, s.Size)
 	s.fleet = f
 	t.Cleanup(func() {
@@ -70,7 +90,14 @@
 	if path == fake.PathFlow {
 		must(t, f.join(ctx, fake.PathResume, 2)) // a fleet has agents, whatever service is played
 	}
-	must(t, f.startEntries(ctx, entryCount))
+	if step == apart {
+		for i := range entryCount - 1 {
+			must(t, f.startEntry(ctx, i, seedsOf(f, entryCount-1)))
+		}
+		must(t, f.startEntry(ctx, entryCount-1, goneSeeds(f, entryCount-1)))
+	} else {
+		must(t, f.startEntries(ctx, entryCount))
+	}
 	must(t, f.ready(ctx, path))
 	s.started = time.Now()
 	return s
@@ -136,7 +163,7 @@
 			for ctx.Err() == nil {
 				st := s.newStream(path, rnd)
 				st.unstated = n%2 == 0
-				r := s.playCut(ctx, caller, st, killed, rnd)
+				r := s.playCut(ctx, caller, st, c.step, killed, rnd)
 				mu.Lock()
 				total.add(r)
 				mu.Unlock()
@@ -144,6 +171,14 @@
 		})
 	}
 	time.Sleep(rejoinStart)
+	last := s.fleet.process(entryName(len(s.fleet.entries) - 1))
+	if c.step == standing || c.step == returning {
+		last.signal(syscall.SIGSTOP)
+	}
+	if c.step == returning {
+		time.Sleep(2 * time.Second)
+		time.AfterFunc(2*time.Second, func() { last.signal(syscall.SIGCONT) })
+	}
 	if c.joins {
 		s.fleet.builds = builds[1:]
 		_ = s.fleet.join(s.fleet.ctx, path, rejoinNew)
@@ -158,7 +193,14 @@
 		time.Sleep(rejoinAgents)
 	}
 	close(killed)
-	s.fleet.killAtOnce("entry", c.spare)
+	if c.step == inStep {
+		s.fleet.killAtOnce("entry", c.spare)
+	} else {
+		last.signal(syscall.SIGCONT)
+		for i := range len(s.fleet.entries) - 1 {
+			s.fleet.process(entryName(i)).signal(syscall.SIGKILL)
+		}
+	}
 	if c.leaves > 0 {
 		time.Sleep(c.leaves)
 		s.fleet.leave(path, builds[0])
@@ -178,11 +220,22 @@
 	return st
 }
 
-// playCut plays a stream, and takes it up at any entry if the kill breaks it off.
-func (s *Soak) playCut(ctx context.Context, caller *fake.Caller, st *stream, killed chan struct{}, rnd *rand.Rand) *rejoined {
+// playCut plays a stream, and takes it up at any entry if the kill breaks it off, at the last one if that is out of step.
+func (s *Soak) playCut(ctx context.Context, caller *fake.Caller, st *stream, step outOfStep, killed chan struct{}, rnd *rand.Rand) *rejoined {
 	r := &rejoined{taken: map[bool]int{}, went: map[bool]int{}}
 	path := pathOf(st.target)
-	entry := func() string { return s.fleet.entries[rnd.IntN(len(s.fleet.entries))] }
+	first, further := s.fleet.entries, s.fleet.entries
+	if n := len(first) - 1; step != inStep {
+		first, further = first[:n], first[n:]
+	}
+	entry := func() string {
+		select {
+		case <-killed:
+			return further[rnd.IntN(len(further))]
+		default:
+			return first[rnd.IntN(len(first))]
+		}
+	}
 	o, began := s.sendStream(context.Background(), caller, entry(), st)
 	select {
 	case <-killed:
@@ -259,6 +312,30 @@
 	}
 }
 
+// Guards against streams that are taken up at an entry which is out of step while a build joins, and go on there at
+// another build than theirs, or nowhere although theirs serves.
+func TestStreamsAreTakenUpAtAnEntryOutOfStep(t *testing.T) {
+	for p, path := range []string{fake.PathResume, fake.PathFlow} {
+		for i, c := range []rejoinCase{
+			{name: "stands still", joins: true, step: standing, goesOn: true},
+			{name: "stood still until the build serves", joins: true, step: returning, goesOn: true},
+			{name: "apart from the others", joins: true, step: apart, goesOn: true},
+			{name: "apart, the old build leaves", joins: true, leaves: 50 * time.Millisecond, step: apart},
+		} {
+			t.Run(serviceOf(path)+", "+c.name, func(t *testing.T) {
+				t.Parallel()
+				s := startRejoinSoakOf(t, path, 1, Size{Network: firstStepNetwork + 10*p + i}, c.step)
+				r := s.playRejoined(path, &c)
+				t.Logf("stated: %d taken up, %d went on; unstated: %d, %d; %d of %d new streams begin; %d mixed",
+					r.taken[true], r.went[true], r.taken[false], r.went[false], r.begun, r.sent, len(r.mixed))
+				for _, what := range append(r.check(&c), s.violations...) {
+					t.Error(what)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a request that ends upstreams and is sent on after all entries, most of them or all agents were
 // killed: if nobody knows any more what it has ended, each kill costs three further upstreams. Its callers come
 // back once the entries count as running.
