notice, desk, route: the restart of an engine ends its rest

What callers saw: an engine that had asked for rest (Retry-After) and restarted under its name was left alone to the end of that rest, 59.9 of 60 s in the test; its requests were refused or went to other engines.

Cause: notice.Board.Restarted forgot a limit and that the engine leaves, not a rest, and the router kept its own copy of the rest.

The board keeps when a rest was stated, so that an older restart ends none of a later one, and tells the router.

--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -102,6 +102,8 @@
 	// OnUsable is called, after OnBacklog, when an engine becomes usable: its agent answers for
 	// the first time or again, or it is no longer down. It may be nil.
 	OnUsable func(service string)
+	// OnRestEnded is called when an engine has restarted that had asked for rest. It may be nil.
+	OnRestEnded func(service, key string)
 	// FetchRevision is called with the revision at which the list named a later incarnation than
 	// this entry knows. It may be nil and must not block.
 	FetchRevision func(revision magno.Revision)
--- a/entry/desk/notice.go
+++ b/entry/desk/notice.go
@@ -6,10 +6,13 @@
 	"magnoliastall.example/magno/gate"
 )
 
-// adoptNotices records what an agent knows of its engine's statements.
-func (c *Client) adoptNotices(key string, reply *gate.StatusReply, addr string) {
-	if reply.RestartAge > 0 {
-		c.Notices.Restarted(key, c.Clock.Now()-reply.RestartAge)
+// adoptNotices records what an agent knows of the statements of its engine, which belongs to a service.
+func (c *Client) adoptNotices(service, key string, reply *gate.StatusReply, addr string) {
+	if reply.RestartAge > 0 && c.Notices.Restarted(key, c.Clock.Now()-reply.RestartAge) {
+		c.Log.Info("upstream notice", "replica", key, "rest", 0, "from", addr)
+		if c.OnRestEnded != nil {
+			c.OnRestEnded(service, key)
+		}
 	}
 	if reply.LeavingAge > 0 && c.Notices.AdoptLeaving(key, reply.LeavingAge) {
 		c.Log.Info("upstream notice", "replica", key, "leaving", true, "from", addr)
--- a/entry/desk/status.go
+++ b/entry/desk/status.go
@@ -63,7 +63,7 @@
 	case !current:
 		return
 	default:
-		c.adoptNotices(key, reply, s.addr)
+		c.adoptNotices(service, key, reply, s.addr)
 	}
 	if c.OnBacklog != nil {
 		c.OnBacklog(service, key, b)
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -171,6 +171,14 @@
 	p.get(service).wake()
 }
 
+// endRest has the router of a service offer work to an engine again, which had asked for rest and restarted since.
+func (p *pools) endRest(service, key string) {
+	p.mu.Lock()
+	router := p.get(service).router
+	p.mu.Unlock()
+	router.EndRest(key)
+}
+
 // Router implements relay.Pools.
 func (p *pools) Router(service string) magno.Chooser {
 	p.mu.Lock()
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -106,7 +106,7 @@
 		List: site.Lister(settings.ListAddress), Book: e.book, ShouldRead: e.peers.ShouldRead, IsReader: e.peers.IsReader, Broadcast: e.peers.Broadcast, ReportReachable: e.peers.SetListReachable, FreshFirst: settings.MaxRevokeDelay > 0, Log: log,
 	}
 	e.desk = &desk.Client{
-		Self: settings.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, Engine: site.Engine, AgentPort: settings.InternalPort, OnBacklog: e.pools.report, OnUsable: e.pools.wakeWaiting, FetchRevision: e.peers.FetchRevision, Notices: e.notices,
+		Self: settings.Name, Mesh: e.mesh, Book: e.book, Clock: clock, Log: log, Engine: site.Engine, AgentPort: settings.InternalPort, OnBacklog: e.pools.report, OnUsable: e.pools.wakeWaiting, OnRestEnded: e.pools.endRest, FetchRevision: e.peers.FetchRevision, Notices: e.notices,
 		Addr: settings.PeerAddress, Entries: e.peers.DataCentreEntries,
 	}
 	e.desk.Open()
--- a/magno/notice/notice.go
+++ b/magno/notice/notice.go
@@ -40,8 +40,8 @@
 	// was last known not to.
 	leaving              bool
 	leavingAt, stayingAt magno.Millis
-	// restUntil is when the upstream accepts requests of this process again.
-	restUntil magno.Millis
+	// restUntil is when the upstream accepts requests of this process again, as it last stated at restAt.
+	restUntil, restAt magno.Millis
 }
 
 // Record takes the notice in an answer to a request that was sent at the given time, and
@@ -62,7 +62,7 @@
 		changed = s.end(now)
 	}
 	if n.RetryAfter > 0 {
-		s.restUntil = max(s.restUntil, now+n.RetryAfter)
+		s.restUntil, s.restAt = max(s.restUntil, now+n.RetryAfter), now
 	}
 	switch {
 	case n.Leaving:
@@ -110,13 +110,14 @@
 	return false
 }
 
-// Restarted forgets what an upstream stated before it restarted at the given time.
-func (b *Board) Restarted(key string, at magno.Millis) {
+// Restarted forgets what an upstream stated before it restarted at the given time, and reports whether that ended a
+// rest.
+func (b *Board) Restarted(key string, at magno.Millis) (restEnded bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.upstreams[key]
 	if s == nil {
-		return
+		return false
 	}
 	if s.limitedAt < at {
 		s.limited, s.endedAt = false, max(s.endedAt, at)
@@ -124,6 +125,11 @@
 	if s.leavingAt < at {
 		b.setLeaving(s, false, at)
 	}
+	if s.restAt >= at || s.restUntil <= b.Clock.Now() {
+		return false
+	}
+	s.restUntil = 0
+	return true
 }
 
 // of returns the statements of an upstream. The caller holds mu.
--- a/magno/route/rest_test.go
+++ b/magno/route/rest_test.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// Guards against a target that is left alone to the end of its rest, though it restarted.
+func TestRestartedTargetIsChosen(t *testing.T) {
+	r, clock := restRouter("a", "b")
+	r.Rest("a", clock.Now()+3000)
+	r.EndRest("a")
+	r.EndRest("gone")
+	if c := r.Choose(magno.Query{}); len(c.Names) != 2 {
+		t.Errorf("chose among %v after the restart", c.Names)
+	}
+}
+
 // Guards against a request waiting, or being told to return at any time, while all targets rest.
 func TestAllTargetsRest(t *testing.T) {
 	r, clock := restRouter("a", "b", "c")
--- a/magno/route/route.go
+++ b/magno/route/route.go
@@ -192,6 +192,15 @@
 	}
 }
 
+// EndRest offers work to the named target again: it restarted since it asked for rest.
+func (r *Router) EndRest(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.peers[name]; p != nil {
+		p.restUntil = 0
+	}
+}
+
 // Sent records that work was sent; a negative amount takes back work that wasn't.
 func (r *Router) Sent(name string, work int) {
 	r.mu.Lock()
