view: an upstream whose entry outlives a newer one at its address is used again

Cause: the newest entry that an address ever had hid all older ones for good, also after its deletion. That rule keeps the entry of a crashed upstream from being used beside its successor's; but a crashed one's entry expires within three heartbeats, and one that doesn't belongs to an upstream that lives.

--- a/magno/view/apply.go
+++ b/magno/view/apply.go
@@ -170,7 +170,7 @@
 	s.items[c.Key] = rec
 	if c.Replica != nil {
 		rec.lastLife = c.Replica.StartedAt
-		s.recordSince(c.Replica)
+		s.recordClaim(&c)
 	}
 	if c.Plan != nil && (s.plan == nil || c.Plan.Version > s.plan.Version) {
 		s.plan = c.Plan
--- a/magno/view/digest.go
+++ b/magno/view/digest.go
@@ -208,7 +208,7 @@
 // reset forgets the items, to be replaced by those of a consistent state. The configuration and
 // the versions of adapters are kept, since they never decrease. The caller holds mu.
 func (s *Store) reset() {
-	s.sum, s.newestSince, s.heard = 0, map[string]magno.Revision{}, 0
+	s.sum, s.claims, s.heard = 0, map[string]claim{}, 0
 	s.unknownDeletions = RevisionRange{}
 	s.current = &Snapshot{Plan: s.plan, Replicas: map[string]*magno.Replica{}, Pins: s.current.Pins}
 	maps.DeleteFunc(s.items, func(_ string, rec *record) bool { return rec.change.Plan == nil && rec.change.Pin == nil })
--- a/magno/view/restore.go
+++ b/magno/view/restore.go
@@ -32,7 +32,10 @@
 }
 
 // settleTime is how long the list may differ from what its writers know.
-func (s *Store) settleTime() magno.Millis {
+func (s *Store) settleTime() magno.Millis { return s.entryTTL() }
+
+// entryTTL is how long the entry of an upstream that has ended may remain in the list.
+func (s *Store) entryTTL() magno.Millis {
 	heartbeat := s.Heartbeat
 	if heartbeat == 0 {
 		heartbeat = defaultHeartbeat
@@ -160,21 +163,21 @@
 	}
 	s.restore.settledAt = 0
 	// Entries that were lost in the restore no longer precede those that the list has.
-	maps.DeleteFunc(s.newestSince, func(_ string, since magno.Revision) bool { return since < s.current.Revision.EraStart() })
+	maps.DeleteFunc(s.claims, func(_ string, c claim) bool { return c.since < s.current.Revision.EraStart() })
 	for _, rec := range s.items {
 		if rec.pending != nil {
 			s.set(*rec.pending, rec)
 		}
 	}
 	for _, rec := range s.items {
-		s.recordSince(rec.change.Replica)
+		s.recordClaim(&rec.change)
 	}
 	return true
 }
 
-// recordSince records the creation of an upstream's entry, nil for none. The caller holds mu.
-func (s *Store) recordSince(r *magno.Replica) {
-	if r != nil {
-		s.newestSince[r.Address] = max(s.newestSince[r.Address], r.Since)
+// recordClaim records the creation of an upstream's entry if the change is one. The caller holds mu.
+func (s *Store) recordClaim(c *magno.Change) {
+	if r := c.Replica; r != nil && r.Since > s.claims[r.Address].since {
+		s.claims[r.Address] = claim{since: r.Since, seenAt: s.Clock.Now(), key: c.Key, service: r.Service}
 	}
 }
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -80,11 +80,12 @@
 
 	mu    sync.Mutex
 	items map[string]*record
-	// newestSince maps each address to the start time of the newest entry seen there,
-	// including deleted ones. Its size is limited by the number of addresses on the
-	// platform.
-	newestSince map[string]magno.Revision
-	current     *Snapshot
+	// claims maps each address to the newest entry seen there, including deleted ones. Its
+	// size is limited by the number of addresses on the platform.
+	claims map[string]claim
+	// hidden is the number of upstreams that aren't used because of a newer entry.
+	hidden  int
+	current *Snapshot
 	// plan is the configuration with the highest version received.
 	plan *magno.Plan
 	// confirmedAt is the latest time at which the current revision was known to be the
@@ -113,6 +114,14 @@
 	changed  chan struct{}
 }
 
+// claim is the newest entry of an address.
+type claim struct {
+	// since is its creation, seenAt when this process first knew of it.
+	since        magno.Revision
+	seenAt       magno.Millis
+	key, service string
+}
+
 type record struct {
 	change magno.Change
 	// effectiveAt is when a deletion takes effect that may be an expiry during an outage.
@@ -202,7 +211,7 @@
 
 func (s *Store) setup() {
 	if s.items == nil {
-		s.items, s.newestSince = map[string]*record{}, map[string]magno.Revision{}
+		s.items, s.claims = map[string]*record{}, map[string]claim{}
 		s.changed = make(chan struct{})
 		s.current = &Snapshot{Replicas: map[string]*magno.Replica{}, Pins: map[string]int64{}}
 	}
@@ -225,6 +234,10 @@
 			s.unknownDeletions.extend(0, rec.change.Revision)
 		}
 	}
+	if s.hidden > 0 && !changed {
+		replicas, _ := s.collect()
+		changed = len(replicas) != len(s.current.Replicas)
+	}
 	if changed {
 		s.publish(s.current.Revision, true)
 	}
@@ -245,14 +258,17 @@
 
 func (s *Store) collect() (map[string]*magno.Replica, map[string]int64) {
 	replicas, pins := map[string]*magno.Replica{}, maps.Clone(s.current.Pins)
+	s.hidden = 0
 	for _, rec := range s.items {
 		r := rec.change.Replica
 		if r == nil {
 			r = rec.previous
 		}
-		// The entry of a crashed upstream remains for some seconds beside that of its
-		// successor at the same address.
-		if r != nil && r.Since >= s.newestSince[r.Address] {
+		switch {
+		case r == nil:
+		case s.succeeded(r):
+			s.hidden++
+		default:
 			replicas[r.ID] = r
 		}
 		if p := rec.change.Pin; p != nil {
@@ -265,3 +281,19 @@
 	}
 	return replicas, pins
 }
+
+// succeeded reports whether another upstream has taken the address of one. The entry of a crashed
+// upstream remains for some seconds beside that of its successor. If it is still there once it would
+// have expired, its upstream lives, and the newer entry came from another writer or has ended. The
+// caller holds mu.
+func (s *Store) succeeded(r *magno.Replica) bool {
+	c := s.claims[r.Address]
+	if r.Since >= c.since {
+		return false
+	}
+	if s.confirmedAt-c.seenAt < s.entryTTL() {
+		return true
+	}
+	rec := s.items[c.key]
+	return rec != nil && rec.change.Replica != nil && c.service == r.Service
+}
--- a/magno/view/view_test.go
+++ b/magno/view/view_test.go
@@ -47,6 +47,56 @@
 	}
 }
 
+// Guards against an upstream that is never used again because another writer's entry had its address for a while, and
+// against using the entry of a crashed upstream before it would have expired.
+func TestEntryThatOutlivesANewerOneIsUsed(t *testing.T) {
+	for _, c := range []struct {
+		name, service string
+		deleted, used bool
+	}{
+		{"another service, deleted", "other", true, true},
+		{"another service, still there", "other", false, true},
+		{"the same service, deleted", "s", true, true},
+		{"the same service, still there", "s", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, clock := newStore()
+			foreign := replicaChange("foreign", 9, "10.0.0.1:80")
+			foreign.Replica.Service = c.service
+			revision := magno.Revision(9)
+			s.ApplyRead([]magno.Change{replicaChange("old", 5, "10.0.0.1:80"), foreign}, revision, true)
+			if c.deleted {
+				revision++
+				s.ApplyRead([]magno.Change{deletionChange("foreign", revision)}, revision, false)
+			}
+			pass := func(d magno.Millis) bool {
+				clock.Advance(d)
+				s.ApplyRead(nil, revision, false)
+				s.Tick()
+				return s.Current().Replicas["old"] != nil
+			}
+			if pass(s.entryTTL() - 1) {
+				t.Error("it is used although its upstream may have crashed")
+			}
+			if used := pass(1); used != c.used {
+				t.Errorf("used once it would have expired: %t, want %t", used, c.used)
+			}
+		})
+	}
+}
+
+// Guards against the entry of a crashed upstream that is used while the list is away, which can't say that it expired.
+func TestEntryBehindANewerOneIsNotUsedInAnOutage(t *testing.T) {
+	s, clock := newStore()
+	s.ApplyRead([]magno.Change{replicaChange("old", 5, "10.0.0.1:80"), replicaChange("new", 9, "10.0.0.1:80")}, 9, true)
+	s.ApplyRead([]magno.Change{deletionChange("new", 10)}, 10, false)
+	clock.Advance(magno.Minute)
+	s.Tick()
+	if s.Current().Replicas["old"] != nil {
+		t.Error("it is used although the list was not read since")
+	}
+}
+
 // A delayed response of the list, or a peer that was partitioned, brings a configuration
 // that has been replaced.
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
