gate: a further version doesn't put off the switch to the one before

Cause: each declared version drew the time anew from which the engine takes no more requests on the loaded one, so versions in series put it off.

An agent remembers up to eight versions that its engine hasn't loaded, and switches by the one that came after the loaded one.

--- a/magno/gate/machine_test.go
+++ b/magno/gate/machine_test.go
@@ -43,8 +43,8 @@
 	report      *magno.Report
 	reportAt    magno.Millis
 	reportEpoch int
-	// declaredAt is when the newest version of an adapter was declared.
-	declaredAt map[string]magno.Millis
+	// declaredAt is when each version of an adapter was declared, from the second on.
+	declaredAt map[string][]magno.Millis
 	lastID     int
 }
 
@@ -52,7 +52,7 @@
 	clock := magno.NewClock(magno.Hour)
 	m := &gateMachine{
 		clock: clock, gate: &Gate{Clock: clock}, open: map[string]Request{}, until: map[string]magno.Millis{},
-		running: map[string]Request{}, deadline: map[string]magno.Millis{}, declaredAt: map[string]magno.Millis{},
+		running: map[string]Request{}, deadline: map[string]magno.Millis{}, declaredAt: map[string][]magno.Millis{},
 		spec: Spec{Replica: "r@1", ID: "r", Pins: map[string]int64{}, Engine: magno.Engine{
 			Models: []magno.Model{{Name: model, Size: 1000, Adapter: 10, Load: machineModel, Disk: machineModel}},
 			Slots:  machineSlots, Memory: 2000, Tokens: 20_000, Batch: machineBatch,
@@ -228,8 +228,11 @@
 	if !ok {
 		t.Fatalf("%s is admitted without its adapter %s; loaded are %v", g.ID, a.Adapter, m.engine.held)
 	}
-	if held < m.engine.newest[a.Adapter] && now > m.declaredAt[a.Adapter]+machineMaxOutdated {
-		t.Fatalf("%s is admitted on version %d of %s, %d ms after a newer one was declared", g.ID, held, a.Adapter, now-m.declaredAt[a.Adapter])
+	if held >= max(m.engine.newest[a.Adapter], 1) {
+		return
+	}
+	if ago := now - m.declaredAt[a.Adapter][max(held, 1)-1]; ago > machineMaxOutdated {
+		t.Fatalf("%s is admitted on version %d of %s, %d ms after the next one was declared", g.ID, held, a.Adapter, ago)
 	}
 }
 
@@ -322,7 +325,7 @@
 	name := fmt.Sprint("a", rapid.IntRange(0, 4).Draw(t, "adapter"))
 	m.engine.newest[name] = max(m.engine.newest[name], 1) + 1
 	m.spec.Pins[QualifiedName(model, name)] = m.engine.newest[name]
-	m.declaredAt[name] = m.clock.Now()
+	m.declaredAt[name] = append(m.declaredAt[name], m.clock.Now())
 	m.setSpec()
 }
 
--- a/magno/gate/orders_test.go
+++ b/magno/gate/orders_test.go
@@ -85,6 +85,29 @@
 	}
 }
 
+// Guards against versions in series that each put off the time from which the first one takes no new requests. That time
+// differs between adapters.
+func TestVersionsInSeriesDoNotKeepAnOldOne(t *testing.T) {
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		h := newHarness(t, 2)
+		h.offer(h.request("1", name, 100))
+		h.run(600, nil)
+		for version := int64(2); version < 2+2*maxDeclarations; version++ {
+			spec := h.spec()
+			spec.Pins = map[string]int64{QualifiedName("m", name): version}
+			h.gate.SetSpec(spec)
+			h.clock.Advance(updateSpread / maxDeclarations)
+		}
+		h.offer(h.request("2", name, 100))
+		if s := h.gate.Decide(); len(s.Grants) > 0 {
+			t.Errorf("a request for %s was admitted on version %d, %d ms after the second one was declared", name, s.Grants[0].Version, 2*updateSpread)
+		}
+		if n := len(h.gate.inventory.declared[QualifiedName("m", name)]); n > maxDeclarations {
+			t.Errorf("%d versions are kept", n)
+		}
+	}
+}
+
 // Guards against an agent that has just started beside an engine with an old version of an adapter, and takes a
 // version that was declared long ago for one that is declared now.
 func TestStartedAgentGivesOutNoOldVersion(t *testing.T) {
--- a/magno/gate/shelf.go
+++ b/magno/gate/shelf.go
@@ -39,6 +39,9 @@
 	// version. The replacement waits for the adapter's running requests; if all engines started
 	// at once, none could take new requests meanwhile.
 	updateSpread = 2500 * magno.Millis(1)
+	// maxDeclarations bounds the versions of an adapter that an engine didn't load. Beyond it the
+	// oldest two switch as one.
+	maxDeclarations = 8
 	// updateIdleTime is how long an adapter must have had no requests for its update to be
 	// deferred until the next request.
 	updateIdleTime = 2 * magno.Second
@@ -47,6 +50,13 @@
 	modelIdleTime = 5 * magno.Second
 )
 
+// declaration is a new version of an adapter.
+type declaration struct {
+	version int64
+	// switchAt is the time after which older versions take no new requests.
+	switchAt magno.Millis
+}
+
 // inventory tracks what an engine has loaded and is loading, and decides what it loads next.
 type inventory struct {
 	spec *Spec
@@ -86,8 +96,9 @@
 	coldMean, warmMean float64
 	// demand counts requests with exponential decay.
 	demand *simplelru.LRU[string, demand]
-	// switchAt maps a name to the time after which its outdated version takes no new requests.
-	switchAt map[string]magno.Millis
+	// declared holds the versions of each name that were declared later than the first spec, the
+	// oldest first, without those that the engine has replaced.
+	declared map[string][]declaration
 	pinned   map[string]int64
 }
 
@@ -113,7 +124,7 @@
 func (inv *inventory) setup() {
 	inv.cacheSize = maxRecentAdapters
 	inv.demand, _ = simplelru.NewLRU[string, demand](maxDemandEntries, nil) // fails only for sizes under 1
-	inv.switchAt, inv.pinned = map[string]magno.Millis{}, map[string]int64{}
+	inv.declared, inv.pinned = map[string][]declaration{}, map[string]int64{}
 	inv.reset()
 }
 
@@ -161,9 +172,9 @@
 	}
 }
 
-// setSpec takes the spec and notes new versions. This engine admits requests to the outdated
-// version until a time of its own within updateSpread. Those of the first spec may have been declared
-// long before this process started, and are in force.
+// setSpec takes the spec and notes new versions. This engine admits requests to the version before
+// until a time of its own within updateSpread, which later versions don't put off. Those of the first
+// spec may have been declared long before this process started, and are in force.
 func (inv *inventory) setSpec(spec *Spec, now magno.Millis) {
 	first := inv.spec == nil
 	inv.spec = spec
@@ -176,14 +187,25 @@
 			continue
 		}
 		delay := magno.Millis(xxhash.Sum64String(spec.Replica+name) % uint64(updateSpread))
-		inv.switchAt[name] = now + delay
+		list := slices.DeleteFunc(inv.declared[name], func(d declaration) bool { return !inv.precedes(name, d.version) })
+		list = append(list, declaration{version, now + delay})
+		if len(list) > maxDeclarations {
+			list[1].switchAt = list[0].switchAt
+			list = slices.Delete(list, 0, 1)
+		}
+		inv.declared[name] = list
 	}
 }
 
+// precedes reports whether the loaded version of an adapter is older than the given one.
+func (inv *inventory) precedes(name string, version int64) bool {
+	held, ok := inv.adapters[name]
+	return ok && held != 0 && held < version
+}
+
 // outdated reports whether an adapter is loaded in a version older than the pinned one.
 func (inv *inventory) outdated(name string) bool {
-	held, ok := inv.adapters[name]
-	return ok && held != 0 && inv.spec != nil && held < inv.spec.Pins[name]
+	return inv.spec != nil && inv.precedes(name, inv.spec.Pins[name])
 }
 
 // ready reports whether a request may start: its model and adapter are loaded, in a version
@@ -207,7 +229,15 @@
 
 // retired reports whether an adapter's loaded version takes no new requests.
 func (inv *inventory) retired(name string) bool {
-	return inv.outdated(name) && inv.now >= inv.switchAt[name]
+	if !inv.outdated(name) {
+		return false
+	}
+	for _, d := range inv.declared[name] {
+		if inv.precedes(name, d.version) {
+			return inv.now >= d.switchAt
+		}
+	}
+	return true
 }
 
 func (inv *inventory) version(req *Request) int64 { return inv.adapters[req.qualifiedName()] }
