--- a/entry/relay/answermem_test.go
+++ b/entry/relay/answermem_test.go
@@ -43,7 +43,11 @@
 				t.Fatal("no memory")
 			}
 			got := s.getStatus(t)
-			<-answered
+			select {
+			case <-answered:
+			case status := <-got:
+				t.Fatalf("answered with %d before the upstream was", status)
+			}
 			if c.freed {
 				waitFor(t, "a wait for memory", func() bool { return s.ResponseMemory.Waiting() == 1 })
 				s.ResponseMemory.Release(seq, room)
