--- a/entry/peers/count.go
+++ b/entry/peers/count.go
@@ -125,13 +125,13 @@
 	// silent is the number of further ones that may be beyond a partition. This entry counts in the
 	// first two.
 	alive, sharing, silent int
-	// elder is what the entry that has run longest counts, zero if that is this one. An entry that
+	// reported is the total of the entry that has run longest, zero if that is this one. An entry that
 	// started within a partition never met those beyond it.
-	elder int
+	reported int
 }
 
 // total returns the number of entries as of the last time that all were within reach.
-func (t *tally) total() int { return max(t.sharing+t.silent, t.elder) }
+func (t *tally) total() int { return max(t.sharing+t.silent, t.reported) }
 
 // tally counts the entries that share a budget which counts over the window. The caller holds mu.
 func (p *Peers) tally(window magno.Millis) tally {
@@ -144,7 +144,7 @@
 			t.alive++
 			t.sharing++
 			if k.hello.Uptime > oldest {
-				oldest, t.elder = k.hello.Uptime, k.hello.Total
+				oldest, t.reported = k.hello.Uptime, k.hello.Total
 			}
 		case k.counts(now, window):
 			t.sharing++
--- a/entry/peers/count_test.go
+++ b/entry/peers/count_test.go
@@ -202,32 +202,32 @@
 		all[i] = fmt.Sprintf("10.1.0.%d:7", i)
 	}
 	side := all[first : first+size]
-	elder := seeded(clock, side[0], all[:3]...)
+	senior := seeded(clock, side[0], all[:3]...)
 	clock.Advance(magno.Second)
-	elder.meet(true, all...)
-	elder.updateContact()
+	senior.meet(true, all...)
+	senior.updateContact()
 	for _, addr := range all {
 		if !slices.Contains(side, addr) {
-			elder.lose(false, addr)
+			senior.lose(false, addr)
 		}
 	}
 	if !restarted || size == 1 {
 		clock.Advance(after)
-		return elder.share()
+		return senior.share()
 	}
 	clock.Advance(after / 2)
-	young := seeded(clock, side[1], all[:3]...)
+	started := seeded(clock, side[1], all[:3]...)
 	clock.Advance(after - after/2)
-	elder.updateContact()
-	h := elder.newHello(0, 0)
+	senior.updateContact()
+	h := senior.newHello(0, 0)
 	for _, addr := range side {
-		if addr == young.Addr {
+		if addr == started.Addr {
 			continue
 		}
 		h.Name, h.Addr = addr, addr
-		young.applyHello(&h)
+		started.applyHello(&h)
 	}
-	return young.share()
+	return started.share()
 }
 
 // Guards against a fleet that starts in two halves, of which each takes itself for the fleet.
--- a/magno/view/view.go
+++ b/magno/view/view.go
@@ -284,8 +284,8 @@
 
 // succeeded reports whether another upstream has taken the address of one. The entry of a crashed
 // upstream remains for some seconds beside that of its successor. If it is still there once it would
-// have expired, its upstream lives, and the newer entry came from another writer or has ended. The
-// caller holds mu.
+// have expired, its upstream is alive, and the newer entry came from another writer. The caller holds
+// mu.
 func (s *Store) succeeded(r *magno.Replica) bool {
 	c := s.claims[r.Address]
 	if r.Since >= c.since {
