soak: a caller that leaves within an answer says nothing about recovery

The check passes over callers that disconnect early, as its comment says, but only if no header had come: a 200 whose caller left within the body began the count anew. It passes over these too; all else counts as before, an incomplete answer whose caller stayed among it.

--- a/drive/soak/soak.go
+++ b/drive/soak/soak.go
@@ -23,6 +23,8 @@
 	// One of impatientShare callers sends what isn't served again at once, impatientTries times in all.
 	impatientShare = 4
 	impatientTries = 4
+	// earlyLimit is the longest time after which a caller disconnects early.
+	earlyLimit = 60 * time.Millisecond
 	// One of longShare requests that may be repeated has a body of up to maxLongBody bytes.
 	longShare   = 8
 	maxLongBody = 900 << 10
@@ -185,7 +187,7 @@
 		}
 		for try := range impatientTries {
 			address := s.fleet.entries[rnd.IntN(len(s.fleet.entries))]
-			o := s.sendOne(ctx, caller, address, fmt.Sprintf("s%d-%d-%d-%d", s.Seed, n, i, try), rnd)
+			o, _ := s.sendOne(ctx, caller, address, fmt.Sprintf("s%d-%d-%d-%d", s.Seed, n, i, try), rnd)
 			if n%impatientShare != 0 || o.Status == http.StatusOK || playing.Err() != nil {
 				break
 			}
@@ -194,8 +196,8 @@
 	}
 }
 
-// sendOne sends one request and records its outcome.
-func (s *Soak) sendOne(ctx context.Context, caller *fake.Caller, address, id string, rnd *rand.Rand) fake.Outcome {
+// sendOne sends one request and records its outcome. Left is true if its caller disconnected before the end of the answer.
+func (s *Soak) sendOne(ctx context.Context, caller *fake.Caller, address, id string, rnd *rand.Rand) (o fake.Outcome, left bool) {
 	path := []string{fake.PathOnce, fake.PathRepeat, fake.PathStream, fake.PathResume, fake.PathResume}[rnd.IntN(5)]
 	adapter := ""
 	if path == fake.PathStream || path == fake.PathResume {
@@ -203,7 +205,7 @@
 	}
 	limit := 6 * time.Second
 	if rnd.IntN(20) == 0 {
-		limit = time.Duration(rnd.IntN(60)) * time.Millisecond // the caller disconnects early
+		limit = time.Duration(rnd.IntN(int(earlyLimit/time.Millisecond))) * time.Millisecond // the caller disconnects early
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -218,13 +220,13 @@
 			m.Body = strings.Repeat("x", rnd.IntN(maxLongBody))
 		}
 	}
-	o := caller.SendMessage(ctx, address, m)
+	o = caller.SendMessage(ctx, address, m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.outcome, r.doneAt = o, time.Now()
 	s.checkRequest(id, s.sent[id])
 	s.kinds[fmt.Sprintf("%s %s", strings.Trim(path, "/"), outcomeName(o))]++
-	return o
+	return o, ctx.Err() != nil && !o.Complete && limit < earlyLimit
 }
 
 func outcomeName(o fake.Outcome) string {
@@ -247,13 +249,13 @@
 	rnd := rand.New(rand.NewPCG(s.Seed, 1<<32)) //nolint:gosec // not used as a secret
 	inRow, last := 0, fake.Outcome{}
 	for i, end := 0, time.Now().Add(within); inRow < requiredInRow && time.Now().Before(end); i++ {
-		o := s.sendOne(ctx, caller, s.fleet.entries[i%len(s.fleet.entries)], fmt.Sprintf("s%d-after %s-%d", s.Seed, what, i), rnd)
+		o, left := s.sendOne(ctx, caller, s.fleet.entries[i%len(s.fleet.entries)], fmt.Sprintf("s%d-after %s-%d", s.Seed, what, i), rnd)
 		if o.Status == http.StatusOK && o.Complete {
 			inRow++
 			continue
 		}
-		// A caller that disconnected early says nothing about the fleet.
-		if o.Status != 0 {
+		// A caller that disconnected early, or within the answer, says nothing about the fleet.
+		if o.Status != 0 && !left {
 			inRow, last = 0, o
 		}
 		time.Sleep(50 * time.Millisecond)
