--- a/drive/soak/grace_test.go
+++ b/drive/soak/grace_test.go
@@ -36,24 +36,26 @@
 // in time: they run, and their callers learn nothing of it. A refusal that is true is owed at once.
 func TestRequestLateInTheGraceIsServedOrRefused(t *testing.T) {
 	for i, c := range []struct {
-		path string
+		path, adapter string
 		// work is how long requests last, body the time over which their bodies arrive.
 		work, body time.Duration
 	}{
-		{fake.PathOnce, 300 * time.Millisecond, 0},
-		{fake.PathOnce, 1500 * time.Millisecond, 0},
-		{fake.PathRepeat, 1500 * time.Millisecond, 0},
-		{fake.PathOnce, 2500 * time.Millisecond, 0},
-		{fake.PathFlow, 1500 * time.Millisecond, 0},
-		{fake.PathOnce, 900 * time.Millisecond, 1500 * time.Millisecond},
+		{fake.PathOnce, "", 300 * time.Millisecond, 0},
+		{fake.PathOnce, "", 1500 * time.Millisecond, 0},
+		{fake.PathRepeat, "", 1500 * time.Millisecond, 0},
+		{fake.PathOnce, "", 2500 * time.Millisecond, 0},
+		{fake.PathFlow, "", 1500 * time.Millisecond, 0},
+		{fake.PathOnce, "", 900 * time.Millisecond, 1500 * time.Millisecond},
+		{fake.PathStream, "a1", 0, 0},
+		{fake.PathResume, "a1", 0, 0},
 	} {
 		t.Run(fmt.Sprint(strings.Trim(c.path, "/"), c.work, c.body), func(t *testing.T) {
 			t.Parallel()
-			s := startSoakOf(t, Size{Entries: 2, Engines: 1, Network: firstGraceNetwork + i})
+			s := startSoakOf(t, Size{Entries: 2, Engines: 3, Network: firstGraceNetwork + i})
 			for _, u := range s.fleet.plains {
 				s.fleet.current(u).SetCapacity(fake.Capacity{Slots: 4 * graceCallers, Work: c.work})
 			}
-			answers := s.stopUnderCallers(c.path, c.body)
+			answers := s.stopUnderCallers(c.path, c.adapter, c.body)
 			refused, failed := 0, 0
 			for _, a := range answers {
 				switch {
@@ -79,7 +81,7 @@
 
 // stopUnderCallers stops the first entry while callers send to it on kept connections, and returns the answers to what
 // they sent after the stop. A request whose connection was closed before it was read has no answer.
-func (s *Soak) stopUnderCallers(path string, body time.Duration) []lateAnswer {
+func (s *Soak) stopUnderCallers(path, adapter string, body time.Duration) []lateAnswer {
 	var mu sync.Mutex
 	var answers []lateAnswer
 	var sending sync.WaitGroup
@@ -90,7 +92,10 @@
 			c := &keptCaller{caller: &fake.Caller{Key: fake.Key}, address: s.fleet.entries[0], bodyTime: body}
 			defer c.drop()
 			for time.Since(stop) < graceAfter {
-				m := fake.Message{Target: path + "x", ID: s.newID(), Body: "body"}
+				m := fake.Message{Target: path + "x", ID: s.newID(), Body: "body", Adapter: adapter}
+				if serviceOf(path) == fake.EngineService {
+					m.Target = path + longSuffix
+				}
 				at := time.Now()
 				o, wholeAt := c.send(s.fleet.ctx, m)
 				crossed := o.Status == 0 && (wholeAt.IsZero() || (s.fleet.runs(m.ID) == 0 && time.Since(wholeAt) < lossSlack))
--- a/entry/peers/count.go
+++ b/entry/peers/count.go
@@ -109,6 +109,23 @@
 	p.Log.Info("fleet", "contact", c.String(), "alive", t.alive, "sharing", t.sharing, "silent", t.silent, "seeds", len(p.Seeds))
 }
 
+// SetSeeds replaces the seeds, which the platform may put right at any time. New ones are contacted at
+// once. An empty list is ignored: without seeds this entry would be alone by right.
+func (p *Peers) SetSeeds(seeds []string) {
+	if len(seeds) == 0 {
+		return
+	}
+	p.mu.Lock()
+	for _, addr := range p.Seeds {
+		if k := p.known[addr]; k != nil && k.seenAt == 0 && !slices.Contains(seeds, addr) {
+			delete(p.known, addr) // no entry is known to run there
+		}
+	}
+	p.Seeds = slices.Clone(seeds)
+	p.mu.Unlock()
+	p.addAddrs(seeds)
+}
+
 // expectsOthers reports whether the seeds name another entry. The caller holds mu.
 func (p *Peers) expectsOthers() bool {
 	return slices.ContainsFunc(p.Seeds, func(addr string) bool { return addr != p.Addr })
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -14,7 +14,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -263,23 +262,6 @@
 	}
 }
 
-// SetSeeds replaces the seeds, which the platform may put right at any time. New ones are contacted at
-// once. An empty list is ignored: without seeds this entry would be alone by right.
-func (p *Peers) SetSeeds(seeds []string) {
-	if len(seeds) == 0 {
-		return
-	}
-	p.mu.Lock()
-	for _, addr := range p.Seeds {
-		if k := p.known[addr]; k != nil && k.seenAt == 0 && !slices.Contains(seeds, addr) {
-			delete(p.known, addr) // no entry is known to run there
-		}
-	}
-	p.Seeds = slices.Clone(seeds)
-	p.mu.Unlock()
-	p.addAddrs(seeds)
-}
-
 // wake makes Run contact the peers that are due now.
 func (p *Peers) wake() {
 	select {
