limit, quota, grant: tests of what is granted without contact

Three tests, of the homes of upstreams and customers and of the share without a home; each fails if grant.Grants always holds, and passes on the code as it is. No product code changes.

--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -210,6 +210,24 @@
 	}
 }
 
+// Guards against entries that can't know how many others there are and each send one upstream its whole limit, and
+// against a home that is in debt, or refuses at an upstream without a limit, once it knows.
+func TestHomeThatCannotKnowOthersGrantsNothing(t *testing.T) {
+	f := newFleet(t, 2)
+	home := f.nodes[0]
+	home.Count = func() (int, int) { return 1, 1 << 20 }
+	for range 800 {
+		if r := home.take(takeCall{Key: key, Rate: 4}); r.Granted || r.RetryAfter <= 0 {
+			t.Fatalf("got %+v", r)
+		}
+		f.clock.Advance(10)
+	}
+	home.Count = func() (int, int) { return 2, 2 }
+	if !home.take(takeCall{Key: key, Rate: 4}).Granted {
+		t.Error("refused after it has met the others")
+	}
+}
+
 // Guards against each entry letting requests through while no home can be reached.
 func TestNothingIsGrantedWithoutAHome(t *testing.T) {
 	f := newFleet(t, 3)
--- a/magno/grant/grant_test.go
+++ b/magno/grant/grant_test.go
@@ -90,6 +90,25 @@
 	}
 }
 
+// Guards against homes that can't know how many others there are and grant a request each, and against one that keeps
+// refusing once it knows.
+func TestHomeWithoutContactGrantsNothing(t *testing.T) {
+	clock := magno.NewClock(magno.Hour)
+	g := &Granter{Clock: clock, Window: window}
+	ask := Request{Customer: "a", Need: 100, Least: 100, Want: 100}
+	for range 100 {
+		if r := g.Grant(ask, limit, 1, 1<<20); r.Granted != 0 || r.RetryAfter != unknownRetryAfter {
+			t.Fatalf("got %+v", r)
+		}
+		clock.Advance(100)
+	}
+	g.Grant(ask, limit, 4, 4)
+	clock.Advance(magno.Second)
+	if r := g.Grant(ask, limit, 4, 4); r.Granted != 100 {
+		t.Errorf("granted %v a second after it has met the others", r.Granted)
+	}
+}
+
 func TestLoweredLimitBindsAtOnce(t *testing.T) {
 	g, clock := homeWithSpentBurst(t)
 	clock.Advance(magno.Second)
--- a/magno/quota/quota_test.go
+++ b/magno/quota/quota_test.go
@@ -76,6 +76,20 @@
 
 // While a customer's home is lost, its requests must not all be refused, and thirty
 // processes must not each use its whole allowance.
+// Guards against processes that can't know how many others there are and each use a share while no home answers.
+func TestFallbackWithoutContactGrantsNothing(t *testing.T) {
+	q, clock := newQuota()
+	for range 100 {
+		if v, after := q.Fallback("a", limit, 50, 1<<20); v != Refused || after <= 0 {
+			t.Fatalf("got %v, return after %d ms", v, after)
+		}
+		clock.Advance(100)
+	}
+	if v, _ := q.Fallback("a", limit, 50, 1); v != Allowed {
+		t.Error("refused once it knows that it is alone")
+	}
+}
+
 func TestFallbackUsesItsPart(t *testing.T) {
 	q, clock := newQuota()
 	var sum float64
