--- a/review/second/main.go
+++ b/review/second/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"version": runVersion,
 	"readers": runReaders,
+	"slow":    runSlow,
 }
 
 func main() { os.Exit(realMain()) }
--- a/review/second/plain.go
+++ b/review/second/plain.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
 
+// largeSuffix is the end of the path of requests whose answer is the body of the worker.
+const largeSuffix = "/large"
+
 // arrival is a request that reached a plain worker.
 type arrival struct {
 	id string
@@ -86,7 +90,8 @@
 	}
 	time.Sleep(p.work)
 	w.Header().Set(names["signature"], "s."+p.id)
-	if p.body != nil {
+	if p.body != nil && strings.HasSuffix(r.URL.Path, largeSuffix) {
+		w.Header().Set("Content-Length", number(len(p.body)))
 		_, _ = w.Write(p.body)
 		return
 	}
--- a/review/second/readers.go
+++ b/review/second/readers.go
@@ -23,11 +23,11 @@
 )
 
 // deskPlan is the configuration of the case.
-func deskPlan(version int) map[string]any {
+func deskPlan(version, timeout int) map[string]any {
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-i9n73hh", "host": host, names["prefix"]: "/puxa403/", "route_kind": "non_idempotent", "timeout_ms": 800, "target_latency_ms": 100,
+			"name": "r-i9n73hh", "host": host, names["prefix"]: "/puxa403/", "route_kind": "non_idempotent", "timeout_ms": timeout, "target_latency_ms": 100,
 			"priority": 2, "service": deskService, "attempts": 1, "sticky": false, "resumable": false,
 		}},
 		"services": []any{map[string]any{"name": deskService, "health_path": "/health", "connection_limit": 96, "protocol": "h1", "tls": false}},
@@ -55,7 +55,7 @@
 // runReaders counts the requests that machines whose path to the store is sound send to the worker later than
 // drainTime after the store acknowledged that it leaves.
 func runReaders(w *world, trouble bool) (int, error) {
-	w.store.put("op/config", deskPlan(3))
+	w.store.put("op/config", deskPlan(3, 800))
 	var proxies []*proxy
 	for i := range entryNum {
 		p, err := newProxy(w, w.address(0, i+11, portStore), w.address(0, 1, portStore))
