--- a/review/second/main.go
+++ b/review/second/main.go
@@ -43,6 +43,7 @@
 		fmt.Println(err)
 		return 2
 	}
+	defer w.close() // also if the case panics
 	broken, err := cases[os.Args[1]](w, os.Getenv("TROUBLE") != "0")
 	if err == nil && ctx.Err() != nil {
 		err = errCannotRun
@@ -55,8 +56,6 @@
 	default:
 		w.say("held")
 	}
-	cancel()
-	w.close()
 	switch {
 	case err != nil:
 		return 2
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -148,21 +148,25 @@
 		w.seeds = append(w.seeds, w.address(1, i+1, portPeers))
 	}
 	for i := range n {
-		ip := w.ip(1, i+1)
-		err := w.start("entry", fmt.Sprintf("frontend-hall-%c-1", 'a'+i), ip, []string{
-			"role=entry", "machine_class=frontend", "serves=frontend,control_plane", fmt.Sprintf("zone=hall-%c", 'a'+i),
-			fmt.Sprintf("listen_addresses.frontend=%s:%d", ip, portCallers),
-			fmt.Sprintf("listen_addresses.ready=%s:%d", ip, portReady),
-			fmt.Sprintf("listen_addresses.control_plane=%s:%d", ip, portPeers),
-			"limits.memory_mb=284", "limits.link_bandwidth_mbps=1000.0", "platform.address=" + storeOf(i),
-		})
-		if err != nil {
+		if err := w.startEntry(i, storeOf(i)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// startEntry starts the entry with an index.
+func (w *world) startEntry(i int, store string) error {
+	ip := w.ip(1, i+1)
+	return w.start("entry", fmt.Sprintf("frontend-hall-%c-1", 'a'+i), ip, []string{
+		"role=entry", "machine_class=frontend", "serves=frontend,control_plane", fmt.Sprintf("zone=hall-%c", 'a'+i),
+		fmt.Sprintf("listen_addresses.frontend=%s:%d", ip, portCallers),
+		fmt.Sprintf("listen_addresses.ready=%s:%d", ip, portReady),
+		fmt.Sprintf("listen_addresses.control_plane=%s:%d", ip, portPeers),
+		"limits.memory_mb=284", "limits.link_bandwidth_mbps=1000.0", "platform.address=" + store,
+	})
+}
+
 // startAgent starts the agent beside the worker on a machine.
 func (w *world) startAgent(name, ip, zone, service string) error {
 	return w.start("agent", name, ip, []string{
