--- a/review/second/engine.go
+++ b/review/second/engine.go
@@ -176,10 +176,19 @@
 	e.mu.Lock()
 	e.settle()
 	a := e.adapters[name]
-	if r.Header.Get(names["instance"]) != e.id || !a.loaded() || (a.next > 0 && a.using == 0) {
+	rejection := 0
+	switch {
+	case r.Header.Get(names["instance"]) != e.id:
+		rejection = http.StatusMisdirectedRequest
+	case a != nil && a.next > 0: // an order concerns it that isn't done
+		rejection = http.StatusServiceUnavailable
+	case !a.loaded():
+		rejection = http.StatusMisdirectedRequest
+	}
+	if rejection != 0 {
 		e.mu.Unlock()
 		w.Header().Set(names["notrun"], "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		w.WriteHeader(rejection)
 		return
 	}
 	a.using++
