--- a/review/second/world.go
+++ b/review/second/world.go
@@ -32,10 +32,8 @@
 // Bounds of the settings, those of the platform's example.
 const (
 	drainTime   = 2000 * time.Millisecond
-	applyTime   = 2000 * time.Millisecond
 	versionTime = 5000 * time.Millisecond
 	graceTime   = 8 * time.Second
-	touchTime   = 3000 * time.Millisecond
 	heartbeat   = 1200 * time.Millisecond
 )
 
