--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,8 +25,12 @@
 	"version": runVersion,
 	"readers": runReaders,
 	"slow":    runSlow,
+	"homes":   runHomes,
 }
 
+// networks has the part of the loopback network that a case takes first. Where it isn't named, any is as good.
+var networks = map[string]int{"homes": homesNetwork}
+
 func main() { os.Exit(realMain()) }
 
 func realMain() int {
@@ -38,7 +42,7 @@
 	defer cancel()
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	w, err := newWorld(ctx, os.Args[2])
+	w, err := newWorld(ctx, os.Args[2], networks[os.Args[1]])
 	if err != nil {
 		fmt.Println(err)
 		return 2
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,9 +45,9 @@
 
 // process is a program of the system on a machine of its own.
 type process struct {
-	name, ip string
-	cmd      *exec.Cmd
-	ended    chan struct{}
+	program, name, ip string
+	cmd               *exec.Cmd
+	ended             chan struct{}
 }
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
@@ -60,14 +61,16 @@
 	store  *store
 	procs  []*process
 	seeds  []string
+	// extra returns settings of the entry with an index that replace others. It may be nil.
+	extra func(i int) []string
 
 	mu     sync.Mutex
 	record *os.File
 	lines  int
 }
 
-// newWorld takes a free part of the loopback network and starts the store.
-func newWorld(ctx context.Context, record string) (*world, error) {
+// newWorld takes a free part of the loopback network, the first one if that is given and free, and starts the store.
+func newWorld(ctx context.Context, record string, first int) (*world, error) {
 	folder, err := os.MkdirTemp("", "review-second-")
 	if err != nil {
 		return nil, err
@@ -77,8 +80,11 @@
 		return nil, err
 	}
 	w := &world{ctx: ctx, folder: folder, begun: time.Now(), store: newStore(), record: f}
-	for range 50 {
+	for try := range 50 {
 		w.net = 10 + rand.IntN(240)
+		if try == 0 && first > 0 {
+			w.net = first
+		}
 		if w.free() {
 			return w, w.serve(w.address(0, 1, portStore), w.store)
 		}
@@ -153,16 +159,35 @@
 	return nil
 }
 
+// entryName returns the name of the machine of an entry.
+func entryName(i int) string { return fmt.Sprintf("frontend-hall-%c-%d", 'a'+i%4, i/4+1) }
+
 // startEntry starts the entry with an index.
 func (w *world) startEntry(i int, store string) error {
 	ip := w.ip(1, i+1)
-	return w.start("entry", fmt.Sprintf("frontend-hall-%c-1", 'a'+i), ip, []string{
-		"role=entry", "machine_class=frontend", "serves=frontend,control_plane", fmt.Sprintf("zone=hall-%c", 'a'+i),
+	own := []string{
+		"role=entry", "machine_class=frontend", "serves=frontend,control_plane", fmt.Sprintf("zone=hall-%c", 'a'+i%4),
 		fmt.Sprintf("listen_addresses.frontend=%s:%d", ip, portCallers),
 		fmt.Sprintf("listen_addresses.ready=%s:%d", ip, portReady),
 		fmt.Sprintf("listen_addresses.control_plane=%s:%d", ip, portPeers),
 		"limits.memory_mb=284", "limits.link_bandwidth_mbps=1000.0", "platform.address=" + store,
-	})
+	}
+	if w.extra != nil {
+		own = replaceSettings(own, w.extra(i))
+	}
+	return w.start("entry", entryName(i), ip, own)
+}
+
+// replaceSettings returns lines with those of other in place of, or after, its own.
+func replaceSettings(lines, other []string) []string {
+	var list []string
+	for _, line := range lines {
+		name, _, _ := strings.Cut(line, "=")
+		if !slices.ContainsFunc(other, func(o string) bool { return strings.HasPrefix(o, name+"=") }) {
+			list = append(list, line)
+		}
+	}
+	return append(list, other...)
 }
 
 // startAgent starts the agent beside the worker on a machine.
@@ -191,10 +216,9 @@
 
 // start starts a program of the system with the command of the deploy file.
 func (w *world) start(program, name, ip string, own []string) error {
-	lines := append([]string{names["node"] + "=" + name, "ip_address=" + ip, fmt.Sprintf("internal_port_range=%d,%d", portFirst, portLast), "seed_nodes=" + strings.Join(w.seeds, ",")}, own...)
-	lines = append(lines, commonSettings...)
-	settings := filepath.Join(w.folder, name+".conf")
-	if err := os.WriteFile(settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+	lines := []string{names["node"] + "=" + name, "ip_address=" + ip, fmt.Sprintf("internal_port_range=%d,%d", portFirst, portLast), "seed_nodes=" + strings.Join(w.seeds, ",")}
+	lines = replaceSettings(append(lines, commonSettings...), own)
+	if err := os.WriteFile(w.settings(name), []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return err
 	}
 	log, err := os.Create(filepath.Join(w.folder, name+".log"))
@@ -202,14 +226,24 @@
 		return err
 	}
 	defer log.Close()
-	p := &process{name: name, ip: ip, cmd: exec.Command("target/"+program, "site", "platform"), ended: make(chan struct{})}
-	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names["settings"] + "=" + settings}
+	return w.run(program, name, ip, log)
+}
+
+// settings returns the path of a process's settings file.
+func (w *world) settings(name string) string { return filepath.Join(w.folder, name+".conf") }
+
+// run starts a program whose settings file is written.
+func (w *world) run(program, name, ip string, log *os.File) error {
+	p := &process{program: program, name: name, ip: ip, cmd: exec.Command("target/"+program, "site", "platform"), ended: make(chan struct{})}
+	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names["settings"] + "=" + w.settings(name)}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return fmt.Errorf("%w: %v", errCannotRun, err)
 	}
 	w.note("start %s, process %d", name, p.cmd.Process.Pid)
+	w.mu.Lock()
 	w.procs = append(w.procs, p)
+	w.mu.Unlock()
 	go func() {
 		_ = p.cmd.Wait()
 		w.note("end of %s: %s", name, p.cmd.ProcessState)
